--- /dev/null
+++ b/Makefile
@@ -0,0 +1,30 @@
+# Targets for people and CI; the build itself is CMakeLists.txt.
+JOBS ?= $(shell nproc)
+
+.PHONY: all deps build test lint format demo clean
+
+all: build
+
+deps:
+	sh tools/install-deps.sh
+
+build: deps
+	cmake -S . -B build -DCMAKE_BUILD_TYPE=RelWithDebInfo >build-cmake.log
+	cmake --build build -j $(JOBS)
+
+test: deps
+	cmake -S . -B build-test -DCMAKE_BUILD_TYPE=Debug -DJD_SANITIZE=ON >build-cmake.log
+	cmake --build build-test -j $(JOBS)
+	ctest --test-dir build-test --output-on-failure -j $(JOBS)
+
+lint: deps
+	sh tools/lint.sh
+
+format:
+	clang-format -i $$(git ls-files '*.c' '*.h' '*.cpp')
+
+demo: build
+	bash demo/demo.sh build
+
+clean:
+	rm -rf build build-test build-cmake.log
--- /dev/null
+++ b/core/gate.c
@@ -0,0 +1,461 @@
+#include "core/gate.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "core/invariant.h"
+#include "core/mem.h"
+
+#define GRANT_NS	 (400 * NS_PER_MS)
+#define RELEASE_AGAIN_NS (100 * NS_PER_MS)
+#define EXPIRY_NS	 (200 * NS_PER_MS)
+/* Attempts that may wait for a slot, as a multiple of the slots. */
+#define QUEUE_PER_SLOT	 4
+
+void gate_init(struct gate *g)
+{
+	memset(g, 0, sizeof(*g));
+	for (int i = 0; i < GATE_BUCKETS; i++)
+		list_init(&g->buckets[i]);
+	list_init(&g->queue);
+	list_init(&g->routes);
+	list_init(&g->results);
+	g->next_call = 1;
+}
+
+static void call_delete(struct gate_call *gc)
+{
+	list_remove(&gc->link);
+	list_remove(&gc->queued);
+	http_request_delete(gc->request);
+	free(gc);
+}
+
+void gate_done(struct gate *g)
+{
+	struct gate_route *r, *rt;
+	struct gate_result *res;
+
+	for (int i = 0; i < GATE_BUCKETS; i++) {
+		struct gate_call *gc, *tmp;
+
+		list_for_each_entry_safe(gc, tmp, &g->buckets[i], link)
+			call_delete(gc);
+	}
+	list_for_each_entry_safe(r, rt, &g->routes, link) {
+		free(r->shards);
+		free(r);
+	}
+	while ((res = gate_pop(g)))
+		gate_result_delete(res);
+}
+
+struct gate_result *gate_pop(struct gate *g)
+{
+	struct gate_result *r;
+
+	if (list_empty(&g->results))
+		return NULL;
+	r = list_entry(g->results.next, struct gate_result, link);
+	list_remove(&r->link);
+	return r;
+}
+
+void gate_result_delete(struct gate_result *r)
+{
+	http_answer_delete(r->answer);
+	free(r);
+}
+
+bool gate_busy(const struct gate *g)
+{
+	return g->running || g->waiting;
+}
+
+void gate_announce(struct gate *g, struct ctx *c, const struct ev_announce *a)
+{
+	if (g->upstream.instance != a->instance) {
+		actions_log(c->out, LOG_INFO,
+			    "event=upstream_announced service=%s addr=%s "
+			    "slots=%u checks_grants=%d",
+			    a->service, a->addr, a->slots, a->checks_grants);
+		g->next_grant_ns = c->now_ns;
+	}
+	g->upstream = *a;
+}
+
+static struct list *bucket(struct gate *g, struct request_id id)
+{
+	return &g->buckets[(id.node ^ id.counter) % GATE_BUCKETS];
+}
+
+static struct gate_call *find(struct gate *g, struct request_id id,
+			      uint32_t attempt)
+{
+	struct gate_call *gc;
+
+	list_for_each_entry(gc, bucket(g, id), link)
+		if (request_id_equal(gc->id, id) && gc->attempt == attempt)
+			return gc;
+	return NULL;
+}
+
+static struct gate_route *route_get(struct gate *g, const char *name,
+				    uint32_t count)
+{
+	struct gate_route *r;
+
+	list_for_each_entry(r, &g->routes, link)
+		if (!strcmp(r->name, name) && r->count == count)
+			return r;
+	r = mem_new(struct gate_route);
+	mem_copy_str(r->name, name, sizeof(r->name));
+	r->count = count;
+	r->shards = mem_zalloc(count, sizeof(*r->shards));
+	list_push_back(&g->routes, &r->link);
+	return r;
+}
+
+static struct local_shard *local_shard(struct gate *g, const struct ctx *c,
+				       const struct gate_call *gc)
+{
+	const struct shard_map *map = view_map(&c->view, gc->route);
+
+	if (!gc->epoch || !map || gc->shard >= map->count)
+		return NULL;
+	return &route_get(g, gc->route, map->count)->shards[gc->shard];
+}
+
+/* Ends the attempt and frees its slot or its place in the queue. */
+static void end(struct gate *g, const struct ctx *c, struct gate_call *gc,
+		enum outcome outcome, enum refusal refusal,
+		struct http_answer *answer)
+{
+	struct gate_result *r = mem_new(struct gate_result);
+	struct local_shard *sh = local_shard(g, c, gc);
+
+	JD_INVARIANT(!gc->ended, "id=%016lx-%lu attempt=%u",
+		     (unsigned long)gc->id.node, (unsigned long)gc->id.counter,
+		     gc->attempt);
+	if (gc->call)
+		g->running--;
+	if (!list_empty(&gc->queued)) {
+		list_remove(&gc->queued);
+		g->waiting--;
+	}
+	if (sh && sh->in_flight)
+		sh->in_flight--;
+	gc->call = 0;
+	gc->ended = true;
+	http_request_delete(gc->request);
+	gc->request = NULL;
+	g->served++;
+	r->id = gc->id;
+	r->attempt = gc->attempt;
+	r->from = gc->from;
+	r->self = gc->self;
+	mem_copy_str(r->reply_to, gc->reply_to, sizeof(r->reply_to));
+	r->outcome = outcome;
+	r->refusal = refusal;
+	r->answer = answer;
+	list_push_back(&g->results, &r->link);
+}
+
+static enum refusal check_keyed(struct gate *g, const struct ctx *c,
+				struct gate_call *gc, const char *key)
+{
+	const struct shard_map *map = view_map(&c->view, gc->route);
+	const struct shard *sh;
+	struct gate_route *r;
+	uint32_t i;
+
+	if (!map)
+		return REFUSAL_NOT_OWNER;
+	i = shard_map_index(map, key, strlen(key));
+	sh = &map->shards[i];
+	r = route_get(g, gc->route, map->count);
+	if (sh->owner != c->self)
+		return REFUSAL_NOT_OWNER;
+	if (sh->target || r->shards[i].released >= sh->epoch)
+		return REFUSAL_MOVING;
+	gc->shard = i;
+	gc->epoch = sh->epoch;
+	return REFUSAL_NONE;
+}
+
+static enum refusal check(struct gate *g, const struct ctx *c,
+			  const struct lease *lease, struct gate_call *gc,
+			  const struct msg_forward *f)
+{
+	const struct manifest *m = view_manifest(&c->view);
+	const struct route *r = m ? manifest_route(m, f->route) : NULL;
+
+	if (!m)
+		return REFUSAL_NO_MANIFEST;
+	if (!r)
+		return REFUSAL_NO_ROUTE;
+	if (!region_set_allows(&r->home_regions, c->opts->region))
+		return REFUSAL_HOME_REGION;
+	if (!g->upstream.instance ||
+	    strcmp(g->upstream.service, r->service) != 0)
+		return REFUSAL_UPSTREAM_DOWN;
+	if (!lease_valid(lease, c->now_ns))
+		return REFUSAL_NO_LEASE;
+	if (c->now_ns >= gc->deadline_ns)
+		return REFUSAL_DEADLINE;
+	return r->kind == ROUTE_KEYED ? check_keyed(g, c, gc, f->key)
+				      : REFUSAL_NONE;
+}
+
+static void start(struct gate *g, struct ctx *c, struct gate_call *gc,
+		  const struct lease *lease)
+{
+	struct act_upstream_call *a;
+
+	a = &actions_add(c->out, ACT_UPSTREAM_CALL)->u.call;
+	gc->call = g->next_call++;
+	g->running++;
+	a->call = gc->call;
+	mem_copy_str(a->addr, g->upstream.addr, sizeof(a->addr));
+	mem_copy_str(a->fence.route, gc->route, sizeof(a->fence.route));
+	a->fence.shard = gc->shard;
+	a->fence.epoch = gc->epoch;
+	a->id = gc->id;
+	a->deadline_ns = gc->deadline_ns;
+	a->write_before_ns = lease->deadline_ns;
+	a->request = gc->request;
+	gc->request = NULL;
+}
+
+void gate_run(struct gate *g, struct ctx *c, const struct lease *lease,
+	      struct msg_forward *f, incarnation_t from)
+{
+	struct gate_call *gc = find(g, f->id, f->attempt);
+	enum refusal refusal;
+	struct local_shard *sh;
+
+	if (gc) {
+		g->doubled++;
+		return;
+	}
+	gc = mem_new(struct gate_call);
+	list_init(&gc->queued);
+	gc->id = f->id;
+	gc->attempt = f->attempt;
+	gc->from = from;
+	gc->self = c->self;
+	mem_copy_str(gc->reply_to, f->reply_to, sizeof(gc->reply_to));
+	mem_copy_str(gc->route, f->route, sizeof(gc->route));
+	gc->deadline_ns = c->now_ns + f->time_left_ns;
+	gc->request = f->request;
+	f->request = NULL;
+	list_push_back(bucket(g, gc->id), &gc->link);
+	refusal = check(g, c, lease, gc, f);
+	if (refusal == REFUSAL_NONE &&
+	    g->waiting >= QUEUE_PER_SLOT * g->upstream.slots)
+		refusal = REFUSAL_QUEUE_FULL;
+	if (refusal != REFUSAL_NONE) {
+		gc->epoch = 0;
+		end(g, c, gc, OUTCOME_NOT_RUN, refusal, NULL);
+		return;
+	}
+	sh = local_shard(g, c, gc);
+	if (sh)
+		sh->in_flight++;
+	if (g->running < g->upstream.slots) {
+		start(g, c, gc, lease);
+		return;
+	}
+	g->waiting++;
+	list_push_back(&g->queue, &gc->queued);
+}
+
+/* A slot is free: the first waiting attempt that may still run takes it. */
+static void start_next(struct gate *g, struct ctx *c, const struct lease *lease)
+{
+	struct gate_call *gc, *tmp;
+
+	list_for_each_entry_safe(gc, tmp, &g->queue, queued) {
+		if (g->running >= g->upstream.slots)
+			return;
+		if (!lease_valid(lease, c->now_ns)) {
+			end(g, c, gc, OUTCOME_NOT_RUN, REFUSAL_NO_LEASE, NULL);
+			continue;
+		}
+		if (c->now_ns >= gc->deadline_ns) {
+			end(g, c, gc, OUTCOME_NOT_RUN, REFUSAL_DEADLINE, NULL);
+			continue;
+		}
+		list_remove(&gc->queued);
+		g->waiting--;
+		start(g, c, gc, lease);
+	}
+}
+
+static struct gate_call *find_call(struct gate *g, uint64_t call)
+{
+	for (int i = 0; i < GATE_BUCKETS; i++) {
+		struct gate_call *gc;
+
+		list_for_each_entry(gc, &g->buckets[i], link)
+			if (gc->call == call)
+				return gc;
+	}
+	return NULL;
+}
+
+void gate_on_upstream(struct gate *g, struct ctx *c,
+		      struct ev_upstream_answer *a, const struct lease *lease)
+{
+	struct gate_call *gc = a->call ? find_call(g, a->call) : NULL;
+
+	if (gc) {
+		end(g, c, gc, a->outcome, a->refusal, a->answer);
+		a->answer = NULL;
+	}
+	start_next(g, c, lease);
+}
+
+void gate_on_cancel(struct gate *g, struct ctx *c, const struct msg_cancel *m)
+{
+	struct gate_call *gc = find(g, m->id, m->attempt);
+
+	if (!gc || gc->ended)
+		return;
+	if (gc->call) {
+		actions_add(c->out, ACT_UPSTREAM_CANCEL)->u.cancel = gc->call;
+		return;
+	}
+	end(g, c, gc, OUTCOME_NOT_RUN, REFUSAL_DEADLINE, NULL);
+}
+
+static void grant_map(struct act_grant *a, const struct ctx *c, struct gate *g,
+		      const struct shard_map *map)
+{
+	struct gate_route *r = route_get(g, map->route, map->count);
+	struct grant_range *last = NULL;
+
+	for (uint32_t i = 0; i < map->count; i++) {
+		const struct shard *sh = &map->shards[i];
+
+		if (sh->owner != c->self || r->shards[i].released >= sh->epoch)
+			continue;
+		if (last && last->last + 1 == i && last->epoch == sh->epoch) {
+			last->last = i;
+			continue;
+		}
+		last = mem_new(struct grant_range);
+		mem_copy_str(last->route, map->route, sizeof(last->route));
+		last->first = i;
+		last->last = i;
+		last->epoch = sh->epoch;
+		list_push_back(&a->ranges, &last->link);
+	}
+}
+
+static void renew_grants(struct gate *g, struct ctx *c,
+			 const struct lease *lease)
+{
+	const struct doc *d = NULL;
+	struct act_grant *a;
+
+	if (!g->upstream.instance || c->now_ns < g->next_grant_ns ||
+	    !lease_valid(lease, c->now_ns))
+		return;
+	g->next_grant_ns = c->now_ns + GRANT_NS;
+	a = &actions_add(c->out, ACT_GRANT)->u.grant;
+	mem_copy_str(a->addr, g->upstream.addr, sizeof(a->addr));
+	a->deadline_ns = lease->deadline_ns;
+	while ((d = view_next(&c->view, DOC_MAP, d)))
+		grant_map(a, c, g, d->u.map);
+}
+
+static void release_add(struct message *msg, uint32_t shard, epoch_t epoch)
+{
+	struct msg_release *r = &msg->u.release;
+
+	r->shards = mem_realloc(r->shards, r->count + 1, sizeof(*r->shards));
+	r->epochs = mem_realloc(r->epochs, r->count + 1, sizeof(*r->epochs));
+	r->shards[r->count] = shard;
+	r->epochs[r->count] = epoch;
+	r->count++;
+}
+
+/* Shards on their way out with nothing in flight are released for good. */
+static void release_map(struct gate *g, struct ctx *c,
+			const struct shard_map *map,
+			const struct member *planner)
+{
+	struct gate_route *r = route_get(g, map->route, map->count);
+	struct message *msg = message_new(MSG_RELEASE);
+
+	mem_copy_str(msg->u.release.route, map->route,
+		     sizeof(msg->u.release.route));
+	for (uint32_t i = 0; i < map->count; i++) {
+		const struct shard *sh = &map->shards[i];
+
+		if (sh->owner != c->self || !sh->target ||
+		    r->shards[i].in_flight)
+			continue;
+		r->shards[i].released = sh->epoch;
+		release_add(msg, i, sh->epoch);
+	}
+	if (!msg->u.release.count || !planner) {
+		message_delete(msg);
+		return;
+	}
+	ctx_send(c, planner->inc, planner->peer_addr, msg);
+}
+
+static void release(struct gate *g, struct ctx *c)
+{
+	incarnation_t holder = view_planner(&c->view).holder;
+	const struct member *planner = view_member(&c->view, holder, NULL);
+	const struct doc *d = NULL;
+
+	if (c->now_ns < g->next_release_ns)
+		return;
+	g->next_release_ns = c->now_ns + RELEASE_AGAIN_NS;
+	while ((d = view_next(&c->view, DOC_MAP, d)))
+		release_map(g, c, d->u.map, planner);
+}
+
+/* Attempts past their deadline can't come again; waiting ones end. */
+static void expire(struct gate *g, struct ctx *c)
+{
+	if (c->now_ns < g->next_expiry_ns)
+		return;
+	g->next_expiry_ns = c->now_ns + EXPIRY_NS;
+	for (int i = 0; i < GATE_BUCKETS; i++) {
+		struct gate_call *gc, *tmp;
+
+		list_for_each_entry_safe(gc, tmp, &g->buckets[i], link) {
+			if (c->now_ns < gc->deadline_ns)
+				continue;
+			if (!gc->ended && !gc->call)
+				end(g, c, gc, OUTCOME_NOT_RUN, REFUSAL_DEADLINE,
+				    NULL);
+			if (gc->ended)
+				call_delete(gc);
+		}
+	}
+}
+
+void gate_work(struct gate *g, struct ctx *c, const struct lease *lease)
+{
+	renew_grants(g, c, lease);
+	release(g, c);
+	expire(g, c);
+	start_next(g, c, lease);
+}
+
+uint64_t gate_next_ns(const struct gate *g)
+{
+	uint64_t next = g->next_expiry_ns;
+
+	if (g->next_release_ns < next)
+		next = g->next_release_ns;
+	if (g->upstream.instance && g->next_grant_ns < next)
+		next = g->next_grant_ns;
+	return next;
+}
--- /dev/null
+++ b/core/gate.h
@@ -0,0 +1,100 @@
+/**
+ * The gate of a node's own upstream: no order reaches it but through here,
+ * under a valid lease and the shard's present epoch.
+ */
+#ifndef JD_CORE_GATE_H
+#define JD_CORE_GATE_H
+
+#include "core/ctx.h"
+#include "core/lease.h"
+
+#define GATE_BUCKETS 1024
+
+/** One attempt of a request at this gate; kept until its deadline. */
+struct gate_call {
+	struct list link;   /* in its bucket */
+	struct list queued; /* in gate.queue while it waits for a slot */
+	struct request_id id;
+	uint32_t attempt;
+	incarnation_t from;
+	incarnation_t self; /* ours when it was taken */
+	char reply_to[JD_ADDR_MAX];
+	uint64_t call; /* at the upstream; 0 before and after */
+	bool ended;
+	uint64_t deadline_ns;
+	char route[JD_NAME_MAX];
+	uint32_t shard;		      /* index; counts only with epoch */
+	epoch_t epoch;		      /* 0: the route has no owners */
+	struct http_request *request; /* until it runs */
+};
+
+/** What the node itself knows of a shard it owns. */
+struct local_shard {
+	uint32_t in_flight;
+	epoch_t released; /* never served again under this epoch */
+};
+
+struct gate_route {
+	struct list link;
+	char name[JD_NAME_MAX];
+	uint32_t count;
+	struct local_shard *shards;
+};
+
+/** The end of an attempt, for whoever asked. */
+struct gate_result {
+	struct list link;
+	struct request_id id;
+	uint32_t attempt;
+	incarnation_t from;
+	incarnation_t self;
+	char reply_to[JD_ADDR_MAX];
+	enum outcome outcome;
+	enum refusal refusal;
+	struct http_answer *answer; /* NULL unless done */
+};
+
+struct gate {
+	struct ev_announce upstream;	   /* instance 0: not announced */
+	struct list buckets[GATE_BUCKETS]; /* of struct gate_call */
+	struct list queue;		   /* of struct gate_call */
+	struct list routes;		   /* of struct gate_route */
+	struct list results;		   /* of struct gate_result */
+	uint32_t running;
+	uint32_t waiting;
+	uint64_t next_call;
+	uint64_t next_grant_ns;
+	uint64_t next_release_ns;
+	uint64_t next_expiry_ns;
+	uint64_t served;  /* calls that ended */
+	uint64_t doubled; /* attempts seen before */
+};
+
+void gate_init(struct gate *g);
+void gate_done(struct gate *g);
+
+void gate_announce(struct gate *g, struct ctx *c, const struct ev_announce *a);
+
+/**
+ * Takes one attempt; its end is in g->results, maybe already on return.
+ * Takes f->request.
+ */
+void gate_run(struct gate *g, struct ctx *c, const struct lease *lease,
+	      struct msg_forward *f, incarnation_t from);
+
+void gate_on_upstream(struct gate *g, struct ctx *c,
+		      struct ev_upstream_answer *a, const struct lease *lease);
+void gate_on_cancel(struct gate *g, struct ctx *c, const struct msg_cancel *m);
+
+/** Renews grants, releases moving shards, forgets old attempts. */
+void gate_work(struct gate *g, struct ctx *c, const struct lease *lease);
+uint64_t gate_next_ns(const struct gate *g);
+
+/** The first result off the list; NULL when there is none. */
+struct gate_result *gate_pop(struct gate *g);
+void gate_result_delete(struct gate_result *r);
+
+/** True while attempts run or wait. */
+bool gate_busy(const struct gate *g);
+
+#endif
--- /dev/null
+++ b/core/http.c
@@ -0,0 +1,116 @@
+#include "core/http.h"
+
+#include <stdlib.h>
+#include <string.h>
+#include <strings.h>
+
+#include "core/mem.h"
+
+void payload_init(struct payload *p)
+{
+	list_init(&p->headers);
+	p->body_len = 0;
+	p->body = NULL;
+}
+
+void payload_done(struct payload *p)
+{
+	struct header *h, *tmp;
+
+	list_for_each_entry_safe(h, tmp, &p->headers, link) {
+		list_remove(&h->link);
+		free(h->name);
+		free(h->value);
+		free(h);
+	}
+	free(p->body);
+	p->body = NULL;
+	p->body_len = 0;
+}
+
+void payload_add_header(struct payload *p, const char *name, const char *value)
+{
+	struct header *h = mem_new(struct header);
+
+	h->name = mem_dup(name, strlen(name));
+	h->value = mem_dup(value, strlen(value));
+	list_push_back(&p->headers, &h->link);
+}
+
+const char *payload_header(const struct payload *p, const char *name)
+{
+	const struct header *h;
+
+	list_for_each_entry(h, &p->headers, link)
+		if (!strcasecmp(h->name, name))
+			return h->value;
+	return NULL;
+}
+
+void payload_set_body(struct payload *p, const void *body, size_t len)
+{
+	free(p->body);
+	p->body = mem_dup(body, len);
+	p->body_len = len;
+}
+
+void payload_copy(struct payload *to, const struct payload *from)
+{
+	const struct header *h;
+
+	list_for_each_entry(h, &from->headers, link)
+		payload_add_header(to, h->name, h->value);
+	payload_set_body(to, from->body, from->body_len);
+}
+
+struct http_request *http_request_new(const char *method, const char *target)
+{
+	struct http_request *r = mem_new(struct http_request);
+
+	mem_copy_str(r->method, method, sizeof(r->method));
+	r->target = mem_dup(target, strlen(target));
+	payload_init(&r->payload);
+	return r;
+}
+
+void http_request_delete(struct http_request *r)
+{
+	if (!r)
+		return;
+	payload_done(&r->payload);
+	free(r->target);
+	free(r);
+}
+
+struct http_request *http_request_copy(const struct http_request *r)
+{
+	struct http_request *c = http_request_new(r->method, r->target);
+
+	payload_copy(&c->payload, &r->payload);
+	return c;
+}
+
+struct http_answer *http_answer_new(int code)
+{
+	struct http_answer *a = mem_new(struct http_answer);
+
+	a->code = code;
+	payload_init(&a->payload);
+	return a;
+}
+
+void http_answer_delete(struct http_answer *a)
+{
+	if (!a)
+		return;
+	payload_done(&a->payload);
+	free(a);
+}
+
+struct http_answer *http_answer_copy(const struct http_answer *a)
+{
+	struct http_answer *c = http_answer_new(a->code);
+
+	payload_copy(&c->payload, &a->payload);
+	return c;
+}
--- /dev/null
+++ b/core/http.h
@@ -0,0 +1,49 @@
+/** A request or answer between its decoding and its encoding. */
+#ifndef JD_CORE_HTTP_H
+#define JD_CORE_HTTP_H
+
+#include "core/list.h"
+#include "core/types.h"
+
+struct header {
+	struct list link;
+	char *name;
+	char *value;
+};
+
+struct payload {
+	struct list headers; /* of struct header */
+	size_t body_len;     /* bytes */
+	unsigned char *body;
+};
+
+/** What a caller asks for; the method is upper case. */
+struct http_request {
+	char method[16];
+	char *target; /* path and query */
+	struct payload payload;
+};
+
+struct http_answer {
+	int code;
+	struct payload payload;
+};
+
+void payload_init(struct payload *p);
+void payload_done(struct payload *p);
+void payload_add_header(struct payload *p, const char *name, const char *value);
+/** Value of header @name, any case; NULL for none. */
+const char *payload_header(const struct payload *p, const char *name);
+/** Copies @len bytes in as the body. */
+void payload_set_body(struct payload *p, const void *body, size_t len);
+void payload_copy(struct payload *to, const struct payload *from);
+
+struct http_request *http_request_new(const char *method, const char *target);
+void http_request_delete(struct http_request *r);
+struct http_request *http_request_copy(const struct http_request *r);
+
+struct http_answer *http_answer_new(int code);
+void http_answer_delete(struct http_answer *a);
+struct http_answer *http_answer_copy(const struct http_answer *a);
+
+#endif
--- /dev/null
+++ b/core/keeper.c
@@ -0,0 +1,495 @@
+#include "core/keeper.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "core/invariant.h"
+#include "core/mem.h"
+#include "core/text.h"
+
+/* Contact is renewed this many times within the authority it gives. */
+#define CONTACT_SHARE	3
+/* Documents are sent again to a node that has not taken them. */
+#define PUSH_AGAIN_NS	(400 * NS_PER_MS)
+#define RETRY_NS	(40 * NS_PER_MS)
+/* A heartbeat of an unknown node reads its roster at most this often. */
+#define VERIFY_AGAIN_NS (200 * NS_PER_MS)
+
+void keeper_init(struct keeper *k)
+{
+	memset(k, 0, sizeof(*k));
+	list_init(&k->dcs);
+}
+
+static void dc_delete(struct keeper_dc *dc)
+{
+	struct charge *ch, *ct;
+	struct adoption *a, *at;
+
+	list_for_each_entry_safe(ch, ct, &dc->charges, link)
+		free(ch);
+	list_for_each_entry_safe(a, at, &dc->adoptions, link)
+		free(a);
+	list_remove(&dc->link);
+	free(dc);
+}
+
+void keeper_done(struct keeper *k)
+{
+	struct keeper_dc *dc, *tmp;
+
+	list_for_each_entry_safe(dc, tmp, &k->dcs, link)
+		dc_delete(dc);
+}
+
+void keeper_reset(struct keeper *k)
+{
+	keeper_done(k);
+	keeper_init(k);
+}
+
+static struct keeper_dc *dc_get(struct keeper *k, const char *name)
+{
+	struct keeper_dc *dc;
+
+	list_for_each_entry(dc, &k->dcs, link)
+		if (!strcmp(dc->name, name))
+			return dc;
+	dc = mem_new(struct keeper_dc);
+	mem_copy_str(dc->name, name, sizeof(dc->name));
+	list_init(&dc->charges);
+	list_init(&dc->adoptions);
+	list_push_back(&k->dcs, &dc->link);
+	return dc;
+}
+
+static struct charge *charge_find(const struct keeper_dc *dc, incarnation_t inc)
+{
+	struct charge *ch;
+
+	list_for_each_entry(ch, &dc->charges, link)
+		if (ch->inc == inc)
+			return ch;
+	return NULL;
+}
+
+static void charge_delete(struct charge *ch)
+{
+	list_remove(&ch->link);
+	free(ch);
+}
+
+bool keeper_active(const struct keeper *k)
+{
+	return !list_empty(&k->dcs);
+}
+
+bool keeper_has_authority(const struct keeper *k, const struct ctx *c)
+{
+	return k->contact_ns &&
+	       c->now_ns <= k->contact_ns + c->opts->timing.authority_ns;
+}
+
+/* Out of authority: nothing known before counts, whatever comes next. */
+static void forget(struct keeper *k, struct ctx *c)
+{
+	struct keeper_dc *dc;
+
+	c->stretch++;
+	list_for_each_entry(dc, &k->dcs, link) {
+		struct charge *ch;
+
+		list_for_each_entry(ch, &dc->charges, link) {
+			if (ch->state == CHARGE_OK)
+				ch->state = CHARGE_VERIFY;
+		}
+		dc->verify = true;
+	}
+}
+
+static void renewed(struct keeper *k, struct ctx *c, uint64_t sent_ns)
+{
+	if (k->contact_ns &&
+	    c->now_ns > k->contact_ns + c->opts->timing.authority_ns)
+		forget(k, c);
+	if (k->contact_ns < sent_ns)
+		k->contact_ns = sent_ns;
+}
+
+static void renew_contact(struct keeper *k, struct ctx *c)
+{
+	uint64_t period = c->opts->timing.authority_ns / CONTACT_SHARE;
+	char name[JD_NAME_MAX];
+	struct doc *d;
+
+	if (c->now_ns < k->next_contact_ns || ctx_calling(c, CALL_CONTACT))
+		return;
+	k->next_contact_ns = c->now_ns + ctx_jitter(c, period);
+	text_format(name, sizeof(name), "%016lx", (unsigned long)c->self);
+	d = doc_new(DOC_CONTACT, name);
+	d->u.contact.node = c->self;
+	d->u.contact.count = ++k->contact_count;
+	ctx_call(c, &(struct call_opts){.owner = CALL_CONTACT,
+					.kind = STORE_CAS,
+					.doc_kind = DOC_CONTACT,
+					.name = name,
+					.revision = k->contact_revision,
+					.doc = d});
+}
+
+static void on_contact(struct keeper *k, struct ctx *c, const struct call *call,
+		       struct ev_store *ev)
+{
+	const struct doc *d;
+
+	if (ev->status == STATUS_OK)
+		renewed(k, c, call->sent_ns);
+	if (ev->status == STATUS_OK || ev->status == STATUS_CONFLICT) {
+		k->contact_revision = 0;
+		list_for_each_entry(d, &ev->docs, link)
+			k->contact_revision = d->revision;
+	}
+	if (ev->status != STATUS_OK)
+		k->next_contact_ns = c->now_ns + ctx_jitter(c, RETRY_NS);
+}
+
+/* What a shown entry says of the charge. */
+static void observe_entry(struct keeper_dc *dc, struct ctx *c,
+			  const struct member *m)
+{
+	struct charge *ch = charge_find(dc, m->inc);
+
+	if (!ch) {
+		ch = mem_new(struct charge);
+		ch->inc = m->inc;
+		ch->heard_ns = c->now_ns;
+		mem_copy_str(ch->dc, dc->name, sizeof(ch->dc));
+		list_push_back(&dc->charges, &ch->link);
+	}
+	mem_copy_str(ch->addr, m->peer_addr, sizeof(ch->addr));
+	JD_INVARIANT(m->term >= ch->term, "inc=%016lx term=%lu->%lu",
+		     (unsigned long)m->inc, (unsigned long)ch->term,
+		     (unsigned long)m->term);
+	if (m->state == MEMBER_REVOKED) {
+		if (ch->state != CHARGE_WAIT && ch->state != CHARGE_LAPSED) {
+			const struct timing *t = &c->opts->timing;
+
+			ch->state = CHARGE_WAIT;
+			ch->wait_until_ns =
+				c->now_ns + t->lease_ns +
+				t->lease_ns * 2 * t->drift_ppm / 1000000;
+		}
+	} else if (m->term > ch->term || ch->state == CHARGE_VERIFY) {
+		ch->state = CHARGE_OK;
+		ch->heard_ns = c->now_ns;
+	}
+	ch->term = m->term;
+}
+
+void keeper_observe(struct keeper *k, struct ctx *c, const struct roster *r,
+		    uint64_t stretch)
+{
+	struct keeper_dc *dc;
+	struct charge *ch, *tmp;
+	const struct member *m;
+	bool any = false;
+
+	if (stretch != c->stretch || !keeper_has_authority(k, c))
+		return;
+	list_for_each_entry(m, &r->members, link)
+		any |= m->keeper == c->self;
+	if (!any && !keeper_active(k))
+		return;
+	dc = dc_get(k, r->dc);
+	list_for_each_entry(m, &r->members, link)
+		if (m->keeper == c->self)
+			observe_entry(dc, c, m);
+	list_for_each_entry_safe(ch, tmp, &dc->charges, link) {
+		m = roster_find(r, ch->inc);
+		if (!m || m->keeper != c->self)
+			charge_delete(ch);
+	}
+}
+
+void keeper_on_heartbeat(struct keeper *k, struct ctx *c,
+			 const struct message *msg)
+{
+	const struct msg_heartbeat *hb = &msg->u.heartbeat;
+	struct keeper_dc *dc = dc_get(k, hb->dc);
+	struct charge *ch = charge_find(dc, msg->from);
+	struct message *ack;
+
+	if (!ch || ch->state == CHARGE_VERIFY || hb->term > ch->term) {
+		dc->verify |= c->now_ns >= dc->next_verify_ns;
+		return;
+	}
+	if (ch->state != CHARGE_OK || ch->term != hb->term)
+		return;
+	ch->heard_ns = c->now_ns;
+	if (ch->revision > hb->revision &&
+	    c->now_ns > ch->pushed_ns + PUSH_AGAIN_NS)
+		ch->revision = hb->revision;
+	if (ch->revision < hb->revision)
+		ch->revision = hb->revision;
+	if (!keeper_has_authority(k, c))
+		return;
+	ack = message_new(MSG_HEARTBEAT_ACK);
+	ack->u.heartbeat_ack.sent_ns = hb->sent_ns;
+	ack->u.heartbeat_ack.term = hb->term;
+	ack->u.heartbeat_ack.revision = c->view.revision;
+	ctx_send(c, ch->inc, ch->addr, ack);
+}
+
+void keeper_on_adopt(struct keeper *k, struct ctx *c, const struct message *msg)
+{
+	struct keeper_dc *dc = dc_get(k, msg->u.adopt.dc);
+	struct adoption *a;
+
+	list_for_each_entry(a, &dc->adoptions, link)
+		if (a->inc == msg->from && a->old_term == msg->u.adopt.old_term)
+			return;
+	a = mem_new(struct adoption);
+	a->inc = msg->from;
+	a->old_term = msg->u.adopt.old_term;
+	list_push_back(&dc->adoptions, &a->link);
+	dc->dirty = true;
+	dc->verify = true;
+}
+
+static void check_silence(struct keeper_dc *dc, struct ctx *c)
+{
+	struct charge *ch;
+
+	list_for_each_entry(ch, &dc->charges, link) {
+		if (ch->state == CHARGE_OK &&
+		    c->now_ns > ch->heard_ns + c->opts->timing.detect_ns) {
+			actions_log(c->out, LOG_WARN,
+				    "event=node_silent inc=%016lx dc=%s",
+				    (unsigned long)ch->inc, dc->name);
+			ch->state = CHARGE_REVOKE;
+		}
+		if (ch->state == CHARGE_WAIT && c->now_ns >= ch->wait_until_ns)
+			ch->state = CHARGE_LAPSED;
+		if (ch->state == CHARGE_REVOKE || ch->state == CHARGE_LAPSED)
+			dc->dirty = true;
+	}
+}
+
+static bool edit_charge(struct roster *r, struct ctx *c,
+			const struct charge *ch)
+{
+	struct member *m = roster_find(r, ch->inc);
+
+	if (!m || m->keeper != c->self || m->term != ch->term)
+		return false;
+	if (ch->state == CHARGE_REVOKE && m->state != MEMBER_REVOKED) {
+		m->state = MEMBER_REVOKED;
+		return true;
+	}
+	if (ch->state == CHARGE_LAPSED && m->state == MEMBER_REVOKED) {
+		roster_remove(r, m);
+		return true;
+	}
+	return false;
+}
+
+static bool edit_adoption(struct roster *r, struct ctx *c,
+			  const struct adoption *a)
+{
+	struct member *m = roster_find(r, a->inc);
+
+	if (!m || m->term != a->old_term || m->state == MEMBER_REVOKED)
+		return false;
+	m->keeper = c->self;
+	m->term = a->old_term + 1;
+	return true;
+}
+
+/* All wanted edits in one write; false when none is left. */
+static bool edit_roster(struct keeper_dc *dc, struct ctx *c, struct roster *r)
+{
+	struct adoption *a, *tmp;
+	struct charge *ch;
+	bool any = false;
+
+	list_for_each_entry(ch, &dc->charges, link)
+		any |= edit_charge(r, c, ch);
+	list_for_each_entry_safe(a, tmp, &dc->adoptions, link) {
+		if (edit_adoption(r, c, a)) {
+			any = true;
+			continue;
+		}
+		list_remove(&a->link);
+		free(a);
+	}
+	return any;
+}
+
+static void read_roster(struct keeper_dc *dc, struct ctx *c)
+{
+	dc->calling = true;
+	dc->next_verify_ns = c->now_ns + VERIFY_AGAIN_NS;
+	ctx_call(c, &(struct call_opts){.owner = CALL_KEEPER,
+					.kind = STORE_GET,
+					.doc_kind = DOC_ROSTER,
+					.name = dc->name});
+}
+
+static void write_roster(struct keeper_dc *dc, struct ctx *c)
+{
+	const struct doc *old = view_doc(&c->view, DOC_ROSTER, dc->name);
+	struct doc *d;
+
+	dc->dirty = false;
+	if (!old || !old->u.roster) {
+		dc->verify = true;
+		return;
+	}
+	d = doc_new(DOC_ROSTER, dc->name);
+	d->u.roster = roster_copy(old->u.roster);
+	if (!edit_roster(dc, c, d->u.roster)) {
+		doc_delete(d);
+		return;
+	}
+	dc->calling = true;
+	ctx_call(c, &(struct call_opts){.owner = CALL_KEEPER,
+					.kind = STORE_CAS,
+					.doc_kind = DOC_ROSTER,
+					.name = dc->name,
+					.revision = old->revision,
+					.doc = d});
+}
+
+static void dc_work(struct keeper_dc *dc, struct ctx *c)
+{
+	check_silence(dc, c);
+	if (dc->calling || c->now_ns < dc->next_try_ns)
+		return;
+	if (dc->verify)
+		read_roster(dc, c);
+	else if (dc->dirty)
+		write_roster(dc, c);
+}
+
+static void push(struct ctx *c, struct charge *ch)
+{
+	struct message *msg;
+
+	if (ch->state != CHARGE_OK || ch->revision >= c->view.revision)
+		return;
+	msg = message_new(MSG_SYNC);
+	msg->u.sync.from = ch->revision;
+	msg->u.sync.to = c->view.revision;
+	view_newer(&c->view, ch->revision, &msg->u.sync.docs);
+	ch->revision = c->view.revision;
+	ch->pushed_ns = c->now_ns;
+	ctx_send(c, ch->inc, ch->addr, msg);
+}
+
+/* A data centre without charges or wishes is none of our business. */
+static bool dc_idle(const struct keeper_dc *dc)
+{
+	return list_empty(&dc->charges) && list_empty(&dc->adoptions) &&
+	       !dc->calling && !dc->verify;
+}
+
+void keeper_work(struct keeper *k, struct ctx *c)
+{
+	struct keeper_dc *dc, *tmp;
+
+	if (!keeper_active(k))
+		return;
+	if (k->contact_ns && !keeper_has_authority(k, c)) {
+		forget(k, c);
+		k->contact_ns = 0;
+	}
+	renew_contact(k, c);
+	list_for_each_entry_safe(dc, tmp, &k->dcs, link) {
+		struct charge *ch;
+
+		if (keeper_has_authority(k, c))
+			dc_work(dc, c);
+		list_for_each_entry(ch, &dc->charges, link)
+			push(c, ch);
+		if (dc_idle(dc))
+			dc_delete(dc);
+	}
+}
+
+static void on_roster(struct keeper *k, struct ctx *c, const struct call *call,
+		      struct ev_store *ev)
+{
+	struct keeper_dc *dc = dc_get(k, call->key.name);
+	struct doc *d, *tmp;
+	bool answered =
+		ev->status == STATUS_OK || ev->status == STATUS_CONFLICT;
+
+	dc->calling = false;
+	if (ev->status == STATUS_CONFLICT)
+		dc->dirty = true;
+	if (answered)
+		dc->verify = call->stretch != c->stretch;
+	if (!answered) {
+		/* It may have taken effect: read before the next write. */
+		dc->verify = true;
+		dc->dirty = true;
+		dc->next_try_ns = c->now_ns + ctx_jitter(c, RETRY_NS);
+	}
+	list_for_each_entry_safe(d, tmp, &ev->docs, link) {
+		list_remove(&d->link);
+		if (view_apply(&c->view, d) && call->kind == STORE_CAS &&
+		    ev->status == STATUS_OK)
+			k->released = true;
+	}
+	if (answered && view_roster(&c->view, call->key.name))
+		keeper_observe(k, c, view_roster(&c->view, call->key.name),
+			       call->stretch);
+}
+
+void keeper_on_store(struct keeper *k, struct ctx *c, const struct call *call,
+		     struct ev_store *ev)
+{
+	if (call->owner == CALL_CONTACT)
+		on_contact(k, c, call, ev);
+	else
+		on_roster(k, c, call, ev);
+}
+
+static uint64_t charge_next_ns(const struct charge *ch, const struct ctx *c)
+{
+	switch (ch->state) {
+	case CHARGE_OK:
+		return ch->heard_ns + c->opts->timing.detect_ns + 1;
+	case CHARGE_WAIT:
+		return ch->wait_until_ns;
+	case CHARGE_VERIFY:
+	case CHARGE_REVOKE:
+	case CHARGE_LAPSED:
+		break;
+	}
+	return DEADLINE_NEVER;
+}
+
+uint64_t keeper_next_ns(const struct keeper *k, const struct ctx *c)
+{
+	uint64_t next = DEADLINE_NEVER;
+	const struct keeper_dc *dc;
+
+	if (!keeper_active(k))
+		return next;
+	next = k->next_contact_ns;
+	list_for_each_entry(dc, &k->dcs, link) {
+		const struct charge *ch;
+
+		if (!dc->calling && (dc->dirty || dc->verify) &&
+		    dc->next_try_ns < next)
+			next = dc->next_try_ns;
+		list_for_each_entry(ch, &dc->charges, link) {
+			uint64_t t = charge_next_ns(ch, c);
+
+			if (t < next)
+				next = t;
+		}
+	}
+	return next;
+}
--- /dev/null
+++ b/core/manifest.c
@@ -0,0 +1,152 @@
+#include "core/manifest.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "core/mem.h"
+
+#define ROUTE_TIMEOUT_DEFAULT_MS    2000
+#define ROUTE_BODY_DEFAULT_BYTES    (1 << 20)
+#define ROUTE_OBJECTIVE_DEFAULT_PPM 999000
+#define ROUTE_OBJECTIVE_DEFAULT_MS  100
+#define ORGANISATION_WEIGHT_DEFAULT 1
+
+struct manifest *manifest_new(void)
+{
+	struct manifest *m = mem_new(struct manifest);
+
+	list_init(&m->routes);
+	list_init(&m->organisations);
+	list_init(&m->data_centres);
+	return m;
+}
+
+void manifest_delete(struct manifest *m)
+{
+	struct route *r, *rt;
+	struct organisation *o, *ot;
+	struct data_centre *d, *dt;
+
+	if (!m)
+		return;
+	list_for_each_entry_safe(r, rt, &m->routes, link)
+		free(r);
+	list_for_each_entry_safe(o, ot, &m->organisations, link)
+		free(o);
+	list_for_each_entry_safe(d, dt, &m->data_centres, link)
+		free(d);
+	free(m);
+}
+
+/* Copies a listed item; its links are set anew by the list it goes into. */
+static struct list *item_copy(const void *item, size_t size, size_t link)
+{
+	char *c = mem_dup(item, size);
+
+	return (struct list *)(c + link);
+}
+
+#define copy_items(to, from, type)                                             \
+	do {                                                                   \
+		const type *it_;                                               \
+		list_for_each_entry(it_, from, link)                           \
+			list_push_back(to, item_copy(it_, sizeof(*it_),        \
+						     offsetof(type, link)));   \
+	} while (0)
+
+struct manifest *manifest_copy(const struct manifest *m)
+{
+	struct manifest *c = manifest_new();
+
+	mem_copy_str(c->change_id, m->change_id, sizeof(c->change_id));
+	copy_items(&c->routes, &m->routes, struct route);
+	copy_items(&c->organisations, &m->organisations, struct organisation);
+	copy_items(&c->data_centres, &m->data_centres, struct data_centre);
+	return c;
+}
+
+struct route *manifest_add_route(struct manifest *m)
+{
+	struct route *r = mem_new(struct route);
+
+	r->shards = MANIFEST_SHARDS_DEFAULT;
+	r->timeout_ms = ROUTE_TIMEOUT_DEFAULT_MS;
+	r->max_body_bytes = ROUTE_BODY_DEFAULT_BYTES;
+	r->objective_ppm = ROUTE_OBJECTIVE_DEFAULT_PPM;
+	r->objective_ms = ROUTE_OBJECTIVE_DEFAULT_MS;
+	list_push_back(&m->routes, &r->link);
+	return r;
+}
+
+struct organisation *manifest_add_organisation(struct manifest *m)
+{
+	struct organisation *o = mem_new(struct organisation);
+
+	o->weight = ORGANISATION_WEIGHT_DEFAULT;
+	list_push_back(&m->organisations, &o->link);
+	return o;
+}
+
+struct data_centre *manifest_add_data_centre(struct manifest *m)
+{
+	struct data_centre *d = mem_new(struct data_centre);
+
+	list_push_back(&m->data_centres, &d->link);
+	return d;
+}
+
+const struct route *manifest_route(const struct manifest *m, const char *name)
+{
+	const struct route *r;
+
+	list_for_each_entry(r, &m->routes, link)
+		if (!strcmp(r->name, name))
+			return r;
+	return NULL;
+}
+
+const struct organisation *manifest_organisation(const struct manifest *m,
+						 const char *name)
+{
+	const struct organisation *o;
+
+	list_for_each_entry(o, &m->organisations, link)
+		if (!strcmp(o->name, name))
+			return o;
+	return NULL;
+}
+
+const struct data_centre *manifest_data_centre(const struct manifest *m,
+					       const char *name)
+{
+	const struct data_centre *d;
+
+	list_for_each_entry(d, &m->data_centres, link)
+		if (!strcmp(d->name, name))
+			return d;
+	return NULL;
+}
+
+const struct route *manifest_match(const struct manifest *m, const char *path)
+{
+	const struct route *best = NULL;
+	const struct route *r;
+
+	list_for_each_entry(r, &m->routes, link) {
+		if (strncmp(r->path, path, strlen(r->path)) != 0)
+			continue;
+		if (!best || strlen(r->path) > strlen(best->path))
+			best = r;
+	}
+	return best;
+}
+
+bool region_set_allows(const struct region_set *set, const char *region)
+{
+	if (!set->count)
+		return true;
+	for (uint32_t i = 0; i < set->count; i++)
+		if (!strcmp(set->names[i], region))
+			return true;
+	return false;
+}
--- /dev/null
+++ b/core/manifest.h
@@ -0,0 +1,88 @@
+/** The operators' configuration in its typed form. */
+#ifndef JD_CORE_MANIFEST_H
+#define JD_CORE_MANIFEST_H
+
+#include "core/list.h"
+#include "core/types.h"
+
+#define MANIFEST_SHARDS_DEFAULT 16384
+
+enum route_kind {
+	ROUTE_KEYED, /* divided by key: one owner a shard */
+	ROUTE_ANY,   /* any endpoint of the service */
+};
+
+enum key_source { KEY_HEADER, KEY_QUERY, KEY_PATH };
+
+/** Where a request's key is: a header, a query field, a path segment. */
+struct key_rule {
+	enum key_source source;
+	char name[JD_NAME_MAX]; /* header or query field */
+	uint32_t segment;	/* path segment, 0 the first */
+};
+
+struct region_set {
+	uint32_t count; /* 0: no binding */
+	char names[8][JD_NAME_MAX];
+};
+
+struct route {
+	struct list link;
+	char name[JD_NAME_MAX];
+	char service[JD_NAME_MAX];
+	char path[128]; /* prefix a request's path must have */
+	enum route_kind kind;
+	struct key_rule key;
+	uint32_t shards;
+	uint64_t timeout_ms;	 /* deadline of a request that names none */
+	uint64_t max_body_bytes; /* of a request */
+	struct region_set home_regions;
+	uint32_t objective_ppm; /* good requests out of a million */
+	uint64_t objective_ms;	/* a good request is answered within this */
+};
+
+struct organisation {
+	struct list link;
+	char name[JD_NAME_MAX];
+	struct region_set home_regions;
+	uint32_t weight; /* share of a contended upstream */
+};
+
+enum dc_state { DC_IN, DC_LEAVING, DC_OUT };
+
+struct data_centre {
+	struct list link;
+	char name[JD_NAME_MAX];
+	char region[JD_NAME_MAX];
+	enum dc_state state;
+};
+
+struct manifest {
+	struct list routes;	   /* of struct route */
+	struct list organisations; /* of struct organisation */
+	struct list data_centres;  /* of struct data_centre */
+	char change_id[64];	   /* of the apply that wrote it */
+};
+
+struct manifest *manifest_new(void);
+void manifest_delete(struct manifest *m);
+struct manifest *manifest_copy(const struct manifest *m);
+
+struct route *manifest_add_route(struct manifest *m);
+struct organisation *manifest_add_organisation(struct manifest *m);
+struct data_centre *manifest_add_data_centre(struct manifest *m);
+
+/** NULL when there is none of that name. */
+const struct route *manifest_route(const struct manifest *m, const char *name);
+const struct organisation *manifest_organisation(const struct manifest *m,
+						 const char *name);
+const struct data_centre *manifest_data_centre(const struct manifest *m,
+					       const char *name);
+
+/** The route with the longest path prefix of @path; NULL for none. */
+const struct route *manifest_match(const struct manifest *m, const char *path);
+
+/** True when @set binds nothing or has @region. */
+bool region_set_allows(const struct region_set *set, const char *region);
+
+#endif
--- /dev/null
+++ b/core/mem.h
@@ -0,0 +1,22 @@
+/** Allocation that never returns NULL: out of memory ends the process. */
+#ifndef JD_CORE_MEM_H
+#define JD_CORE_MEM_H
+
+#include <stddef.h>
+
+/** Zeroed memory for @n items of @size bytes; free() it. */
+void *mem_zalloc(size_t n, size_t size);
+
+/** Resizes @p to @n items of @size bytes; new bytes are not zeroed. */
+void *mem_realloc(void *p, size_t n, size_t size);
+
+/** Copy of @len bytes plus a closing NUL; free() it. */
+void *mem_dup(const void *p, size_t len);
+
+/** Copies @src into @dst of @cap bytes, cut short if it does not fit. */
+void mem_copy_str(char *dst, const char *src, size_t cap);
+
+/** One zeroed struct of @type. */
+#define mem_new(type) ((type *)mem_zalloc(1, sizeof(type)))
+
+#endif
--- /dev/null
+++ b/core/membership.c
@@ -0,0 +1,351 @@
+#include "core/membership.h"
+
+#include <string.h>
+
+#include "core/mem.h"
+
+/* A keeper with fewer nodes than this is preferred over a new one. */
+#define KEEPER_GROUP 4
+/* Heartbeats without an answer until the store is asked instead. */
+#define SILENT_BEATS 2
+/* Heartbeats without an answer until another keeper is asked for. */
+#define CHANGE_BEATS 6
+
+static uint64_t beat_ns(const struct ctx *c)
+{
+	return c->opts->timing.heartbeat_ns;
+}
+
+void membership_init(struct membership *m)
+{
+	memset(m, 0, sizeof(*m));
+	lease_init(&m->lease);
+}
+
+void membership_announce(struct membership *m, const char *service)
+{
+	mem_copy_str(m->service, service, sizeof(m->service));
+}
+
+bool membership_keeper_silent(const struct membership *m, const struct ctx *c)
+{
+	return m->state == MEMBERSHIP_IN &&
+	       (!m->keeper ||
+		c->now_ns > m->heard_ns + SILENT_BEATS * beat_ns(c));
+}
+
+bool membership_may_serve(const struct membership *m, const struct ctx *c)
+{
+	return m->state == MEMBERSHIP_IN && lease_valid(&m->lease, c->now_ns);
+}
+
+/* How many entries of all rosters name @inc as their keeper. */
+static uint32_t charges_of(const struct ctx *c, incarnation_t inc)
+{
+	const struct doc *d = NULL;
+	uint32_t n = 0;
+
+	while ((d = view_next(&c->view, DOC_ROSTER, d))) {
+		const struct member *m;
+
+		list_for_each_entry(m, &d->u.roster->members, link)
+			n += m->keeper == inc;
+	}
+	return n;
+}
+
+/* Higher is better; 0 for a node that can't be the keeper. */
+static uint64_t keeper_rank(struct ctx *c, const struct roster *r,
+			    const struct member *m, incarnation_t avoid)
+{
+	uint64_t rank = 1;
+	uint32_t charges;
+
+	if (m->inc == c->self || m->inc == avoid || m->state != MEMBER_UP)
+		return 0;
+	if (!strcmp(m->name, c->opts->name))
+		return 0;
+	charges = charges_of(c, m->inc);
+	if (charges < KEEPER_GROUP)
+		rank += 2 + (charges > 0);
+	if (strcmp(r->dc, c->opts->dc) != 0)
+		rank += 4;
+	if (!strcmp(r->region, c->opts->region))
+		rank += 8;
+	return (rank << 32) + (rng_next(&c->rng) >> 32);
+}
+
+static const struct member *choose_keeper(struct ctx *c, incarnation_t avoid)
+{
+	const struct member *best = NULL;
+	const struct doc *d = NULL;
+	uint64_t best_rank = 0;
+
+	while ((d = view_next(&c->view, DOC_ROSTER, d))) {
+		const struct member *m;
+
+		list_for_each_entry(m, &d->u.roster->members, link) {
+			uint64_t rank = keeper_rank(c, d->u.roster, m, avoid);
+
+			if (rank <= best_rank)
+				continue;
+			best_rank = rank;
+			best = m;
+		}
+	}
+	return best;
+}
+
+static void boot(struct membership *m, struct ctx *c)
+{
+	if (c->now_ns < m->next_try_ns || ctx_calling(c, CALL_BOOT))
+		return;
+	ctx_call(c,
+		 &(struct call_opts){.owner = CALL_BOOT, .kind = STORE_WATCH});
+}
+
+/* A roster with the own entry in it, to be written. */
+static struct doc *roster_with_self(struct membership *m, struct ctx *c)
+{
+	const struct doc *old = view_doc(&c->view, DOC_ROSTER, c->opts->dc);
+	const struct member *keeper = choose_keeper(c, 0);
+	struct doc *d = doc_new(DOC_ROSTER, c->opts->dc);
+	struct member *self;
+
+	d->u.roster = old && old->u.roster
+			      ? roster_copy(old->u.roster)
+			      : roster_new(c->opts->dc, c->opts->region);
+	self = roster_add(d->u.roster, c->opts->name, c->self);
+	mem_copy_str(self->service, m->service, sizeof(self->service));
+	mem_copy_str(self->peer_addr, c->opts->peer_addr,
+		     sizeof(self->peer_addr));
+	mem_copy_str(self->http_addr, c->opts->http_addr,
+		     sizeof(self->http_addr));
+	self->state = MEMBER_UP;
+	self->keeper = keeper ? keeper->inc : 0;
+	self->term = 1;
+	return d;
+}
+
+static void write_roster(struct ctx *c, struct doc *d)
+{
+	const struct doc *old = view_doc(&c->view, DOC_ROSTER, c->opts->dc);
+
+	ctx_call(c, &(struct call_opts){.owner = CALL_JOIN,
+					.kind = STORE_CAS,
+					.doc_kind = DOC_ROSTER,
+					.name = c->opts->dc,
+					.revision = old ? old->revision : 0,
+					.doc = d});
+}
+
+static const struct member *own_entry(const struct ctx *c)
+{
+	return view_member(&c->view, c->self, NULL);
+}
+
+static void join(struct membership *m, struct ctx *c)
+{
+	if (!m->service[0] || m->leaving)
+		return;
+	if (c->now_ns < m->next_try_ns || ctx_calling(c, CALL_JOIN))
+		return;
+	if (!own_entry(c))
+		write_roster(c, roster_with_self(m, c));
+}
+
+static void beat(struct membership *m, struct ctx *c)
+{
+	const struct member *keeper = view_member(&c->view, m->keeper, NULL);
+	struct message *msg;
+
+	if (c->now_ns < m->next_beat_ns)
+		return;
+	m->next_beat_ns = c->now_ns + beat_ns(c);
+	if (!keeper)
+		return;
+	msg = message_new(MSG_HEARTBEAT);
+	mem_copy_str(msg->u.heartbeat.dc, c->opts->dc,
+		     sizeof(msg->u.heartbeat.dc));
+	msg->u.heartbeat.sent_ns = c->now_ns;
+	msg->u.heartbeat.term = m->term;
+	msg->u.heartbeat.revision = c->view.revision;
+	ctx_send(c, m->keeper, keeper->peer_addr, msg);
+}
+
+static void read_own_entry(struct membership *m, struct ctx *c)
+{
+	if (!membership_keeper_silent(m, c) || c->now_ns < m->next_read_ns ||
+	    ctx_calling(c, CALL_CONFIRM))
+		return;
+	m->next_read_ns =
+		c->now_ns + ctx_jitter(c, c->opts->timing.lease_ns / 3);
+	ctx_call(c, &(struct call_opts){.owner = CALL_CONFIRM,
+					.kind = STORE_GET,
+					.doc_kind = DOC_ROSTER,
+					.name = c->opts->dc});
+}
+
+static void change_keeper(struct membership *m, struct ctx *c)
+{
+	const struct member *k;
+	struct message *msg;
+
+	if (c->now_ns < m->next_adopt_ns)
+		return;
+	if (m->keeper && c->now_ns <= m->heard_ns + CHANGE_BEATS * beat_ns(c))
+		return;
+	m->next_adopt_ns = c->now_ns + ctx_jitter(c, 4 * beat_ns(c));
+	k = choose_keeper(c, m->keeper);
+	if (!k)
+		return;
+	lease_leave_keeper(&m->lease, m->term);
+	msg = message_new(MSG_ADOPT);
+	mem_copy_str(msg->u.adopt.dc, c->opts->dc, sizeof(msg->u.adopt.dc));
+	msg->u.adopt.old_term = m->term;
+	ctx_send(c, k->inc, k->peer_addr, msg);
+}
+
+/* Writes LEAVING into the own entry once the node drains. */
+static void announce_leaving(struct membership *m, struct ctx *c)
+{
+	const struct doc *old = view_doc(&c->view, DOC_ROSTER, c->opts->dc);
+	const struct member *self = own_entry(c);
+	struct doc *d;
+
+	if (!m->leaving || !self || self->state != MEMBER_UP ||
+	    c->now_ns < m->next_try_ns || ctx_calling(c, CALL_JOIN))
+		return;
+	d = doc_new(DOC_ROSTER, c->opts->dc);
+	d->u.roster = roster_copy(old->u.roster);
+	roster_find(d->u.roster, c->self)->state = MEMBER_LEAVING;
+	write_roster(c, d);
+}
+
+void membership_work(struct membership *m, struct ctx *c)
+{
+	switch (m->state) {
+	case MEMBERSHIP_BOOT:
+		boot(m, c);
+		break;
+	case MEMBERSHIP_JOIN:
+		join(m, c);
+		break;
+	case MEMBERSHIP_IN:
+		beat(m, c);
+		read_own_entry(m, c);
+		change_keeper(m, c);
+		announce_leaving(m, c);
+		break;
+	}
+}
+
+uint64_t membership_next_ns(const struct membership *m)
+{
+	return m->state == MEMBERSHIP_IN ? m->next_beat_ns : m->next_try_ns;
+}
+
+/* The entry is gone or revoked: start anew under another incarnation. */
+static void lost(struct membership *m, struct ctx *c)
+{
+	struct membership fresh;
+
+	actions_log(c->out, LOG_WARN, "event=membership_lost inc=%016lx",
+		    (unsigned long)c->self);
+	m->lease.lost = true;
+	membership_init(&fresh);
+	mem_copy_str(fresh.service, m->service, sizeof(fresh.service));
+	fresh.leaving = m->leaving;
+	fresh.state = MEMBERSHIP_BOOT;
+	fresh.next_try_ns = c->now_ns + ctx_jitter(c, 100 * NS_PER_MS);
+	*m = fresh;
+	c->self = rng_next(&c->rng);
+}
+
+void membership_follow(struct membership *m, struct ctx *c)
+{
+	const struct member *self = own_entry(c);
+
+	if (m->state == MEMBERSHIP_BOOT)
+		return;
+	if (!self || self->state == MEMBER_REVOKED) {
+		if (m->state == MEMBERSHIP_IN)
+			lost(m, c);
+		return;
+	}
+	if (m->state == MEMBERSHIP_JOIN) {
+		actions_log(c->out, LOG_INFO,
+			    "event=joined inc=%016lx keeper=%016lx",
+			    (unsigned long)c->self,
+			    (unsigned long)self->keeper);
+		m->state = MEMBERSHIP_IN;
+		m->heard_ns = c->now_ns;
+	}
+	if (self->term <= m->term)
+		return;
+	m->term = self->term;
+	m->keeper = self->keeper;
+	m->next_beat_ns = c->now_ns;
+}
+
+/* The store's own answer shows the entry in force: the lease goes on. */
+static void confirm_from_store(struct membership *m, struct ctx *c,
+			       const struct call *call)
+{
+	const struct member *self = own_entry(c);
+
+	if (m->state != MEMBERSHIP_IN || !self || self->state == MEMBER_REVOKED)
+		return;
+	lease_confirm(&m->lease, call->sent_ns, c->opts->timing.lease_ns);
+}
+
+void membership_on_store(struct membership *m, struct ctx *c,
+			 const struct call *call, struct ev_store *ev)
+{
+	struct doc *d, *tmp;
+	bool boot_read = call->owner == CALL_BOOT;
+	bool answered =
+		ev->status == STATUS_OK || ev->status == STATUS_CONFLICT;
+
+	if (boot_read && ev->status == STATUS_OK) {
+		view_sync(&c->view, 0, ev->revision, &ev->docs);
+		if (m->state == MEMBERSHIP_BOOT)
+			m->state = MEMBERSHIP_JOIN;
+	}
+	list_for_each_entry_safe(d, tmp, &ev->docs, link) {
+		list_remove(&d->link);
+		view_apply(&c->view, d);
+	}
+	if (call->owner == CALL_CONFIRM && ev->status == STATUS_OK)
+		confirm_from_store(m, c, call);
+	if (call->owner == CALL_JOIN && !answered) {
+		/* It may have taken effect: read before the next try. */
+		ctx_call(c, &(struct call_opts){.owner = CALL_JOIN,
+						.kind = STORE_GET,
+						.doc_kind = DOC_ROSTER,
+						.name = c->opts->dc});
+	}
+	if (ev->status != STATUS_OK)
+		m->next_try_ns = c->now_ns + ctx_jitter(c, 50 * NS_PER_MS);
+	membership_follow(m, c);
+}
+
+void membership_on_ack(struct membership *m, struct ctx *c,
+		       const struct message *msg)
+{
+	const struct msg_heartbeat_ack *ack = &msg->u.heartbeat_ack;
+	struct lease_answer a = {
+		.sent_ns = ack->sent_ns,
+		.from = msg->from,
+		.term = ack->term,
+		.keeper = m->keeper,
+		.keeper_term = m->term,
+	};
+
+	if (m->state != MEMBERSHIP_IN || ack->sent_ns > c->now_ns)
+		return;
+	if (!lease_answered(&m->lease, &a, c->opts->timing.lease_ns))
+		return;
+	if (m->heard_ns < ack->sent_ns)
+		m->heard_ns = ack->sent_ns;
+}
--- /dev/null
+++ b/core/message.c
@@ -0,0 +1,66 @@
+#include "core/message.h"
+
+#include <stdlib.h>
+
+#include "core/mem.h"
+
+static const char *const message_names[MSG_KIND_COUNT] = {
+	[MSG_HEARTBEAT] = "heartbeat", [MSG_HEARTBEAT_ACK] = "heartbeat_ack",
+	[MSG_ADOPT] = "adopt",	       [MSG_SYNC] = "sync",
+	[MSG_RELEASE] = "release",     [MSG_FORWARD] = "forward",
+	[MSG_ANSWER] = "answer",       [MSG_CANCEL] = "cancel",
+};
+
+static const char *const outcome_names[OUTCOME_COUNT] = {
+	[OUTCOME_DONE] = "done",
+	[OUTCOME_NOT_RUN] = "not_run",
+	[OUTCOME_UNKNOWN] = "unknown",
+};
+
+struct message *message_new(enum message_kind kind)
+{
+	struct message *m = mem_new(struct message);
+
+	m->kind = kind;
+	if (kind == MSG_SYNC)
+		list_init(&m->u.sync.docs);
+	return m;
+}
+
+void message_delete(struct message *m)
+{
+	if (!m)
+		return;
+	switch (m->kind) {
+	case MSG_SYNC:
+		docs_delete(&m->u.sync.docs);
+		break;
+	case MSG_RELEASE:
+		free(m->u.release.shards);
+		free(m->u.release.epochs);
+		break;
+	case MSG_FORWARD:
+		http_request_delete(m->u.forward.request);
+		break;
+	case MSG_ANSWER:
+		http_answer_delete(m->u.answer.answer);
+		break;
+	case MSG_HEARTBEAT:
+	case MSG_HEARTBEAT_ACK:
+	case MSG_ADOPT:
+	case MSG_CANCEL:
+	case MSG_KIND_COUNT:
+		break;
+	}
+	free(m);
+}
+
+const char *message_name(enum message_kind kind)
+{
+	return kind < MSG_KIND_COUNT ? message_names[kind] : "?";
+}
+
+const char *outcome_name(enum outcome o)
+{
+	return o < OUTCOME_COUNT ? outcome_names[o] : "?";
+}
--- /dev/null
+++ b/core/message.h
@@ -0,0 +1,109 @@
+/** What nodes say to one another, as a tagged union. */
+#ifndef JD_CORE_MESSAGE_H
+#define JD_CORE_MESSAGE_H
+
+#include "core/doc.h"
+#include "core/http.h"
+#include "core/refusal.h"
+#include "core/types.h"
+
+enum message_kind {
+	MSG_HEARTBEAT,	   /* a node to its keeper */
+	MSG_HEARTBEAT_ACK, /* the keeper's confirmation */
+	MSG_ADOPT,	   /* a node asks a new keeper to take it on */
+	MSG_SYNC,	   /* documents written since a revision */
+	MSG_RELEASE,	   /* owner to planner: a planned move may end */
+	MSG_FORWARD,	   /* entry to owner: run this request */
+	MSG_ANSWER,	   /* owner to entry: what came of it */
+	MSG_CANCEL,	   /* entry to owner: nobody waits any more */
+	MSG_KIND_COUNT,
+};
+
+enum outcome {
+	OUTCOME_DONE,
+	OUTCOME_NOT_RUN, /* provably: no upstream may have acted on it */
+	OUTCOME_UNKNOWN, /* may have run; never retried unless idempotent */
+	OUTCOME_COUNT,
+};
+
+struct msg_heartbeat {
+	char dc[JD_NAME_MAX];
+	uint64_t sent_ns; /* sender's clock; echoed, not read by others */
+	uint64_t term;
+	revision_t revision; /* all documents up to here are known */
+};
+
+struct msg_heartbeat_ack {
+	uint64_t sent_ns; /* echo */
+	uint64_t term;
+	revision_t revision; /* the keeper's own */
+};
+
+struct msg_adopt {
+	char dc[JD_NAME_MAX]; /* of the asking node */
+	uint64_t old_term;
+};
+
+struct msg_sync {
+	revision_t from; /* complete for a reader that knows up to here */
+	revision_t to;
+	struct list docs; /* of struct doc, by rising revision */
+};
+
+struct msg_release {
+	char route[JD_NAME_MAX];
+	uint32_t count;
+	uint32_t *shards;
+	epoch_t *epochs;
+};
+
+struct msg_forward {
+	struct request_id id;
+	uint32_t attempt;
+	uint64_t time_left_ns;
+	char reply_to[JD_ADDR_MAX];
+	char route[JD_NAME_MAX];
+	char key[JD_KEY_MAX];
+	char organisation[JD_NAME_MAX];
+	bool idempotent;
+	struct http_request *request;
+};
+
+struct msg_answer {
+	struct request_id id;
+	uint32_t attempt;
+	enum outcome outcome;
+	revision_t revision;	    /* what the answering node knows */
+	enum refusal refusal;	    /* of a not_run or unknown */
+	struct http_answer *answer; /* NULL unless done */
+};
+
+struct msg_cancel {
+	struct request_id id;
+	uint32_t attempt;
+};
+
+struct message {
+	enum message_kind kind;
+	incarnation_t from;
+	incarnation_t to; /* the addressee; others drop it */
+	union {
+		struct msg_heartbeat heartbeat;
+		struct msg_heartbeat_ack heartbeat_ack;
+		struct msg_adopt adopt;
+		struct msg_sync sync;
+		struct msg_release release;
+		struct msg_forward forward;
+		struct msg_answer answer;
+		struct msg_cancel cancel;
+	} u;
+};
+
+struct message *message_new(enum message_kind kind);
+/** Frees the message with all that it owns. */
+void message_delete(struct message *m);
+
+const char *message_name(enum message_kind kind);
+const char *outcome_name(enum outcome o);
+
+#endif
--- /dev/null
+++ b/core/node.c
@@ -0,0 +1,340 @@
+#include "core/node.h"
+
+#include <stdlib.h>
+
+#include "core/mem.h"
+
+/* A drain that has not ended by then ends anyway. */
+#define DRAIN_MAX_NS	 (30 * NS_PER_S)
+#define WATCH_BACKOFF_NS (100 * NS_PER_MS)
+/* What is overdue waits for something else; look again after this. */
+#define TICK_MIN_NS	 (5 * NS_PER_MS)
+
+struct node *node_new(const struct node_opts *opts)
+{
+	struct node *n = mem_new(struct node);
+
+	n->opts = *opts;
+	ctx_init(&n->ctx, &n->opts);
+	membership_init(&n->membership);
+	keeper_init(&n->keeper);
+	sweep_init(&n->sweep);
+	planner_init(&n->planner);
+	gate_init(&n->gate);
+	router_init(&n->router);
+	return n;
+}
+
+void node_delete(struct node *n)
+{
+	router_done(&n->router);
+	gate_done(&n->gate);
+	planner_done(&n->planner);
+	sweep_done(&n->sweep);
+	keeper_done(&n->keeper);
+	ctx_done(&n->ctx);
+	free(n);
+}
+
+/* Results of the own gate go to the own router or back over the wire. */
+static void deliver_results(struct node *n)
+{
+	struct ctx *c = &n->ctx;
+	struct gate_result *r;
+
+	while ((r = gate_pop(&n->gate))) {
+		struct msg_answer a = {
+			.id = r->id,
+			.attempt = r->attempt,
+			.outcome = r->outcome,
+			.refusal = r->refusal,
+			.revision = c->view.revision,
+			.answer = r->answer,
+		};
+
+		r->answer = NULL;
+		if (r->from == c->boot) {
+			router_on_answer(&n->router, c, 0, &a);
+		} else {
+			struct message *m = message_new(MSG_ANSWER);
+
+			m->u.answer = a;
+			ctx_send(c, r->from, r->reply_to, m);
+			m->from = r->self;
+		}
+		gate_result_delete(r);
+	}
+}
+
+static bool watches(const struct node *n)
+{
+	return n->membership.state == MEMBERSHIP_IN &&
+	       (keeper_active(&n->keeper) || n->planner.holder ||
+		membership_keeper_silent(&n->membership, &n->ctx));
+}
+
+static void watch_work(struct node *n)
+{
+	struct ctx *c = &n->ctx;
+
+	if (!watches(n) || c->now_ns < n->next_watch_ns ||
+	    ctx_calling(c, CALL_WATCH))
+		return;
+	ctx_call(c, &(struct call_opts){.owner = CALL_WATCH,
+					.kind = STORE_WATCH,
+					.revision = c->view.revision});
+}
+
+static void watch_on_store(struct node *n, const struct call *call,
+			   struct ev_store *ev)
+{
+	struct ctx *c = &n->ctx;
+	const struct doc *d = NULL;
+
+	if (ev->status != STATUS_OK) {
+		n->next_watch_ns = c->now_ns + ctx_jitter(c, WATCH_BACKOFF_NS);
+		return;
+	}
+	view_sync(&c->view, call->revision, ev->revision, &ev->docs);
+	while ((d = view_next(&c->view, DOC_ROSTER, d)))
+		if (d->revision > call->revision)
+			keeper_observe(&n->keeper, c, d->u.roster,
+				       call->stretch);
+}
+
+static bool owns_nothing(const struct node *n)
+{
+	const struct ctx *c = &n->ctx;
+	const struct doc *d = NULL;
+
+	while ((d = view_next(&c->view, DOC_MAP, d)))
+		for (uint32_t i = 0; i < d->u.map->count; i++)
+			if (d->u.map->shards[i].owner == c->self)
+				return false;
+	return true;
+}
+
+/* Removes the own entry once nothing is served any more. */
+static void write_leave(struct node *n)
+{
+	struct ctx *c = &n->ctx;
+	const struct doc *old = view_doc(&c->view, DOC_ROSTER, n->opts.dc);
+	struct member *self;
+	struct doc *d;
+
+	if (ctx_calling(c, CALL_JOIN) || c->now_ns < n->membership.next_try_ns)
+		return;
+	if (!old || !old->u.roster || !roster_find(old->u.roster, c->self)) {
+		n->drain = DRAIN_GONE;
+		return;
+	}
+	d = doc_new(DOC_ROSTER, n->opts.dc);
+	d->u.roster = roster_copy(old->u.roster);
+	self = roster_find(d->u.roster, c->self);
+	roster_remove(d->u.roster, self);
+	ctx_call(c, &(struct call_opts){.owner = CALL_JOIN,
+					.kind = STORE_CAS,
+					.doc_kind = DOC_ROSTER,
+					.name = n->opts.dc,
+					.revision = old->revision,
+					.doc = d});
+}
+
+static void drain_work(struct node *n)
+{
+	struct ctx *c = &n->ctx;
+	bool late = c->now_ns >= n->drain_deadline_ns;
+
+	switch (n->drain) {
+	case DRAIN_NONE:
+	case DRAIN_GONE:
+		break;
+	case DRAIN_HANDOVER:
+		if (!owns_nothing(n) && !late)
+			break;
+		n->router.leaving = true;
+		n->drain = DRAIN_FINISH;
+		break;
+	case DRAIN_FINISH:
+		if ((gate_busy(&n->gate) || n->router.count) && !late)
+			break;
+		n->membership.lease.lost = true;
+		n->drain = DRAIN_LEAVE;
+		break;
+	case DRAIN_LEAVE:
+		write_leave(n);
+		if (late || n->drain == DRAIN_GONE) {
+			n->drain = DRAIN_GONE;
+			actions_add(c->out, ACT_EXIT);
+		}
+		break;
+	}
+}
+
+static void on_drain(struct node *n)
+{
+	if (n->drain != DRAIN_NONE)
+		return;
+	actions_log(n->ctx.out, LOG_INFO, "event=drain_started");
+	n->drain = DRAIN_HANDOVER;
+	n->drain_deadline_ns = n->ctx.now_ns + DRAIN_MAX_NS;
+	n->membership.leaving = true;
+}
+
+static void on_store(struct node *n, struct ev_store *ev)
+{
+	struct ctx *c = &n->ctx;
+	struct call *call = ctx_take_call(c, ev->op);
+
+	if (!call)
+		return;
+	switch (call->owner) {
+	case CALL_BOOT:
+	case CALL_JOIN:
+	case CALL_CONFIRM:
+		membership_on_store(&n->membership, c, call, ev);
+		break;
+	case CALL_WATCH:
+		watch_on_store(n, call, ev);
+		break;
+	case CALL_CONTACT:
+	case CALL_KEEPER:
+		keeper_on_store(&n->keeper, c, call, ev);
+		break;
+	case CALL_SWEEP:
+		sweep_on_store(&n->sweep, c, call, ev);
+		break;
+	case CALL_PLANNER:
+		planner_on_store(&n->planner, c, call, ev);
+		break;
+	}
+	free(call);
+}
+
+static void on_message(struct node *n, struct message *m)
+{
+	struct ctx *c = &n->ctx;
+
+	if (m->to != c->self && m->to != c->boot) {
+		n->refused_messages++;
+		return;
+	}
+	switch (m->kind) {
+	case MSG_HEARTBEAT:
+		keeper_on_heartbeat(&n->keeper, c, m);
+		break;
+	case MSG_HEARTBEAT_ACK:
+		membership_on_ack(&n->membership, c, m);
+		break;
+	case MSG_ADOPT:
+		keeper_on_adopt(&n->keeper, c, m);
+		break;
+	case MSG_SYNC:
+		view_sync(&c->view, m->u.sync.from, m->u.sync.to,
+			  &m->u.sync.docs);
+		break;
+	case MSG_RELEASE:
+		planner_on_release(&n->planner, c, m);
+		break;
+	case MSG_FORWARD:
+		gate_run(&n->gate, c, &n->membership.lease, &m->u.forward,
+			 m->from);
+		break;
+	case MSG_ANSWER:
+		router_on_answer(&n->router, c, m->from, &m->u.answer);
+		break;
+	case MSG_CANCEL:
+		gate_on_cancel(&n->gate, c, &m->u.cancel);
+		break;
+	case MSG_KIND_COUNT:
+		break;
+	}
+}
+
+static void dispatch(struct node *n, struct event *ev)
+{
+	struct ctx *c = &n->ctx;
+
+	switch (ev->kind) {
+	case EV_TICK:
+		break;
+	case EV_STORE:
+		on_store(n, &ev->u.store);
+		docs_delete(&ev->u.store.docs);
+		break;
+	case EV_MESSAGE:
+		on_message(n, ev->u.message);
+		message_delete(ev->u.message);
+		break;
+	case EV_REQUEST:
+		router_on_request(&n->router, c, &n->gate, &n->membership.lease,
+				  &ev->u.request);
+		break;
+	case EV_CALLER_GONE:
+		router_on_caller_gone(&n->router, c, &n->gate,
+				      ev->u.caller_gone.caller);
+		break;
+	case EV_UPSTREAM_ANSWER:
+		gate_on_upstream(&n->gate, c, &ev->u.upstream_answer,
+				 &n->membership.lease);
+		http_answer_delete(ev->u.upstream_answer.answer);
+		break;
+	case EV_ANNOUNCE:
+		gate_announce(&n->gate, c, &ev->u.announce);
+		membership_announce(&n->membership, ev->u.announce.service);
+		break;
+	case EV_DRAIN:
+		on_drain(n);
+		break;
+	}
+}
+
+static void work(struct node *n)
+{
+	struct ctx *c = &n->ctx;
+
+	membership_follow(&n->membership, c);
+	if (c->self != n->keeper_self)
+		keeper_reset(&n->keeper);
+	n->keeper_self = c->self;
+	membership_work(&n->membership, c);
+	keeper_work(&n->keeper, c);
+	if (n->keeper.released) {
+		n->keeper.released = false;
+		sweep_want(&n->sweep);
+	}
+	planner_work(&n->planner, c, &n->sweep, watches(n));
+	sweep_work(&n->sweep, c);
+	watch_work(n);
+	drain_work(n);
+	gate_work(&n->gate, c, &n->membership.lease);
+	deliver_results(n);
+	router_work(&n->router, c, &n->gate, &n->membership.lease);
+	deliver_results(n);
+}
+
+void node_handle(struct node *n, struct event *ev, struct actions *out)
+{
+	n->ctx.now_ns = ev->now_ns;
+	n->ctx.out = out;
+	dispatch(n, ev);
+	work(n);
+	n->ctx.out = NULL;
+}
+
+static uint64_t earlier(uint64_t a, uint64_t b)
+{
+	return a < b ? a : b;
+}
+
+uint64_t node_next_ns(const struct node *n)
+{
+	uint64_t t = membership_next_ns(&n->membership);
+
+	t = earlier(t, keeper_next_ns(&n->keeper, &n->ctx));
+	t = earlier(t, sweep_next_ns(&n->sweep));
+	t = earlier(t, planner_next_ns(&n->planner));
+	t = earlier(t, gate_next_ns(&n->gate));
+	t = earlier(t, router_next_ns(&n->router));
+	return t > n->ctx.now_ns ? t : n->ctx.now_ns + TICK_MIN_NS;
+}
--- /dev/null
+++ b/core/planner.c
@@ -0,0 +1,245 @@
+#include "core/planner.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "core/mem.h"
+#include "core/placement.h"
+
+#define LEASE_TTL_MS 3000
+#define RENEW_NS     NS_PER_S
+#define CLAIM_NS     (500 * NS_PER_MS)
+#define PLAN_NS	     (100 * NS_PER_MS)
+
+enum planner_step { STEP_LEASE = 1, STEP_MAP };
+
+void planner_init(struct planner *p)
+{
+	memset(p, 0, sizeof(*p));
+	list_init(&p->releases);
+}
+
+static void release_delete(struct release *r)
+{
+	list_remove(&r->link);
+	free(r->msg.shards);
+	free(r->msg.epochs);
+	free(r);
+}
+
+void planner_done(struct planner *p)
+{
+	struct release *r, *tmp;
+
+	list_for_each_entry_safe(r, tmp, &p->releases, link)
+		release_delete(r);
+}
+
+static void claim(struct planner *p, struct ctx *c)
+{
+	const struct doc *old = view_doc(&c->view, DOC_PLANNER, "");
+	struct doc *d;
+
+	if (old && !doc_absent(old) && old->u.planner.holder != c->self) {
+		p->next_claim_ns = 0;
+		return;
+	}
+	if (!p->next_claim_ns)
+		p->next_claim_ns = c->now_ns + rng_below(&c->rng, CLAIM_NS);
+	if (c->now_ns < p->next_claim_ns)
+		return;
+	p->next_claim_ns = c->now_ns + CLAIM_NS;
+	d = doc_new(DOC_PLANNER, "");
+	d->u.planner.holder = c->self;
+	d->u.planner.term = old ? old->revision + 1 : 1;
+	ctx_call(c, &(struct call_opts){.owner = CALL_PLANNER,
+					.kind = STORE_CAS,
+					.doc_kind = DOC_PLANNER,
+					.revision = old ? old->revision : 0,
+					.ttl_ms = LEASE_TTL_MS,
+					.step = STEP_LEASE,
+					.doc = d});
+}
+
+static void renew(struct planner *p, struct ctx *c)
+{
+	if (c->now_ns < p->next_renew_ns)
+		return;
+	p->next_renew_ns = c->now_ns + RENEW_NS;
+	ctx_call(c, &(struct call_opts){.owner = CALL_PLANNER,
+					.kind = STORE_RENEW,
+					.doc_kind = DOC_PLANNER,
+					.revision = p->lease_revision,
+					.ttl_ms = LEASE_TTL_MS,
+					.step = STEP_LEASE});
+}
+
+/* Ends the moves of shards that their owner has released. */
+static uint32_t finish_moves(struct planner *p, struct shard_map *map)
+{
+	struct release *r;
+	uint32_t n = 0;
+
+	list_for_each_entry(r, &p->releases, link) {
+		if (strcmp(r->msg.route, map->route) != 0)
+			continue;
+		for (uint32_t i = 0; i < r->msg.count; i++) {
+			struct shard *sh;
+
+			if (r->msg.shards[i] >= map->count)
+				continue;
+			sh = &map->shards[r->msg.shards[i]];
+			if (sh->owner != r->owner || !sh->target ||
+			    sh->epoch != r->msg.epochs[i])
+				continue;
+			shard_assign(sh, sh->target);
+			n++;
+		}
+	}
+	return n;
+}
+
+static bool plan_route(struct planner *p, struct ctx *c,
+		       const struct route *route)
+{
+	const struct doc *old = view_doc(&c->view, DOC_MAP, route->name);
+	uint32_t ended, marked;
+	struct doc *d;
+
+	if (!old || !old->u.map)
+		return false;
+	d = doc_copy(old);
+	ended = finish_moves(p, d->u.map);
+	marked = placement_plan(d->u.map, &c->view, route);
+	if (!ended && !marked) {
+		doc_delete(d);
+		return false;
+	}
+	actions_log(c->out, LOG_INFO, "event=plan route=%s ended=%u marked=%u",
+		    route->name, ended, marked);
+	p->writing = true;
+	ctx_call(c, &(struct call_opts){.owner = CALL_PLANNER,
+					.kind = STORE_CAS,
+					.doc_kind = DOC_MAP,
+					.name = route->name,
+					.revision = old->revision,
+					.step = STEP_MAP,
+					.doc = d});
+	return true;
+}
+
+static bool needs_sweep(const struct ctx *c, const struct route *r)
+{
+	const struct shard_map *map = view_map(&c->view, r->name);
+	struct seats seats;
+	bool allowed;
+
+	if (map)
+		return placement_orphans(map, &c->view, r) > 0;
+	seats_init(&seats, &c->view, r, NULL);
+	allowed = seats.allowed > 0;
+	seats_done(&seats);
+	return allowed;
+}
+
+static void plan(struct planner *p, struct ctx *c, struct sweep *s)
+{
+	const struct manifest *m = view_manifest(&c->view);
+	const struct route *r;
+
+	if (!m || p->writing || c->now_ns < p->next_plan_ns)
+		return;
+	if (p->planned == c->view.revision && list_empty(&p->releases))
+		return;
+	p->next_plan_ns = c->now_ns + PLAN_NS;
+	p->planned = c->view.revision;
+	list_for_each_entry(r, &m->routes, link) {
+		if (r->kind != ROUTE_KEYED)
+			continue;
+		if (needs_sweep(c, r))
+			sweep_want(s);
+		else if (plan_route(p, c, r))
+			return;
+	}
+	/* Releases that ended nothing are too old or will come again. */
+	planner_done(p);
+}
+
+void planner_work(struct planner *p, struct ctx *c, struct sweep *s,
+		  bool candidate)
+{
+	if (!candidate) {
+		p->holder = false;
+		return;
+	}
+	if (ctx_calling(c, CALL_PLANNER))
+		return;
+	if (!p->holder) {
+		claim(p, c);
+		return;
+	}
+	renew(p, c);
+	plan(p, c, s);
+}
+
+uint64_t planner_next_ns(const struct planner *p)
+{
+	if (!p->holder)
+		return p->next_claim_ns ? p->next_claim_ns : DEADLINE_NEVER;
+	if (p->next_plan_ns < p->next_renew_ns && !list_empty(&p->releases))
+		return p->next_plan_ns;
+	return p->next_renew_ns;
+}
+
+void planner_on_release(struct planner *p, struct ctx *c, struct message *msg)
+{
+	struct release *r;
+
+	(void)c;
+	if (!p->holder)
+		return;
+	r = mem_new(struct release);
+	r->owner = msg->from;
+	r->msg = msg->u.release;
+	msg->u.release.shards = NULL;
+	msg->u.release.epochs = NULL;
+	list_push_back(&p->releases, &r->link);
+}
+
+static void on_lease(struct planner *p, struct ctx *c, const struct call *call,
+		     struct ev_store *ev)
+{
+	const struct doc *d = view_doc(&c->view, DOC_PLANNER, "");
+
+	if (ev->status == STATUS_OK && call->kind == STORE_CAS) {
+		p->holder = true;
+		p->lease_revision = d ? d->revision : 0;
+		p->next_renew_ns = c->now_ns + RENEW_NS;
+		p->planned = 0;
+		actions_log(c->out, LOG_INFO, "event=planner_claimed");
+	} else if (ev->status == STATUS_CONFLICT) {
+		p->holder = d && d->u.planner.holder == c->self;
+		if (p->holder)
+			p->lease_revision = d->revision;
+	}
+}
+
+void planner_on_store(struct planner *p, struct ctx *c, const struct call *call,
+		      struct ev_store *ev)
+{
+	struct doc *d, *tmp;
+
+	list_for_each_entry_safe(d, tmp, &ev->docs, link) {
+		list_remove(&d->link);
+		view_apply(&c->view, d);
+	}
+	if (call->step == STEP_LEASE) {
+		on_lease(p, c, call, ev);
+		return;
+	}
+	p->writing = false;
+	p->planned = 0;
+	p->next_plan_ns = ev->status == STATUS_OK
+				  ? c->now_ns
+				  : c->now_ns + ctx_jitter(c, PLAN_NS);
+}
--- /dev/null
+++ b/core/refusal.c
@@ -0,0 +1,27 @@
+#include "core/refusal.h"
+
+static const struct refusal_info refusals[REFUSAL_COUNT] = {
+	[REFUSAL_NONE] = {"none", 200, false},
+	[REFUSAL_BAD_REQUEST] = {"bad_request", 400, false},
+	[REFUSAL_NO_ROUTE] = {"no_route", 404, false},
+	[REFUSAL_NO_KEY] = {"no_key", 400, false},
+	[REFUSAL_TOO_LARGE] = {"too_large", 413, false},
+	[REFUSAL_HOME_REGION] = {"home_region", 421, false},
+	[REFUSAL_NO_MANIFEST] = {"no_manifest", 503, true},
+	[REFUSAL_NO_OWNER] = {"no_owner", 503, true},
+	[REFUSAL_NOT_OWNER] = {"not_owner", 503, true},
+	[REFUSAL_MOVING] = {"moving", 503, true},
+	[REFUSAL_NO_LEASE] = {"no_lease", 503, true},
+	[REFUSAL_QUEUE_FULL] = {"queue_full", 503, false},
+	[REFUSAL_DEADLINE] = {"deadline", 503, false},
+	[REFUSAL_UPSTREAM_DOWN] = {"upstream_down", 503, true},
+	[REFUSAL_UPSTREAM_SHED] = {"upstream_shed", 503, true},
+	[REFUSAL_LEAVING] = {"leaving", 503, true},
+	[REFUSAL_CONNECTION_LOST] = {"connection_lost", 502, false},
+	[REFUSAL_NO_ANSWER] = {"no_answer", 504, false},
+};
+
+const struct refusal_info *refusal_find(enum refusal r)
+{
+	return &refusals[r < REFUSAL_COUNT ? r : REFUSAL_BAD_REQUEST];
+}
--- /dev/null
+++ b/core/request_key.c
@@ -0,0 +1,79 @@
+#include "core/request_key.h"
+
+#include <string.h>
+
+#include "core/mem.h"
+
+static bool copy_part(const char *from, size_t len, char *key, size_t cap)
+{
+	if (!len || len >= cap)
+		return false;
+	memcpy(key, from, len);
+	key[len] = '\0';
+	return true;
+}
+
+static bool key_from_path(const char *target, uint32_t segment, char *key,
+			  size_t cap)
+{
+	size_t path_len = strcspn(target, "?");
+	const char *end = target + path_len;
+	const char *p = target;
+
+	for (uint32_t i = 0;; i++) {
+		size_t len;
+
+		if (p >= end || *p != '/')
+			return false;
+		p++;
+		len = strcspn(p, "/?");
+		if (i == segment)
+			return copy_part(p, len, key, cap);
+		p += len;
+	}
+}
+
+static bool key_from_query(const char *target, const char *name, char *key,
+			   size_t cap)
+{
+	size_t name_len = strlen(name);
+	const char *p = strchr(target, '?');
+
+	while (p) {
+		p++;
+		if (!strncmp(p, name, name_len) && p[name_len] == '=') {
+			p += name_len + 1;
+			return copy_part(p, strcspn(p, "&"), key, cap);
+		}
+		p = strchr(p, '&');
+	}
+	return false;
+}
+
+bool request_key(const struct http_request *r, const struct key_rule *rule,
+		 char *key, size_t cap)
+{
+	const char *value;
+
+	switch (rule->source) {
+	case KEY_HEADER:
+		value = payload_header(&r->payload, rule->name);
+		return value && copy_part(value, strlen(value), key, cap);
+	case KEY_QUERY:
+		return key_from_query(r->target, rule->name, key, cap);
+	case KEY_PATH:
+		return key_from_path(r->target, rule->segment, key, cap);
+	}
+	return false;
+}
+
+bool request_idempotent(const struct http_request *r)
+{
+	static const char *const methods[] = {"GET", "HEAD", "OPTIONS", "PUT",
+					      "DELETE"};
+
+	for (size_t i = 0; i < sizeof(methods) / sizeof(*methods); i++)
+		if (!strcmp(r->method, methods[i]))
+			return true;
+	return false;
+}
--- /dev/null
+++ b/core/router.h
@@ -0,0 +1,62 @@
+/** The entry of callers' requests: route, key, owner, attempts, outcome. */
+#ifndef JD_CORE_ROUTER_H
+#define JD_CORE_ROUTER_H
+
+#include "core/ctx.h"
+#include "core/gate.h"
+
+#define ROUTER_BUCKETS 1024
+
+enum entry_state {
+	ENTRY_HELD,	 /* waits for an owner or for the next attempt */
+	ENTRY_FORWARDED, /* an attempt runs at a gate */
+};
+
+/** One caller's request until its outcome. */
+struct entry {
+	struct list link; /* in its bucket */
+	struct list held; /* in router.held while ENTRY_HELD */
+	struct request_id id;
+	uint64_t caller;
+	enum entry_state state;
+	uint32_t attempt;
+	bool idempotent;
+	char route[JD_NAME_MAX];
+	char key[JD_KEY_MAX];
+	char organisation[JD_NAME_MAX];
+	uint64_t deadline_ns;
+	uint64_t retry_ns;    /* when held: not before */
+	revision_t revision;  /* of the view at the last attempt */
+	incarnation_t at;     /* gate of the running attempt */
+	enum refusal refusal; /* of the last attempt */
+	struct http_request *request;
+};
+
+struct router {
+	struct list buckets[ROUTER_BUCKETS]; /* of struct entry */
+	struct list held;		     /* of struct entry */
+	uint64_t next_id;
+	uint32_t count;
+	bool leaving; /* takes no new requests */
+	uint64_t next_expiry_ns;
+	uint64_t requests;
+	uint64_t outcomes[OUTCOME_COUNT];
+	uint64_t unmatched; /* answers to nothing we wait for */
+};
+
+void router_init(struct router *r);
+void router_done(struct router *r);
+
+void router_on_request(struct router *r, struct ctx *c, struct gate *g,
+		       const struct lease *lease, struct ev_request *ev);
+/** The end of an attempt at @from, 0 for our own gate; takes @a->answer. */
+void router_on_answer(struct router *r, struct ctx *c, incarnation_t from,
+		      struct msg_answer *a);
+void router_on_caller_gone(struct router *r, struct ctx *c, struct gate *g,
+			   uint64_t caller);
+/** Tries held requests again, ends the late ones. */
+void router_work(struct router *r, struct ctx *c, struct gate *g,
+		 const struct lease *lease);
+uint64_t router_next_ns(const struct router *r);
+
+#endif
--- /dev/null
+++ b/core/sweep.c
@@ -0,0 +1,146 @@
+#include "core/sweep.h"
+
+#include <string.h>
+
+#include "core/placement.h"
+
+#define RETRY_NS (50 * NS_PER_MS)
+
+void sweep_init(struct sweep *s)
+{
+	memset(s, 0, sizeof(*s));
+	list_init(&s->maps);
+}
+
+void sweep_done(struct sweep *s)
+{
+	docs_delete(&s->maps);
+}
+
+void sweep_want(struct sweep *s)
+{
+	s->wanted = true;
+}
+
+static void list_kind(struct ctx *c, enum doc_kind kind)
+{
+	ctx_call(c, &(struct call_opts){.owner = CALL_SWEEP,
+					.kind = STORE_LIST,
+					.doc_kind = kind});
+}
+
+void sweep_work(struct sweep *s, struct ctx *c)
+{
+	if (!s->wanted || s->state != SWEEP_IDLE || c->now_ns < s->next_try_ns)
+		return;
+	s->wanted = false;
+	s->state = SWEEP_MAPS;
+	list_kind(c, DOC_MAP);
+}
+
+uint64_t sweep_next_ns(const struct sweep *s)
+{
+	if (s->state == SWEEP_IDLE && s->wanted)
+		return s->next_try_ns;
+	return DEADLINE_NEVER;
+}
+
+static struct doc *take_map(struct sweep *s, const char *route)
+{
+	struct doc *d;
+
+	list_for_each_entry(d, &s->maps, link) {
+		if (strcmp(d->key.name, route) != 0)
+			continue;
+		list_remove(&d->link);
+		return d;
+	}
+	return doc_new(DOC_MAP, route);
+}
+
+static void write_map(struct sweep *s, struct ctx *c, const struct route *r)
+{
+	struct doc *d = take_map(s, r->name);
+	uint32_t changed;
+
+	if (!d->u.map)
+		d->u.map = shard_map_new(r->name, r->shards);
+	changed = placement_fill(d->u.map, &c->view, r);
+	if (!changed) {
+		doc_delete(d);
+		return;
+	}
+	actions_log(c->out, LOG_INFO, "event=reassign route=%s shards=%u",
+		    r->name, changed);
+	s->writing++;
+	ctx_call(c, &(struct call_opts){.owner = CALL_SWEEP,
+					.kind = STORE_CAS,
+					.doc_kind = DOC_MAP,
+					.name = r->name,
+					.revision = d->revision,
+					.doc = d});
+}
+
+static void write_maps(struct sweep *s, struct ctx *c)
+{
+	const struct manifest *m = view_manifest(&c->view);
+	const struct route *r;
+
+	s->state = SWEEP_WRITE;
+	if (m) {
+		list_for_each_entry(r, &m->routes, link)
+			if (r->kind == ROUTE_KEYED)
+				write_map(s, c, r);
+	}
+	docs_delete(&s->maps);
+	if (!s->writing)
+		s->state = SWEEP_IDLE;
+}
+
+static void fail(struct sweep *s, struct ctx *c)
+{
+	s->wanted = true;
+	s->next_try_ns = c->now_ns + ctx_jitter(c, RETRY_NS);
+}
+
+static void on_write(struct sweep *s, struct ctx *c, struct ev_store *ev)
+{
+	struct doc *d, *tmp;
+
+	if (ev->status != STATUS_OK)
+		fail(s, c);
+	list_for_each_entry_safe(d, tmp, &ev->docs, link) {
+		list_remove(&d->link);
+		view_apply(&c->view, d);
+	}
+	if (--s->writing == 0)
+		s->state = SWEEP_IDLE;
+}
+
+void sweep_on_store(struct sweep *s, struct ctx *c, const struct call *call,
+		    struct ev_store *ev)
+{
+	struct doc *d, *tmp;
+
+	if (s->state == SWEEP_WRITE) {
+		on_write(s, c, ev);
+		return;
+	}
+	if (ev->status != STATUS_OK) {
+		docs_delete(&s->maps);
+		s->state = SWEEP_IDLE;
+		fail(s, c);
+		return;
+	}
+	if (s->state == SWEEP_MAPS) {
+		list_splice_back(&s->maps, &ev->docs);
+		s->state = SWEEP_ROSTERS;
+		list_kind(c, DOC_ROSTER);
+		return;
+	}
+	list_for_each_entry_safe(d, tmp, &ev->docs, link) {
+		list_remove(&d->link);
+		view_apply(&c->view, d);
+	}
+	write_maps(s, c);
+}
--- /dev/null
+++ b/core/view.h
@@ -0,0 +1,47 @@
+/** What a node knows of the store's documents; nothing in it goes back. */
+#ifndef JD_CORE_VIEW_H
+#define JD_CORE_VIEW_H
+
+#include "core/doc.h"
+#include "core/message.h"
+
+struct view {
+	revision_t revision; /* every document up to here is known */
+	struct list docs;    /* of struct doc, each the newest known */
+};
+
+void view_init(struct view *v);
+void view_done(struct view *v);
+
+/** Takes @d if it is newer than the one held, else frees it. */
+bool view_apply(struct view *v, struct doc *d);
+
+/**
+ * Takes all of @docs. They are all documents written in (from, to], so the
+ * view is complete up to @to if it was up to @from.
+ */
+void view_sync(struct view *v, revision_t from, revision_t to,
+	       struct list *docs);
+
+/** The held document, also an absent one; NULL if never seen. */
+const struct doc *view_doc(const struct view *v, enum doc_kind kind,
+			   const char *name);
+
+/** NULL where there is none (yet). */
+const struct manifest *view_manifest(const struct view *v);
+const struct shard_map *view_map(const struct view *v, const char *route);
+const struct roster *view_roster(const struct view *v, const char *dc);
+struct duty view_planner(const struct view *v);
+
+/** A node's entry and its roster (@r may be NULL); NULL for none. */
+const struct member *view_member(const struct view *v, incarnation_t inc,
+				 const struct roster **r);
+
+/** Copies of the documents newer than @from, by rising revision. */
+void view_newer(const struct view *v, revision_t from, struct list *docs);
+
+/** Walks the rosters: the first after @pos (NULL to start), NULL at the end. */
+const struct doc *view_next(const struct view *v, enum doc_kind kind,
+			    const struct doc *pos);
+
+#endif
--- /dev/null
+++ b/daemon/jackdawd.c
@@ -0,0 +1,99 @@
+#include <argtable2.h>
+#include <event2/event.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+
+#include "core/invariant.h"
+#include "io/driver.h"
+#include "io/log.h"
+#include "io/settings.h"
+
+enum exit_code { EXIT_RUN = 1, EXIT_SETTINGS = 2 };
+
+static void on_signal(evutil_socket_t fd, short what, void *arg)
+{
+	(void)fd;
+	(void)what;
+	driver_drain(arg);
+}
+
+static int run(const struct settings *s)
+{
+	struct event_base *base = event_base_new();
+	struct event *term, *intr;
+	struct status st;
+	struct driver *d = driver_new(base, s, &st);
+
+	if (!d) {
+		log_event(LOG_ERROR, "event=start_failed why=\"%s\"", st.msg);
+		event_base_free(base);
+		return EXIT_RUN;
+	}
+	term = evsignal_new(base, SIGTERM, on_signal, d);
+	intr = evsignal_new(base, SIGINT, on_signal, d);
+	event_add(term, NULL);
+	event_add(intr, NULL);
+	log_event(LOG_INFO, "event=started http=%s peer=%s", s->http_addr,
+		  s->peer_addr);
+	event_base_dispatch(base);
+	log_event(LOG_INFO, "event=stopped");
+	event_free(term);
+	event_free(intr);
+	driver_delete(d);
+	event_base_free(base);
+	return EXIT_SUCCESS;
+}
+
+static int check(struct settings *s, const char *path)
+{
+	struct findings f;
+	const struct finding *it;
+	int count;
+
+	findings_init(&f);
+	settings_default(s);
+	if (path)
+		settings_read(s, path, &f);
+	findings_sort(&f);
+	list_for_each_entry(it, &f.items, link) {
+		char *line = finding_line(it);
+
+		fprintf(stderr, "%s\n", line);
+		free(line);
+	}
+	count = f.count;
+	findings_done(&f);
+	return count;
+}
+
+int main(int argc, char **argv)
+{
+	struct arg_file *file =
+		arg_file0("s", "settings", "FILE", "settings in TOML");
+	struct arg_lit *only_check = arg_lit0(
+		NULL, "check-settings", "print all findings, exit 2 on any");
+	struct arg_lit *help = arg_lit0("h", "help", "this text");
+	struct arg_end *end = arg_end(8);
+	void *table[] = {file, only_check, help, end};
+	struct settings s;
+	int errors = arg_parse(argc, argv, table);
+	int code = EXIT_SETTINGS;
+
+	if (help->count || errors) {
+		if (errors)
+			arg_print_errors(stderr, end, "jackdawd");
+		fprintf(help->count ? stdout : stderr, "usage: jackdawd");
+		arg_print_syntax(help->count ? stdout : stderr, table, "\n");
+		arg_print_glossary(help->count ? stdout : stderr, table,
+				   "  %-24s %s\n");
+		code = help->count ? EXIT_SUCCESS : EXIT_SETTINGS;
+	} else if (!check(&s, file->count ? file->filename[0] : NULL)) {
+		log_init(s.log_level, s.name);
+		invariant_set_sink(log_invariant);
+		signal(SIGPIPE, SIG_IGN);
+		code = only_check->count ? EXIT_SUCCESS : run(&s);
+	}
+	arg_freetable(table, sizeof(table) / sizeof(*table));
+	return code;
+}
--- /dev/null
+++ b/io/base64.c
@@ -0,0 +1,67 @@
+#include "io/base64.h"
+
+#include <stdint.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "core/mem.h"
+
+static const char digits[] =
+	"ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
+
+char *base64_encode(const void *data, size_t len)
+{
+	const unsigned char *p = data;
+	char *out = mem_zalloc((len + 2) / 3 * 4 + 1, 1);
+	char *o = out;
+
+	for (size_t i = 0; i < len; i += 3) {
+		uint32_t v = (uint32_t)p[i] << 16;
+
+		if (i + 1 < len)
+			v |= (uint32_t)p[i + 1] << 8;
+		if (i + 2 < len)
+			v |= p[i + 2];
+		*o++ = digits[v >> 18];
+		*o++ = digits[v >> 12 & 63];
+		*o++ = i + 1 < len ? digits[v >> 6 & 63] : '=';
+		*o++ = i + 2 < len ? digits[v & 63] : '=';
+	}
+	return out;
+}
+
+static int digit_value(char c)
+{
+	const char *p = c ? strchr(digits, c) : NULL;
+
+	return p ? (int)(p - digits) : -1;
+}
+
+unsigned char *base64_decode(const char *text, size_t *len)
+{
+	size_t n = strlen(text);
+	unsigned char *out;
+	size_t o = 0;
+
+	while (n && text[n - 1] == '=')
+		n--;
+	out = mem_zalloc(n / 4 * 3 + 3, 1);
+	for (size_t i = 0; i < n; i += 4) {
+		uint32_t v = 0;
+
+		for (size_t k = 0; k < 4; k++) {
+			int d = i + k < n ? digit_value(text[i + k]) : 0;
+
+			if (d < 0) {
+				free(out);
+				return NULL;
+			}
+			v = v << 6 | (uint32_t)d;
+		}
+		out[o++] = (unsigned char)(v >> 16);
+		out[o++] = (unsigned char)(v >> 8);
+		out[o++] = (unsigned char)v;
+	}
+	*len = n / 4 * 3 + (n % 4 ? n % 4 - 1 : 0);
+	return out;
+}
--- /dev/null
+++ b/io/clock.c
@@ -0,0 +1,13 @@
+#include "io/clock.h"
+
+#include <time.h>
+
+#include "core/types.h"
+
+uint64_t clock_now_ns(void)
+{
+	struct timespec ts;
+
+	clock_gettime(CLOCK_MONOTONIC, &ts);
+	return (uint64_t)ts.tv_sec * NS_PER_S + (uint64_t)ts.tv_nsec;
+}
--- /dev/null
+++ b/io/front.c
@@ -0,0 +1,279 @@
+#include "io/front.h"
+
+#include <event2/buffer.h>
+#include <event2/http.h>
+#include <jansson.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "core/mem.h"
+#include "core/refusal.h"
+#include "core/request_key.h"
+#include "core/text.h"
+#include "io/addr.h"
+#include "io/clock.h"
+#include "io/http_convert.h"
+
+#define CALLER_BUCKETS	     1024
+#define MAX_HEADERS_BYTES    (32 << 10)
+#define DEADLINE_MAX_MS	     600000
+#define CONNECTION_TIMEOUT_S 120
+
+struct front {
+	struct front_opts opts;
+	struct evhttp *http;
+	struct list callers[CALLER_BUCKETS]; /* of struct caller */
+	uint64_t next_caller;
+	uint32_t waiting;
+};
+
+/* One request of a caller until it is answered. */
+struct caller {
+	struct list link;
+	struct front *front;
+	uint64_t id;
+	struct evhttp_request *req;
+	struct evhttp_connection *conn;
+};
+
+static void caller_delete(struct caller *c)
+{
+	list_remove(&c->link);
+	c->front->waiting--;
+	free(c);
+}
+
+static void on_close(struct evhttp_connection *conn, void *arg)
+{
+	struct caller *c = arg;
+	struct front *f = c->front;
+	struct event ev = {.kind = EV_CALLER_GONE,
+			   .now_ns = clock_now_ns(),
+			   .u.caller_gone.caller = c->id};
+
+	evhttp_connection_set_closecb(conn, NULL, NULL);
+	caller_delete(c);
+	f->opts.on_event(f->opts.arg, &ev);
+}
+
+static struct caller *caller_find(struct front *f, uint64_t id)
+{
+	struct caller *c;
+
+	list_for_each_entry(c, &f->callers[id % CALLER_BUCKETS], link)
+		if (c->id == id)
+			return c;
+	return NULL;
+}
+
+static struct caller *caller_new(struct front *f, struct evhttp_request *req)
+{
+	struct caller *c = mem_new(struct caller);
+
+	c->front = f;
+	c->id = f->next_caller++;
+	c->req = req;
+	c->conn = evhttp_request_get_connection(req);
+	list_push_back(&f->callers[c->id % CALLER_BUCKETS], &c->link);
+	f->waiting++;
+	evhttp_connection_set_closecb(c->conn, on_close, c);
+	return c;
+}
+
+static void reply_text(struct evhttp_request *req, int code, const char *text)
+{
+	struct evbuffer *b = evbuffer_new();
+
+	evbuffer_add(b, text, strlen(text));
+	evhttp_send_reply(req, code, NULL, b);
+	evbuffer_free(b);
+}
+
+static uint64_t deadline(const struct http_request *r, uint64_t now_ns)
+{
+	const char *text = payload_header(&r->payload, HEADER_DEADLINE_MS);
+	char *end;
+	unsigned long long ms;
+
+	if (!text)
+		return 0;
+	ms = strtoull(text, &end, 10);
+	if (*end || end == text || ms > DEADLINE_MAX_MS)
+		return 0;
+	return now_ns + ms * NS_PER_MS;
+}
+
+static void on_request(struct front *f, struct evhttp_request *req)
+{
+	struct http_request *r = http_from_evhttp(req);
+	struct event ev = {.kind = EV_REQUEST, .now_ns = clock_now_ns()};
+
+	if (!r) {
+		evhttp_add_header(evhttp_request_get_output_headers(req),
+				  "X-Jackdaw-Outcome", "not_run");
+		reply_text(req, 405, "outcome=not_run reason=bad_request\n");
+		return;
+	}
+	ev.u.request.caller = caller_new(f, req)->id;
+	ev.u.request.deadline_ns = deadline(r, ev.now_ns);
+	ev.u.request.request = r;
+	f->opts.on_event(f->opts.arg, &ev);
+}
+
+static uint32_t json_u32(json_t *o, const char *key)
+{
+	json_int_t v = json_integer_value(json_object_get(o, key));
+
+	return v > 0 && v < UINT32_MAX ? (uint32_t)v : 0;
+}
+
+static bool read_announce(struct evhttp_request *req, struct ev_announce *a)
+{
+	struct evbuffer *in = evhttp_request_get_input_buffer(req);
+	size_t len = evbuffer_get_length(in);
+	json_t *o =
+		len ? json_loadb((char *)evbuffer_pullup(in, -1), len, 0, NULL)
+		    : NULL;
+	const char *service = json_string_value(json_object_get(o, "service"));
+	const char *addr = json_string_value(json_object_get(o, "addr"));
+	bool ok = service && *service && addr;
+
+	if (ok) {
+		mem_copy_str(a->service, service, sizeof(a->service));
+		mem_copy_str(a->addr, addr, sizeof(a->addr));
+		a->instance = (uint64_t)json_integer_value(
+			json_object_get(o, "instance"));
+		a->slots = json_u32(o, "slots");
+		a->connections = json_u32(o, "connections");
+		a->checks_grants =
+			json_is_true(json_object_get(o, "checks_grants"));
+		a->cold = json_is_true(json_object_get(o, "cold"));
+		a->draining = json_is_true(json_object_get(o, "draining"));
+		a->load_permille = json_u32(o, "load_permille");
+		ok = a->instance && a->slots;
+	}
+	json_decref(o);
+	return ok;
+}
+
+static void on_announce(struct front *f, struct evhttp_request *req)
+{
+	struct event ev = {.kind = EV_ANNOUNCE, .now_ns = clock_now_ns()};
+
+	if (!read_announce(req, &ev.u.announce)) {
+		reply_text(req, 400, "announcement is broken\n");
+		return;
+	}
+	reply_text(req, 200, "ok\n");
+	f->opts.on_event(f->opts.arg, &ev);
+}
+
+static void on_http(struct evhttp_request *req, void *arg)
+{
+	const char *uri = evhttp_request_get_uri(req);
+	struct front *f = arg;
+	char *page;
+
+	if (strncmp(uri, "/-/", 3) != 0) {
+		on_request(f, req);
+		return;
+	}
+	if (!strcmp(uri, "/-/announce")) {
+		on_announce(f, req);
+		return;
+	}
+	page = f->opts.page(f->opts.arg, uri + 2);
+	reply_text(req, page ? 200 : 404, page ? page : "no such page\n");
+	free(page);
+}
+
+struct front *front_new(const struct front_opts *o, struct status *st)
+{
+	struct front *f = mem_new(struct front);
+	char ip[JD_ADDR_MAX];
+	uint16_t port;
+
+	f->opts = *o;
+	f->next_caller = 1;
+	for (int i = 0; i < CALLER_BUCKETS; i++)
+		list_init(&f->callers[i]);
+	f->http = evhttp_new(o->base);
+	evhttp_set_max_body_size(f->http, (ev_ssize_t)o->max_body_bytes);
+	evhttp_set_max_headers_size(f->http, MAX_HEADERS_BYTES);
+	evhttp_set_timeout(f->http, CONNECTION_TIMEOUT_S);
+	evhttp_set_allowed_methods(
+		f->http, EVHTTP_REQ_GET | EVHTTP_REQ_HEAD | EVHTTP_REQ_POST |
+				 EVHTTP_REQ_PUT | EVHTTP_REQ_DELETE |
+				 EVHTTP_REQ_PATCH | EVHTTP_REQ_OPTIONS);
+	evhttp_set_gencb(f->http, on_http, f);
+	if (addr_split(o->addr, ip, sizeof(ip), &port) &&
+	    evhttp_bind_socket(f->http, ip, port) == 0)
+		return f;
+	status_set(st, STATUS_IO, "%s can't be bound", o->addr);
+	front_delete(f);
+	return NULL;
+}
+
+void front_delete(struct front *f)
+{
+	for (int i = 0; i < CALLER_BUCKETS; i++) {
+		struct caller *c, *tmp;
+
+		list_for_each_entry_safe(c, tmp, &f->callers[i], link) {
+			evhttp_connection_set_closecb(c->conn, NULL, NULL);
+			caller_delete(c);
+		}
+	}
+	evhttp_free(f->http);
+	free(f);
+}
+
+uint32_t front_waiting(const struct front *f)
+{
+	return f->waiting;
+}
+
+static void send_refusal(struct evhttp_request *req, const struct act_reply *r)
+{
+	const struct refusal_info *info = refusal_find(r->refusal);
+	char text[128];
+
+	text_format(text, sizeof(text), "outcome=%s reason=%s\n",
+		    outcome_name(r->outcome), info->name);
+	evhttp_add_header(evhttp_request_get_output_headers(req),
+			  "X-Jackdaw-Reason", info->name);
+	reply_text(req,
+		   r->outcome == OUTCOME_UNKNOWN && info->http_code < 500
+			   ? 504
+			   : info->http_code,
+		   text);
+}
+
+void front_reply(struct front *f, const struct act_reply *r)
+{
+	struct caller *c = caller_find(f, r->caller);
+	struct evhttp_request *req;
+	struct evkeyvalq *headers;
+	char number[16];
+
+	if (!c)
+		return;
+	req = c->req;
+	evhttp_connection_set_closecb(c->conn, NULL, NULL);
+	caller_delete(c);
+	headers = evhttp_request_get_output_headers(req);
+	evhttp_add_header(headers, "X-Jackdaw-Outcome",
+			  outcome_name(r->outcome));
+	if (r->served_by[0])
+		evhttp_add_header(headers, "X-Jackdaw-Served-By", r->served_by);
+	if (r->retry_after_s) {
+		text_format(number, sizeof(number), "%u", r->retry_after_s);
+		evhttp_add_header(headers, "Retry-After", number);
+	}
+	if (!r->answer) {
+		send_refusal(req, r);
+		return;
+	}
+	http_to_evhttp(&r->answer->payload, req);
+	evhttp_send_reply(req, r->answer->code, NULL, NULL);
+}
--- /dev/null
+++ b/io/front.h
@@ -0,0 +1,37 @@
+/** The HTTP front for callers, the own upstream and operators. */
+#ifndef JD_IO_FRONT_H
+#define JD_IO_FRONT_H
+
+#include <event2/event.h>
+
+#include "core/action.h"
+#include "core/event.h"
+#include "core/status.h"
+
+struct front;
+
+/** Gets EV_REQUEST, EV_CALLER_GONE and EV_ANNOUNCE; takes what they own. */
+typedef void (*front_event_fn)(void *arg, struct event *ev);
+
+/** Text of an operators' page below /-/, free() it; NULL for none. */
+typedef char *(*front_page_fn)(void *arg, const char *path);
+
+struct front_opts {
+	struct event_base *base;
+	const char *addr;
+	size_t max_body_bytes;
+	front_event_fn on_event;
+	front_page_fn page;
+	void *arg;
+};
+
+/** NULL with a status when the address can't be bound. */
+struct front *front_new(const struct front_opts *o, struct status *st);
+void front_delete(struct front *f);
+
+void front_reply(struct front *f, const struct act_reply *r);
+
+/** Callers that wait for an answer. */
+uint32_t front_waiting(const struct front *f);
+
+#endif
--- /dev/null
+++ b/io/http_convert.c
@@ -0,0 +1,97 @@
+#include "io/http_convert.h"
+
+#include <event2/buffer.h>
+#include <event2/keyvalq_struct.h>
+#include <string.h>
+#include <strings.h>
+
+static const struct {
+	const char *name;
+	enum evhttp_cmd_type type;
+} methods[] = {
+	{"GET", EVHTTP_REQ_GET},	 {"HEAD", EVHTTP_REQ_HEAD},
+	{"POST", EVHTTP_REQ_POST},	 {"PUT", EVHTTP_REQ_PUT},
+	{"DELETE", EVHTTP_REQ_DELETE},	 {"PATCH", EVHTTP_REQ_PATCH},
+	{"OPTIONS", EVHTTP_REQ_OPTIONS},
+};
+
+/* Headers of one hop, or set anew on each. */
+static const char *const hop_headers[] = {
+	"Connection", "Keep-Alive",	   "Proxy-Connection",
+	"TE",	      "Transfer-Encoding", "Content-Length",
+	"Upgrade",    "Trailer",	   "Host",
+	"Expect",
+};
+
+static bool is_hop_header(const char *name)
+{
+	const size_t n = sizeof(hop_headers) / sizeof(*hop_headers);
+
+	for (size_t i = 0; i < n; i++)
+		if (!strcasecmp(hop_headers[i], name))
+			return true;
+	return false;
+}
+
+static void take_payload(struct payload *p, struct evhttp_request *req)
+{
+	struct evbuffer *in = evhttp_request_get_input_buffer(req);
+	size_t len = evbuffer_get_length(in);
+	struct evkeyval *kv;
+
+	for (kv = evhttp_request_get_input_headers(req)->tqh_first; kv;
+	     kv = kv->next.tqe_next)
+		if (!is_hop_header(kv->key))
+			payload_add_header(p, kv->key, kv->value);
+	payload_set_body(p, len ? evbuffer_pullup(in, -1) : NULL, len);
+}
+
+bool http_method(const char *name, enum evhttp_cmd_type *type)
+{
+	for (size_t i = 0; i < sizeof(methods) / sizeof(*methods); i++) {
+		if (strcmp(methods[i].name, name) != 0)
+			continue;
+		*type = methods[i].type;
+		return true;
+	}
+	return false;
+}
+
+struct http_request *http_from_evhttp(struct evhttp_request *req)
+{
+	enum evhttp_cmd_type type = evhttp_request_get_command(req);
+
+	for (size_t i = 0; i < sizeof(methods) / sizeof(*methods); i++) {
+		struct http_request *r;
+
+		if (methods[i].type != type)
+			continue;
+		r = http_request_new(methods[i].name,
+				     evhttp_request_get_uri(req));
+		take_payload(&r->payload, req);
+		return r;
+	}
+	return NULL;
+}
+
+struct http_answer *http_answer_from_evhttp(struct evhttp_request *req)
+{
+	struct http_answer *a =
+		http_answer_new(evhttp_request_get_response_code(req));
+
+	take_payload(&a->payload, req);
+	return a;
+}
+
+void http_to_evhttp(const struct payload *p, struct evhttp_request *req)
+{
+	struct evkeyvalq *out = evhttp_request_get_output_headers(req);
+	const struct header *h;
+
+	list_for_each_entry(h, &p->headers, link)
+		if (!is_hop_header(h->name))
+			evhttp_add_header(out, h->name, h->value);
+	if (p->body_len)
+		evbuffer_add(evhttp_request_get_output_buffer(req), p->body,
+			     p->body_len);
+}
--- /dev/null
+++ b/io/log.c
@@ -0,0 +1,69 @@
+#include "io/log.h"
+
+#include <stdarg.h>
+#include <stdio.h>
+#include <string.h>
+#include <time.h>
+
+#include "core/mem.h"
+#include "core/text.h"
+
+#define LINE_MAX_BYTES 1024
+
+static const char *const level_names[] = {
+	[LOG_DEBUG] = "debug",
+	[LOG_INFO] = "info",
+	[LOG_WARN] = "warn",
+	[LOG_ERROR] = "error",
+};
+
+static enum log_level log_min = LOG_INFO;
+static char log_name[JD_NAME_MAX] = "-";
+
+void log_init(enum log_level min, const char *name)
+{
+	log_min = min;
+	mem_copy_str(log_name, name, sizeof(log_name));
+}
+
+void log_write(enum log_level level, const char *line)
+{
+	struct timespec ts;
+	struct tm tm;
+	char when[32];
+
+	if (level < log_min)
+		return;
+	clock_gettime(CLOCK_REALTIME, &ts);
+	gmtime_r(&ts.tv_sec, &tm);
+	strftime(when, sizeof(when), "%Y-%m-%dT%H:%M:%S", &tm);
+	fprintf(stderr, "time=%s.%03ldZ level=%s node=%s %s\n", when,
+		ts.tv_nsec / 1000000, level_names[level], log_name, line);
+}
+
+void log_event(enum log_level level, const char *fmt, ...)
+{
+	char line[LINE_MAX_BYTES];
+	va_list ap;
+
+	va_start(ap, fmt);
+	text_vformat(line, sizeof(line), fmt, ap);
+	va_end(ap);
+	log_write(level, line);
+}
+
+void log_invariant(const char *line)
+{
+	log_write(LOG_ERROR, line);
+}
+
+bool log_level_parse(const char *name, enum log_level *level)
+{
+	for (int i = LOG_DEBUG; i <= LOG_ERROR; i++) {
+		if (strcmp(level_names[i], name) != 0)
+			continue;
+		*level = i;
+		return true;
+	}
+	return false;
+}
--- /dev/null
+++ b/io/log.h
@@ -0,0 +1,22 @@
+/** One line of key=value pairs an event, on standard error. */
+#ifndef JD_IO_LOG_H
+#define JD_IO_LOG_H
+
+#include "core/action.h"
+
+/** Lines below @min are left out; @name goes into each line. */
+void log_init(enum log_level min, const char *name);
+
+/** Writes time, level and name before @line. */
+void log_write(enum log_level level, const char *line);
+
+void log_event(enum log_level level, const char *fmt, ...)
+	__attribute__((format(printf, 2, 3)));
+
+/** For invariant_set_sink(). */
+void log_invariant(const char *line);
+
+/** False for a name that is no level. */
+bool log_level_parse(const char *name, enum log_level *level);
+
+#endif
--- /dev/null
+++ b/io/manifest_reader.h
@@ -0,0 +1,15 @@
+/** The operators' manifest from TOML, checked as a whole. */
+#ifndef JD_IO_MANIFEST_READER_H
+#define JD_IO_MANIFEST_READER_H
+
+#include "core/finding.h"
+#include "core/manifest.h"
+
+/**
+ * Reads @text, named @file in findings. NULL when there is any finding;
+ * manifest_delete() it.
+ */
+struct manifest *manifest_read(const char *file, const char *text,
+			       struct findings *f);
+
+#endif
--- /dev/null
+++ b/io/settings.h
@@ -0,0 +1,34 @@
+/** A daemon's settings: one object, read and checked here. */
+#ifndef JD_IO_SETTINGS_H
+#define JD_IO_SETTINGS_H
+
+#include "core/ctx.h"
+#include "core/finding.h"
+
+struct settings {
+	char name[JD_NAME_MAX];
+	char dc[JD_NAME_MAX];
+	char region[JD_NAME_MAX];
+	char http_addr[JD_ADDR_MAX];
+	char peer_addr[JD_ADDR_MAX];
+	char store_addr[JD_ADDR_MAX];
+	int log_level;
+	uint64_t max_body_bytes;
+	uint64_t heartbeat_ms;
+	uint64_t lease_ms;
+	uint64_t detect_ms;
+	uint64_t store_outage_grace_ms;
+	uint64_t drift_ppm;
+};
+
+/** Values that run one node on loopback. */
+void settings_default(struct settings *s);
+
+/** Reads @path over what @s holds; all findings of it go into @f. */
+void settings_read(struct settings *s, const char *path, struct findings *f);
+
+/** The core's options from the settings; @seed is for its random numbers. */
+void settings_node_opts(const struct settings *s, uint64_t seed,
+			struct node_opts *o);
+
+#endif
--- /dev/null
+++ b/tests/codec_test.cpp
@@ -0,0 +1,99 @@
+#include "jd_test.hpp"
+
+#include <rapidcheck/gtest.h>
+
+extern "C" {
+#include "core/mem.h"
+#include "wire/codec.h"
+}
+
+static struct message *round_trip(const struct message *m)
+{
+	struct wire_buf b;
+	struct status st;
+
+	wire_encode_message(m, &b);
+	struct message *back = wire_decode_message(b.data, b.len, &st);
+	free(b.data);
+	return back;
+}
+
+TEST(Codec, ForwardComesBackWhole)
+{
+	struct message *m = message_new(MSG_FORWARD);
+	struct msg_forward *f = &m->u.forward;
+
+	m->from = 1;
+	m->to = UINT64_MAX;
+	f->id = {9, 8};
+	f->attempt = 2;
+	f->time_left_ns = 77;
+	f->idempotent = true;
+	mem_copy_str(f->key, "order-1", sizeof(f->key));
+	f->request = http_request_new("POST", "/a?b=c");
+	payload_add_header(&f->request->payload, "X-A", "1");
+	payload_set_body(&f->request->payload, "a\0b", 3);
+	struct message *back = round_trip(m);
+	ASSERT_NE(back, nullptr);
+	EXPECT_EQ(back->to, UINT64_MAX);
+	EXPECT_TRUE(request_id_equal(back->u.forward.id, f->id));
+	EXPECT_STREQ(back->u.forward.request->target, "/a?b=c");
+	EXPECT_EQ(back->u.forward.request->payload.body_len, 3u);
+	EXPECT_STREQ(payload_header(&back->u.forward.request->payload, "x-a"),
+		     "1");
+	message_delete(back);
+	message_delete(m);
+}
+
+TEST(Codec, MapKeepsOwnersTargetsAndPinnedKeys)
+{
+	struct doc *d = doc_new(DOC_MAP, "r");
+	struct wire_buf b;
+	struct status st;
+
+	d->u.map = shard_map_new("r", 64);
+	for (uint32_t i = 0; i < 64; i++)
+		d->u.map->shards[i] = {1000 + i % 5, i % 7 ? 0 : 3u, i * 100};
+	struct pinned_key *p = mem_new(struct pinned_key);
+	mem_copy_str(p->key, "hot", sizeof(p->key));
+	p->shard = {1001, 0, 4};
+	list_push_back(&d->u.map->pinned, &p->link);
+	wire_encode_doc(d, &b);
+	struct doc *back = wire_decode_doc(&d->key, b.data, b.len, &st);
+	ASSERT_NE(back, nullptr) << st.msg;
+	EXPECT_EQ(memcmp(back->u.map->shards, d->u.map->shards,
+			 64 * sizeof(struct shard)),
+		  0);
+	EXPECT_EQ(shard_map_find(back->u.map, "hot")->owner, 1001u);
+	free(b.data);
+	doc_delete(back);
+	doc_delete(d);
+}
+
+RC_GTEST_PROP(Codec, AnyBytesAreRefusedOrDecoded, (const std::string &bytes))
+{
+	struct status st;
+	struct message *m =
+		wire_decode_message(bytes.data(), bytes.size(), &st);
+
+	message_delete(m);
+}
+
+RC_GTEST_PROP(Codec, ADamagedMessageNeverCrashes, ())
+{
+	struct message *m = message_new(MSG_SYNC);
+	struct doc *d = doc_new(DOC_ROSTER, "dc");
+	struct wire_buf b;
+	struct status st;
+
+	d->u.roster = roster_new("dc", "region");
+	roster_add(d->u.roster, "n1", 5)->term = 3;
+	list_push_back(&m->u.sync.docs, &d->link);
+	wire_encode_message(m, &b);
+	size_t at = *rc::gen::inRange<size_t>(0, b.len);
+	b.data[at] = *rc::gen::arbitrary<unsigned char>();
+	size_t len = *rc::gen::inRange<size_t>(0, b.len + 1);
+	message_delete(wire_decode_message(b.data, len, &st));
+	free(b.data);
+	message_delete(m);
+}
--- /dev/null
+++ b/tests/jd_test.hpp
@@ -0,0 +1,14 @@
+// Headers that every test program needs; the core's are C.
+#ifndef JD_TESTS_JD_TEST_HPP
+#define JD_TESTS_JD_TEST_HPP
+
+#include <gtest/gtest.h>
+
+#include <cstdlib>
+#include <cstring>
+#include <string>
+
+#define JD_C_BEGIN extern "C" {
+#define JD_C_END   }
+
+#endif
--- /dev/null
+++ b/wire/codec.c
@@ -0,0 +1,363 @@
+#include "wire/codec.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "core/mem.h"
+#include "wire/doc_codec.h"
+#include "wire/pack.h"
+
+static const struct pack_field envelope_fields[] = {
+	PACK_ENUM_OF(struct message, kind, MSG_KIND_COUNT),
+	PACK_U64_OF(struct message, from),
+	PACK_U64_OF(struct message, to),
+};
+static const struct pack_table envelope_table = PACK_TABLE(envelope_fields);
+
+static const struct pack_field heartbeat_fields[] = {
+	PACK_STR_OF(struct msg_heartbeat, dc),
+	PACK_U64_OF(struct msg_heartbeat, sent_ns),
+	PACK_U64_OF(struct msg_heartbeat, term),
+	PACK_U64_OF(struct msg_heartbeat, revision),
+};
+
+static const struct pack_field heartbeat_ack_fields[] = {
+	PACK_U64_OF(struct msg_heartbeat_ack, sent_ns),
+	PACK_U64_OF(struct msg_heartbeat_ack, term),
+	PACK_U64_OF(struct msg_heartbeat_ack, revision),
+};
+
+static const struct pack_field adopt_fields[] = {
+	PACK_STR_OF(struct msg_adopt, dc),
+	PACK_U64_OF(struct msg_adopt, old_term),
+};
+
+static const struct pack_field sync_fields[] = {
+	PACK_U64_OF(struct msg_sync, from),
+	PACK_U64_OF(struct msg_sync, to),
+};
+
+static const struct pack_field release_fields[] = {
+	PACK_STR_OF(struct msg_release, route),
+	PACK_U32_OF(struct msg_release, count),
+};
+
+static const struct pack_field forward_fields[] = {
+	PACK_U64_OF(struct msg_forward, id.node),
+	PACK_U64_OF(struct msg_forward, id.counter),
+	PACK_U32_OF(struct msg_forward, attempt),
+	PACK_U64_OF(struct msg_forward, time_left_ns),
+	PACK_STR_OF(struct msg_forward, reply_to),
+	PACK_STR_OF(struct msg_forward, route),
+	PACK_STR_OF(struct msg_forward, key),
+	PACK_STR_OF(struct msg_forward, organisation),
+	PACK_BOOL_OF(struct msg_forward, idempotent),
+};
+
+static const struct pack_field answer_fields[] = {
+	PACK_U64_OF(struct msg_answer, id.node),
+	PACK_U64_OF(struct msg_answer, id.counter),
+	PACK_U32_OF(struct msg_answer, attempt),
+	PACK_ENUM_OF(struct msg_answer, outcome, OUTCOME_COUNT),
+	PACK_U64_OF(struct msg_answer, revision),
+	PACK_ENUM_OF(struct msg_answer, refusal, REFUSAL_COUNT),
+};
+
+static const struct pack_field cancel_fields[] = {
+	PACK_U64_OF(struct msg_cancel, id.node),
+	PACK_U64_OF(struct msg_cancel, id.counter),
+	PACK_U32_OF(struct msg_cancel, attempt),
+};
+
+static const struct pack_table message_tables[MSG_KIND_COUNT] = {
+	[MSG_HEARTBEAT] = PACK_TABLE(heartbeat_fields),
+	[MSG_HEARTBEAT_ACK] = PACK_TABLE(heartbeat_ack_fields),
+	[MSG_ADOPT] = PACK_TABLE(adopt_fields),
+	[MSG_SYNC] = PACK_TABLE(sync_fields),
+	[MSG_RELEASE] = PACK_TABLE(release_fields),
+	[MSG_FORWARD] = PACK_TABLE(forward_fields),
+	[MSG_ANSWER] = PACK_TABLE(answer_fields),
+	[MSG_CANCEL] = PACK_TABLE(cancel_fields),
+};
+
+static void pack_payload(msgpack_packer *pk, const struct payload *p)
+{
+	const struct header *h;
+	size_t n = 0;
+
+	list_for_each_entry(h, &p->headers, link)
+		n += 2;
+	msgpack_pack_array(pk, 2);
+	msgpack_pack_array(pk, n);
+	list_for_each_entry(h, &p->headers, link) {
+		pack_str(pk, h->name);
+		pack_str(pk, h->value);
+	}
+	pack_bin(pk, p->body, p->body_len);
+}
+
+static bool unpack_payload(const msgpack_object *o, struct payload *p)
+{
+	const msgpack_object *headers = unpack_at(o, 0);
+	const msgpack_object *body = unpack_at(o, 1);
+
+	if (!headers || headers->type != MSGPACK_OBJECT_ARRAY || !body ||
+	    body->type != MSGPACK_OBJECT_BIN)
+		return false;
+	for (size_t i = 0; i + 1 < headers->via.array.size; i += 2) {
+		char *name = unpack_str(unpack_at(headers, i));
+		char *value = unpack_str(unpack_at(headers, i + 1));
+
+		if (name && value)
+			payload_add_header(p, name, value);
+		free(name);
+		free(value);
+		if (!name || !value)
+			return false;
+	}
+	payload_set_body(p, body->via.bin.ptr, body->via.bin.size);
+	return true;
+}
+
+static void pack_request(msgpack_packer *pk, const struct http_request *r)
+{
+	msgpack_pack_array(pk, 3);
+	pack_str(pk, r->method);
+	pack_str(pk, r->target);
+	pack_payload(pk, &r->payload);
+}
+
+static struct http_request *unpack_request(const msgpack_object *o)
+{
+	char *method = unpack_str(unpack_at(o, 0));
+	char *target = unpack_str(unpack_at(o, 1));
+	struct http_request *r = NULL;
+
+	if (method && target) {
+		r = http_request_new(method, target);
+		if (!unpack_payload(unpack_at(o, 2), &r->payload)) {
+			http_request_delete(r);
+			r = NULL;
+		}
+	}
+	free(method);
+	free(target);
+	return r;
+}
+
+static void pack_answer(msgpack_packer *pk, const struct http_answer *a)
+{
+	if (!a) {
+		msgpack_pack_nil(pk);
+		return;
+	}
+	msgpack_pack_array(pk, 2);
+	msgpack_pack_int(pk, a->code);
+	pack_payload(pk, &a->payload);
+}
+
+static bool unpack_answer(const msgpack_object *o, struct http_answer **a)
+{
+	uint64_t code;
+
+	if (o && o->type == MSGPACK_OBJECT_NIL)
+		return true;
+	if (!unpack_u64(unpack_at(o, 0), &code) || code > 999)
+		return false;
+	*a = http_answer_new((int)code);
+	return unpack_payload(unpack_at(o, 1), &(*a)->payload);
+}
+
+static void pack_docs(msgpack_packer *pk, const struct list *docs)
+{
+	const struct doc *d;
+	size_t n = 0;
+
+	list_for_each_entry(d, docs, link)
+		n++;
+	msgpack_pack_array(pk, n);
+	list_for_each_entry(d, docs, link)
+		pack_doc_full(pk, d);
+}
+
+static bool unpack_docs(const msgpack_object *o, struct list *docs)
+{
+	const msgpack_object *it;
+
+	if (!o || o->type != MSGPACK_OBJECT_ARRAY)
+		return false;
+	for (size_t i = 0; (it = unpack_at(o, i)); i++) {
+		struct doc *d = unpack_doc_full(it);
+
+		if (!d)
+			return false;
+		list_push_back(docs, &d->link);
+	}
+	return true;
+}
+
+static void pack_released(msgpack_packer *pk, const struct msg_release *r)
+{
+	msgpack_pack_array(pk, (size_t)r->count * 2);
+	for (uint32_t i = 0; i < r->count; i++) {
+		msgpack_pack_uint32(pk, r->shards[i]);
+		msgpack_pack_uint64(pk, r->epochs[i]);
+	}
+}
+
+static bool unpack_released(const msgpack_object *o, struct msg_release *r)
+{
+	if (!o || o->type != MSGPACK_OBJECT_ARRAY ||
+	    o->via.array.size != (uint64_t)r->count * 2)
+		return false;
+	r->shards = mem_zalloc(r->count, sizeof(*r->shards));
+	r->epochs = mem_zalloc(r->count, sizeof(*r->epochs));
+	for (uint32_t i = 0; i < r->count; i++) {
+		uint64_t shard;
+
+		if (!unpack_u64(unpack_at(o, (size_t)i * 2), &shard) ||
+		    shard > UINT32_MAX ||
+		    !unpack_u64(unpack_at(o, (size_t)i * 2 + 1), &r->epochs[i]))
+			return false;
+		r->shards[i] = (uint32_t)shard;
+	}
+	return true;
+}
+
+/* What a kind carries beside its plain fields. */
+static void pack_rest(msgpack_packer *pk, const struct message *m)
+{
+	switch (m->kind) {
+	case MSG_SYNC:
+		pack_docs(pk, &m->u.sync.docs);
+		break;
+	case MSG_RELEASE:
+		pack_released(pk, &m->u.release);
+		break;
+	case MSG_FORWARD:
+		pack_request(pk, m->u.forward.request);
+		break;
+	case MSG_ANSWER:
+		pack_answer(pk, m->u.answer.answer);
+		break;
+	case MSG_HEARTBEAT:
+	case MSG_HEARTBEAT_ACK:
+	case MSG_ADOPT:
+	case MSG_CANCEL:
+	case MSG_KIND_COUNT:
+		msgpack_pack_nil(pk);
+		break;
+	}
+}
+
+static bool unpack_rest(const msgpack_object *o, struct message *m)
+{
+	switch (m->kind) {
+	case MSG_SYNC:
+		return unpack_docs(o, &m->u.sync.docs);
+	case MSG_RELEASE:
+		return unpack_released(o, &m->u.release);
+	case MSG_FORWARD:
+		m->u.forward.request = unpack_request(o);
+		return m->u.forward.request != NULL;
+	case MSG_ANSWER:
+		return unpack_answer(o, &m->u.answer.answer);
+	case MSG_HEARTBEAT:
+	case MSG_HEARTBEAT_ACK:
+	case MSG_ADOPT:
+	case MSG_CANCEL:
+	case MSG_KIND_COUNT:
+		break;
+	}
+	return true;
+}
+
+static void take_buffer(msgpack_sbuffer *sb, struct wire_buf *out)
+{
+	out->len = sb->size;
+	out->data = (unsigned char *)msgpack_sbuffer_release(sb);
+}
+
+void wire_encode_message(const struct message *m, struct wire_buf *out)
+{
+	msgpack_sbuffer sb;
+	msgpack_packer pk;
+
+	msgpack_sbuffer_init(&sb);
+	msgpack_packer_init(&pk, &sb, msgpack_sbuffer_write);
+	msgpack_pack_array(&pk, 3);
+	pack_struct(&pk, m, &envelope_table);
+	pack_struct(&pk, &m->u, &message_tables[m->kind]);
+	pack_rest(&pk, m);
+	take_buffer(&sb, out);
+}
+
+static struct message *unpack_message(const msgpack_object *o)
+{
+	struct message envelope = {0};
+	struct message *m;
+
+	if (!unpack_struct(unpack_at(o, 0), &envelope, &envelope_table))
+		return NULL;
+	m = message_new(envelope.kind);
+	m->from = envelope.from;
+	m->to = envelope.to;
+	if (unpack_struct(unpack_at(o, 1), &m->u, &message_tables[m->kind]) &&
+	    unpack_rest(unpack_at(o, 2), m))
+		return m;
+	message_delete(m);
+	return NULL;
+}
+
+struct message *wire_decode_message(const void *data, size_t len,
+				    struct status *st)
+{
+	struct message *m = NULL;
+	msgpack_unpacked u;
+	size_t off = 0;
+
+	if (len > WIRE_MAX_BYTES) {
+		status_set(st, STATUS_TOO_LARGE, "message of %zu bytes", len);
+		return NULL;
+	}
+	msgpack_unpacked_init(&u);
+	if (msgpack_unpack_next(&u, data, len, &off) == MSGPACK_UNPACK_SUCCESS)
+		m = unpack_message(&u.data);
+	msgpack_unpacked_destroy(&u);
+	if (!m)
+		status_set(st, STATUS_INVALID, "no message in %zu bytes", len);
+	return m;
+}
+
+void wire_encode_doc(const struct doc *d, struct wire_buf *out)
+{
+	msgpack_sbuffer sb;
+	msgpack_packer pk;
+
+	msgpack_sbuffer_init(&sb);
+	msgpack_packer_init(&pk, &sb, msgpack_sbuffer_write);
+	pack_doc(&pk, d);
+	take_buffer(&sb, out);
+}
+
+struct doc *wire_decode_doc(const struct doc_key *key, const void *data,
+			    size_t len, struct status *st)
+{
+	struct doc *d = doc_new(key->kind, key->name);
+	msgpack_unpacked u;
+	size_t off = 0;
+	bool ok;
+
+	msgpack_unpacked_init(&u);
+	ok = len <= WIRE_MAX_BYTES &&
+	     msgpack_unpack_next(&u, data, len, &off) ==
+		     MSGPACK_UNPACK_SUCCESS &&
+	     unpack_doc(&u.data, d);
+	msgpack_unpacked_destroy(&u);
+	if (ok)
+		return d;
+	status_set(st, STATUS_INVALID, "document %d/%s: %zu bytes are broken",
+		   key->kind, key->name, len);
+	doc_delete(d);
+	return NULL;
+}
