Random failures on real processes, and a keeper's pause is no silence

make chaos starts the store stand-in, six nodes and their upstreams, kills, freezes, drains them and troubles the store under load, then checks what callers were told against what the upstreams ran.

--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 # Targets for people and CI; the build itself is CMakeLists.txt.
 JOBS ?= $(shell nproc)
 
-.PHONY: all deps build test lint format demo clean
+.PHONY: all deps build test lint format demo chaos clean
 
 all: build
 
@@ -26,5 +26,12 @@
 demo: build
 	bash demo/demo.sh build
 
+# Real processes under random failures: make chaos SEED=n DURATION_S=n
+SEED ?= 1
+DURATION_S ?= 60
+chaos: build
+	build/chaos --bin build --manifest examples/chaos.toml \
+		--seed $(SEED) --duration-s $(DURATION_S)
+
 clean:
 	rm -rf build build-test build-cmake.log
--- /dev/null
+++ b/chaos/load.c
@@ -0,0 +1,216 @@
+#include "chaos/load.h"
+
+#include <event2/buffer.h>
+#include <event2/http.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "core/mem.h"
+#include "core/text.h"
+#include "io/addr.h"
+#include "io/clock.h"
+
+#define CALLER_TIMEOUT_S 15
+#define BODY_MAX_BYTES	 20000
+#define URI_MAX_BYTES	 128
+#define READ_PERCENT	 50
+
+struct sent {
+	struct load *load;
+	struct op *op;
+	struct evhttp_connection *conn;
+	struct event *release;
+	char uri[URI_MAX_BYTES];
+	size_t body_len;
+};
+
+static void on_release(evutil_socket_t fd, short what, void *arg)
+{
+	struct sent *s = arg;
+
+	(void)fd;
+	(void)what;
+	evhttp_connection_free(s->conn);
+	event_free(s->release);
+	free(s);
+}
+
+static enum op_end end_of(struct evhttp_request *req)
+{
+	const char *outcome;
+
+	if (!req || !evhttp_request_get_response_code(req))
+		return OP_NO_ANSWER;
+	outcome = evhttp_find_header(evhttp_request_get_input_headers(req),
+				     "X-Jackdaw-Outcome");
+	if (!outcome)
+		return OP_NO_ANSWER;
+	if (!strcmp(outcome, "done"))
+		return OP_DONE;
+	return strcmp(outcome, "not_run") ? OP_UNKNOWN : OP_NOT_RUN;
+}
+
+/* The answer names the request's own target and echoes its whole body. */
+static bool is_own(const struct sent *s, struct evhttp_request *req)
+{
+	struct evbuffer *in = evhttp_request_get_input_buffer(req);
+	size_t len = evbuffer_get_length(in);
+	char *text = mem_dup(len ? evbuffer_pullup(in, -1) : NULL, len);
+	char *line_end = strchr(text, '\n');
+	char *uri = strstr(text, "uri=");
+	size_t uri_len = strlen(s->uri);
+	bool own = line_end && uri && !strncmp(uri + 4, s->uri, uri_len) &&
+		   uri[4 + uri_len] == ' ' &&
+		   len - (size_t)(line_end + 1 - text) == s->body_len;
+
+	for (char *p = own ? line_end + 1 : text + len; p < text + len; p++)
+		own &= *p == (char)('a' + s->op->id % 26);
+	free(text);
+	return own;
+}
+
+static void on_answer(struct evhttp_request *req, void *arg)
+{
+	struct timeval now = {0, 0};
+	struct sent *s = arg;
+
+	s->op->end = end_of(req);
+	s->op->end_ns = clock_now_ns();
+	if (s->op->end == OP_DONE)
+		s->op->crossed = !is_own(s, req);
+	s->load->in_flight--;
+	s->release = evtimer_new(s->load->opts.base, on_release, s);
+	evtimer_add(s->release, &now);
+}
+
+static struct op *op_new(struct load *l)
+{
+	struct op *op = mem_new(struct op);
+
+	op->id = ++l->count;
+	op->key = (uint32_t)rng_below(&l->rng, l->opts.keys);
+	op->idempotent = rng_below(&l->rng, 100) < READ_PERCENT;
+	op->start_ns = clock_now_ns();
+	list_push_back(&l->ops, &op->link);
+	return op;
+}
+
+static void add_body(struct load *l, struct sent *s, struct evhttp_request *req)
+{
+	char *body;
+
+	if (s->op->idempotent)
+		return;
+	s->body_len = rng_below(&l->rng, BODY_MAX_BYTES);
+	body = mem_zalloc(s->body_len, 1);
+	memset(body, 'a' + (int)(s->op->id % 26), s->body_len);
+	evbuffer_add(evhttp_request_get_output_buffer(req), body, s->body_len);
+	free(body);
+}
+
+static void send_one(struct load *l, uint32_t target)
+{
+	struct sent *s = mem_new(struct sent);
+	struct evhttp_request *req = evhttp_request_new(on_answer, s);
+	char ip[JD_ADDR_MAX];
+	uint16_t port = 0;
+
+	s->load = l;
+	s->op = op_new(l);
+	text_format(s->uri, sizeof(s->uri), "%skey-%u/op-%lu", l->opts.path,
+		    s->op->key, (unsigned long)s->op->id);
+	addr_split(l->addr[target], ip, sizeof(ip), &port);
+	s->conn = evhttp_connection_base_new(l->opts.base, NULL, ip, port);
+	evhttp_connection_set_timeout(s->conn, CALLER_TIMEOUT_S);
+	evhttp_add_header(evhttp_request_get_output_headers(req), "Host", ip);
+	evhttp_add_header(evhttp_request_get_output_headers(req), "Connection",
+			  "close");
+	add_body(l, s, req);
+	l->in_flight++;
+	evhttp_make_request(
+		s->conn, req,
+		s->op->idempotent ? EVHTTP_REQ_GET : EVHTTP_REQ_POST, s->uri);
+}
+
+static void on_timer(evutil_socket_t fd, short what, void *arg)
+{
+	struct load *l = arg;
+	uint32_t target = (uint32_t)rng_below(&l->rng, l->targets);
+
+	(void)fd;
+	(void)what;
+	if (l->paused || !l->targets || l->in_flight >= l->opts.in_flight_max)
+		return;
+	for (uint32_t i = 0; i < l->targets && !l->up[target]; i++)
+		target = (target + 1) % l->targets;
+	if (l->up[target])
+		send_one(l, target);
+}
+
+void load_init(struct load *l, const struct load_opts *o)
+{
+	struct timeval every = {.tv_usec = 1000000 / (long)o->per_second};
+
+	memset(l, 0, sizeof(*l));
+	l->opts = *o;
+	rng_init(&l->rng, o->seed);
+	list_init(&l->ops);
+	l->timer = event_new(o->base, -1, EV_PERSIST, on_timer, l);
+	event_add(l->timer, &every);
+}
+
+void load_done(struct load *l)
+{
+	struct op *op, *tmp;
+
+	event_free(l->timer);
+	list_for_each_entry_safe(op, tmp, &l->ops, link)
+		free(op);
+}
+
+void load_add_target(struct load *l, const char *addr)
+{
+	mem_copy_str(l->addr[l->targets], addr, JD_ADDR_MAX);
+	l->up[l->targets++] = true;
+}
+
+uint64_t load_unavailable_ms(const struct load *l, uint64_t from_ns,
+			     uint64_t to_ns)
+{
+	uint64_t *done_ns = mem_zalloc(l->opts.keys, sizeof(*done_ns));
+	uint64_t *asked_ns = mem_zalloc(l->opts.keys, sizeof(*asked_ns));
+	uint64_t worst = 0;
+	const struct op *op;
+
+	/* From the first request that was not done to the next that was. */
+	list_for_each_entry(op, &l->ops, link) {
+		uint64_t *asked = &asked_ns[op->key];
+
+		if (op->start_ns < from_ns || op->start_ns > to_ns)
+			continue;
+		if (op->end != OP_DONE) {
+			if (!*asked)
+				*asked = op->start_ns;
+			continue;
+		}
+		if (*asked && op->end_ns > *asked &&
+		    op->end_ns - *asked > worst)
+			worst = op->end_ns - *asked;
+		if (op->end_ns - op->start_ns > worst)
+			worst = op->end_ns - op->start_ns;
+		*asked = 0;
+	}
+	free(done_ns);
+	free(asked_ns);
+	return worst / NS_PER_MS;
+}
+
+uint64_t load_count(const struct load *l, enum op_end end)
+{
+	const struct op *op;
+	uint64_t n = 0;
+
+	list_for_each_entry(op, &l->ops, link)
+		n += op->end == end;
+	return n;
+}
--- a/core/keeper.c
+++ b/core/keeper.c
@@ -393,12 +393,30 @@
 	       !dc->calling && !dc->verify;
 }
 
+/*
+ * After a pause of our own, heartbeats wait unread: nobody was silent, we
+ * were deaf. The time of the pause does not count.
+ */
+static void forgive_pause(struct keeper *k, struct ctx *c)
+{
+	uint64_t paused = c->now_ns - k->worked_ns;
+	struct keeper_dc *dc;
+	struct charge *ch;
+
+	if (k->worked_ns && paused > c->opts->timing.detect_ns / 2)
+		list_for_each_entry(dc, &k->dcs, link)
+			list_for_each_entry(ch, &dc->charges, link)
+				ch->heard_ns += paused;
+	k->worked_ns = c->now_ns;
+}
+
 void keeper_work(struct keeper *k, struct ctx *c)
 {
 	struct keeper_dc *dc, *tmp;
 
 	if (!keeper_active(k))
 		return;
+	forgive_pause(k, c);
 	if (k->contact_ns && !keeper_has_authority(k, c)) {
 		forget(k, c);
 		k->contact_ns = 0;
--- a/core/keeper.h
+++ b/core/keeper.h
@@ -52,7 +52,8 @@
 	uint64_t contact_count;
 	revision_t contact_revision;
 	uint64_t next_contact_ns;
-	bool released; /* entries were removed: orphaned shards to sweep */
+	uint64_t worked_ns; /* when it last looked for silence */
+	bool released;	    /* entries were removed: orphaned shards to sweep */
 };
 
 void keeper_init(struct keeper *k);
--- a/tools/lint.sh
+++ b/tools/lint.sh
@@ -17,8 +17,8 @@
 cppcheck --quiet --std=c11 --error-exitcode=1 --inline-suppr \
 	--enable=warning,performance,portability -I . \
 	--suppress=missingIncludeSystem --suppress=normalCheckLevelMaxBranches \
-	-j "$(nproc)" core wire io daemon cli fakes bench
+	-j "$(nproc)" core wire io daemon cli fakes bench chaos
 git ls-files 'core/*.c' 'wire/*.c' 'io/*.c' 'daemon/*.c' 'cli/*.c' \
-	'fakes/*.c' 'bench/*.c' |
-	xargs -P "$(nproc)" -n 4 clang-tidy -p build --quiet 2>/dev/null
+	'fakes/*.c' 'bench/*.c' 'chaos/*.c' |
+	xargs -P "$(nproc)" -n 1 clang-tidy -p build --quiet 2>/dev/null
 echo "lint: ok"
