Time until every key is served again, by kind of loss

make recovery starts a cluster for each kind of loss and prints the longest that a key which was asked for went unserved.

--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 # Targets for people and CI; the build itself is CMakeLists.txt.
 JOBS ?= $(shell nproc)
 
-.PHONY: all deps build test lint format demo chaos clean
+.PHONY: all deps build test lint format demo chaos recovery clean
 
 all: build
 
@@ -33,5 +33,9 @@
 	build/chaos --bin build --manifest examples/chaos.toml \
 		--seed $(SEED) --duration-s $(DURATION_S)
 
+# Time until every key is served again after each kind of loss.
+recovery: build
+	build/recovery --bin build --manifest examples/chaos.toml
+
 clean:
 	rm -rf build build-test build-cmake.log
