--- a/cli/apply.c
+++ b/cli/apply.c
@@ -1,77 +1,53 @@
 #include "cli/apply.h"
 
 #include <stdio.h>
-#include <stdlib.h>
 #include <string.h>
 #include <sys/random.h>
 
+#include "cli/diff.h"
 #include "cli/exit_code.h"
+#include "cli/manifest_file.h"
+#include "cli/rollout.h"
 #include "cli/store_call.h"
-#include "core/mem.h"
 #include "core/text.h"
-#include "io/file.h"
-#include "io/manifest_reader.h"
+#include "io/manifest_diff.h"
 
-static struct manifest *read_manifest(const char *path)
-{
-	struct manifest *m = NULL;
-	const struct finding *it;
-	struct findings f;
-	struct status st;
-	char *text = file_read(path, &st);
-
-	if (!text) {
-		fprintf(stderr, "%s\n", st.msg);
-		return NULL;
-	}
-	findings_init(&f);
-	m = manifest_read(path, text, &f);
-	free(text);
-	findings_sort(&f);
-	list_for_each_entry(it, &f.items, link) {
-		char *line = finding_line(it);
-
-		fprintf(stderr, "%s\n", line);
-		free(line);
-	}
-	findings_done(&f);
-	return m;
-}
-
-int cli_check(const char *path)
-{
-	struct manifest *m = read_manifest(path);
-
-	if (!m)
-		return CLI_FINDINGS;
-	manifest_delete(m);
-	printf("%s: ok\n", path);
-	return CLI_OK;
-}
-
-static void new_change_id(char *id, size_t cap)
+static bool new_change_id(char *id, size_t cap)
 {
 	uint64_t r[2] = {0};
 
 	if (getrandom(r, sizeof(r), 0) != sizeof(r))
-		abort();
+		return false;
 	text_format(id, cap, "%016lx%016lx", (unsigned long)r[0],
 		    (unsigned long)r[1]);
+	return true;
 }
 
-/* A lost answer is settled by reading back whose change is in the store. */
-static int settle(const char *addr, const struct doc *d, struct status *st)
+/*
+ * A lost answer is settled by reading back whose change is in the store. If
+ * it is another's, ours may have been in force before it: not known.
+ */
+static int settle(const char *addr, struct doc *d)
 {
-	struct doc *now = store_call_get(addr, &d->key, st);
+	struct status st;
+	struct doc *now = store_call_get(addr, &d->key, &st);
 	int code = CLI_UNKNOWN;
 
-	if (now && now->u.manifest)
-		code = strcmp(now->u.manifest->change_id,
-			      d->u.manifest->change_id) == 0
-			       ? CLI_OK
-			       : CLI_CONFLICT;
-	if (code == CLI_OK)
-		printf("applied: revision %lu\n", (unsigned long)now->revision);
+	if (!now || !now->u.manifest) {
+		fprintf(stderr, "not known whether it took effect: run it "
+				"again\n");
+	} else if (!strcmp(now->u.manifest->change_id,
+			   d->u.manifest->change_id)) {
+		d->revision = now->revision;
+		code = CLI_OK;
+	} else if (now->revision == d->revision) {
+		fprintf(stderr, "the store did not take it: run it again\n");
+	} else {
+		fprintf(stderr,
+			"conflict: revision %lu is another operator's\n",
+			(unsigned long)now->revision);
+		code = CLI_CONFLICT;
+	}
 	doc_delete(now);
 	return code;
 }
@@ -82,37 +58,69 @@
 
 	switch (store_call_cas(addr, d, &st)) {
 	case STATUS_OK:
-		printf("applied: revision %lu\n", (unsigned long)d->revision);
 		return CLI_OK;
 	case STATUS_CONFLICT:
-		fprintf(stderr, "conflict: %s\n", st.msg);
+		fprintf(stderr, "conflict: another operator applied first; see "
+				"jackdaw diff\n");
 		return CLI_CONFLICT;
 	default:
-		fprintf(stderr, "no answer: %s\n", st.msg);
-		return settle(addr, d, &st);
+		fprintf(stderr, "%s; reading back\n", st.msg);
+		return settle(addr, d);
 	}
 }
 
-int cli_apply(const char *path, const char *store_addr)
+/* Replaces the manifest that @d holds by @m (taken). */
+static int replace(const struct cli_options *o, struct doc *d,
+		   struct manifest *m)
 {
-	struct doc_key key = {.kind = DOC_MANIFEST};
-	struct manifest *m = read_manifest(path);
-	struct status st;
-	struct doc *d;
 	int code;
 
+	manifest_delete(d->u.manifest);
+	d->u.manifest = m;
+	if (!new_change_id(m->change_id, sizeof(m->change_id)))
+		return CLI_FAILED;
+	code = write_manifest(o->store, d);
+	if (code == CLI_OK)
+		printf("applied: revision %lu\n", (unsigned long)d->revision);
+	return code;
+}
+
+static int apply(const struct cli_options *o, struct doc *d)
+{
+	struct manifest *m =
+		manifest_file_read(o->words[0], d->u.manifest, o->json);
+	struct list changes;
+	int count, code = CLI_OK;
+
 	if (!m)
 		return CLI_FINDINGS;
-	d = store_call_get(store_addr, &key, &st);
+	list_init(&changes);
+	count = manifest_diff(d->u.manifest, m, &changes);
+	if (!count && d->u.manifest) {
+		printf("already in force: revision %lu\n",
+		       (unsigned long)d->revision);
+		manifest_delete(m);
+	} else {
+		code = replace(o, d, m);
+	}
+	changes_delete(&changes);
+	if (code == CLI_OK && o->wait)
+		code = rollout_wait(o, d->revision);
+	return code;
+}
+
+int apply_run(const struct cli_options *o)
+{
+	struct doc_key key = {.kind = DOC_MANIFEST};
+	struct status st;
+	struct doc *d = store_call_get(o->store, &key, &st);
+	int code;
+
 	if (!d) {
 		fprintf(stderr, "%s\n", st.msg);
-		manifest_delete(m);
 		return CLI_FAILED;
 	}
-	manifest_delete(d->u.manifest);
-	d->u.manifest = m;
-	new_change_id(m->change_id, sizeof(m->change_id));
-	code = write_manifest(store_addr, d);
+	code = apply(o, d);
 	doc_delete(d);
 	return code;
 }
--- a/cli/apply.h
+++ b/cli/apply.h
@@ -1,11 +1,9 @@
-/** The commands check and apply. */
+/** jackdaw apply: a manifest into the store, by compare-and-swap. */
 #ifndef JD_CLI_APPLY_H
 #define JD_CLI_APPLY_H
 
-/** Prints all findings of the manifest at @path; the exit code. */
-int cli_check(const char *path);
+#include "cli/options.h"
 
-/** Writes the manifest at @path into the store; the exit code. */
-int cli_apply(const char *path, const char *store_addr);
+int apply_run(const struct cli_options *o);
 
 #endif
--- /dev/null
+++ b/cli/diff.c
@@ -0,0 +1,82 @@
+#include "cli/diff.h"
+
+#include <jansson.h>
+#include <stdio.h>
+#include <stdlib.h>
+
+#include "cli/exit_code.h"
+#include "cli/manifest_file.h"
+#include "cli/store_call.h"
+#include "io/manifest_diff.h"
+
+static const char *const kind_names[] = {
+	[CHANGE_ADDED] = "added",
+	[CHANGE_REMOVED] = "removed",
+	[CHANGE_FIELD] = "changed",
+};
+
+static void print_json(const struct list *changes)
+{
+	const struct change *c;
+	json_t *all = json_array();
+
+	list_for_each_entry(c, changes, link)
+		json_array_append_new(
+			all, json_pack("{s:s,s:s,s:s,s:s}", "kind",
+				       kind_names[c->kind], "what", c->what,
+				       "from", c->from, "to", c->to));
+	json_dumpf(all, stdout, JSON_INDENT(2));
+	printf("\n");
+	json_decref(all);
+}
+
+void diff_print(const struct list *changes, bool json)
+{
+	const struct change *c;
+
+	if (json) {
+		print_json(changes);
+		return;
+	}
+	list_for_each_entry(c, changes, link) {
+		char *line = change_line(c);
+
+		printf("%s\n", line);
+		free(line);
+	}
+}
+
+static int diff(const struct cli_options *o, const struct doc *in_force)
+{
+	struct manifest *m =
+		manifest_file_read(o->words[0], in_force->u.manifest, o->json);
+	struct list changes;
+
+	if (!m)
+		return CLI_FINDINGS;
+	list_init(&changes);
+	if (!manifest_diff(in_force->u.manifest, m, &changes) && !o->json)
+		printf("no change to revision %lu\n",
+		       (unsigned long)in_force->revision);
+	else
+		diff_print(&changes, o->json);
+	changes_delete(&changes);
+	manifest_delete(m);
+	return CLI_OK;
+}
+
+int diff_run(const struct cli_options *o)
+{
+	struct doc_key key = {.kind = DOC_MANIFEST};
+	struct status st;
+	struct doc *d = store_call_get(o->store, &key, &st);
+	int code;
+
+	if (!d) {
+		fprintf(stderr, "%s\n", st.msg);
+		return CLI_FAILED;
+	}
+	code = diff(o, d);
+	doc_delete(d);
+	return code;
+}
--- a/cli/exit_code.h
+++ b/cli/exit_code.h
@@ -8,6 +8,9 @@
 	CLI_FINDINGS = 2, /* the manifest or the arguments are wrong */
 	CLI_CONFLICT = 3, /* another operator was first */
 	CLI_UNKNOWN = 4,  /* it may have taken effect; run it again */
+	CLI_LATE = 5,	  /* in force, but not everywhere in time */
+	CLI_NOT_FOUND = 6,
+	CLI_EXIT_COUNT,
 };
 
 #endif
--- a/cli/http_call.c
+++ b/cli/http_call.c
@@ -7,58 +7,133 @@
 #include <string.h>
 
 #include "core/mem.h"
-#include "core/types.h"
 #include "io/addr.h"
 
-struct http_call {
+#define GATHER_AT_ONCE 64
+
+struct gather {
 	struct event_base *base;
-	char *text;
+	struct http_get *gets;
+	size_t count;
+	size_t next;
+	size_t running;
+	int timeout_ms;
 };
 
-static void on_answer(struct evhttp_request *req, void *arg)
+/* One call that runs; it ends in on_answer(), also after its timeout. */
+struct call {
+	struct gather *gather;
+	struct http_get *get;
+	struct evhttp_connection *conn;
+};
+
+static void start_some(struct gather *g);
+
+static char *answer_text(struct evhttp_request *req)
 {
-	struct http_call *c = arg;
+	struct evbuffer *b;
+	size_t len;
 
-	if (req && evhttp_request_get_response_code(req) == HTTP_OK) {
-		struct evbuffer *b = evhttp_request_get_input_buffer(req);
-		size_t len = evbuffer_get_length(b);
+	if (!req || evhttp_request_get_response_code(req) != HTTP_OK)
+		return NULL;
+	b = evhttp_request_get_input_buffer(req);
+	len = evbuffer_get_length(b);
+	return mem_dup(len ? evbuffer_pullup(b, -1) : NULL, len);
+}
 
-		c->text = mem_dup(len ? evbuffer_pullup(b, -1) : NULL, len);
-	}
-	event_base_loopbreak(c->base);
+static void on_answer(struct evhttp_request *req, void *arg)
+{
+	struct call *c = arg;
+	struct gather *g = c->gather;
+
+	c->get->text = answer_text(req);
+	g->running--;
+	free(c);
+	start_some(g);
 }
 
-char *http_call(const char *addr, const char *path, const char *body,
-		int timeout_ms, struct status *st)
+static struct evhttp_connection *connect_to(struct event_base *base,
+					    const char *addr, int timeout_ms)
 {
 	struct timeval tv = {.tv_sec = timeout_ms / 1000,
 			     .tv_usec = timeout_ms % 1000 * 1000};
-	struct http_call c = {0};
 	struct evhttp_connection *conn;
-	struct evhttp_request *req;
 	char ip[JD_ADDR_MAX];
 	uint16_t port;
 
-	if (!addr_split(addr, ip, sizeof(ip), &port)) {
-		status_set(st, STATUS_UNAVAILABLE, "%s is no address", addr);
+	if (!addr_split(addr, ip, sizeof(ip), &port))
 		return NULL;
-	}
-	c.base = event_base_new();
-	conn = evhttp_connection_base_new(c.base, NULL, ip, port);
-	req = evhttp_request_new(on_answer, &c);
-	evhttp_add_header(evhttp_request_get_output_headers(req), "Host", addr);
-	evhttp_add_header(evhttp_request_get_output_headers(req), "Connection",
-			  "close");
+	conn = evhttp_connection_base_new(base, NULL, ip, port);
+	evhttp_connection_set_timeout_tv(conn, &tv);
+	evhttp_connection_free_on_completion(conn);
+	return conn;
+}
+
+static void add_headers(struct evhttp_request *req, const char *addr)
+{
+	struct evkeyvalq *headers = evhttp_request_get_output_headers(req);
+
+	evhttp_add_header(headers, "Host", addr);
+	evhttp_add_header(headers, "Connection", "close");
+}
+
+static void start(struct gather *g, struct http_get *get, const char *body)
+{
+	struct evhttp_connection *conn =
+		connect_to(g->base, get->addr, g->timeout_ms);
+	struct evhttp_request *req;
+	struct call *c;
+
+	if (!conn)
+		return;
+	c = mem_new(struct call);
+	c->gather = g;
+	c->get = get;
+	c->conn = conn;
+	req = evhttp_request_new(on_answer, c);
+	add_headers(req, get->addr);
 	if (body)
 		evbuffer_add(evhttp_request_get_output_buffer(req), body,
 			     strlen(body));
+	g->running++;
 	evhttp_make_request(conn, req, body ? EVHTTP_REQ_POST : EVHTTP_REQ_GET,
-			    path);
-	event_base_loopexit(c.base, &tv);
-	event_base_dispatch(c.base);
-	evhttp_connection_free(conn);
-	event_base_free(c.base);
-	if (!c.text)
-		status_set(st, STATUS_UNKNOWN, "no answer from %s", addr);
-	return c.text;
+			    get->path);
+}
+
+static void start_some(struct gather *g)
+{
+	while (g->next < g->count && g->running < GATHER_AT_ONCE)
+		start(g, &g->gets[g->next++], NULL);
+}
+
+void http_gather(struct http_get *gets, size_t count, int timeout_ms)
+{
+	struct gather g = {.base = event_base_new(),
+			   .gets = gets,
+			   .count = count,
+			   .timeout_ms = timeout_ms};
+
+	start_some(&g);
+	event_base_dispatch(g.base);
+	event_base_free(g.base);
+}
+
+char *http_call(const char *addr, const char *path, const char *body,
+		int timeout_ms, struct status *st)
+{
+	struct gather g = {.base = event_base_new(), .timeout_ms = timeout_ms};
+	struct http_get get = {.path = path};
+
+	mem_copy_str(get.addr, addr, sizeof(get.addr));
+	start(&g, &get, body);
+	if (!g.running) {
+		status_set(st, STATUS_UNAVAILABLE, "%s is no address", addr);
+	} else {
+		event_base_dispatch(g.base);
+		if (!get.text)
+			status_set(st, STATUS_UNKNOWN, "no answer from %s",
+				   addr);
+	}
+	event_base_free(g.base);
+	return get.text;
 }
--- a/cli/http_call.h
+++ b/cli/http_call.h
@@ -1,10 +1,18 @@
-/** One blocking HTTP call, for the command line. */
+/** HTTP calls for the command line: blocking, several at once. */
 #ifndef JD_CLI_HTTP_CALL_H
 #define JD_CLI_HTTP_CALL_H
 
-#include <jansson.h>
+#include <stddef.h>
 
 #include "core/status.h"
+#include "core/types.h"
+
+/** One GET of a gathering. */
+struct http_get {
+	char addr[JD_ADDR_MAX];
+	const char *path;
+	char *text; /* the answer, free() it; NULL for none */
+};
 
 /**
  * POSTs @body (GETs when NULL) to @path at @addr within @timeout_ms. The
@@ -14,4 +22,7 @@
 char *http_call(const char *addr, const char *path, const char *body,
 		int timeout_ms, struct status *st);
 
+/** Runs all @count GETs, some dozens at a time, each within @timeout_ms. */
+void http_gather(struct http_get *gets, size_t count, int timeout_ms);
+
 #endif
--- a/cli/jackdaw.c
+++ b/cli/jackdaw.c
@@ -1,27 +1,17 @@
 #include <argtable2.h>
-#include <stdio.h>
+#include <signal.h>
 #include <stdlib.h>
-#include <string.h>
 
-#include "cli/apply.h"
+#include "cli/command.h"
 #include "cli/exit_code.h"
-#include "cli/http_call.h"
 
-static const char usage[] = "usage: jackdaw [--store IP:PORT] [--node IP:PORT] "
-			    "check FILE | apply FILE | status\n";
+#define TIMEOUT_DEFAULT_S 30
 
-static int status(const char *node)
+static void print_help(void **table)
 {
-	struct status st;
-	char *text = http_call(node, "/-/status", NULL, 2000, &st);
-
-	if (!text) {
-		fprintf(stderr, "%s\n", st.msg);
-		return CLI_FAILED;
-	}
-	printf("%s", text);
-	free(text);
-	return CLI_OK;
+	command_usage(stdout);
+	fputs("\n", stdout);
+	arg_print_glossary(stdout, table, "  %-24s %s\n");
 }
 
 int main(int argc, char **argv)
@@ -29,31 +19,39 @@
 	struct arg_str *store =
 		arg_str0(NULL, "store", "IP:PORT", "the platform's store");
 	struct arg_str *node = arg_str0(NULL, "node", "IP:PORT", "any node");
-	struct arg_str *words = arg_strn(NULL, NULL, "COMMAND", 0, 4, NULL);
+	struct arg_lit *json = arg_lit0(NULL, "json", "JSON for scripts");
+	struct arg_lit *wait =
+		arg_lit0(NULL, "wait", "until it has happened everywhere");
+	struct arg_int *timeout = arg_int0(NULL, "timeout-s", "SECONDS",
+					   "how long --wait waits (30)");
+	struct arg_file *html =
+		arg_file0(NULL, "html", "FILE", "write the report as a page");
 	struct arg_lit *help = arg_lit0("h", "help", "this text");
+	struct arg_str *words =
+		arg_strn(NULL, NULL, "COMMAND", 0, CLI_WORDS_MAX, "see above");
 	struct arg_end *end = arg_end(8);
-	void *table[] = {store, node, words, help, end};
-	int code = CLI_FINDINGS;
-	const char *command;
+	void *table[] = {store, node, json,  wait, timeout,
+			 html,	help, words, end};
+	struct cli_options o = {0};
+	int code = CLI_OK;
 
 	store->sval[0] = "127.0.0.1:7000";
 	node->sval[0] = "127.0.0.1:7100";
-	if (arg_parse(argc, argv, table)) {
+	timeout->ival[0] = TIMEOUT_DEFAULT_S;
+	signal(SIGPIPE, SIG_IGN);
+	if (arg_parse(argc, argv, table) || timeout->ival[0] < 0) {
 		arg_print_errors(stderr, end, "jackdaw");
-		return CLI_FINDINGS;
-	}
-	command = words->count ? words->sval[0] : "";
-	if (help->count) {
-		fputs(usage, stdout);
-		code = CLI_OK;
-	} else if (!strcmp(command, "check") && words->count == 2) {
-		code = cli_check(words->sval[1]);
-	} else if (!strcmp(command, "apply") && words->count == 2) {
-		code = cli_apply(words->sval[1], store->sval[0]);
-	} else if (!strcmp(command, "status") && words->count == 1) {
-		code = status(node->sval[0]);
+		code = CLI_FINDINGS;
+	} else if (help->count) {
+		print_help(table);
 	} else {
-		fputs(usage, stderr);
+		o.store = store->sval[0];
+		o.node = node->sval[0];
+		o.json = json->count > 0;
+		o.wait = wait->count > 0;
+		o.timeout_ms = (uint64_t)timeout->ival[0] * 1000;
+		o.html = html->count ? html->filename[0] : NULL;
+		code = command_run(&o, words->sval, words->count);
 	}
 	arg_freetable(table, sizeof(table) / sizeof(*table));
 	return code;
--- /dev/null
+++ b/cli/reference.h
@@ -0,0 +1,9 @@
+/** jackdaw reference: pages made from the tables in the code. */
+#ifndef JD_CLI_REFERENCE_H
+#define JD_CLI_REFERENCE_H
+
+#include "cli/options.h"
+
+int reference_run(const struct cli_options *o);
+
+#endif
--- a/cli/store_call.c
+++ b/cli/store_call.c
@@ -27,10 +27,10 @@
 	return out;
 }
 
-static struct doc *doc_from_items(json_t *out, const struct doc_key *key,
-				  struct status *st)
+/* The document in one of the answer's items, NULL for a broken one. */
+static struct doc *doc_from_item(json_t *item, const struct doc_key *key,
+				 struct status *st)
 {
-	json_t *item = json_array_get(json_object_get(out, "items"), 0);
 	const char *value = json_string_value(json_object_get(item, "value"));
 	struct doc *d = NULL;
 
@@ -40,6 +40,8 @@
 
 		if (data)
 			d = wire_decode_doc(key, data, len, st);
+		else
+			status_set(st, STATUS_INVALID, "not in base64");
 		free(data);
 	} else {
 		d = doc_new(key->kind, key->name);
@@ -61,11 +63,39 @@
 	out = call(addr, "/v1/get", json_pack("{s:s}", "key", name), st);
 	if (!out)
 		return NULL;
-	d = doc_from_items(out, key, st);
+	d = doc_from_item(json_array_get(json_object_get(out, "items"), 0), key,
+			  st);
 	json_decref(out);
 	return d;
 }
 
+enum status_code store_call_all(const char *addr, struct view *v,
+				struct status *st)
+{
+	json_t *out = call(addr, "/v1/list",
+			   json_pack("{s:s}", "key", STORE_WATCHED), st);
+	json_t *item;
+	size_t i;
+
+	if (!out)
+		return st->code;
+	status_set(st, STATUS_OK, "read");
+	json_array_foreach(json_object_get(out, "items"), i, item)
+	{
+		const char *name =
+			json_string_value(json_object_get(item, "key"));
+		struct doc_key key = {0};
+		struct doc *d = NULL;
+
+		if (name && store_key_parse(name, &key))
+			d = doc_from_item(item, &key, st);
+		if (d)
+			view_apply(v, d);
+	}
+	json_decref(out);
+	return st->code;
+}
+
 enum status_code store_call_cas(const char *addr, struct doc *d,
 				struct status *st)
 {
--- a/core/finding.h
+++ b/core/finding.h
@@ -36,6 +36,9 @@
 /** Orders by file, line, column; equal places keep their order. */
 void findings_sort(struct findings *f);
 
+/** Length of a field's path, with the closing NUL. */
+#define FINDING_PATH_MAX 256
+
 /** One line "file:line:column: field: expected X, found Y"; free() it. */
 char *finding_line(const struct finding *f);
 
--- a/core/manifest.c
+++ b/core/manifest.c
@@ -11,6 +11,17 @@
 #define ROUTE_OBJECTIVE_DEFAULT_MS  100
 #define ORGANISATION_WEIGHT_DEFAULT 1
 
+#define METHODS_IDEMPOTENT                                                     \
+	(1u << METHOD_GET | 1u << METHOD_HEAD | 1u << METHOD_OPTIONS |         \
+	 1u << METHOD_PUT | 1u << METHOD_DELETE)
+
+const char *const method_names[METHOD_COUNT + 1] = {
+	[METHOD_GET] = "GET",	      [METHOD_HEAD] = "HEAD",
+	[METHOD_OPTIONS] = "OPTIONS", [METHOD_PUT] = "PUT",
+	[METHOD_DELETE] = "DELETE",   [METHOD_POST] = "POST",
+	[METHOD_PATCH] = "PATCH",
+};
+
 struct manifest *manifest_new(void)
 {
 	struct manifest *m = mem_new(struct manifest);
@@ -70,6 +81,7 @@
 	struct route *r = mem_new(struct route);
 
 	r->shards = MANIFEST_SHARDS_DEFAULT;
+	r->idempotent = METHODS_IDEMPOTENT;
 	r->timeout_ms = ROUTE_TIMEOUT_DEFAULT_MS;
 	r->max_body_bytes = ROUTE_BODY_DEFAULT_BYTES;
 	r->objective_ppm = ROUTE_OBJECTIVE_DEFAULT_PPM;
@@ -141,6 +153,14 @@
 	return best;
 }
 
+bool route_idempotent(const struct route *r, const char *method)
+{
+	for (int i = 0; i < METHOD_COUNT; i++)
+		if (!strcmp(method_names[i], method))
+			return r->idempotent & 1u << i;
+	return false;
+}
+
 bool region_set_allows(const struct region_set *set, const char *region)
 {
 	if (!set->count)
--- a/core/manifest.h
+++ b/core/manifest.h
@@ -21,6 +21,18 @@
 	uint32_t segment;	/* path segment, 0 the first */
 };
 
+/** Methods that a route may declare idempotent; the bits of a mask. */
+enum http_method {
+	METHOD_GET,
+	METHOD_HEAD,
+	METHOD_OPTIONS,
+	METHOD_PUT,
+	METHOD_DELETE,
+	METHOD_POST,
+	METHOD_PATCH,
+	METHOD_COUNT,
+};
+
 struct region_set {
 	uint32_t count; /* 0: no binding */
 	char names[8][JD_NAME_MAX];
@@ -34,6 +46,7 @@
 	enum route_kind kind;
 	struct key_rule key;
 	uint32_t shards;
+	uint32_t idempotent;	 /* mask of 1 << enum http_method */
 	uint64_t timeout_ms;	 /* deadline of a request that names none */
 	uint64_t max_body_bytes; /* of a request */
 	struct region_set home_regions;
@@ -82,6 +95,12 @@
 /** The route with the longest path prefix of @path; NULL for none. */
 const struct route *manifest_match(const struct manifest *m, const char *path);
 
+/** Names of enum http_method, closed by NULL. */
+extern const char *const method_names[METHOD_COUNT + 1];
+
+/** True when a request of @method may run twice on this route. */
+bool route_idempotent(const struct route *r, const char *method);
+
 /** True when @set binds nothing or has @region. */
 bool region_set_allows(const struct region_set *set, const char *region);
 
--- a/core/node.c
+++ b/core/node.c
@@ -181,6 +181,16 @@
 	n->membership.leaving = true;
 }
 
+/* An operator marks the entry of a node that is to drain. */
+static void follow_drain(struct node *n)
+{
+	const struct member *self =
+		view_member(&n->ctx.view, n->ctx.self, NULL);
+
+	if (self && self->state == MEMBER_LEAVING)
+		on_drain(n);
+}
+
 static void on_store(struct node *n, struct ev_store *ev)
 {
 	struct ctx *c = &n->ctx;
@@ -294,6 +304,7 @@
 	struct ctx *c = &n->ctx;
 
 	membership_follow(&n->membership, c);
+	follow_drain(n);
 	if (c->self != n->keeper_self)
 		keeper_reset(&n->keeper);
 	n->keeper_self = c->self;
--- a/core/router.c
+++ b/core/router.c
@@ -235,7 +235,7 @@
 	e->id.node = c->boot;
 	e->id.counter = r->next_id++;
 	e->caller = ev->caller;
-	e->idempotent = request_idempotent(ev->request);
+	e->idempotent = route_idempotent(route, ev->request->method);
 	mem_copy_str(e->route, route->name, sizeof(e->route));
 	if (org)
 		mem_copy_str(e->organisation, org, sizeof(e->organisation));
--- a/io/field.c
+++ b/io/field.c
@@ -8,7 +8,12 @@
 #include "core/mem.h"
 #include "core/text.h"
 
-#define PATH_MAX_BYTES 256
+#define TEXT_MAX_BYTES 128
+
+/* What a field expects, when that is made up from its table. */
+struct short_text {
+	char s[TEXT_MAX_BYTES];
+};
 
 void field_finding(struct findings *f, const struct toml_text *t,
 		   const char *path, const struct toml_value *v,
@@ -34,6 +39,16 @@
 	return true;
 }
 
+static bool is_path(const char *s)
+{
+	if (*s != '/')
+		return false;
+	for (; *s; s++)
+		if (!isgraph((unsigned char)*s) || strchr("?#", *s))
+			return false;
+	return true;
+}
+
 static bool is_addr(const char *s)
 {
 	const char *colon = strrchr(s, ':');
@@ -56,6 +71,8 @@
 		return "a name of letters, digits, '-', '_' and '.'";
 	if (fd->type == FIELD_ADDR && !is_addr(v->text))
 		return "an address such as 127.0.0.1:7000";
+	if (fd->type == FIELD_PATH && !is_path(v->text))
+		return "a path that starts with '/', without spaces or '?'";
 	if (strlen(v->text) >= fd->size)
 		return "a shorter string";
 	mem_copy_str(dst, v->text, fd->size);
@@ -63,17 +80,17 @@
 }
 
 static const char *read_number(const struct field *fd,
-			       const struct toml_value *v, void *dst)
+			       const struct toml_value *v, void *dst,
+			       struct short_text *expected)
 {
-	static char expected[96];
 	uint64_t n = (uint64_t)v->integer;
 
 	if (v->type != TOML_INTEGER || v->integer < 0 || n < fd->min ||
 	    n > fd->max) {
-		text_format(expected, sizeof(expected),
+		text_format(expected->s, sizeof(expected->s),
 			    "an integer from %lu to %lu",
 			    (unsigned long)fd->min, (unsigned long)fd->max);
-		return expected;
+		return expected->s;
 	}
 	if (fd->type == FIELD_U32)
 		*(uint32_t *)dst = (uint32_t)n;
@@ -82,91 +99,154 @@
 	return NULL;
 }
 
-static const char *read_choice(const struct field *fd,
-			       const struct toml_value *v, int *dst)
+static void list_choices(const struct field *fd, const char *start,
+			 struct short_text *out)
 {
-	static char expected[128];
-	char *end = expected;
-
+	mem_copy_str(out->s, start, sizeof(out->s));
 	for (int i = 0; fd->choices[i]; i++) {
-		if (v->type == TOML_STRING &&
-		    !strcmp(v->text, fd->choices[i])) {
-			*dst = i;
-			return NULL;
-		}
+		size_t len = strlen(out->s);
+
+		text_format(out->s + len, sizeof(out->s) - len, " %s",
+			    fd->choices[i]);
 	}
-	mem_copy_str(expected, "one of", sizeof(expected));
-	for (int i = 0; fd->choices[i]; i++) {
-		end = expected + strlen(expected);
-		text_format(end, sizeof(expected) - (size_t)(end - expected),
-			    " %s", fd->choices[i]);
+}
+
+/* Index of the choice that @v names; -1 for none. */
+static int choice_index(const struct field *fd, const struct toml_value *v)
+{
+	for (int i = 0; fd->choices[i]; i++)
+		if (v->type == TOML_STRING && !strcmp(v->text, fd->choices[i]))
+			return i;
+	return -1;
+}
+
+static const char *read_choice(const struct field *fd,
+			       const struct toml_value *v, int *dst,
+			       struct short_text *expected)
+{
+	int i = choice_index(fd, v);
+
+	if (i >= 0) {
+		*dst = i;
+		return NULL;
 	}
-	return expected;
+	list_choices(fd, "one of", expected);
+	return expected->s;
 }
 
-static void read_names(const struct toml_text *t, const char *path,
-		       struct region_set *set, struct findings *f)
+static void read_name_item(const struct toml_text *t,
+			   const struct toml_value *v, struct region_set *set,
+			   struct findings *f)
 {
 	const uint32_t max = sizeof(set->names) / sizeof(set->names[0]);
 
+	if (set->count >= max)
+		field_finding(f, t, v->path, v, "at most 8 names", v->text);
+	else if (v->type != TOML_STRING || !is_name(v->text) ||
+		 strlen(v->text) >= JD_NAME_MAX)
+		field_finding(f, t, v->path, v, "a name", v->text);
+	else
+		mem_copy_str(set->names[set->count++], v->text, JD_NAME_MAX);
+}
+
+static void read_flag_item(const struct field *fd, const struct toml_text *t,
+			   const struct toml_value *v, uint32_t *mask,
+			   struct findings *f)
+{
+	int i = choice_index(fd, v);
+	struct short_text expected;
+
+	if (i >= 0) {
+		*mask |= 1u << i;
+		return;
+	}
+	list_choices(fd, "one of", &expected);
+	field_finding(f, t, v->path, v, expected.s, v->text);
+}
+
+static void read_array(const struct field *fd, const struct toml_text *t,
+		       const struct toml_value *array, char *dst,
+		       struct findings *f)
+{
+	if (array->type != TOML_ARRAY) {
+		field_finding(f, t, array->path, array, "an array of strings",
+			      array->text);
+		return;
+	}
+	if (fd->type == FIELD_FLAGS)
+		*(uint32_t *)dst = 0;
 	for (uint32_t i = 0;; i++) {
-		char item[PATH_MAX_BYTES];
+		char path[FINDING_PATH_MAX];
 		const struct toml_value *v;
 
-		text_format(item, sizeof(item), "%s[%u]", path, i);
-		v = toml_find(t, item);
+		text_format(path, sizeof(path), "%s[%u]", array->path, i);
+		v = toml_find(t, path);
 		if (!v)
 			return;
-		if (i >= max) {
-			field_finding(f, t, item, v, "at most 8 names",
-				      v->text);
-			return;
-		}
-		if (v->type != TOML_STRING || !is_name(v->text) ||
-		    strlen(v->text) >= JD_NAME_MAX) {
-			field_finding(f, t, item, v, "a name", v->text);
-			continue;
-		}
-		mem_copy_str(set->names[set->count++], v->text, JD_NAME_MAX);
+		if (fd->type == FIELD_FLAGS)
+			read_flag_item(fd, t, v, (uint32_t *)dst, f);
+		else
+			read_name_item(t, v, (struct region_set *)dst, f);
 	}
 }
 
-static void read_one(const struct field *fd, const struct toml_text *t,
-		     const char *prefix, char *obj, struct findings *f)
+static void read_value(const struct field *fd, const struct toml_text *t,
+		       const struct toml_value *v, char *dst,
+		       struct findings *f)
 {
-	char path[PATH_MAX_BYTES];
-	const struct toml_value *v;
 	const char *expected = NULL;
+	struct short_text text;
 
-	text_format(path, sizeof(path), "%s%s", prefix, fd->name);
-	if (fd->type == FIELD_NAMES) {
-		read_names(t, path, (struct region_set *)(obj + fd->offset), f);
-		return;
-	}
-	v = toml_find(t, path);
-	if (!v) {
-		if (fd->required)
-			field_finding(f, t, path, NULL, fd->help, "nothing");
-		return;
-	}
 	switch (fd->type) {
 	case FIELD_NAME:
 	case FIELD_ADDR:
 	case FIELD_TEXT:
-		expected = read_string(fd, v, obj + fd->offset);
+	case FIELD_PATH:
+		expected = read_string(fd, v, dst);
 		break;
 	case FIELD_U32:
 	case FIELD_U64:
-		expected = read_number(fd, v, obj + fd->offset);
+		expected = read_number(fd, v, dst, &text);
 		break;
 	case FIELD_CHOICE:
-		expected = read_choice(fd, v, (int *)(obj + fd->offset));
+		expected = read_choice(fd, v, (int *)dst, &text);
 		break;
 	case FIELD_NAMES:
+	case FIELD_FLAGS:
+		read_array(fd, t, v, dst, f);
 		break;
 	}
 	if (expected)
-		field_finding(f, t, path, v, expected, v->text);
+		field_finding(f, t, v->path, v, expected, v->text);
+}
+
+/* The table that a missing field should be in; NULL at the top level. */
+static const struct toml_value *table_at(const struct toml_text *t,
+					 const char *prefix)
+{
+	char path[FINDING_PATH_MAX];
+	size_t len = strlen(prefix);
+
+	if (!len)
+		return NULL;
+	mem_copy_str(path, prefix, sizeof(path));
+	path[len - 1] = '\0';
+	return toml_find(t, path);
+}
+
+static void read_one(const struct field *fd, const struct toml_text *t,
+		     const char *prefix, char *obj, struct findings *f)
+{
+	char path[FINDING_PATH_MAX];
+	const struct toml_value *v;
+
+	text_format(path, sizeof(path), "%s%s", prefix, fd->name);
+	v = toml_find(t, path);
+	if (v)
+		read_value(fd, t, v, obj + fd->offset, f);
+	else if (fd->required)
+		field_finding(f, t, path, table_at(t, prefix), fd->help,
+			      "nothing");
 }
 
 void field_read(const struct field *fields, size_t count,
@@ -176,3 +256,122 @@
 	for (size_t i = 0; i < count; i++)
 		read_one(&fields[i], t, prefix, obj, f);
 }
+
+const struct field *field_find(const struct field_table *t, const char *name)
+{
+	for (size_t i = 0; i < t->count; i++)
+		if (!strcmp(t->fields[i].name, name))
+			return &t->fields[i];
+	return NULL;
+}
+
+/* Appends @item to the list @text (taken). */
+static char *append_item(char *text, const char *item)
+{
+	char *next = text_new("%s%s%s", text, *text ? " " : "", item);
+
+	free(text);
+	return next;
+}
+
+static char *names_text(const struct region_set *set)
+{
+	char *text = text_new("%s", "");
+
+	for (uint32_t i = 0; i < set->count; i++)
+		text = append_item(text, set->names[i]);
+	return text;
+}
+
+static char *flags_text(const struct field *fd, uint32_t mask)
+{
+	char *text = text_new("%s", "");
+
+	for (int i = 0; fd->choices[i]; i++)
+		if (mask & 1u << i)
+			text = append_item(text, fd->choices[i]);
+	return text;
+}
+
+char *field_text(const struct field *fd, const void *obj)
+{
+	const char *at = (const char *)obj + fd->offset;
+
+	switch (fd->type) {
+	case FIELD_NAME:
+	case FIELD_ADDR:
+	case FIELD_TEXT:
+	case FIELD_PATH:
+		return text_new("%s", at);
+	case FIELD_U32:
+		return text_new("%u", *(const uint32_t *)at);
+	case FIELD_U64:
+		return text_new("%lu", (unsigned long)*(const uint64_t *)at);
+	case FIELD_CHOICE:
+		return text_new("%s", fd->choices[*(const int *)at]);
+	case FIELD_NAMES:
+		return names_text((const struct region_set *)at);
+	case FIELD_FLAGS:
+		return flags_text(fd, *(const uint32_t *)at);
+	}
+	return text_new("%s", "");
+}
+
+static void describe_type(const struct field *fd, struct short_text *out)
+{
+	switch (fd->type) {
+	case FIELD_NAME:
+		mem_copy_str(out->s, "name", sizeof(out->s));
+		break;
+	case FIELD_ADDR:
+		mem_copy_str(out->s, "address `IP:PORT`", sizeof(out->s));
+		break;
+	case FIELD_TEXT:
+		mem_copy_str(out->s, "string", sizeof(out->s));
+		break;
+	case FIELD_PATH:
+		mem_copy_str(out->s, "path", sizeof(out->s));
+		break;
+	case FIELD_U32:
+	case FIELD_U64:
+		text_format(out->s, sizeof(out->s), "integer, %lu to %lu",
+			    (unsigned long)fd->min, (unsigned long)fd->max);
+		break;
+	case FIELD_CHOICE:
+		list_choices(fd, "one of", out);
+		break;
+	case FIELD_NAMES:
+		mem_copy_str(out->s, "array of up to 8 names", sizeof(out->s));
+		break;
+	case FIELD_FLAGS:
+		list_choices(fd, "array of", out);
+		break;
+	}
+}
+
+static const char *describe_default(const struct field *fd)
+{
+	if (fd->required)
+		return "required";
+	return fd->fallback ? fd->fallback : "none";
+}
+
+char *field_table_page(const struct field_table *t)
+{
+	char *page = text_new("%s\n\n| field | value | default | meaning |\n"
+			      "|---|---|---|---|\n",
+			      t->help);
+
+	for (size_t i = 0; i < t->count; i++) {
+		const struct field *fd = &t->fields[i];
+		struct short_text type;
+		char *next;
+
+		describe_type(fd, &type);
+		next = text_new("%s| `%s` | %s | %s | %s |\n", page, fd->name,
+				type.s, describe_default(fd), fd->help);
+		free(page);
+		page = next;
+	}
+	return page;
+}
--- a/io/manifest_reader.c
+++ b/io/manifest_reader.c
@@ -3,133 +3,163 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "core/manifest_check.h"
 #include "core/mem.h"
 #include "core/text.h"
 #include "io/field.h"
+#include "io/manifest_fields.h"
 
-#define PREFIX_MAX_BYTES     64
-#define COUNT_OF(a)	     (sizeof(a) / sizeof(*(a)))
-#define STR_OF(type, member) offsetof(type, member), sizeof(((type *)0)->member)
-
-static const char *const kind_choices[] = {"keyed", "any", NULL};
-static const char *const source_choices[] = {"header", "query", "path", NULL};
-static const char *const dc_choices[] = {"in", "leaving", "out", NULL};
-
-static const struct field route_fields[] = {
-	{"name", FIELD_NAME, STR_OF(struct route, name), .required = true,
-	 .help = "the route's name"},
-	{"service", FIELD_NAME, STR_OF(struct route, service), .required = true,
-	 .help = "the service of the upstreams"},
-	{"path", FIELD_TEXT, STR_OF(struct route, path), .required = true,
-	 .help = "prefix of the paths it takes"},
-	{"kind", FIELD_CHOICE, offsetof(struct route, kind),
-	 .choices = kind_choices, .required = true,
-	 .help = "keyed: one owner a key; any: any endpoint"},
-	{"key_source", FIELD_CHOICE, offsetof(struct route, key.source),
-	 .choices = source_choices, .help = "where a request's key is",
-	 .fallback = "header"},
-	{"key_name", FIELD_NAME, STR_OF(struct route, key.name),
-	 .help = "the header or query field of the key"},
-	{"key_segment", FIELD_U32, offsetof(struct route, key.segment),
-	 .max = 16, .help = "the path segment of the key, 0 the first"},
-	{"shards", FIELD_U32, offsetof(struct route, shards), .min = 1,
-	 .max = 65536, .help = "parts the keys are divided into",
-	 .fallback = "16384"},
-	{"timeout_ms", FIELD_U64, offsetof(struct route, timeout_ms), .min = 1,
-	 .max = 600000, .help = "deadline of a request that names none",
-	 .fallback = "2000"},
-	{"max_body_bytes", FIELD_U64, offsetof(struct route, max_body_bytes),
-	 .max = 4 << 20, .help = "largest body of a request",
-	 .fallback = "1048576"},
-	{"home_regions", FIELD_NAMES, offsetof(struct route, home_regions),
-	 .help = "regions its requests may be served, sent and kept in",
-	 .fallback = "any"},
-	{"objective_ppm", FIELD_U32, offsetof(struct route, objective_ppm),
-	 .max = 1000000, .help = "good requests out of a million",
-	 .fallback = "999000"},
-	{"objective_ms", FIELD_U64, offsetof(struct route, objective_ms),
-	 .min = 1, .max = 600000, .help = "a good request ends within this",
-	 .fallback = "100"},
-};
-
-static const struct field organisation_fields[] = {
-	{"name", FIELD_NAME, STR_OF(struct organisation, name),
-	 .required = true, .help = "the organisation's name"},
-	{"home_regions", FIELD_NAMES,
-	 offsetof(struct organisation, home_regions),
-	 .help = "regions its requests may be served, sent and kept in",
-	 .fallback = "any"},
-	{"weight", FIELD_U32, offsetof(struct organisation, weight), .min = 1,
-	 .max = 1000, .help = "share of a contended upstream", .fallback = "1"},
-};
-
-static const struct field data_centre_fields[] = {
-	{"name", FIELD_NAME, STR_OF(struct data_centre, name), .required = true,
-	 .help = "the data centre's name"},
-	{"region", FIELD_NAME, STR_OF(struct data_centre, region),
-	 .required = true, .help = "the region it is in"},
-	{"state", FIELD_CHOICE, offsetof(struct data_centre, state),
-	 .choices = dc_choices, .help = "whether it takes work",
-	 .fallback = "in"},
-};
-
-static bool has_prefix(const struct toml_text *t, const char *prefix)
+#define PREFIX_MAX_BYTES 64
+
+static void read_section(struct manifest *m, enum manifest_section s,
+			 const struct toml_text *t, struct findings *f)
 {
-	const struct toml_value *v;
+	const struct field_table *ft = &manifest_sections[s];
+	char path[PREFIX_MAX_BYTES];
 
-	list_for_each_entry(v, &t->values, link)
-		if (!strncmp(v->path, prefix, strlen(prefix)))
-			return true;
-	return false;
+	for (int i = 0;; i++) {
+		const struct toml_value *v;
+
+		text_format(path, sizeof(path), "%s[%d]", ft->name, i);
+		v = toml_find(t, path);
+		if (!v)
+			break;
+		if (v->type != TOML_TABLE) {
+			field_finding(f, t, path, v, "a table", v->text);
+			continue;
+		}
+		text_format(path, sizeof(path), "%s[%d].", ft->name, i);
+		field_read(ft->fields, ft->count, t, path, manifest_add(m, s),
+			   f);
+	}
+	if (ft->required && !toml_find(t, ft->name))
+		field_finding(f, t, ft->name, NULL, "at least one table",
+			      "none");
 }
 
-static void read_routes(struct manifest *m, const struct toml_text *t,
-			struct findings *f)
+/* What follows "SECTION[N]" in @path; NULL when it doesn't start so. */
+static const char *after_index(const char *path, const char *section)
 {
-	char prefix[PREFIX_MAX_BYTES];
+	size_t len = strlen(section);
 
-	for (int i = 0;; i++) {
-		struct route *r;
+	if (strncmp(path, section, len) != 0 || path[len] != '[')
+		return NULL;
+	path = strchr(path, ']');
+	return path ? path + 1 : NULL;
+}
 
-		text_format(prefix, sizeof(prefix), "route[%d].", i);
-		if (!has_prefix(t, prefix))
-			return;
-		r = manifest_add_route(m);
-		field_read(route_fields, COUNT_OF(route_fields), t, prefix, r,
-			   f);
+/* True for the path of a table, one of its fields or their items. */
+static bool known_in(const struct field_table *ft, const char *path)
+{
+	const char *rest = after_index(path, ft->name);
+	char name[JD_NAME_MAX];
+	size_t len;
+
+	if (!strcmp(path, ft->name) || (rest && !*rest))
+		return true;
+	if (!rest || *rest != '.')
+		return false;
+	rest++;
+	len = strcspn(rest, ".[");
+	if (len >= sizeof(name))
+		return false;
+	memcpy(name, rest, len);
+	name[len] = '\0';
+	return field_find(ft, name) != NULL;
+}
+
+static void check_unknown(const struct toml_text *t, struct findings *f)
+{
+	const struct toml_value *v;
+
+	list_for_each_entry(v, &t->values, link) {
+		bool known = false;
+
+		for (size_t i = 0; i < SECTION_COUNT; i++)
+			known |= known_in(&manifest_sections[i], v->path);
+		if (!known)
+			field_finding(f, t, v->path, v, "a known field",
+				      v->text);
+	}
+	for (size_t i = 0; i < SECTION_COUNT; i++) {
+		v = toml_find(t, manifest_sections[i].name);
+		if (v && v->type != TOML_ARRAY)
+			field_finding(f, t, v->path, v, "an array of tables",
+				      v->text);
 	}
 }
 
-static void read_organisations(struct manifest *m, const struct toml_text *t,
-			       struct findings *f)
+/* The value at @path or the nearest one round it; NULL for none. */
+static const struct toml_value *nearest(const struct toml_text *t, char *path)
 {
-	char prefix[PREFIX_MAX_BYTES];
+	for (;;) {
+		const struct toml_value *v = toml_find(t, path);
+		char *dot = strrchr(path, '.');
 
-	for (int i = 0;; i++) {
-		text_format(prefix, sizeof(prefix), "organisation[%d].", i);
-		if (!has_prefix(t, prefix))
-			return;
-		field_read(organisation_fields, COUNT_OF(organisation_fields),
-			   t, prefix, manifest_add_organisation(m), f);
+		if (v || !dot)
+			return v;
+		*dot = '\0';
 	}
 }
 
-static void read_data_centres(struct manifest *m, const struct toml_text *t,
-			      struct findings *f)
+static bool has_finding_below(const struct findings *f, const char *prefix,
+			      size_t len)
 {
-	char prefix[PREFIX_MAX_BYTES];
+	const struct finding *it;
 
-	for (int i = 0;; i++) {
-		text_format(prefix, sizeof(prefix), "data_centre[%d].", i);
-		if (!has_prefix(t, prefix))
-			return;
-		field_read(data_centre_fields, COUNT_OF(data_centre_fields), t,
-			   prefix, manifest_add_data_centre(m), f);
+	list_for_each_entry(it, &f->items, link)
+		if (!strncmp(it->field, prefix, len))
+			return true;
+	return false;
+}
+
+/* A check across fields says nothing true while one of them is broken. */
+static bool is_consequence(const struct finding *it, const struct findings *f)
+{
+	const char *dot = strchr(it->field, '.');
+	size_t len = dot ? (size_t)(dot - it->field) : strlen(it->field);
+
+	return has_finding_below(f, "data_centre", strlen("data_centre")) ||
+	       has_finding_below(f, it->field, len);
+}
+
+/* Gives findings of the core the file and the place of their field. */
+static void add_places(const struct findings *from, const struct toml_text *t,
+		       struct findings *to)
+{
+	const struct finding *it;
+	struct findings fields;
+
+	findings_init(&fields);
+	list_splice_back(&fields.items, &to->items);
+	list_for_each_entry(it, &from->items, link) {
+		char path[FINDING_PATH_MAX];
+
+		if (is_consequence(it, &fields))
+			continue;
+		mem_copy_str(path, it->field, sizeof(path));
+		field_finding(to, t, it->field, nearest(t, path), it->expected,
+			      it->found);
 	}
+	list_splice_back(&fields.items, &to->items);
+	list_splice_back(&to->items, &fields.items);
 }
 
-struct manifest *manifest_read(const char *file, const char *text,
-			       struct findings *f)
+static void check_whole(const struct manifest *m,
+			const struct manifest *in_force,
+			const struct toml_text *t, struct findings *f)
+{
+	struct findings found;
+
+	findings_init(&found);
+	manifest_check(m, in_force, &found);
+	add_places(&found, t, f);
+	findings_done(&found);
+}
+
+struct manifest *manifest_read_change(const char *file, const char *text,
+				      const struct manifest *in_force,
+				      struct findings *f)
 {
 	struct toml_text *t = toml_read(file, text, f);
 	struct manifest *m;
@@ -137,15 +167,37 @@
 	if (!t)
 		return NULL;
 	m = manifest_new();
-	read_data_centres(m, t, f);
-	read_organisations(m, t, f);
-	read_routes(m, t, f);
-	if (list_empty(&m->routes))
-		field_finding(f, t, "route", NULL, "at least one route",
-			      "none");
+	for (size_t i = 0; i < SECTION_COUNT; i++)
+		read_section(m, (enum manifest_section)i, t, f);
+	check_unknown(t, f);
+	check_whole(m, in_force, t, f);
 	toml_delete(t);
 	if (!f->count)
 		return m;
 	manifest_delete(m);
 	return NULL;
 }
+
+struct manifest *manifest_read(const char *file, const char *text,
+			       struct findings *f)
+{
+	return manifest_read_change(file, text, NULL, f);
+}
+
+char *manifest_reference(void)
+{
+	char *page = text_new("%s", "# The manifest\n\n"
+				    "Made by `jackdaw reference manifest`; a "
+				    "test compares them.\n");
+
+	for (size_t i = 0; i < SECTION_COUNT; i++) {
+		char *part = field_table_page(&manifest_sections[i]);
+		char *next = text_new("%s\n## `[[%s]]`\n\n%s", page,
+				      manifest_sections[i].name, part);
+
+		free(part);
+		free(page);
+		page = next;
+	}
+	return page;
+}
--- a/io/manifest_reader.h
+++ b/io/manifest_reader.h
@@ -12,4 +12,12 @@
 struct manifest *manifest_read(const char *file, const char *text,
 			       struct findings *f);
 
+/** Like manifest_read(), checked as a change of @in_force (may be NULL). */
+struct manifest *manifest_read_change(const char *file, const char *text,
+				      const struct manifest *in_force,
+				      struct findings *f);
+
+/** The reference page of all fields in Markdown; free() it. */
+char *manifest_reference(void);
+
 #endif
--- a/io/settings.c
+++ b/io/settings.c
@@ -5,6 +5,7 @@
 
 #include "core/mem.h"
 #include "core/status.h"
+#include "core/text.h"
 #include "io/field.h"
 #include "io/file.h"
 
@@ -54,6 +55,26 @@
 	 .fallback = "10000"},
 };
 
+static const struct field_table settings_table = {
+	.name = "",
+	.help = "A daemon's settings: TOML, all at the top level, all with a "
+		"default.",
+	.fields = settings_fields,
+	.count = sizeof(settings_fields) / sizeof(*settings_fields),
+};
+
+char *settings_reference(void)
+{
+	char *table = field_table_page(&settings_table);
+	char *page = text_new("# Settings of jackdawd\n\n"
+			      "Made by `jackdaw reference settings`; a test "
+			      "compares them.\n\n%s",
+			      table);
+
+	free(table);
+	return page;
+}
+
 void settings_default(struct settings *s)
 {
 	const struct timing *t = &timing_default;
@@ -74,16 +95,6 @@
 	s->drift_ppm = t->drift_ppm;
 }
 
-static bool known(const char *path)
-{
-	const size_t n = sizeof(settings_fields) / sizeof(*settings_fields);
-
-	for (size_t i = 0; i < n; i++)
-		if (!strcmp(settings_fields[i].name, path))
-			return true;
-	return false;
-}
-
 static void check_times(const struct settings *s, const struct toml_text *t,
 			struct findings *f)
 {
@@ -97,7 +108,7 @@
 
 void settings_read(struct settings *s, const char *path, struct findings *f)
 {
-	const size_t n = sizeof(settings_fields) / sizeof(*settings_fields);
+	const struct field_table *ft = &settings_table;
 	const struct toml_value *v;
 	struct toml_text *t;
 	struct status st;
@@ -114,9 +125,9 @@
 	free(text);
 	if (!t)
 		return;
-	field_read(settings_fields, n, t, "", s, f);
+	field_read(ft->fields, ft->count, t, "", s, f);
 	list_for_each_entry(v, &t->values, link)
-		if (!known(v->path))
+		if (!field_find(ft, v->path))
 			field_finding(f, t, v->path, v, "a known setting",
 				      v->text);
 	check_times(s, t, f);
--- a/io/settings.h
+++ b/io/settings.h
@@ -27,6 +27,9 @@
 /** Reads @path over what @s holds; all findings of it go into @f. */
 void settings_read(struct settings *s, const char *path, struct findings *f);
 
+/** The reference page of all settings in Markdown; free() it. */
+char *settings_reference(void);
+
 /** The core's options from the settings; @seed is for its random numbers. */
 void settings_node_opts(const struct settings *s, uint64_t seed,
 			struct node_opts *o);
--- a/io/toml_reader.cpp
+++ b/io/toml_reader.cpp
@@ -1,3 +1,15 @@
+#include <stdexcept>
+
+/*
+ * Some broken texts, such as "[\x01", fail the library's own assertions: an
+ * abort in a debug build, undefined behaviour with NDEBUG. They throw here.
+ */
+[[noreturn]] static void assertion_failed()
+{
+	throw std::logic_error("assertion");
+}
+#undef NDEBUG
+#define TOML_ASSERT(expr) ((expr) ? static_cast<void>(0) : assertion_failed())
 #include <toml++/toml.h>
 
 #include <cstdlib>
@@ -36,6 +48,12 @@
 		v->type = TOML_BOOLEAN;
 		v->boolean = b->get();
 		text = v->boolean ? "true" : "false";
+	} else if (node.is_table()) {
+		v->type = TOML_TABLE;
+		text = "a table";
+	} else if (node.is_array()) {
+		v->type = TOML_ARRAY;
+		text = "an array";
 	} else {
 		text = "a value of another type";
 	}
@@ -49,6 +67,8 @@
 void flatten(struct toml_text *out, const std::string &path,
 	     const toml::node &node)
 {
+	if (!path.empty())
+		add_value(out, path, node);
 	if (const auto *table = node.as_table()) {
 		for (const auto &[key, child] : *table) {
 			std::string name(key.str());
@@ -60,11 +80,23 @@
 		for (const auto &child : *array)
 			flatten(out, path + "[" + std::to_string(i++) + "]",
 				child);
-	} else {
-		add_value(out, path, node);
 	}
 }
 
+void add_syntax_finding(struct findings *f, const char *file, uint32_t line,
+			uint32_t column, const char *found)
+{
+	struct finding_opts o = {};
+
+	o.file = file;
+	o.line = static_cast<int>(line);
+	o.column = static_cast<int>(column);
+	o.field = "(syntax)";
+	o.expected = "TOML";
+	o.found = found;
+	findings_add(f, &o);
+}
+
 } // namespace
 
 extern "C" struct toml_text *toml_read(const char *file, const char *text,
@@ -81,15 +113,11 @@
 		return out;
 	} catch (const toml::parse_error &e) {
 		std::string why(e.description());
-		struct finding_opts o = {};
-
-		o.file = file;
-		o.line = static_cast<int>(e.source().begin.line);
-		o.column = static_cast<int>(e.source().begin.column);
-		o.field = "(syntax)";
-		o.expected = "TOML";
-		o.found = why.c_str();
-		findings_add(f, &o);
+		auto at = e.source().begin;
+
+		add_syntax_finding(f, file, at.line, at.column, why.c_str());
+	} catch (const std::logic_error &) {
+		add_syntax_finding(f, file, 0, 0, "what is no key or value");
 	}
 	toml_delete(out);
 	return nullptr;
--- a/io/toml_reader.h
+++ b/io/toml_reader.h
@@ -12,7 +12,14 @@
 #include "core/finding.h"
 #include "core/list.h"
 
-enum toml_type { TOML_STRING, TOML_INTEGER, TOML_BOOLEAN, TOML_OTHER };
+enum toml_type {
+	TOML_STRING,
+	TOML_INTEGER,
+	TOML_BOOLEAN,
+	TOML_TABLE, /* its own place; its fields are values of their own */
+	TOML_ARRAY, /* likewise its items */
+	TOML_OTHER,
+};
 
 struct toml_value {
 	struct list link;
--- /dev/null
+++ b/tests/manifest_check_test.cpp
@@ -0,0 +1,293 @@
+#include "jd_test.hpp"
+
+#include <rapidcheck/gtest.h>
+
+#include <fstream>
+#include <sstream>
+
+extern "C" {
+#include "core/finding.h"
+#include "io/manifest_reader.h"
+}
+
+namespace
+{
+
+std::string slurp(const std::string &name)
+{
+	std::ifstream in(std::string(JD_SOURCE_DIR) + "/" + name);
+	std::stringstream s;
+
+	s << in.rdbuf();
+	return s.str();
+}
+
+// All findings of @text as a change of @in_force, one a line.
+std::string check(const std::string &text,
+		  const struct manifest *in_force = nullptr)
+{
+	struct findings f;
+	struct finding *it;
+	std::string all;
+
+	findings_init(&f);
+	struct manifest *m =
+		manifest_read_change("m", text.c_str(), in_force, &f);
+	EXPECT_EQ(m == nullptr, f.count > 0);
+	manifest_delete(m);
+	findings_sort(&f);
+	list_for_each_entry(it, &f.items, link) {
+		char *line = finding_line(it);
+
+		all += std::string(line) + "\n";
+		free(line);
+	}
+	findings_done(&f);
+	return all;
+}
+
+struct manifest *read(const std::string &text)
+{
+	struct findings f;
+
+	findings_init(&f);
+	struct manifest *m = manifest_read("m", text.c_str(), &f);
+	findings_done(&f);
+	return m;
+}
+
+const std::string dcs = "[[data_centre]]\nname = \"s1\"\nregion = \"south\"\n"
+			"[[data_centre]]\nname = \"n1\"\nregion = \"north\"\n"
+			"state = \"out\"\n";
+
+std::string route_text(const std::string &more, const std::string &name = "a",
+		       const std::string &path = "/a/")
+{
+	return "[[route]]\nname = \"" + name +
+	       "\"\nservice = \"s\"\npath = \"" + path +
+	       "\"\nkind = \"keyed\"\nkey_source = \"path\"\n" + more;
+}
+
+} // namespace
+
+TEST(ManifestCheck, ExamplesAreAccepted)
+{
+	for (const char *name : {"demo", "ezustkep", "luz-de-portal"})
+		EXPECT_EQ(
+			check(slurp("examples/" + std::string(name) + ".toml")),
+			"")
+			<< name;
+}
+
+TEST(ManifestCheck, ExamplesHaveTheirRealSizes)
+{
+	struct manifest *m = read(slurp("examples/ezustkep.toml"));
+
+	ASSERT_NE(m, nullptr);
+	EXPECT_STREQ(manifest_data_centre(m, "at-east-2")->region, "at-east");
+	EXPECT_EQ(manifest_route(m, "archive")->shards, 16384u);
+	EXPECT_FALSE(route_idempotent(manifest_route(m, "payments"), "PUT"));
+	EXPECT_TRUE(route_idempotent(manifest_route(m, "archive"), "PUT"));
+	EXPECT_FALSE(route_idempotent(manifest_route(m, "archive"), "POST"));
+	manifest_delete(m);
+}
+
+TEST(ManifestCheck, UnknownFieldsHaveTheirPlace)
+{
+	EXPECT_EQ(check(dcs + route_text("colour = 3\n") + "[other]\nx = 1\n"),
+		  "m:14:10: route[0].colour: expected a known field, found 3\n"
+		  "m:15:1: other: expected a known field, found a table\n"
+		  "m:16:5: other.x: expected a known field, found 1\n");
+}
+
+TEST(ManifestCheck, AnEmptyTableDoesNotHideTheNext)
+{
+	std::string all =
+		check(dcs + "[[route]]\n" + route_text("shards = 0\n"));
+
+	EXPECT_NE(all.find("route[0].name"), std::string::npos) << all;
+	EXPECT_NE(all.find("route[1].shards"), std::string::npos) << all;
+}
+
+TEST(ManifestCheck, TypesOfArrays)
+{
+	EXPECT_EQ(check(dcs + route_text("home_regions = \"south\"\n")),
+		  "m:14:16: route[0].home_regions: expected an array of "
+		  "strings, found south\n");
+	EXPECT_NE(check("route = 3\n").find("expected an array of tables"),
+		  std::string::npos);
+	EXPECT_NE(check(dcs + route_text("idempotent = [\"GET\", \"EAT\"]\n"))
+			  .find("route[0].idempotent[1]: expected one of GET"),
+		  std::string::npos);
+}
+
+TEST(ManifestCheck, NamesAndPathsOnce)
+{
+	std::string all = check(dcs + dcs + route_text("") + route_text("") +
+				"[[organisation]]\nname = \"o\"\n"
+				"[[organisation]]\nname = \"o\"\n");
+
+	for (const char *field :
+	     {"data_centre[2].name", "data_centre[3].name",
+	      "organisation[1].name", "route[1].name", "route[1].path"})
+		EXPECT_NE(all.find(field), std::string::npos) << all;
+}
+
+TEST(ManifestCheck, PathsStartWithASlash)
+{
+	EXPECT_NE(check(dcs + route_text("", "a", "a/")).find("route[0].path"),
+		  std::string::npos);
+}
+
+TEST(ManifestCheck, KeyedRoutesNameTheirKey)
+{
+	std::string text = "[[route]]\nname = \"a\"\nservice = \"s\"\n"
+			   "path = \"/a\"\nkind = \"keyed\"\n";
+
+	EXPECT_NE(check(dcs + text + "key_source = \"query\"\n")
+			  .find("route[0].key_name"),
+		  std::string::npos);
+	EXPECT_EQ(check(dcs + text +
+			"key_source = \"query\"\n"
+			"key_name = \"k\"\n"),
+		  "");
+}
+
+TEST(ManifestCheck, HomeRegionsNeedADataCentreInService)
+{
+	std::string all =
+		check(dcs + route_text("home_regions = [\"north\"]\n") +
+		      route_text("home_regions = [\"west\"]\n", "b", "/b"));
+
+	EXPECT_NE(all.find("route[0].home_regions: expected a data centre in "
+			   "state in"),
+		  std::string::npos)
+		<< all;
+	EXPECT_NE(all.find("route[1].home_regions[0]: expected a region of a "
+			   "data centre, found west"),
+		  std::string::npos)
+		<< all;
+	EXPECT_EQ(check(dcs + route_text("home_regions = [\"south\"]\n")), "");
+}
+
+TEST(ManifestCheck, SomeDataCentreIsInService)
+{
+	EXPECT_NE(check("[[data_centre]]\nname = \"s1\"\nregion = \"r\"\n"
+			"state = \"leaving\"\n" +
+			route_text(""))
+			  .find("a data centre in state in, found none"),
+		  std::string::npos);
+}
+
+TEST(ManifestCheck, ObjectiveWithinTheTimeout)
+{
+	EXPECT_NE(check(dcs + route_text("objective_ms = 3000\n"))
+			  .find("route[0].objective_ms"),
+		  std::string::npos);
+}
+
+TEST(ManifestCheck, ChangesOfWhatRuns)
+{
+	struct manifest *old = read(dcs + route_text("shards = 64\n"));
+	std::string all;
+
+	ASSERT_NE(old, nullptr);
+	EXPECT_EQ(check(dcs + route_text("shards = 64\n"), old), "");
+	all = check(dcs + route_text("shards = 65\n"), old);
+	EXPECT_NE(all.find("m:14:10: route[0].shards"), std::string::npos)
+		<< all;
+	all = check("[[data_centre]]\nname = \"n1\"\nregion = \"south\"\n" +
+			    route_text("shards = 64\n"),
+		    old);
+	EXPECT_NE(all.find("data_centre[0].region: expected north"),
+		  std::string::npos)
+		<< all;
+	EXPECT_NE(all.find("state out in force before it is removed, found s1"),
+		  std::string::npos)
+		<< all;
+	all = check(dcs + "[[route]]\nname = \"a\"\nservice = \"s\"\n"
+			  "path = \"/a/\"\nkind = \"any\"\n",
+		    old);
+	EXPECT_NE(all.find("route[0].kind"), std::string::npos) << all;
+	manifest_delete(old);
+}
+
+TEST(ManifestCheck, TheReferencePageIsTrue)
+{
+	char *page = manifest_reference();
+
+	EXPECT_EQ(slurp("docs/MANIFEST.md"), page)
+		<< "run: jackdaw reference manifest >docs/MANIFEST.md";
+	free(page);
+}
+
+// Damages an example at a few random places: findings or accepted, no crash.
+static void break_example(const std::string &name, bool lines)
+{
+	std::string text = slurp("examples/" + name + ".toml");
+	struct manifest *old = read(text);
+	int times = *rc::gen::inRange(1, 6);
+
+	while (times-- > 0 && !text.empty()) {
+		size_t at = *rc::gen::inRange<size_t>(0, text.size());
+		size_t end = lines ? text.find('\n', at) : at;
+		size_t from = *rc::gen::inRange<size_t>(0, text.size());
+
+		switch (*rc::gen::inRange(0, 3)) {
+		case 0:
+			text[at] = *rc::gen::arbitrary<char>();
+			break;
+		case 1:
+			text.erase(at, end - at + 1);
+			break;
+		case 2:
+			text.insert(at, text.substr(from, 40));
+			break;
+		}
+	}
+	check(text, old);
+	manifest_delete(old);
+}
+
+RC_GTEST_PROP(ManifestCheck, BrokenBytesNeverCrash, ())
+{
+	break_example(*rc::gen::element<std::string>("demo", "ezustkep",
+						     "luz-de-portal"),
+		      false);
+}
+
+RC_GTEST_PROP(ManifestCheck, BrokenLinesNeverCrash, ())
+{
+	break_example(*rc::gen::element<std::string>("demo", "ezustkep",
+						     "luz-de-portal"),
+		      true);
+}
+
+// Every value replaced by each of many others, which parses more often.
+RC_GTEST_PROP(ManifestCheck, SwappedValuesNeverCrash, ())
+{
+	static const std::vector<std::string> values = {
+		"\"\"",	       "-1",	   "9223372036854775807",
+		"true",	       "[]",	   "[[]]",
+		"{}",	       "\"/\"",	   "1.5",
+		"\"x y\"",     "nan",	   "[1,2]",
+		"\"\\u0000\"", "07:32:00", "\"any\"",
+		"0",	       "1",	   "\"query\"",
+		"[\"\"]"};
+	std::stringstream in(slurp(
+		"examples/" +
+		*rc::gen::element<std::string>("ezustkep", "luz-de-portal") +
+		".toml"));
+	int every = *rc::gen::inRange(2, 40);
+	std::string line, text;
+
+	while (std::getline(in, line)) {
+		size_t eq = line.find(" = ");
+
+		if (eq != std::string::npos && !*rc::gen::inRange(0, every))
+			line = line.substr(0, eq + 3) +
+			       *rc::gen::elementOf(values);
+		text += line + "\n";
+	}
+	check(text);
+}
--- /dev/null
+++ b/tests/process.hpp
@@ -0,0 +1,168 @@
+// Real processes on loopback for tests; each ends with its object.
+#ifndef JD_TESTS_PROCESS_HPP
+#define JD_TESTS_PROCESS_HPP
+
+#include <arpa/inet.h>
+#include <fcntl.h>
+#include <signal.h>
+#include <sys/socket.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <chrono>
+#include <cstdio>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace jd
+{
+
+inline std::string binary(const std::string &name)
+{
+	return std::string(JD_BINARY_DIR) + "/" + name;
+}
+
+inline void sleep_ms(int ms)
+{
+	std::this_thread::sleep_for(std::chrono::milliseconds(ms));
+}
+
+inline bool can_bind(int port)
+{
+	int fd = socket(AF_INET, SOCK_STREAM, 0);
+	sockaddr_in a = {};
+
+	a.sin_family = AF_INET;
+	a.sin_port = htons(static_cast<uint16_t>(port));
+	a.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	bool ok = bind(fd, reinterpret_cast<sockaddr *>(&a), sizeof(a)) == 0;
+	close(fd);
+	return ok;
+}
+
+inline bool answers(int port)
+{
+	int fd = socket(AF_INET, SOCK_STREAM, 0);
+	sockaddr_in a = {};
+
+	a.sin_family = AF_INET;
+	a.sin_port = htons(static_cast<uint16_t>(port));
+	a.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	bool ok = connect(fd, reinterpret_cast<sockaddr *>(&a), sizeof(a)) == 0;
+	close(fd);
+	return ok;
+}
+
+// A port that nobody listens on; different test processes start apart.
+inline int free_port()
+{
+	static int next = static_cast<int>(getpid()) * 37 % 900;
+
+	for (int i = 0; i < 1000; i++) {
+		int port = 25000 + next++ % 1000;
+
+		if (can_bind(port))
+			return port;
+	}
+	return 0;
+}
+
+inline std::string loopback(int port)
+{
+	return "127.0.0.1:" + std::to_string(port);
+}
+
+// A child process; killed and reaped at the end of its scope.
+class Process
+{
+public:
+	explicit Process(const std::vector<std::string> &args,
+			 const std::string &log = "/dev/null")
+	{
+		std::vector<char *> argv;
+
+		for (const std::string &a : args)
+			argv.push_back(const_cast<char *>(a.c_str()));
+		argv.push_back(nullptr);
+		pid = fork();
+		if (pid == 0) {
+			int fd = open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND,
+				      0644);
+
+			dup2(fd, 1);
+			dup2(fd, 2);
+			execv(argv[0], argv.data());
+			_exit(127);
+		}
+	}
+	Process(const Process &) = delete;
+	Process &operator=(const Process &) = delete;
+	~Process() { stop(SIGKILL); }
+
+	void stop(int sig)
+	{
+		if (pid <= 0)
+			return;
+		kill(pid, sig);
+		waitpid(pid, nullptr, 0);
+		pid = 0;
+	}
+
+	pid_t pid;
+};
+
+struct Result {
+	int code;
+	std::string out; // standard output and error
+};
+
+// Runs a shell command to its end.
+inline Result run(const std::string &command)
+{
+	Result r = {-1, ""};
+	FILE *f = popen((command + " 2>&1").c_str(), "r");
+	char buf[4096];
+	size_t n;
+
+	while ((n = fread(buf, 1, sizeof(buf), f)) > 0)
+		r.out.append(buf, n);
+	int status = pclose(f);
+	r.code = WIFEXITED(status) ? WEXITSTATUS(status) : -1;
+	return r;
+}
+
+// The store stand-in on a port of its own.
+class Store
+{
+public:
+	Store()
+		: port(free_port()),
+		  process({binary("fake-store"), "--addr", loopback(port)})
+	{
+		while (!answers(port))
+			sleep_ms(5);
+	}
+
+	std::string addr() const { return loopback(port); }
+
+	void fault(const std::string &json) const
+	{
+		run("curl -s -X POST -d '" + json + "' http://" + addr() +
+		    "/admin/fault");
+	}
+
+	// Runs jackdaw on this store.
+	Result jackdaw(const std::string &args) const
+	{
+		return run(binary("jackdaw") + " --store " + addr() + " " +
+			   args);
+	}
+
+	int port;
+	Process process;
+};
+
+} // namespace jd
+
+#endif
--- a/wire/doc_codec.c
+++ b/wire/doc_codec.c
@@ -21,6 +21,7 @@
 	PACK_U64_OF(struct route, max_body_bytes),
 	PACK_U32_OF(struct route, objective_ppm),
 	PACK_U64_OF(struct route, objective_ms),
+	PACK_U32_OF(struct route, idempotent),
 };
 static const struct pack_table route_table = PACK_TABLE(route_fields);
 
