Roll-out on real processes: versions only rise, operators see who lags

Cause: nothing measured or tested how an accepted manifest spreads, nor what outages, pauses and restarts make of it.

Change: a node logs the manifest it puts in force and asserts that its revision only rises. The command line frees connections after its loop; a refused one leaked.

--- a/cli/http_call.c
+++ b/cli/http_call.c
@@ -6,6 +6,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "core/list.h"
 #include "core/mem.h"
 #include "io/addr.h"
 
@@ -18,10 +19,15 @@
 	size_t next;
 	size_t running;
 	int timeout_ms;
+	struct list calls; /* of struct call */
 };
 
-/* One call that runs; it ends in on_answer(), also after its timeout. */
+/*
+ * One call; it ends in on_answer(), also after its timeout. Connections are
+ * freed after the loop: one can't be from inside its own callback.
+ */
 struct call {
+	struct list link;
 	struct gather *gather;
 	struct http_get *get;
 	struct evhttp_connection *conn;
@@ -48,7 +54,6 @@
 
 	c->get->text = answer_text(req);
 	g->running--;
-	free(c);
 	start_some(g);
 }
 
@@ -65,7 +70,6 @@
 		return NULL;
 	conn = evhttp_connection_base_new(base, NULL, ip, port);
 	evhttp_connection_set_timeout_tv(conn, &tv);
-	evhttp_connection_free_on_completion(conn);
 	return conn;
 }
 
@@ -90,6 +94,7 @@
 	c->gather = g;
 	c->get = get;
 	c->conn = conn;
+	list_push_back(&g->calls, &c->link);
 	req = evhttp_request_new(on_answer, c);
 	add_headers(req, get->addr);
 	if (body)
@@ -106,24 +111,44 @@
 		start(g, &g->gets[g->next++], NULL);
 }
 
+static void gather_init(struct gather *g, int timeout_ms)
+{
+	memset(g, 0, sizeof(*g));
+	g->base = event_base_new();
+	g->timeout_ms = timeout_ms;
+	list_init(&g->calls);
+}
+
+static void gather_done(struct gather *g)
+{
+	struct call *c, *tmp;
+
+	list_for_each_entry_safe(c, tmp, &g->calls, link) {
+		evhttp_connection_free(c->conn);
+		free(c);
+	}
+	event_base_free(g->base);
+}
+
 void http_gather(struct http_get *gets, size_t count, int timeout_ms)
 {
-	struct gather g = {.base = event_base_new(),
-			   .gets = gets,
-			   .count = count,
-			   .timeout_ms = timeout_ms};
+	struct gather g;
 
+	gather_init(&g, timeout_ms);
+	g.gets = gets;
+	g.count = count;
 	start_some(&g);
 	event_base_dispatch(g.base);
-	event_base_free(g.base);
+	gather_done(&g);
 }
 
 char *http_call(const char *addr, const char *path, const char *body,
 		int timeout_ms, struct status *st)
 {
-	struct gather g = {.base = event_base_new(), .timeout_ms = timeout_ms};
 	struct http_get get = {.path = path};
+	struct gather g;
 
+	gather_init(&g, timeout_ms);
 	mem_copy_str(get.addr, addr, sizeof(get.addr));
 	start(&g, &get, body);
 	if (!g.running) {
@@ -134,6 +159,6 @@
 			status_set(st, STATUS_UNKNOWN, "no answer from %s",
 				   addr);
 	}
-	event_base_free(g.base);
+	gather_done(&g);
 	return get.text;
 }
--- a/cli/rollout.c
+++ b/cli/rollout.c
@@ -7,7 +7,8 @@
 #include "cli/fleet.h"
 #include "io/clock.h"
 
-#define POLL_MS	    100
+#define POLL_MIN_MS 10
+#define POLL_MAX_MS 200
 #define PROGRESS_MS 1000
 
 static bool has(const struct fleet_node *n, revision_t revision)
@@ -73,6 +74,7 @@
 	const uint64_t start = clock_now_ns();
 	const uint64_t deadline = start + o->timeout_ms * NS_PER_MS;
 	uint64_t next_progress = start + PROGRESS_MS * NS_PER_MS;
+	uint64_t poll_ms = POLL_MIN_MS;
 	size_t count = 0;
 
 	for (;;) {
@@ -92,6 +94,8 @@
 				count);
 			next_progress = now + PROGRESS_MS * NS_PER_MS;
 		}
-		sleep_ms(POLL_MS);
+		sleep_ms(poll_ms);
+		if (poll_ms < POLL_MAX_MS)
+			poll_ms *= 2;
 	}
 }
--- a/core/node.c
+++ b/core/node.c
@@ -2,6 +2,7 @@
 
 #include <stdlib.h>
 
+#include "core/invariant.h"
 #include "core/mem.h"
 
 /* A drain that has not ended by then ends anyway. */
@@ -181,6 +182,23 @@
 	n->membership.leaving = true;
 }
 
+/* What is in force never goes back, and operators see when it came. */
+static void follow_manifest(struct node *n)
+{
+	const struct doc *d = view_doc(&n->ctx.view, DOC_MANIFEST, "");
+
+	if (!d || !d->u.manifest || d->revision == n->manifest_revision)
+		return;
+	JD_INVARIANT(d->revision > n->manifest_revision,
+		     "manifest_revision=%lu->%lu",
+		     (unsigned long)n->manifest_revision,
+		     (unsigned long)d->revision);
+	n->manifest_revision = d->revision;
+	actions_log(n->ctx.out, LOG_INFO,
+		    "event=manifest_in_force revision=%lu change=%s",
+		    (unsigned long)d->revision, d->u.manifest->change_id);
+}
+
 /* An operator marks the entry of a node that is to drain. */
 static void follow_drain(struct node *n)
 {
@@ -304,6 +322,7 @@
 	struct ctx *c = &n->ctx;
 
 	membership_follow(&n->membership, c);
+	follow_manifest(n);
 	follow_drain(n);
 	if (c->self != n->keeper_self)
 		keeper_reset(&n->keeper);
--- a/core/node.h
+++ b/core/node.h
@@ -30,8 +30,9 @@
 	enum drain_state drain;
 	uint64_t drain_deadline_ns;
 	uint64_t next_watch_ns;
-	incarnation_t keeper_self; /* whose charges the keeper holds */
-	uint64_t refused_messages; /* not for us, or of no use */
+	incarnation_t keeper_self;    /* whose charges the keeper holds */
+	revision_t manifest_revision; /* in force here; only rises */
+	uint64_t refused_messages;    /* not for us, or of no use */
 };
 
 struct node *node_new(const struct node_opts *opts);
--- a/tests/apply_test.cpp
+++ b/tests/apply_test.cpp
@@ -37,10 +37,9 @@
 	jd::Result r = store.jackdaw("diff " + demo);
 	size_t at = r.out.find("timeout_ms: ");
 
-	return at == std::string::npos ? r.out
-				       : r.out.substr(at + 12,
-						      r.out.find(" ->", at) -
-							      at - 12);
+	return at == std::string::npos
+		       ? r.out
+		       : r.out.substr(at + 12, r.out.find(" ->", at) - at - 12);
 }
 
 } // namespace
@@ -94,8 +93,8 @@
 	store.fault("{\"slow_ms\":1000}");
 	for (int i = 0; i < racers; i++)
 		threads.emplace_back([&, i] {
-			results[i] = store.jackdaw("apply " +
-						   variant(1000 + i));
+			results[i] =
+				store.jackdaw("apply " + variant(1000 + i));
 		});
 	for (std::thread &t : threads)
 		t.join();
--- a/tests/process.hpp
+++ b/tests/process.hpp
@@ -11,6 +11,7 @@
 
 #include <chrono>
 #include <cstdio>
+#include <memory>
 #include <string>
 #include <thread>
 #include <vector>
@@ -132,6 +133,92 @@
 	return r;
 }
 
+// A jackdawd with an upstream stand-in beside it.
+class Node
+{
+public:
+	Node(const std::string &called, const std::string &dc,
+	     const std::string &region, const std::string &store)
+		: name(called), http(free_port()), peer(free_port()),
+		  upstream(free_port()),
+		  path(binary("node." + std::to_string(getpid()) + "." + called))
+	{
+		FILE *f = fopen((path + ".toml").c_str(), "w");
+
+		fprintf(f,
+			"name = \"%s\"\ndata_centre = \"%s\"\n"
+			"region = \"%s\"\nhttp_addr = \"%s\"\n"
+			"peer_addr = \"%s\"\nstore_addr = \"%s\"\n",
+			name.c_str(), dc.c_str(), region.c_str(),
+			loopback(http).c_str(), loopback(peer).c_str(),
+			store.c_str());
+		fclose(f);
+		start();
+	}
+
+	// Starts both processes (again).
+	void start()
+	{
+		stop(SIGKILL);
+		daemon = std::make_unique<Process>(
+			std::vector<std::string>{binary("jackdawd"), "-s",
+						 path + ".toml"},
+			path + ".log");
+		server = std::make_unique<Process>(std::vector<std::string>{
+			binary("fake-upstream"), "--addr", loopback(upstream),
+			"--node", loopback(http), "--service", "archive"});
+	}
+
+	void stop(int sig)
+	{
+		if (daemon)
+			daemon->stop(sig);
+		if (server)
+			server->stop(SIGKILL);
+	}
+
+	// The text of a page; empty when it does not answer.
+	std::string page(const std::string &what) const
+	{
+		return run("curl -s -m 2 http://" + loopback(http) + "/-/" +
+			   what)
+			.out;
+	}
+
+	// A number on the page /-/status; -1 for none.
+	long number(const std::string &field) const
+	{
+		std::string text = page("status");
+		size_t at = text.find("\"" + field + "\":");
+
+		return at == std::string::npos
+			       ? -1
+			       : std::stol(text.substr(at + field.size() + 3));
+	}
+
+	bool serves() const
+	{
+		return page("status").find("\"may_serve\":true") !=
+		       std::string::npos;
+	}
+
+	std::string name;
+	int http, peer, upstream;
+	std::string path;
+	std::unique_ptr<Process> daemon, server;
+};
+
+// Waits up to @seconds, generously; false when it never became true.
+template <typename F> bool eventually(F condition, int seconds = 60)
+{
+	for (int i = 0; i < seconds * 20; i++) {
+		if (condition())
+			return true;
+		sleep_ms(50);
+	}
+	return false;
+}
+
 // The store stand-in on a port of its own.
 class Store
 {
--- /dev/null
+++ b/tests/rollout_test.cpp
@@ -0,0 +1,144 @@
+#include "jd_test.hpp"
+
+#include <fstream>
+#include <map>
+
+#include "process.hpp"
+
+extern "C" {
+#include "cli/exit_code.h"
+}
+
+namespace
+{
+
+// A manifest that differs by its timeout, in a file of its own.
+std::string manifest(int timeout_ms)
+{
+	std::string path = jd::binary("rollout_test." +
+				      std::to_string(getpid()) + ".toml");
+	std::ofstream(path)
+		<< "[[data_centre]]\nname = \"a\"\nregion = \"r\"\n"
+		   "[[data_centre]]\nname = \"b\"\nregion = \"r\"\n"
+		   "[[route]]\nname = \"archive\"\nservice = \"archive\"\n"
+		   "path = \"/archive/\"\nkind = \"keyed\"\n"
+		   "key_source = \"path\"\nkey_segment = 1\nshards = 64\n"
+		   "timeout_ms = "
+		<< timeout_ms << "\n";
+	return path;
+}
+
+class Rollout : public testing::Test
+{
+protected:
+	Rollout()
+	    : n1("r1", "a", "r", store.addr()),
+	      n2("r2", "b", "r", store.addr()), n3("r3", "b", "r", store.addr())
+	{
+	}
+
+	bool all_serve()
+	{
+		return n1.serves() && n2.serves() && n3.serves();
+	}
+
+	// Looks at each node's revision, which must never fall while it runs.
+	void look()
+	{
+		for (jd::Node *n : {&n1, &n2, &n3}) {
+			long now = n->number("manifest_revision");
+
+			if (now < 0)
+				continue;
+			EXPECT_GE(now, seen[n]) << n->name;
+			seen[n] = std::max(seen[n], now);
+		}
+	}
+
+	jd::Store store;
+	jd::Node n1, n2, n3;
+	std::map<jd::Node *, long> seen;
+};
+
+} // namespace
+
+TEST_F(Rollout, WaitsUntilEveryNodeHasIt)
+{
+	ASSERT_EQ(store.jackdaw("apply " + manifest(1000)).code, CLI_OK);
+	ASSERT_TRUE(jd::eventually([&] { return all_serve(); }));
+	jd::Result r =
+		store.jackdaw("--wait --timeout-s 60 apply " + manifest(1001));
+	EXPECT_EQ(r.code, CLI_OK) << r.out;
+	EXPECT_NE(r.out.find("in force on 3 nodes"), std::string::npos)
+		<< r.out;
+	long revision = n1.number("manifest_revision");
+	EXPECT_EQ(n2.number("manifest_revision"), revision);
+	EXPECT_EQ(n3.number("manifest_revision"), revision);
+}
+
+TEST_F(Rollout, APausedNodeIsNamedAndCatchesUp)
+{
+	ASSERT_EQ(store.jackdaw("apply " + manifest(1000)).code, CLI_OK);
+	ASSERT_TRUE(jd::eventually([&] { return all_serve(); }));
+	look();
+	kill(n3.daemon->pid, SIGSTOP);
+	jd::Result r =
+		store.jackdaw("--wait --timeout-s 0 apply " + manifest(1001));
+	EXPECT_EQ(r.code, CLI_LATE) << r.out;
+	EXPECT_NE(r.out.find("lags: r3 in b"), std::string::npos) << r.out;
+	kill(n3.daemon->pid, SIGCONT);
+	r = store.jackdaw("--wait --timeout-s 60 apply " + manifest(1001));
+	EXPECT_EQ(r.code, CLI_OK) << r.out;
+	EXPECT_NE(r.out.find("already in force"), std::string::npos) << r.out;
+	look();
+}
+
+TEST_F(Rollout, NothingGoesBackOverAnOutageAndARestartOfAll)
+{
+	ASSERT_EQ(store.jackdaw("apply " + manifest(1000)).code, CLI_OK);
+	ASSERT_TRUE(jd::eventually([&] { return all_serve(); }));
+	look();
+	store.fault("{\"down_ms\":600000}");
+	EXPECT_EQ(store.jackdaw("apply " + manifest(1001)).code, CLI_FAILED);
+	look();
+	store.fault("{}");
+	ASSERT_EQ(store.jackdaw("--wait --timeout-s 60 apply " + manifest(1002))
+			  .code,
+		  CLI_OK);
+	look();
+	for (jd::Node *n : {&n1, &n2, &n3})
+		n->start();
+	EXPECT_TRUE(jd::eventually([&] {
+		look();
+		return all_serve();
+	}));
+	jd::Result r = store.jackdaw("diff " + manifest(1002));
+	EXPECT_NE(r.out.find("no change"), std::string::npos) << r.out;
+}
+
+// A node cut off from a change by a pause, restarted while the store is
+// down, must not bring the older manifest back when all is well again.
+TEST_F(Rollout, AReturningNodeBringsNothingOld)
+{
+	ASSERT_EQ(store.jackdaw("apply " + manifest(1000)).code, CLI_OK);
+	ASSERT_TRUE(jd::eventually([&] { return all_serve(); }));
+	kill(n2.daemon->pid, SIGSTOP);
+	ASSERT_EQ(store.jackdaw("apply " + manifest(1001)).code, CLI_OK);
+	long wanted = 0;
+	ASSERT_TRUE(jd::eventually([&] {
+		wanted = n1.number("manifest_revision");
+		return wanted == n3.number("manifest_revision") &&
+		       store.jackdaw("diff " + manifest(1001))
+				       .out.find("revision " +
+						 std::to_string(wanted)) !=
+			       std::string::npos;
+	}));
+	look();
+	store.fault("{\"down_ms\":1500}");
+	kill(n2.daemon->pid, SIGCONT);
+	EXPECT_TRUE(jd::eventually([&] {
+		look();
+		return n2.number("manifest_revision") == wanted && all_serve();
+	}));
+	EXPECT_EQ(n1.number("manifest_revision"), wanted);
+}
