Requests: true not_run, no late copy runs, home regions at every place

Cause: reading the request core against its promises showed these faults. - An idempotent request whose attempt ended as unknown was held for another one; when the deadline came first, or a later attempt was refused, the caller was told not_run although an upstream may have run it. - A gate forgot an attempt at its deadline, and a copy of the forward got a new deadline on arrival: a copy that came later ran again. - Messages from incarnation 0 passed the check of the answering node. - A held request could be sent again after its deadline, until the next expiry scan. - The home regions of the organisation were checked at the entry only, and an unknown organisation was bound by nothing. Owners outside the home regions of a request still got it. - A caller could set X-Request-Id, X-Fence and X-Deadline-Ms towards the upstream. A broken deadline header was ignored. - A gate whose view lags refused a new route for good.

Change: an entry remembers that an attempt may have run; not_run becomes unknown then, and an invariant stops a second attempt of a non-idempotent one. Forwards carry a sequence number of their sender's process; each gate keeps an anti-replay window a sender (core/replay), which outlives the deadlines. A copy gets no answer, as the first one's attempt would be taken for not run. core/home_region answers for route and organisation together, at entry, choice of the gate, each retry and gate. Attempts end 20 ms (at most an eighth) before the caller's deadline, so that a late not_run still reaches the caller. Kept requests are bounded in bytes too. Replies without an answer are counted by reason.

Proof: fakes/request_world runs four whole nodes in virtual time with lost, doubled, late and stray messages, upstream faults, moving owners, lapsed leases and restarts.

--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 # Targets for people and CI; the build itself is CMakeLists.txt.
 JOBS ?= $(shell nproc)
 
-.PHONY: all deps build test lint format demo chaos clean
+.PHONY: all deps build test lint format demo chaos request-soak clean
 
 all: build
 
@@ -33,5 +33,9 @@
 	build/chaos --bin build --manifest examples/chaos.toml \
 		--seed $(SEED) --duration-s $(DURATION_S)
 
+# Randomised runs of the request core: make request-soak SEED=1 STEPS=50
+request-soak: build
+	build/bench-request_soak $(SEED) $(or $(STEPS),50)
+
 clean:
 	rm -rf build build-test build-cmake.log
--- a/core/action.h
+++ b/core/action.h
@@ -47,7 +47,9 @@
 	enum outcome outcome;
 	enum refusal refusal;
 	char served_by[JD_NAME_MAX];
-	uint32_t retry_after_s; /* 0: none */
+	uint32_t retry_after_s;	      /* 0: none */
+	char region[JD_NAME_MAX];     /* that may serve it; empty: any */
+	char entry_addr[JD_ADDR_MAX]; /* of a node there, for callers */
 	struct http_answer *answer;
 };
 
--- a/core/event.h
+++ b/core/event.h
@@ -32,8 +32,6 @@
 struct ev_request {
 	uint64_t caller; /* handle of the connection, for the reply */
 	struct http_request *request; /* the core takes it */
-	/* Deadline on our clock, or 0 when the caller names none. */
-	uint64_t deadline_ns;
 };
 
 struct ev_caller_gone {
--- a/core/gate.c
+++ b/core/gate.c
@@ -3,6 +3,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "core/home_region.h"
 #include "core/invariant.h"
 #include "core/mem.h"
 
@@ -20,6 +21,7 @@
 	list_init(&g->queue);
 	list_init(&g->routes);
 	list_init(&g->results);
+	replay_init(&g->replay);
 	g->next_call = 1;
 }
 
@@ -48,6 +50,7 @@
 	}
 	while ((res = gate_pop(g)))
 		gate_result_delete(res);
+	replay_done(&g->replay);
 }
 
 struct gate_result *gate_pop(struct gate *g)
@@ -188,23 +191,25 @@
 			  const struct msg_forward *f)
 {
 	const struct manifest *m = view_manifest(&c->view);
-	const struct route *r = m ? manifest_route(m, f->route) : NULL;
+	enum refusal refusal;
+	struct home home;
 
 	if (!m)
 		return REFUSAL_NO_MANIFEST;
-	if (!r)
-		return REFUSAL_NO_ROUTE;
-	if (!region_set_allows(&r->home_regions, c->opts->region))
+	refusal = home_find(&home, m, f->route, f->organisation);
+	if (refusal != REFUSAL_NONE)
+		return refusal;
+	if (!home_allows(&home, c->opts->region))
 		return REFUSAL_HOME_REGION;
 	if (!g->upstream.instance ||
-	    strcmp(g->upstream.service, r->service) != 0)
+	    strcmp(g->upstream.service, home.route->service) != 0)
 		return REFUSAL_UPSTREAM_DOWN;
 	if (!lease_valid(lease, c->now_ns))
 		return REFUSAL_NO_LEASE;
 	if (c->now_ns >= gc->deadline_ns)
 		return REFUSAL_DEADLINE;
-	return r->kind == ROUTE_KEYED ? check_keyed(g, c, gc, f->key)
-				      : REFUSAL_NONE;
+	return home.route->kind == ROUTE_KEYED ? check_keyed(g, c, gc, f->key)
+					       : REFUSAL_NONE;
 }
 
 static void start(struct gate *g, struct ctx *c, struct gate_call *gc,
@@ -234,7 +239,9 @@
 	enum refusal refusal;
 	struct local_shard *sh;
 
-	if (gc) {
+	/* No answer to a copy: it would be taken for the first one's. */
+	if (gc || (from != c->boot &&
+		   !replay_accept(&g->replay, from, f->sequence, c->now_ns))) {
 		g->doubled++;
 		return;
 	}
--- a/core/gate.h
+++ b/core/gate.h
@@ -7,6 +7,7 @@
 
 #include "core/ctx.h"
 #include "core/lease.h"
+#include "core/replay.h"
 
 #define GATE_BUCKETS 1024
 
@@ -60,6 +61,7 @@
 	struct list queue;		   /* of struct gate_call */
 	struct list routes;		   /* of struct gate_route */
 	struct list results;		   /* of struct gate_result */
+	struct replay replay;		   /* of forwards from others */
 	uint32_t running;
 	uint32_t waiting;
 	uint64_t next_call;
--- a/core/http.c
+++ b/core/http.c
@@ -13,16 +13,29 @@
 	p->body = NULL;
 }
 
+static void header_delete(struct header *h)
+{
+	list_remove(&h->link);
+	free(h->name);
+	free(h->value);
+	free(h);
+}
+
+void payload_strip(struct payload *p, const char *prefix)
+{
+	struct header *h, *tmp;
+
+	list_for_each_entry_safe(h, tmp, &p->headers, link)
+		if (!strncasecmp(h->name, prefix, strlen(prefix)))
+			header_delete(h);
+}
+
 void payload_done(struct payload *p)
 {
 	struct header *h, *tmp;
 
-	list_for_each_entry_safe(h, tmp, &p->headers, link) {
-		list_remove(&h->link);
-		free(h->name);
-		free(h->value);
-		free(h);
-	}
+	list_for_each_entry_safe(h, tmp, &p->headers, link)
+		header_delete(h);
 	free(p->body);
 	p->body = NULL;
 	p->body_len = 0;
--- a/core/http.h
+++ b/core/http.h
@@ -34,6 +34,8 @@
 void payload_add_header(struct payload *p, const char *name, const char *value);
 /** Value of header @name, any case; NULL for none. */
 const char *payload_header(const struct payload *p, const char *name);
+/** Removes the headers whose name starts with @prefix, any case. */
+void payload_strip(struct payload *p, const char *prefix);
 /** Copies @len bytes in as the body. */
 void payload_set_body(struct payload *p, const void *body, size_t len);
 void payload_copy(struct payload *to, const struct payload *from);
--- a/core/message.h
+++ b/core/message.h
@@ -60,6 +60,7 @@
 struct msg_forward {
 	struct request_id id;
 	uint32_t attempt;
+	uint64_t sequence; /* of the sender's forwards; from 1 */
 	uint64_t time_left_ns;
 	char reply_to[JD_ADDR_MAX];
 	char route[JD_NAME_MAX];
--- a/core/node.c
+++ b/core/node.c
@@ -215,7 +215,7 @@
 {
 	struct ctx *c = &n->ctx;
 
-	if (m->to != c->self && m->to != c->boot) {
+	if (!m->from || (m->to != c->self && m->to != c->boot)) {
 		n->refused_messages++;
 		return;
 	}
--- a/core/refusal.h
+++ b/core/refusal.h
@@ -9,6 +9,8 @@
 	REFUSAL_BAD_REQUEST,
 	REFUSAL_NO_ROUTE,
 	REFUSAL_NO_KEY,
+	REFUSAL_BAD_DEADLINE,	 /* the header is no number in range */
+	REFUSAL_NO_ORGANISATION, /* the manifest does not have it */
 	REFUSAL_TOO_LARGE,
 	REFUSAL_HOME_REGION, /* may not be served from here */
 	REFUSAL_NO_MANIFEST, /* nothing accepted yet */
@@ -18,6 +20,7 @@
 	REFUSAL_NO_LEASE,    /* the owner may not pass it on */
 	REFUSAL_QUEUE_FULL,
 	REFUSAL_DEADLINE,	 /* it passed before anything ran */
+	REFUSAL_PEER_DOWN,	 /* the owner is not connected: not sent */
 	REFUSAL_UPSTREAM_DOWN,	 /* no connection: no byte was written */
 	REFUSAL_UPSTREAM_SHED,	 /* the upstream says it did not run it */
 	REFUSAL_LEAVING,	 /* the node drains */
--- a/core/request_key.c
+++ b/core/request_key.c
@@ -67,6 +67,34 @@
 	return false;
 }
 
+bool request_deadline(const struct http_request *r, uint64_t *ms)
+{
+	const char *p = payload_header(&r->payload, HEADER_DEADLINE_MS);
+
+	*ms = 0;
+	if (!p)
+		return true;
+	for (; *p >= '0' && *p <= '9'; p++) {
+		*ms = *ms * 10 + (uint64_t)(*p - '0');
+		if (*ms > DEADLINE_MAX_MS)
+			return false;
+	}
+	return !*p && *ms;
+}
+
+void request_strip(struct http_request *r)
+{
+	payload_strip(&r->payload, "X-Jackdaw-");
+	payload_strip(&r->payload, "X-Request-Id");
+	payload_strip(&r->payload, "X-Deadline-Ms");
+	payload_strip(&r->payload, "X-Fence");
+}
+
+void answer_strip(struct http_answer *a)
+{
+	payload_strip(&a->payload, "X-Jackdaw-");
+}
+
 bool request_idempotent(const struct http_request *r)
 {
 	static const char *const methods[] = {"GET", "HEAD", "OPTIONS", "PUT",
--- a/core/router.c
+++ b/core/router.c
@@ -3,14 +3,20 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "core/home_region.h"
 #include "core/invariant.h"
 #include "core/mem.h"
 #include "core/request_key.h"
 
-#define RETRY_NS      (20 * NS_PER_MS)
-#define EXPIRY_NS     (50 * NS_PER_MS)
-#define ENTRIES_MAX   20000
-#define RETRY_AFTER_S 1
+#define RETRY_NS	     (20 * NS_PER_MS)
+#define EXPIRY_NS	     (50 * NS_PER_MS)
+#define RETRY_AFTER_S	     1
+/*
+ * An attempt ends that much before the caller's deadline, so that a not_run
+ * at the last moment still reaches the caller: at most an eighth of the time.
+ */
+#define ANSWER_RESERVE_NS    (20 * NS_PER_MS)
+#define ANSWER_RESERVE_SHARE 8
 
 void router_init(struct router *r)
 {
@@ -19,6 +25,7 @@
 		list_init(&r->buckets[i]);
 	list_init(&r->held);
 	r->next_id = 1;
+	r->next_sequence = 1;
 }
 
 static void entry_delete(struct router *r, struct entry *e)
@@ -26,6 +33,7 @@
 	list_remove(&e->link);
 	list_remove(&e->held);
 	http_request_delete(e->request);
+	r->bytes -= e->bytes;
 	free(e);
 	r->count--;
 }
@@ -60,9 +68,32 @@
 	enum outcome outcome;
 	enum refusal refusal;
 	incarnation_t served_by;
+	const struct home *home;    /* of one that must go elsewhere; or NULL */
 	struct http_answer *answer; /* taken */
 };
 
+/* Tells the caller where its request may go. */
+static void name_home(const struct ctx *c, const struct home *home,
+		      struct act_reply *a)
+{
+	const char *region = home_permitted(home);
+	const struct doc *d = NULL;
+
+	if (!region)
+		return;
+	mem_copy_str(a->region, region, sizeof(a->region));
+	while ((d = view_next(&c->view, DOC_ROSTER, d))) {
+		const struct member *m;
+
+		if (strcmp(d->u.roster->region, region) != 0)
+			continue;
+		list_for_each_entry(m, &d->u.roster->members, link)
+			if (m->state == MEMBER_UP)
+				mem_copy_str(a->entry_addr, m->http_addr,
+					     sizeof(a->entry_addr));
+	}
+}
+
 static void reply(struct router *r, struct ctx *c, const struct reply *p)
 {
 	struct act_reply *a = &actions_add(c->out, ACT_REPLY)->u.reply;
@@ -77,21 +108,19 @@
 	if (p->outcome == OUTCOME_NOT_RUN &&
 	    refusal_find(p->refusal)->http_code == 503)
 		a->retry_after_s = RETRY_AFTER_S;
+	if (p->home)
+		name_home(c, p->home, a);
 	r->outcomes[p->outcome]++;
+	if (!p->answer)
+		r->reasons[p->refusal]++;
 }
 
-static void refuse(struct router *r, struct ctx *c, uint64_t caller,
-		   enum refusal refusal)
-{
-	reply(r, c,
-	      &(struct reply){.caller = caller,
-			      .outcome = OUTCOME_NOT_RUN,
-			      .refusal = refusal});
-}
-
+/* A not_run is true only if every attempt ended in one. */
 static void finish(struct router *r, struct ctx *c, struct entry *e,
 		   struct reply *p)
 {
+	if (e->may_have_run && p->outcome == OUTCOME_NOT_RUN)
+		p->outcome = OUTCOME_UNKNOWN;
 	p->caller = e->caller;
 	reply(r, c, p);
 	entry_delete(r, e);
@@ -108,18 +137,18 @@
 }
 
 static bool can_serve(const struct ctx *c, const struct roster *ro,
-		      const struct member *m, const struct route *route)
+		      const struct member *m, const struct home *home)
 {
 	const struct data_centre *dc =
 		manifest_data_centre(view_manifest(&c->view), ro->dc);
 
-	return m->state == MEMBER_UP && !strcmp(m->service, route->service) &&
-	       (!dc || dc->state == DC_IN) &&
-	       region_set_allows(&route->home_regions, ro->region);
+	return m->state == MEMBER_UP &&
+	       !strcmp(m->service, home->route->service) &&
+	       (!dc || dc->state == DC_IN) && home_allows(home, ro->region);
 }
 
 /* Any endpoint of the service: one at random, the own data centre first. */
-static incarnation_t choose_any(struct ctx *c, const struct route *route)
+static incarnation_t choose_any(struct ctx *c, const struct home *home)
 {
 	incarnation_t best = 0;
 	const struct doc *d = NULL;
@@ -131,7 +160,7 @@
 		list_for_each_entry(m, &d->u.roster->members, link) {
 			uint64_t rank = rng_next(&c->rng) >> 8;
 
-			if (!can_serve(c, d->u.roster, m, route))
+			if (!can_serve(c, d->u.roster, m, home))
 				continue;
 			if (!strcmp(d->u.roster->region, c->opts->region))
 				rank |= UINT64_C(1) << 57;
@@ -146,17 +175,15 @@
 	return best;
 }
 
-/* The gate for the next attempt; 0 and a reason when there is none. */
-static incarnation_t choose(struct ctx *c, const struct entry *e,
-			    const struct route *route, enum refusal *why)
+/* The owner of the entry's key; 0 and a reason when none may serve it. */
+static incarnation_t choose_owner(struct ctx *c, const struct entry *e,
+				  const struct home *home, enum refusal *why)
 {
-	const struct shard_map *map;
+	const struct shard_map *map = view_map(&c->view, home->route->name);
+	const struct roster *ro = NULL;
 	const struct shard *sh;
 
 	*why = REFUSAL_NO_OWNER;
-	if (route->kind == ROUTE_ANY)
-		return choose_any(c, route);
-	map = view_map(&c->view, route->name);
 	if (!map)
 		return 0;
 	sh = shard_map_find(map, e->key);
@@ -164,7 +191,32 @@
 		*why = REFUSAL_MOVING;
 		return 0;
 	}
-	return sh->owner;
+	if (!view_member(&c->view, sh->owner, &ro))
+		return 0;
+	return home_allows(home, ro->region) ? sh->owner : 0;
+}
+
+/* The gate for the next attempt; 0 and a reason when there is none. */
+static incarnation_t choose(struct ctx *c, const struct entry *e,
+			    const struct home *home, enum refusal *why)
+{
+	switch (home->route->kind) {
+	case ROUTE_KEYED:
+		return choose_owner(c, e, home, why);
+	case ROUTE_ANY:
+		*why = REFUSAL_NO_OWNER;
+		return choose_any(c, home);
+	}
+	return 0;
+}
+
+static uint64_t attempt_time_left(const struct entry *e, uint64_t now_ns)
+{
+	uint64_t left = e->deadline_ns - now_ns;
+	uint64_t reserve = left / ANSWER_RESERVE_SHARE;
+
+	return left -
+	       (reserve < ANSWER_RESERVE_NS ? reserve : ANSWER_RESERVE_NS);
 }
 
 static void fill_forward(struct msg_forward *f, const struct entry *e,
@@ -172,7 +224,7 @@
 {
 	f->id = e->id;
 	f->attempt = e->attempt;
-	f->time_left_ns = e->deadline_ns - c->now_ns;
+	f->time_left_ns = attempt_time_left(e, c->now_ns);
 	f->idempotent = e->idempotent;
 	mem_copy_str(f->reply_to, c->opts->peer_addr, sizeof(f->reply_to));
 	mem_copy_str(f->route, e->route, sizeof(f->route));
@@ -190,118 +242,186 @@
 	gate_run(g, c, lease, &f, c->boot);
 }
 
-static void run_remote(struct ctx *c, const struct entry *e,
+static void run_remote(struct router *r, struct ctx *c, const struct entry *e,
 		       const struct member *m)
 {
 	struct message *msg = message_new(MSG_FORWARD);
 
 	fill_forward(&msg->u.forward, e, c);
+	msg->u.forward.sequence = r->next_sequence++;
 	ctx_send(c, m->inc, m->peer_addr, msg);
 	msg->from = c->boot;
 }
 
+static void start_attempt(struct router *r, struct ctx *c, struct gate *g,
+			  const struct lease *lease, struct entry *e,
+			  const struct member *m)
+{
+	JD_INVARIANT(e->idempotent || !e->may_have_run,
+		     "id=%016lx-%lu attempt=%u", (unsigned long)e->id.node,
+		     (unsigned long)e->id.counter, e->attempt);
+	list_remove(&e->held);
+	e->state = ENTRY_FORWARDED;
+	e->at = m->inc;
+	e->attempt++;
+	e->revision = c->view.revision;
+	if (m->inc == c->self)
+		run_local(c, g, lease, e);
+	else
+		run_remote(r, c, e, m);
+}
+
+static void end_not_run(struct router *r, struct ctx *c, struct entry *e,
+			enum refusal why, const struct home *home)
+{
+	finish(r, c, e,
+	       &(struct reply){.outcome = OUTCOME_NOT_RUN,
+			       .refusal = why,
+			       .home = home});
+}
+
+/* Starts the next attempt, holds the entry or ends it. */
 static void dispatch(struct router *r, struct ctx *c, struct gate *g,
 		     const struct lease *lease, struct entry *e)
 {
 	const struct manifest *mf = view_manifest(&c->view);
-	const struct route *route = mf ? manifest_route(mf, e->route) : NULL;
-	enum refusal why = REFUSAL_NO_ROUTE;
-	incarnation_t to = route ? choose(c, e, route, &why) : 0;
-	const struct member *m = view_member(&c->view, to, NULL);
-
-	if (!m) {
+	enum refusal why = REFUSAL_NO_MANIFEST;
+	const struct member *m;
+	struct home home;
+
+	if (c->now_ns >= e->deadline_ns) {
+		end_not_run(r, c, e,
+			    e->refusal == REFUSAL_NONE ? REFUSAL_DEADLINE
+						       : e->refusal,
+			    NULL);
+		return;
+	}
+	if (mf)
+		why = home_find(&home, mf, e->route, e->organisation);
+	if (why != REFUSAL_NONE) {
 		hold(r, c, e, why);
 		return;
 	}
-	list_remove(&e->held);
-	e->state = ENTRY_FORWARDED;
-	e->at = to;
-	e->attempt++;
-	e->revision = c->view.revision;
-	if (to == c->self)
-		run_local(c, g, lease, e);
+	if (!home_allows(&home, c->opts->region)) {
+		end_not_run(r, c, e, REFUSAL_HOME_REGION, &home);
+		return;
+	}
+	m = view_member(&c->view, choose(c, e, &home, &why), NULL);
+	if (m)
+		start_attempt(r, c, g, lease, e, m);
 	else
-		run_remote(c, e, m);
+		hold(r, c, e, why);
+}
+
+/* What the checks of a new request found out. */
+struct intake {
+	struct home home;
+	uint64_t timeout_ms;
+	char key[JD_KEY_MAX];
+};
+
+/* The name that the caller gives, empty for none. */
+static const char *organisation(const struct http_request *req)
+{
+	const char *name = payload_header(&req->payload, HEADER_ORGANISATION);
+
+	return name ? name : "";
+}
+
+static size_t request_bytes(const struct http_request *req)
+{
+	return sizeof(struct entry) + strlen(req->target) +
+	       req->payload.body_len;
 }
 
 static struct entry *entry_new(struct router *r, struct ctx *c,
-			       const struct route *route, struct ev_request *ev)
+			       const struct intake *in, struct ev_request *ev)
 {
 	struct entry *e = mem_new(struct entry);
-	const char *org =
-		payload_header(&ev->request->payload, HEADER_ORGANISATION);
 
 	list_init(&e->held);
 	e->id.node = c->boot;
 	e->id.counter = r->next_id++;
 	e->caller = ev->caller;
 	e->idempotent = request_idempotent(ev->request);
-	mem_copy_str(e->route, route->name, sizeof(e->route));
-	if (org)
-		mem_copy_str(e->organisation, org, sizeof(e->organisation));
-	e->deadline_ns = c->now_ns + route->timeout_ms * NS_PER_MS;
-	if (ev->deadline_ns && ev->deadline_ns < e->deadline_ns)
-		e->deadline_ns = ev->deadline_ns;
+	mem_copy_str(e->route, in->home.route->name, sizeof(e->route));
+	mem_copy_str(e->key, in->key, sizeof(e->key));
+	mem_copy_str(e->organisation, organisation(ev->request),
+		     sizeof(e->organisation));
+	e->deadline_ns = c->now_ns + in->timeout_ms * NS_PER_MS;
 	e->request = ev->request;
 	ev->request = NULL;
+	request_strip(e->request);
+	e->bytes = request_bytes(e->request);
 	list_push_back(bucket(r, e->id.counter), &e->link);
 	r->count++;
+	r->bytes += e->bytes;
 	return e;
 }
 
+static enum refusal check_key(const struct http_request *req, struct intake *in)
+{
+	const struct route *route = in->home.route;
+
+	if (route->kind == ROUTE_KEYED &&
+	    !request_key(req, &route->key, in->key, sizeof(in->key)))
+		return REFUSAL_NO_KEY;
+	if (!request_deadline(req, &in->timeout_ms))
+		return REFUSAL_BAD_DEADLINE;
+	if (!in->timeout_ms || in->timeout_ms > route->timeout_ms)
+		in->timeout_ms = route->timeout_ms;
+	return REFUSAL_NONE;
+}
+
 static enum refusal check_request(const struct router *r, const struct ctx *c,
-				  const struct ev_request *ev,
-				  const struct route **route, char *key)
+				  const struct http_request *req,
+				  struct intake *in)
 {
 	const struct manifest *mf = view_manifest(&c->view);
-	const struct organisation *o;
-	const char *org;
+	const struct route *route;
+	enum refusal why;
 
 	if (r->leaving)
 		return REFUSAL_LEAVING;
 	if (!mf)
 		return REFUSAL_NO_MANIFEST;
-	*route = manifest_match(mf, ev->request->target);
-	if (!*route)
+	route = manifest_match(mf, req->target);
+	if (!route)
 		return REFUSAL_NO_ROUTE;
-	if (ev->request->payload.body_len > (*route)->max_body_bytes)
+	why = home_find(&in->home, mf, route->name, organisation(req));
+	if (why != REFUSAL_NONE)
+		return why;
+	if (!home_allows(&in->home, c->opts->region))
+		return REFUSAL_HOME_REGION;
+	if (req->payload.body_len > route->max_body_bytes)
 		return REFUSAL_TOO_LARGE;
-	if (r->count >= ENTRIES_MAX)
+	if (r->count >= ROUTER_ENTRIES_MAX ||
+	    r->bytes + request_bytes(req) > ROUTER_BYTES_MAX)
 		return REFUSAL_QUEUE_FULL;
-	org = payload_header(&ev->request->payload, HEADER_ORGANISATION);
-	o = org ? manifest_organisation(mf, org) : NULL;
-	if (!region_set_allows(&(*route)->home_regions, c->opts->region) ||
-	    (o && !region_set_allows(&o->home_regions, c->opts->region)))
-		return REFUSAL_HOME_REGION;
-	if ((*route)->kind == ROUTE_KEYED &&
-	    !request_key(ev->request, &(*route)->key, key, JD_KEY_MAX))
-		return REFUSAL_NO_KEY;
-	return REFUSAL_NONE;
+	return check_key(req, in);
 }
 
 void router_on_request(struct router *r, struct ctx *c, struct gate *g,
 		       const struct lease *lease, struct ev_request *ev)
 {
-	const struct route *route = NULL;
-	char key[JD_KEY_MAX] = "";
-	enum refusal refusal = check_request(r, c, ev, &route, key);
+	struct intake in = {0};
+	enum refusal why = check_request(r, c, ev->request, &in);
 	struct entry *e;
 
 	r->requests++;
-	if (refusal != REFUSAL_NONE) {
-		refuse(r, c, ev->caller, refusal);
+	if (why != REFUSAL_NONE) {
+		reply(r, c,
+		      &(struct reply){.caller = ev->caller,
+				      .outcome = OUTCOME_NOT_RUN,
+				      .refusal = why,
+				      .home = why == REFUSAL_HOME_REGION
+						      ? &in.home
+						      : NULL});
 		http_request_delete(ev->request);
 		ev->request = NULL;
 		return;
 	}
-	e = entry_new(r, c, route, ev);
-	mem_copy_str(e->key, key, sizeof(e->key));
-	if (e->deadline_ns <= c->now_ns) {
-		finish(r, c, e,
-		       &(struct reply){.outcome = OUTCOME_NOT_RUN,
-				       .refusal = REFUSAL_DEADLINE});
-		return;
-	}
+	e = entry_new(r, c, &in, ev);
 	dispatch(r, c, g, lease, e);
 }
 
@@ -329,10 +449,14 @@
 		a->answer = NULL;
 		return;
 	}
+	if (a->outcome == OUTCOME_UNKNOWN)
+		e->may_have_run = true;
 	if (may_retry(e, a, c)) {
 		hold(r, c, e, a->refusal);
 		return;
 	}
+	if (a->answer)
+		answer_strip(a->answer);
 	finish(r, c, e,
 	       &(struct reply){.outcome = a->outcome,
 			       .refusal = a->refusal,
@@ -410,6 +534,7 @@
 			if (e->state != ENTRY_FORWARDED || !e->idempotent ||
 			    view_member(&c->view, e->at, NULL))
 				continue;
+			e->may_have_run = true;
 			hold(r, c, e, REFUSAL_NO_OWNER);
 		}
 	}
--- a/core/router.h
+++ b/core/router.h
@@ -5,7 +5,10 @@
 #include "core/ctx.h"
 #include "core/gate.h"
 
-#define ROUTER_BUCKETS 1024
+#define ROUTER_BUCKETS	   1024
+/* Bounds on what one entry keeps; past them it refuses. */
+#define ROUTER_ENTRIES_MAX 20000
+#define ROUTER_BYTES_MAX   (UINT64_C(64) << 20)
 
 enum entry_state {
 	ENTRY_HELD,	 /* waits for an owner or for the next attempt */
@@ -21,6 +24,8 @@
 	enum entry_state state;
 	uint32_t attempt;
 	bool idempotent;
+	bool may_have_run; /* an earlier attempt ended without a not_run */
+	size_t bytes;	   /* counted in router.bytes */
 	char route[JD_NAME_MAX];
 	char key[JD_KEY_MAX];
 	char organisation[JD_NAME_MAX];
@@ -36,12 +41,15 @@
 	struct list buckets[ROUTER_BUCKETS]; /* of struct entry */
 	struct list held;		     /* of struct entry */
 	uint64_t next_id;
+	uint64_t next_sequence; /* of forwards to other nodes */
 	uint32_t count;
-	bool leaving; /* takes no new requests */
+	uint64_t bytes; /* of requests kept */
+	bool leaving;	/* takes no new requests */
 	uint64_t next_expiry_ns;
 	uint64_t requests;
 	uint64_t outcomes[OUTCOME_COUNT];
-	uint64_t unmatched; /* answers to nothing we wait for */
+	uint64_t reasons[REFUSAL_COUNT]; /* of replies without an answer */
+	uint64_t unmatched;		 /* answers to nothing we wait for */
 };
 
 void router_init(struct router *r);
--- a/io/front.c
+++ b/io/front.c
@@ -16,7 +16,6 @@
 
 #define CALLER_BUCKETS	     1024
 #define MAX_HEADERS_BYTES    (32 << 10)
-#define DEADLINE_MAX_MS	     600000
 #define CONNECTION_TIMEOUT_S 120
 
 struct front {
@@ -89,20 +88,6 @@
 	evbuffer_free(b);
 }
 
-static uint64_t deadline(const struct http_request *r, uint64_t now_ns)
-{
-	const char *text = payload_header(&r->payload, HEADER_DEADLINE_MS);
-	char *end;
-	unsigned long long ms;
-
-	if (!text)
-		return 0;
-	ms = strtoull(text, &end, 10);
-	if (*end || end == text || ms > DEADLINE_MAX_MS)
-		return 0;
-	return now_ns + ms * NS_PER_MS;
-}
-
 static void on_request(struct front *f, struct evhttp_request *req)
 {
 	struct http_request *r = http_from_evhttp(req);
@@ -115,7 +100,6 @@
 		return;
 	}
 	ev.u.request.caller = caller_new(f, req)->id;
-	ev.u.request.deadline_ns = deadline(r, ev.now_ns);
 	ev.u.request.request = r;
 	f->opts.on_event(f->opts.arg, &ev);
 }
--- a/io/status_page.c
+++ b/io/status_page.c
@@ -52,6 +52,21 @@
 	return line;
 }
 
+/* Appends one row a reason of replies without an answer. */
+static char *add_reasons(char *text, const struct node *n)
+{
+	for (int i = 0; i < REFUSAL_COUNT; i++) {
+		char *next =
+			text_new("%sjackdaw_reason_total{reason=\"%s\"} %lu\n",
+				 text, refusal_find((enum refusal)i)->name,
+				 (unsigned long)n->router.reasons[i]);
+
+		free(text);
+		text = next;
+	}
+	return text;
+}
+
 static char *metrics_text(const struct node *n, const struct peers_stats *p)
 {
 	const struct {
@@ -87,7 +102,7 @@
 		free(text);
 		text = next;
 	}
-	return text;
+	return add_reasons(text, n);
 }
 
 char *status_page(const struct node *n, const struct peers_stats *p,
--- /dev/null
+++ b/tests/router_test.cpp
@@ -0,0 +1,545 @@
+#include "jd_test.hpp"
+
+#include <vector>
+
+extern "C" {
+#include "core/invariant.h"
+#include "core/mem.h"
+#include "core/node.h"
+#include "core/text.h"
+#include "fakes/request_world.h"
+}
+
+static const incarnation_t OTHER = 77;
+static const uint64_t START_NS = 10 * NS_PER_S;
+static const uint64_t TIMEOUT_MS = 1000;
+
+static void to_stderr(const char *line)
+{
+	fprintf(stderr, "%s\n", line);
+}
+
+// One node "self" in region a and an entry of another node in region b.
+class Router : public ::testing::Test
+{
+protected:
+	void SetUp() override
+	{
+		struct node_opts o = {};
+
+		mem_copy_str(o.name, "self", sizeof(o.name));
+		mem_copy_str(o.dc, "dc-a", sizeof(o.dc));
+		mem_copy_str(o.region, "a", sizeof(o.region));
+		mem_copy_str(o.peer_addr, "self", sizeof(o.peer_addr));
+		o.timing = timing_default;
+		o.seed = 5;
+		n = node_new(&o);
+		n->membership.state = MEMBERSHIP_IN;
+		n->membership.heard_ns = START_NS;
+		lease_confirm(&n->membership.lease, START_NS, 3600 * NS_PER_S);
+		actions_init(&out);
+		apply_manifest();
+		apply_roster("dc-a", "a", "self", n->ctx.self);
+		apply_roster("dc-b", "b", "other", OTHER);
+		announce();
+	}
+
+	void TearDown() override
+	{
+		actions_done(&out);
+		node_delete(n);
+	}
+
+	static void bind(struct region_set *set, const char *region)
+	{
+		mem_copy_str(set->names[set->count++], region, JD_NAME_MAX);
+	}
+
+	struct route *add_route(struct manifest *m, const char *name,
+				enum route_kind kind)
+	{
+		struct route *r = manifest_add_route(m);
+
+		mem_copy_str(r->name, name, sizeof(r->name));
+		mem_copy_str(r->service, "svc", sizeof(r->service));
+		text_format(r->path, sizeof(r->path), "/%s/", name);
+		r->kind = kind;
+		r->key.source = KEY_PATH;
+		r->key.segment = 1;
+		r->shards = 1;
+		r->timeout_ms = TIMEOUT_MS;
+		r->max_body_bytes = 1000;
+		return r;
+	}
+
+	void apply_manifest()
+	{
+		struct doc *d = doc_new(DOC_MANIFEST, "");
+		struct organisation *o;
+
+		d->revision = ++revision;
+		d->u.manifest = manifest_new();
+		add_route(d->u.manifest, "keyed", ROUTE_KEYED);
+		bind(&add_route(d->u.manifest, "home-b", ROUTE_ANY)
+			      ->home_regions,
+		     "b");
+		bind(&add_route(d->u.manifest, "home-a", ROUTE_KEYED)
+			      ->home_regions,
+		     "a");
+		o = manifest_add_organisation(d->u.manifest);
+		mem_copy_str(o->name, "org-a", sizeof(o->name));
+		bind(&o->home_regions, "a");
+		o = manifest_add_organisation(d->u.manifest);
+		mem_copy_str(o->name, "org-b", sizeof(o->name));
+		bind(&o->home_regions, "b");
+		view_apply(&n->ctx.view, d);
+	}
+
+	void apply_roster(const char *dc, const char *region, const char *name,
+			  incarnation_t inc)
+	{
+		struct doc *d = doc_new(DOC_ROSTER, dc);
+		struct member *m;
+
+		d->revision = ++revision;
+		d->u.roster = roster_new(dc, region);
+		if (inc) {
+			m = roster_add(d->u.roster, name, inc);
+			mem_copy_str(m->service, "svc", sizeof(m->service));
+			mem_copy_str(m->peer_addr, name, sizeof(m->peer_addr));
+			text_format(m->http_addr, sizeof(m->http_addr),
+				    "http-%s", name);
+			m->term = 1;
+		}
+		view_apply(&n->ctx.view, d);
+	}
+
+	void own(const char *route, incarnation_t owner)
+	{
+		struct doc *d = doc_new(DOC_MAP, route);
+		const struct shard_map *old = view_map(&n->ctx.view, route);
+
+		d->revision = ++revision;
+		d->u.map = shard_map_new(route, 1);
+		if (old)
+			d->u.map->shards[0] = old->shards[0];
+		shard_assign(&d->u.map->shards[0], owner);
+		view_apply(&n->ctx.view, d);
+	}
+
+	void announce()
+	{
+		struct event ev = {};
+
+		ev.kind = EV_ANNOUNCE;
+		mem_copy_str(ev.u.announce.service, "svc", JD_NAME_MAX);
+		ev.u.announce.instance = 1;
+		ev.u.announce.slots = 4;
+		ev.u.announce.connections = 4;
+		handle(&ev);
+	}
+
+	void handle(struct event *ev)
+	{
+		ev->now_ns = now_ns;
+		node_handle(n, ev, &out);
+	}
+
+	void tick(uint64_t after_ns)
+	{
+		struct event ev = {};
+
+		now_ns += after_ns;
+		ev.kind = EV_TICK;
+		handle(&ev);
+	}
+
+	// A request of caller 1; header may be NULL.
+	void ask(const char *method, const char *target,
+		 const char *header = NULL, const char *value = NULL,
+		 size_t body = 0)
+	{
+		std::string bytes(body, 'x');
+		struct event ev = {};
+
+		ev.kind = EV_REQUEST;
+		ev.u.request.caller = 1;
+		ev.u.request.request = http_request_new(method, target);
+		if (header)
+			payload_add_header(&ev.u.request.request->payload,
+					   header, value);
+		payload_set_body(&ev.u.request.request->payload, bytes.data(),
+				 bytes.size());
+		handle(&ev);
+	}
+
+	// The next action of that kind, those before it are dropped.
+	struct action *next(enum action_kind kind)
+	{
+		struct action *a;
+
+		while ((a = actions_pop(&out))) {
+			if (a->kind == kind)
+				return a;
+			action_delete(a);
+		}
+		return NULL;
+	}
+
+	struct action *next_message(enum message_kind kind)
+	{
+		struct action *a;
+
+		while ((a = next(ACT_SEND))) {
+			if (a->u.send.message->kind == kind)
+				return a;
+			action_delete(a);
+		}
+		return NULL;
+	}
+
+	// Expects one reply as named.
+	void expect_reply(enum outcome outcome, enum refusal refusal)
+	{
+		struct action *a = next(ACT_REPLY);
+
+		ASSERT_NE(a, nullptr);
+		EXPECT_EQ(a->u.reply.caller, 1u);
+		EXPECT_STREQ(outcome_name(a->u.reply.outcome),
+			     outcome_name(outcome));
+		EXPECT_STREQ(refusal_find(a->u.reply.refusal)->name,
+			     refusal_find(refusal)->name);
+		action_delete(a);
+	}
+
+	// The id and attempt of the next forward; attempt 0 for none.
+	struct msg_forward forwarded()
+	{
+		struct action *a = next_message(MSG_FORWARD);
+		struct msg_forward f = {};
+
+		if (!a)
+			return f;
+		f = a->u.send.message->u.forward;
+		f.request = NULL;
+		action_delete(a);
+		return f;
+	}
+
+	void answer(const struct msg_forward &f, enum outcome outcome,
+		    enum refusal refusal, incarnation_t from = OTHER)
+	{
+		struct event ev = {};
+		struct message *m = message_new(MSG_ANSWER);
+
+		m->from = from;
+		m->to = n->ctx.boot;
+		m->u.answer.id = f.id;
+		m->u.answer.attempt = f.attempt;
+		m->u.answer.outcome = outcome;
+		m->u.answer.refusal = refusal;
+		if (outcome == OUTCOME_DONE)
+			m->u.answer.answer = http_answer_new(200);
+		ev.kind = EV_MESSAGE;
+		ev.u.message = m;
+		handle(&ev);
+	}
+
+	// A forward from OTHER as its gate gets it.
+	void forward_in(uint64_t counter, uint64_t sequence,
+			const char *organisation = "",
+			const char *route = "keyed")
+	{
+		struct event ev = {};
+		struct message *m = message_new(MSG_FORWARD);
+		struct msg_forward *f = &m->u.forward;
+
+		m->from = OTHER;
+		m->to = n->ctx.self;
+		f->id = {OTHER, counter};
+		f->attempt = 1;
+		f->sequence = sequence;
+		f->time_left_ns = 100 * NS_PER_MS;
+		mem_copy_str(f->reply_to, "other", sizeof(f->reply_to));
+		mem_copy_str(f->route, route, sizeof(f->route));
+		mem_copy_str(f->key, "k", sizeof(f->key));
+		mem_copy_str(f->organisation, organisation,
+			     sizeof(f->organisation));
+		f->request = http_request_new("POST", "/keyed/k");
+		ev.kind = EV_MESSAGE;
+		ev.u.message = m;
+		handle(&ev);
+	}
+
+	void upstream_done(uint64_t call)
+	{
+		struct event ev = {};
+
+		ev.kind = EV_UPSTREAM_ANSWER;
+		ev.u.upstream_answer.call = call;
+		ev.u.upstream_answer.outcome = OUTCOME_DONE;
+		ev.u.upstream_answer.answer = http_answer_new(200);
+		handle(&ev);
+	}
+
+	struct node *n;
+	struct actions out;
+	uint64_t now_ns = START_NS;
+	revision_t revision = 0;
+};
+
+TEST_F(Router, ALateAnswerOfAnEarlierAttemptIsDropped)
+{
+	own("keyed", OTHER);
+	ask("POST", "/keyed/k");
+	struct msg_forward first = forwarded();
+	ASSERT_EQ(first.attempt, 1u);
+	answer(first, OUTCOME_NOT_RUN, REFUSAL_NOT_OWNER);
+	tick(30 * NS_PER_MS);
+	struct msg_forward second = forwarded();
+	ASSERT_EQ(second.attempt, 2u);
+	answer(first, OUTCOME_DONE, REFUSAL_NONE);
+	EXPECT_EQ(next(ACT_REPLY), nullptr);
+	EXPECT_EQ(n->router.unmatched, 1u);
+	answer(second, OUTCOME_DONE, REFUSAL_NONE);
+	expect_reply(OUTCOME_DONE, REFUSAL_NONE);
+	answer(second, OUTCOME_DONE, REFUSAL_NONE);
+	EXPECT_EQ(next(ACT_REPLY), nullptr);
+	EXPECT_EQ(n->router.unmatched, 2u);
+}
+
+TEST_F(Router, AnAnswerOfAnotherNodeOrOfNobodyIsDropped)
+{
+	own("keyed", OTHER);
+	ask("POST", "/keyed/k");
+	struct msg_forward f = forwarded();
+	answer(f, OUTCOME_DONE, REFUSAL_NONE, OTHER + 1);
+	answer(f, OUTCOME_DONE, REFUSAL_NONE, 0);
+	EXPECT_EQ(next(ACT_REPLY), nullptr);
+	EXPECT_EQ(n->router.unmatched, 1u);
+	EXPECT_EQ(n->refused_messages, 1u);
+}
+
+// An idempotent request that may have run was called not_run before.
+TEST_F(Router, NotRunIsNotSaidAfterAnAttemptThatMayHaveRun)
+{
+	own("keyed", OTHER);
+	ask("PUT", "/keyed/k");
+	answer(forwarded(), OUTCOME_UNKNOWN, REFUSAL_CONNECTION_LOST);
+	tick(30 * NS_PER_MS);
+	answer(forwarded(), OUTCOME_NOT_RUN, REFUSAL_QUEUE_FULL);
+	expect_reply(OUTCOME_UNKNOWN, REFUSAL_QUEUE_FULL);
+}
+
+TEST_F(Router, AHeldRequestWhoseGateWasLostExpiresAsUnknown)
+{
+	own("keyed", OTHER);
+	ask("GET", "/keyed/k");
+	ASSERT_EQ(forwarded().attempt, 1u);
+	apply_roster("dc-b", "b", "other", 0);
+	tick(100 * NS_PER_MS);
+	tick(TIMEOUT_MS * NS_PER_MS);
+	expect_reply(OUTCOME_UNKNOWN, REFUSAL_NO_OWNER);
+}
+
+TEST_F(Router, ANonIdempotentRequestIsNotSentAgainAfterUnknown)
+{
+	own("keyed", OTHER);
+	ask("POST", "/keyed/k");
+	answer(forwarded(), OUTCOME_UNKNOWN, REFUSAL_CONNECTION_LOST);
+	expect_reply(OUTCOME_UNKNOWN, REFUSAL_CONNECTION_LOST);
+	tick(100 * NS_PER_MS);
+	EXPECT_EQ(forwarded().attempt, 0u);
+}
+
+TEST_F(Router, SilenceUntilTheDeadlineIsUnknown)
+{
+	own("keyed", OTHER);
+	ask("POST", "/keyed/k");
+	struct msg_forward f = forwarded();
+	tick(TIMEOUT_MS * NS_PER_MS);
+	expect_reply(OUTCOME_UNKNOWN, REFUSAL_NO_ANSWER);
+	answer(f, OUTCOME_DONE, REFUSAL_NONE);
+	EXPECT_EQ(next(ACT_REPLY), nullptr);
+}
+
+TEST_F(Router, AnAttemptEndsBeforeTheCallersDeadline)
+{
+	own("keyed", OTHER);
+	ask("POST", "/keyed/k");
+	EXPECT_EQ(forwarded().time_left_ns, (TIMEOUT_MS - 20) * NS_PER_MS);
+	ask("POST", "/keyed/k", "X-Jackdaw-Deadline-Ms", "80");
+	EXPECT_EQ(forwarded().time_left_ns, 70 * NS_PER_MS);
+}
+
+TEST_F(Router, ARequestThatWasNeverSentOutIsNotRun)
+{
+	own("keyed", OTHER);
+	ask("POST", "/keyed/k");
+	answer(forwarded(), OUTCOME_NOT_RUN, REFUSAL_PEER_DOWN);
+	tick(30 * NS_PER_MS);
+	EXPECT_EQ(forwarded().attempt, 2u);
+	tick(100 * NS_PER_MS);
+}
+
+TEST_F(Router, AHeldRequestPastItsDeadlineIsNotSent)
+{
+	ask("POST", "/keyed/k");
+	own("keyed", OTHER);
+	tick(TIMEOUT_MS * NS_PER_MS + 1);
+	expect_reply(OUTCOME_NOT_RUN, REFUSAL_NO_OWNER);
+	EXPECT_EQ(n->router.count, 0u);
+}
+
+// The gate's memory of the id is gone by then; the window is not.
+TEST_F(Router, ACopyLongAfterTheFirstDoesNotRun)
+{
+	own("keyed", n->ctx.self);
+	forward_in(1, 1);
+	struct action *a = next(ACT_UPSTREAM_CALL);
+	ASSERT_NE(a, nullptr);
+	upstream_done(a->u.call.call);
+	action_delete(a);
+	actions_done(&out);
+	tick(60 * NS_PER_S);
+	forward_in(1, 1);
+	EXPECT_EQ(next(ACT_UPSTREAM_CALL), nullptr);
+	EXPECT_EQ(next_message(MSG_ANSWER), nullptr);
+	EXPECT_EQ(n->gate.doubled, 1u);
+	forward_in(2, 2);
+	a = next(ACT_UPSTREAM_CALL);
+	EXPECT_NE(a, nullptr);
+	if (a)
+		action_delete(a);
+}
+
+TEST_F(Router, TheGateChecksTheOrganisationsHomeToo)
+{
+	own("keyed", n->ctx.self);
+	forward_in(1, 1, "org-b");
+	struct action *a = next_message(MSG_ANSWER);
+	ASSERT_NE(a, nullptr);
+	EXPECT_EQ(a->u.send.message->u.answer.outcome, OUTCOME_NOT_RUN);
+	EXPECT_EQ(a->u.send.message->u.answer.refusal, REFUSAL_HOME_REGION);
+	action_delete(a);
+	forward_in(2, 2, "nobody");
+	a = next_message(MSG_ANSWER);
+	ASSERT_NE(a, nullptr);
+	EXPECT_EQ(a->u.send.message->u.answer.refusal, REFUSAL_NO_ORGANISATION);
+	action_delete(a);
+}
+
+TEST_F(Router, AnEntryOutsideTheHomeRefusesAndNamesOneInside)
+{
+	ask("GET", "/home-b/x");
+	struct action *a = next(ACT_REPLY);
+	ASSERT_NE(a, nullptr);
+	EXPECT_EQ(a->u.reply.refusal, REFUSAL_HOME_REGION);
+	EXPECT_STREQ(a->u.reply.region, "b");
+	EXPECT_STREQ(a->u.reply.entry_addr, "http-other");
+	action_delete(a);
+	EXPECT_EQ(n->router.count, 0u);
+	ask("GET", "/keyed/x", "X-Jackdaw-Organisation", "org-b");
+	expect_reply(OUTCOME_NOT_RUN, REFUSAL_HOME_REGION);
+}
+
+TEST_F(Router, AnOwnerOutsideTheHomeGetsNothing)
+{
+	own("keyed", OTHER);
+	own("home-a", OTHER);
+	ask("GET", "/home-a/x");
+	ask("GET", "/keyed/x", "X-Jackdaw-Organisation", "org-a");
+	EXPECT_EQ(forwarded().attempt, 0u);
+	EXPECT_EQ(n->router.count, 2u);
+}
+
+TEST_F(Router, AHeldRequestIsNotKeptOnceItsHomeMoves)
+{
+	ask("GET", "/home-a/x");
+	ASSERT_EQ(n->router.count, 1u);
+	struct doc *d = doc_new(DOC_MANIFEST, "");
+	d->revision = ++revision;
+	d->u.manifest = manifest_new();
+	bind(&add_route(d->u.manifest, "home-a", ROUTE_KEYED)->home_regions,
+	     "b");
+	view_apply(&n->ctx.view, d);
+	tick(30 * NS_PER_MS);
+	expect_reply(OUTCOME_NOT_RUN, REFUSAL_HOME_REGION);
+	EXPECT_EQ(n->router.count, 0u);
+}
+
+TEST_F(Router, BadRequestsAreRefusedWithTheirReason)
+{
+	ask("GET", "/nowhere");
+	expect_reply(OUTCOME_NOT_RUN, REFUSAL_NO_ROUTE);
+	ask("GET", "/keyed/");
+	expect_reply(OUTCOME_NOT_RUN, REFUSAL_NO_KEY);
+	ask("GET", "/keyed/k", "X-Jackdaw-Deadline-Ms", "soon");
+	expect_reply(OUTCOME_NOT_RUN, REFUSAL_BAD_DEADLINE);
+	ask("GET", "/keyed/k", "X-Jackdaw-Organisation", "nobody");
+	expect_reply(OUTCOME_NOT_RUN, REFUSAL_NO_ORGANISATION);
+	ask("POST", "/keyed/k", NULL, NULL, 1001);
+	expect_reply(OUTCOME_NOT_RUN, REFUSAL_TOO_LARGE);
+	EXPECT_EQ(n->router.reasons[REFUSAL_NO_ROUTE], 1u);
+	EXPECT_EQ(n->router.reasons[REFUSAL_TOO_LARGE], 1u);
+	EXPECT_EQ(n->router.outcomes[OUTCOME_NOT_RUN], 5u);
+	EXPECT_EQ(n->router.count, 0u);
+}
+
+TEST_F(Router, WhatItKeepsIsBounded)
+{
+	n->router.bytes = ROUTER_BYTES_MAX - 100;
+	ask("POST", "/keyed/k", NULL, NULL, 900);
+	expect_reply(OUTCOME_NOT_RUN, REFUSAL_QUEUE_FULL);
+	n->router.bytes = 0;
+	ask("POST", "/keyed/k", NULL, NULL, 900);
+	EXPECT_GT(n->router.bytes, 900u);
+	tick(TIMEOUT_MS * NS_PER_MS);
+	EXPECT_EQ(n->router.bytes, 0u);
+}
+
+TEST_F(Router, ACallerThatGoesAwayCancelsItsAttempt)
+{
+	struct event ev = {};
+
+	own("keyed", OTHER);
+	ask("POST", "/keyed/k");
+	struct msg_forward f = forwarded();
+	ev.kind = EV_CALLER_GONE;
+	ev.u.caller_gone.caller = 1;
+	handle(&ev);
+	struct action *a = next_message(MSG_CANCEL);
+	ASSERT_NE(a, nullptr);
+	EXPECT_TRUE(request_id_equal(a->u.send.message->u.cancel.id, f.id));
+	action_delete(a);
+	EXPECT_EQ(n->router.count, 0u);
+}
+
+TEST(RouterWorld, PromisesHoldUnderFaults)
+{
+	struct request_world_opts o = request_world_default;
+
+	invariant_set_sink(to_stderr);
+	for (o.seed = 1; o.seed <= 4; o.seed++) {
+		struct request_world_result r = request_world_run(&o);
+
+		EXPECT_EQ(r.requests, o.requests);
+		EXPECT_GT(r.done, o.requests / 4);
+		EXPECT_GT(r.doubled, 0u);
+		EXPECT_GT(r.unmatched, 0u);
+	}
+}
+
+TEST(RouterWorld, WithoutFaultsEveryPermittedRequestIsDone)
+{
+	struct request_world_opts o = {};
+
+	o.seed = 9;
+	o.requests = 2000;
+	o.churn_ms = 1000000;
+	struct request_world_result r = request_world_run(&o);
+	EXPECT_EQ(r.unknown, 0u);
+	EXPECT_EQ(r.executed, r.done);
+	EXPECT_EQ(r.unmatched, 0u);
+	EXPECT_GT(r.done, o.requests / 2);
+}
--- a/wire/codec.c
+++ b/wire/codec.c
@@ -46,6 +46,7 @@
 	PACK_U64_OF(struct msg_forward, id.node),
 	PACK_U64_OF(struct msg_forward, id.counter),
 	PACK_U32_OF(struct msg_forward, attempt),
+	PACK_U64_OF(struct msg_forward, sequence),
 	PACK_U64_OF(struct msg_forward, time_left_ns),
 	PACK_STR_OF(struct msg_forward, reply_to),
 	PACK_STR_OF(struct msg_forward, route),
