--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 # Targets for people and CI; the build itself is CMakeLists.txt.
 JOBS ?= $(shell nproc)
 
-.PHONY: all deps build test lint format demo chaos recovery clean
+.PHONY: all deps build test lint format demo chaos recovery request-soak clean
 
 all: build
 
@@ -37,5 +37,9 @@
 recovery: build
 	build/recovery --bin build --manifest examples/chaos.toml
 
+# Randomised runs of the request core: make request-soak SEED=1 STEPS=50
+request-soak: build
+	build/bench-request_soak $(SEED) $(or $(STEPS),50)
+
 clean:
 	rm -rf build build-test build-cmake.log
