Admission: an adaptive limit, a bounded queue, fair shares

Cause: the gate let as many orders through as the upstream has slots and queued four times as many, first in first out. A cold upstream got its full load at once, one organisation could hold all slots and the whole queue, and waiting orders that could not make their deadline were run all the same.

The load report can only lower the limit. Calls at the upstream are found by an index instead of a scan of all buckets.

--- /dev/null
+++ b/core/admission.c
@@ -0,0 +1,389 @@
+#include "core/admission.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "core/invariant.h"
+#include "core/mem.h"
+
+#define SILENT_NS      (2500 * NS_PER_MS)
+#define DRAIN_GRACE_NS (2 * NS_PER_S)
+#define QUEUE_PER_SLOT 4
+#define SERVICE_SHARE  16 /* weight of one order in the average */
+#define LOAD_FULL      1000
+#define PEAK_NS	       NS_PER_S
+
+void admission_init(struct admission *a)
+{
+	memset(a, 0, sizeof(*a));
+	limiter_init(&a->limiter);
+	list_init(&a->orgs);
+	list_init(&a->dropped);
+}
+
+void admission_done(struct admission *a)
+{
+	struct org_queue *o, *tmp;
+
+	list_for_each_entry_safe(o, tmp, &a->orgs, link)
+		free(o);
+	list_init(&a->orgs);
+}
+
+void admission_announce(struct admission *a, const struct ev_announce *w,
+			uint64_t now_ns)
+{
+	uint32_t slots = w->slots;
+
+	if (w->connections && w->connections < slots)
+		slots = w->connections;
+	if (a->instance != w->instance || a->slots != slots)
+		limiter_reset(&a->limiter, slots, now_ns);
+	if (a->instance != w->instance)
+		a->drain_ns = 0;
+	a->instance = w->instance;
+	a->slots = slots;
+	a->load_permille = w->load_permille;
+	a->silent_ns = now_ns + SILENT_NS;
+	limiter_say_cold(&a->limiter, w->cold, now_ns);
+	if (!w->draining)
+		a->drain_ns = 0;
+	else if (!a->drain_ns)
+		a->drain_ns = now_ns + DRAIN_GRACE_NS;
+}
+
+/*
+ * Load that is not ours takes slots away. The report lags behind our own
+ * count, so it can only lower the limit, and not below a cold start's.
+ */
+static uint32_t limit_by_report(const struct admission *a, uint32_t limit)
+{
+	uint32_t ours = a->slots ? a->running * LOAD_FULL / a->slots : 0;
+	uint32_t floor = limiter_cold(a->slots);
+	uint32_t others, left;
+
+	if (a->load_permille <= LOAD_FULL * 9 / 10 || a->load_permille <= ours)
+		return limit;
+	others = a->load_permille - ours;
+	if (others > LOAD_FULL)
+		others = LOAD_FULL;
+	left = a->slots * (LOAD_FULL - others) / LOAD_FULL;
+	if (left < floor)
+		left = floor;
+	return left < limit ? left : limit;
+}
+
+uint32_t admission_limit(const struct admission *a, uint64_t now_ns)
+{
+	return limit_by_report(a, limiter_allows(&a->limiter, now_ns));
+}
+
+static struct org_queue *org_get(struct admission *a,
+				 const struct ticket_opts *opts)
+{
+	struct org_queue *o;
+
+	list_for_each_entry(o, &a->orgs, link)
+		if (!strcmp(o->name, opts->organisation))
+			goto found;
+	o = mem_new(struct org_queue);
+	mem_copy_str(o->name, opts->organisation, sizeof(o->name));
+	list_init(&o->tickets);
+	list_push_back(&a->orgs, &o->link);
+found:
+	o->weight = opts->weight ? opts->weight : 1;
+	return o;
+}
+
+/* Weights of all that have orders here, and of @also. */
+static uint32_t busy_weight(const struct admission *a,
+			    const struct org_queue *also)
+{
+	const struct org_queue *o;
+	uint32_t sum = 0;
+
+	list_for_each_entry(o, &a->orgs, link)
+		if (o->waiting || o->running || o == also)
+			sum += o->weight;
+	return sum;
+}
+
+/* Its part of @total by weight, at least one. */
+static uint32_t share(const struct admission *a, const struct org_queue *o,
+		      uint32_t total)
+{
+	uint32_t sum = busy_weight(a, o);
+	uint32_t n = sum ? total * o->weight / sum : 0;
+
+	return n ? n : 1;
+}
+
+static void unqueue(struct admission *a, struct ticket *t)
+{
+	list_remove(&t->link);
+	t->org->waiting--;
+	a->waiting--;
+	t->state = TICKET_IDLE;
+}
+
+static void drop(struct admission *a, struct ticket *t)
+{
+	unqueue(a, t);
+	list_push_back(&a->dropped, &t->link);
+	a->refused++;
+}
+
+/* The organisation furthest above its share of the queue. */
+static struct org_queue *greediest(const struct admission *a)
+{
+	struct org_queue *o, *worst = NULL;
+
+	list_for_each_entry(o, &a->orgs, link)
+		if (o->waiting &&
+		    (!worst || (uint64_t)o->waiting * worst->weight >
+				       (uint64_t)worst->waiting * o->weight))
+			worst = o;
+	return worst;
+}
+
+/* In a full queue an organisation below its share displaces another's. */
+static bool make_room(struct admission *a, const struct org_queue *o)
+{
+	uint32_t cap = QUEUE_PER_SLOT * a->slots;
+	struct org_queue *worst;
+
+	if (a->waiting < cap)
+		return true;
+	worst = greediest(a);
+	if (!worst || worst == o || o->waiting >= share(a, o, cap) ||
+	    worst->waiting <= share(a, worst, cap))
+		return false;
+	drop(a, list_entry(worst->tickets.prev, struct ticket, link));
+	return true;
+}
+
+/* Until its own orders ended it counts like the others. */
+static uint64_t service_ns(const struct admission *a, const struct org_queue *o)
+{
+	return o->service_ns ? o->service_ns : a->service_ns;
+}
+
+/* By the observed service time, orders ahead of it would make it late. */
+static bool would_be_late(const struct admission *a, const struct org_queue *o,
+			  uint64_t deadline_ns, uint64_t now_ns)
+{
+	uint32_t slots = share(a, o, admission_limit(a, now_ns));
+	uint64_t rounds = o->waiting / slots;
+
+	return now_ns + rounds * service_ns(a, o) >= deadline_ns;
+}
+
+static bool drained(const struct admission *a, bool any, uint64_t now_ns)
+{
+	return a->drain_ns && (any || now_ns >= a->drain_ns);
+}
+
+enum refusal admission_offer(struct admission *a, struct ticket *t,
+			     const struct ticket_opts *opts, uint64_t now_ns)
+{
+	struct org_queue *o = org_get(a, opts);
+	enum refusal why = REFUSAL_NONE;
+
+	if (!a->instance || now_ns >= a->silent_ns)
+		why = REFUSAL_UPSTREAM_DOWN;
+	else if (drained(a, opts->any, now_ns))
+		why = REFUSAL_LEAVING;
+	else if (now_ns >= opts->deadline_ns)
+		why = REFUSAL_DEADLINE;
+	else if (would_be_late(a, o, opts->deadline_ns, now_ns) ||
+		 !make_room(a, o))
+		why = REFUSAL_QUEUE_FULL;
+	if (why != REFUSAL_NONE) {
+		a->refused++;
+		return why;
+	}
+	if (!o->waiting && !o->running && o->used < a->clock)
+		o->used = a->clock;
+	t->org = o;
+	t->state = TICKET_WAITING;
+	t->deadline_ns = opts->deadline_ns;
+	list_push_back(&o->tickets, &t->link);
+	o->waiting++;
+	a->waiting++;
+	return REFUSAL_NONE;
+}
+
+/* Why a waiting order won't run any more; REFUSAL_NONE if it may. */
+static enum refusal stale(const struct admission *a, const struct ticket *t,
+			  uint64_t now_ns)
+{
+	/* With less than half the usual time left nobody would get it. */
+	if (now_ns + service_ns(a, t->org) / 2 >= t->deadline_ns)
+		return REFUSAL_DEADLINE;
+	if (now_ns >= a->silent_ns)
+		return REFUSAL_UPSTREAM_DOWN;
+	if (drained(a, false, now_ns))
+		return REFUSAL_LEAVING;
+	return REFUSAL_NONE;
+}
+
+static void drop_stale(struct admission *a, uint64_t now_ns)
+{
+	struct org_queue *o;
+
+	list_for_each_entry(o, &a->orgs, link) {
+		struct ticket *t, *tmp;
+
+		list_for_each_entry_safe(t, tmp, &o->tickets, link)
+			if (stale(a, t, now_ns) != REFUSAL_NONE)
+				drop(a, t);
+	}
+}
+
+struct ticket *admission_drop(struct admission *a, uint64_t now_ns,
+			      enum refusal *why)
+{
+	struct ticket *t;
+
+	if (list_empty(&a->dropped))
+		drop_stale(a, now_ns);
+	if (list_empty(&a->dropped))
+		return NULL;
+	t = list_entry(a->dropped.next, struct ticket, link);
+	list_remove(&t->link);
+	*why = stale(a, t, now_ns);
+	if (*why == REFUSAL_NONE)
+		*why = REFUSAL_QUEUE_FULL;
+	return t;
+}
+
+static void note_peak(struct org_queue *o, uint64_t now_ns)
+{
+	if (now_ns >= o->peak_end_ns) {
+		o->last_peak = now_ns < o->peak_end_ns + PEAK_NS ? o->peak : 0;
+		o->peak = 0;
+		o->peak_end_ns = now_ns + PEAK_NS;
+	}
+	if (o->running > o->peak)
+		o->peak = o->running;
+}
+
+/* Slots that the others used lately, within their shares, and will again. */
+static uint32_t reserved(const struct admission *a,
+			 const struct org_queue * not, uint32_t limit,
+			 uint64_t now_ns)
+{
+	const struct org_queue *o;
+	uint32_t sum = 0;
+
+	list_for_each_entry(o, &a->orgs, link) {
+		uint32_t n = o->peak > o->last_peak ? o->peak : o->last_peak;
+		uint32_t most = share(a, o, limit);
+
+		if (o == not || now_ns >= o->peak_end_ns + PEAK_NS)
+			continue;
+		if (n > most)
+			n = most;
+		if (n > o->running)
+			sum += n - o->running;
+	}
+	return sum;
+}
+
+/*
+ * Whose turn it is: those below their share of the slots come first, then
+ * by the upstream time used so far. Without the first, one organisation's
+ * long orders would hold all slots until they ended.
+ */
+static struct org_queue *choose(const struct admission *a, uint32_t limit,
+				uint64_t now_ns)
+{
+	struct org_queue *o, *best = NULL;
+	bool best_over = false;
+
+	list_for_each_entry(o, &a->orgs, link) {
+		bool over;
+
+		if (!o->waiting)
+			continue;
+		over = o->running >= share(a, o, limit);
+		if (over && a->running + reserved(a, o, limit, now_ns) >= limit)
+			continue;
+		if (best && (over > best_over ||
+			     (over == best_over && o->used >= best->used)))
+			continue;
+		best = o;
+		best_over = over;
+	}
+	return best;
+}
+
+struct ticket *admission_next(struct admission *a, uint64_t now_ns)
+{
+	uint32_t limit = admission_limit(a, now_ns);
+	struct org_queue *o;
+	struct ticket *t;
+
+	if (!a->waiting || a->running >= limit)
+		return NULL;
+	o = choose(a, limit, now_ns);
+	if (!o)
+		return NULL;
+	t = list_entry(o->tickets.next, struct ticket, link);
+	unqueue(a, t);
+	t->state = TICKET_RUNNING;
+	t->started_ns = now_ns;
+	o->running++;
+	a->running++;
+	note_peak(o, now_ns);
+	if (o->used > a->clock)
+		a->clock = o->used;
+	o->used += (double)(service_ns(a, o) + 1) / o->weight;
+	limiter_on_start(&a->limiter, a->running);
+	JD_INVARIANT(a->running <= a->slots, "running=%u slots=%u", a->running,
+		     a->slots);
+	return t;
+}
+
+static void average(uint64_t *avg_ns, uint64_t took_ns)
+{
+	if (!*avg_ns)
+		*avg_ns = took_ns;
+	else if (took_ns > *avg_ns)
+		*avg_ns += (took_ns - *avg_ns) / SERVICE_SHARE;
+	else
+		*avg_ns -= (*avg_ns - took_ns) / SERVICE_SHARE;
+}
+
+static void observe(struct admission *a, struct ticket *t, enum order_end end,
+		    uint64_t now_ns)
+{
+	uint64_t took = now_ns - t->started_ns;
+	struct org_queue *o = t->org;
+
+	limiter_on_end(&a->limiter, end, took, now_ns);
+	if (end != ORDER_ANSWERED && end != ORDER_LATE)
+		return;
+	o->used += ((double)took - (double)service_ns(a, o)) / o->weight;
+	average(&o->service_ns, took);
+	average(&a->service_ns, took);
+}
+
+void admission_end(struct admission *a, struct ticket *t, enum order_end end,
+		   uint64_t now_ns)
+{
+	switch (t->state) {
+	case TICKET_IDLE:
+		list_remove(&t->link);
+		break;
+	case TICKET_WAITING:
+		unqueue(a, t);
+		break;
+	case TICKET_RUNNING:
+		observe(a, t, end, now_ns);
+		t->org->running--;
+		a->running--;
+		t->state = TICKET_IDLE;
+		break;
+	}
+}
--- a/core/gate.c
+++ b/core/gate.c
@@ -9,15 +9,15 @@
 #define GRANT_NS	 (400 * NS_PER_MS)
 #define RELEASE_AGAIN_NS (100 * NS_PER_MS)
 #define EXPIRY_NS	 (200 * NS_PER_MS)
-/* Attempts that may wait for a slot, as a multiple of the slots. */
-#define QUEUE_PER_SLOT	 4
 
 void gate_init(struct gate *g)
 {
 	memset(g, 0, sizeof(*g));
-	for (int i = 0; i < GATE_BUCKETS; i++)
+	for (int i = 0; i < GATE_BUCKETS; i++) {
 		list_init(&g->buckets[i]);
-	list_init(&g->queue);
+		list_init(&g->calls[i]);
+	}
+	admission_init(&g->admission);
 	list_init(&g->routes);
 	list_init(&g->results);
 	g->next_call = 1;
@@ -26,7 +26,7 @@
 static void call_delete(struct gate_call *gc)
 {
 	list_remove(&gc->link);
-	list_remove(&gc->queued);
+	list_remove(&gc->calls);
 	http_request_delete(gc->request);
 	free(gc);
 }
@@ -48,6 +48,7 @@
 	}
 	while ((res = gate_pop(g)))
 		gate_result_delete(res);
+	admission_done(&g->admission);
 }
 
 struct gate_result *gate_pop(struct gate *g)
@@ -69,7 +70,7 @@
 
 bool gate_busy(const struct gate *g)
 {
-	return g->running || g->waiting;
+	return g->admission.running || g->admission.waiting;
 }
 
 void gate_announce(struct gate *g, struct ctx *c, const struct ev_announce *a)
@@ -82,6 +83,7 @@
 		g->next_grant_ns = c->now_ns;
 	}
 	g->upstream = *a;
+	admission_announce(&g->admission, a, c->now_ns);
 }
 
 static struct list *bucket(struct gate *g, struct request_id id)
@@ -126,6 +128,26 @@
 	return &route_get(g, gc->route, map->count)->shards[gc->shard];
 }
 
+static enum order_end order_end(const struct gate_call *gc,
+				enum outcome outcome, enum refusal refusal)
+{
+	if (gc->cancelled)
+		return ORDER_CANCELLED;
+	if (outcome == OUTCOME_DONE)
+		return ORDER_ANSWERED;
+	switch (refusal) {
+	case REFUSAL_UPSTREAM_SHED:
+		return ORDER_SHED;
+	case REFUSAL_UPSTREAM_DOWN:
+	case REFUSAL_CONNECTION_LOST:
+		return ORDER_FAILED;
+	case REFUSAL_NO_ANSWER:
+		return ORDER_LATE;
+	default:
+		return ORDER_UNSENT;
+	}
+}
+
 /* Ends the attempt and frees its slot or its place in the queue. */
 static void end(struct gate *g, const struct ctx *c, struct gate_call *gc,
 		enum outcome outcome, enum refusal refusal,
@@ -137,12 +159,9 @@
 	JD_INVARIANT(!gc->ended, "id=%016lx-%lu attempt=%u",
 		     (unsigned long)gc->id.node, (unsigned long)gc->id.counter,
 		     gc->attempt);
-	if (gc->call)
-		g->running--;
-	if (!list_empty(&gc->queued)) {
-		list_remove(&gc->queued);
-		g->waiting--;
-	}
+	admission_end(&g->admission, &gc->ticket,
+		      order_end(gc, outcome, refusal), c->now_ns);
+	list_remove(&gc->calls);
 	if (sh && sh->in_flight)
 		sh->in_flight--;
 	gc->call = 0;
@@ -214,7 +233,7 @@
 
 	a = &actions_add(c->out, ACT_UPSTREAM_CALL)->u.call;
 	gc->call = g->next_call++;
-	g->running++;
+	list_push_back(&g->calls[gc->call % GATE_BUCKETS], &gc->calls);
 	a->call = gc->call;
 	mem_copy_str(a->addr, g->upstream.addr, sizeof(a->addr));
 	mem_copy_str(a->fence.route, gc->route, sizeof(a->fence.route));
@@ -227,19 +246,13 @@
 	gc->request = NULL;
 }
 
-void gate_run(struct gate *g, struct ctx *c, const struct lease *lease,
-	      struct msg_forward *f, incarnation_t from)
+static struct gate_call *call_new(struct gate *g, const struct ctx *c,
+				  struct msg_forward *f, incarnation_t from)
 {
-	struct gate_call *gc = find(g, f->id, f->attempt);
-	enum refusal refusal;
-	struct local_shard *sh;
+	struct gate_call *gc = mem_new(struct gate_call);
 
-	if (gc) {
-		g->doubled++;
-		return;
-	}
-	gc = mem_new(struct gate_call);
-	list_init(&gc->queued);
+	list_init(&gc->calls);
+	list_init(&gc->ticket.link);
 	gc->id = f->id;
 	gc->attempt = f->attempt;
 	gc->from = from;
@@ -250,10 +263,59 @@
 	gc->request = f->request;
 	f->request = NULL;
 	list_push_back(bucket(g, gc->id), &gc->link);
+	return gc;
+}
+
+/* Organisations that the manifest doesn't know share one queue. */
+static enum refusal offer(struct gate *g, const struct ctx *c,
+			  struct gate_call *gc, const char *organisation)
+{
+	const struct manifest *m = view_manifest(&c->view);
+	const struct organisation *o = manifest_organisation(m, organisation);
+	struct ticket_opts opts = {
+		.organisation = o ? o->name : "",
+		.weight = o ? o->weight : 1,
+		.deadline_ns = gc->deadline_ns,
+		.any = !gc->epoch,
+	};
+
+	return admission_offer(&g->admission, &gc->ticket, &opts, c->now_ns);
+}
+
+/* Ends what can't run any more, starts what may run now. */
+static void admit(struct gate *g, struct ctx *c, const struct lease *lease)
+{
+	enum refusal why;
+	struct ticket *t;
+
+	while ((t = admission_drop(&g->admission, c->now_ns, &why)))
+		end(g, c, list_entry(t, struct gate_call, ticket),
+		    OUTCOME_NOT_RUN, why, NULL);
+	while ((t = admission_next(&g->admission, c->now_ns))) {
+		struct gate_call *gc = list_entry(t, struct gate_call, ticket);
+
+		if (lease_valid(lease, c->now_ns))
+			start(g, c, gc, lease);
+		else
+			end(g, c, gc, OUTCOME_NOT_RUN, REFUSAL_NO_LEASE, NULL);
+	}
+}
+
+void gate_run(struct gate *g, struct ctx *c, const struct lease *lease,
+	      struct msg_forward *f, incarnation_t from)
+{
+	struct gate_call *gc = find(g, f->id, f->attempt);
+	enum refusal refusal;
+	struct local_shard *sh;
+
+	if (gc) {
+		g->doubled++;
+		return;
+	}
+	gc = call_new(g, c, f, from);
 	refusal = check(g, c, lease, gc, f);
-	if (refusal == REFUSAL_NONE &&
-	    g->waiting >= QUEUE_PER_SLOT * g->upstream.slots)
-		refusal = REFUSAL_QUEUE_FULL;
+	if (refusal == REFUSAL_NONE)
+		refusal = offer(g, c, gc, f->organisation);
 	if (refusal != REFUSAL_NONE) {
 		gc->epoch = 0;
 		end(g, c, gc, OUTCOME_NOT_RUN, refusal, NULL);
@@ -262,45 +324,16 @@
 	sh = local_shard(g, c, gc);
 	if (sh)
 		sh->in_flight++;
-	if (g->running < g->upstream.slots) {
-		start(g, c, gc, lease);
-		return;
-	}
-	g->waiting++;
-	list_push_back(&g->queue, &gc->queued);
-}
-
-/* A slot is free: the first waiting attempt that may still run takes it. */
-static void start_next(struct gate *g, struct ctx *c, const struct lease *lease)
-{
-	struct gate_call *gc, *tmp;
-
-	list_for_each_entry_safe(gc, tmp, &g->queue, queued) {
-		if (g->running >= g->upstream.slots)
-			return;
-		if (!lease_valid(lease, c->now_ns)) {
-			end(g, c, gc, OUTCOME_NOT_RUN, REFUSAL_NO_LEASE, NULL);
-			continue;
-		}
-		if (c->now_ns >= gc->deadline_ns) {
-			end(g, c, gc, OUTCOME_NOT_RUN, REFUSAL_DEADLINE, NULL);
-			continue;
-		}
-		list_remove(&gc->queued);
-		g->waiting--;
-		start(g, c, gc, lease);
-	}
+	admit(g, c, lease);
 }
 
 static struct gate_call *find_call(struct gate *g, uint64_t call)
 {
-	for (int i = 0; i < GATE_BUCKETS; i++) {
-		struct gate_call *gc;
+	struct gate_call *gc;
 
-		list_for_each_entry(gc, &g->buckets[i], link)
-			if (gc->call == call)
-				return gc;
-	}
+	list_for_each_entry(gc, &g->calls[call % GATE_BUCKETS], calls)
+		if (gc->call == call)
+			return gc;
 	return NULL;
 }
 
@@ -313,7 +346,7 @@
 		end(g, c, gc, a->outcome, a->refusal, a->answer);
 		a->answer = NULL;
 	}
-	start_next(g, c, lease);
+	admit(g, c, lease);
 }
 
 void gate_on_cancel(struct gate *g, struct ctx *c, const struct msg_cancel *m)
@@ -323,6 +356,7 @@
 	if (!gc || gc->ended)
 		return;
 	if (gc->call) {
+		gc->cancelled = true;
 		actions_add(c->out, ACT_UPSTREAM_CANCEL)->u.cancel = gc->call;
 		return;
 	}
@@ -446,7 +480,7 @@
 	renew_grants(g, c, lease);
 	release(g, c);
 	expire(g, c);
-	start_next(g, c, lease);
+	admit(g, c, lease);
 }
 
 uint64_t gate_next_ns(const struct gate *g)
--- a/core/gate.h
+++ b/core/gate.h
@@ -5,6 +5,7 @@
 #ifndef JD_CORE_GATE_H
 #define JD_CORE_GATE_H
 
+#include "core/admission.h"
 #include "core/ctx.h"
 #include "core/lease.h"
 
@@ -12,8 +13,9 @@
 
 /** One attempt of a request at this gate; kept until its deadline. */
 struct gate_call {
-	struct list link;   /* in its bucket */
-	struct list queued; /* in gate.queue while it waits for a slot */
+	struct list link;  /* in its bucket */
+	struct list calls; /* in gate.calls while the upstream has it */
+	struct ticket ticket;
 	struct request_id id;
 	uint32_t attempt;
 	incarnation_t from;
@@ -21,6 +23,7 @@
 	char reply_to[JD_ADDR_MAX];
 	uint64_t call; /* at the upstream; 0 before and after */
 	bool ended;
+	bool cancelled; /* at the upstream; nobody waits for its end */
 	uint64_t deadline_ns;
 	char route[JD_NAME_MAX];
 	uint32_t shard;		      /* index; counts only with epoch */
@@ -57,11 +60,10 @@
 struct gate {
 	struct ev_announce upstream;	   /* instance 0: not announced */
 	struct list buckets[GATE_BUCKETS]; /* of struct gate_call */
-	struct list queue;		   /* of struct gate_call */
-	struct list routes;		   /* of struct gate_route */
-	struct list results;		   /* of struct gate_result */
-	uint32_t running;
-	uint32_t waiting;
+	struct list calls[GATE_BUCKETS];   /* of struct gate_call, by call */
+	struct admission admission;
+	struct list routes;  /* of struct gate_route */
+	struct list results; /* of struct gate_result */
 	uint64_t next_call;
 	uint64_t next_grant_ns;
 	uint64_t next_release_ns;
