--- a/core/gate.c
+++ b/core/gate.c
@@ -15,8 +15,10 @@
 void gate_init(struct gate *g)
 {
 	memset(g, 0, sizeof(*g));
-	for (int i = 0; i < GATE_BUCKETS; i++)
+	for (int i = 0; i < GATE_BUCKETS; i++) {
 		list_init(&g->buckets[i]);
+		list_init(&g->calls[i]);
+	}
 	list_init(&g->queue);
 	list_init(&g->routes);
 	list_init(&g->results);
@@ -27,6 +29,7 @@
 {
 	list_remove(&gc->link);
 	list_remove(&gc->queued);
+	list_remove(&gc->running);
 	http_request_delete(gc->request);
 	free(gc);
 }
@@ -145,6 +148,7 @@
 	}
 	if (sh && sh->in_flight)
 		sh->in_flight--;
+	list_remove(&gc->running);
 	gc->call = 0;
 	gc->ended = true;
 	http_request_delete(gc->request);
@@ -214,6 +218,7 @@
 
 	a = &actions_add(c->out, ACT_UPSTREAM_CALL)->u.call;
 	gc->call = g->next_call++;
+	list_push_back(&g->calls[gc->call % GATE_BUCKETS], &gc->running);
 	g->running++;
 	a->call = gc->call;
 	mem_copy_str(a->addr, g->upstream.addr, sizeof(a->addr));
@@ -240,6 +245,7 @@
 	}
 	gc = mem_new(struct gate_call);
 	list_init(&gc->queued);
+	list_init(&gc->running);
 	gc->id = f->id;
 	gc->attempt = f->attempt;
 	gc->from = from;
@@ -294,13 +300,11 @@
 
 static struct gate_call *find_call(struct gate *g, uint64_t call)
 {
-	for (int i = 0; i < GATE_BUCKETS; i++) {
-		struct gate_call *gc;
+	struct gate_call *gc;
 
-		list_for_each_entry(gc, &g->buckets[i], link)
-			if (gc->call == call)
-				return gc;
-	}
+	list_for_each_entry(gc, &g->calls[call % GATE_BUCKETS], running)
+		if (gc->call == call)
+			return gc;
 	return NULL;
 }
 
--- a/core/gate.h
+++ b/core/gate.h
@@ -12,8 +12,9 @@
 
 /** One attempt of a request at this gate; kept until its deadline. */
 struct gate_call {
-	struct list link;   /* in its bucket */
-	struct list queued; /* in gate.queue while it waits for a slot */
+	struct list link;    /* in its bucket */
+	struct list queued;  /* in gate.queue while it waits for a slot */
+	struct list running; /* in gate.calls while the upstream runs it */
 	struct request_id id;
 	uint32_t attempt;
 	incarnation_t from;
@@ -57,6 +58,7 @@
 struct gate {
 	struct ev_announce upstream;	   /* instance 0: not announced */
 	struct list buckets[GATE_BUCKETS]; /* of struct gate_call */
+	struct list calls[GATE_BUCKETS];   /* running ones, by call */
 	struct list queue;		   /* of struct gate_call */
 	struct list routes;		   /* of struct gate_route */
 	struct list results;		   /* of struct gate_result */
--- a/core/membership.c
+++ b/core/membership.c
@@ -39,21 +39,6 @@
 	return m->state == MEMBERSHIP_IN && lease_valid(&m->lease, c->now_ns);
 }
 
-/* How many entries of all rosters name @inc as their keeper. */
-static uint32_t charges_of(const struct ctx *c, incarnation_t inc)
-{
-	const struct doc *d = NULL;
-	uint32_t n = 0;
-
-	while ((d = view_next(&c->view, DOC_ROSTER, d))) {
-		const struct member *m;
-
-		list_for_each_entry(m, &d->u.roster->members, link)
-			n += m->keeper == inc;
-	}
-	return n;
-}
-
 /* Higher is better; 0 for a node that can't be the keeper. */
 static uint64_t keeper_rank(struct ctx *c, const struct roster *r,
 			    const struct member *m, incarnation_t avoid)
@@ -65,7 +50,7 @@
 		return 0;
 	if (!strcmp(m->name, c->opts->name))
 		return 0;
-	charges = charges_of(c, m->inc);
+	charges = m->charges;
 	if (charges < KEEPER_GROUP)
 		rank += 2 + (charges > 0);
 	if (strcmp(r->dc, c->opts->dc) != 0)
--- a/core/placement.c
+++ b/core/placement.c
@@ -36,12 +36,8 @@
 	const struct member *m;
 
 	list_for_each_entry(m, &r->members, link) {
-		struct seat *seat;
+		struct seat *seat = &s->items[s->count++];
 
-		s->items =
-			mem_realloc(s->items, s->count + 1, sizeof(*s->items));
-		seat = &s->items[s->count++];
-		memset(seat, 0, sizeof(*seat));
 		seat->inc = m->inc;
 		seat->known = m->state != MEMBER_REVOKED;
 		seat->allowed = member_allowed(v, r, m, route);
@@ -49,29 +45,81 @@
 	}
 }
 
+static uint32_t count_members(const struct view *v)
+{
+	const struct doc *d = NULL;
+	uint32_t n = 0;
+
+	while ((d = view_next(v, DOC_ROSTER, d))) {
+		const struct member *m;
+
+		list_for_each_entry(m, &d->u.roster->members, link)
+			n++;
+	}
+	return n;
+}
+
+/* A shard on its way counts for the node it goes to. */
+static struct seat *holder_of(const struct seats *s, const struct shard *sh)
+{
+	return seats_find(s, sh->target ? sh->target : sh->owner);
+}
+
+static uint32_t count_loads(struct seats *s, const struct shard_map *map)
+{
+	const struct pinned_key *p;
+	uint32_t n = map->count;
+
+	for (uint32_t i = 0; i < map->count; i++) {
+		struct seat *seat = holder_of(s, &map->shards[i]);
+
+		if (seat)
+			seat->load++;
+	}
+	list_for_each_entry(p, &map->pinned, link)
+		n++;
+	return n;
+}
+
+static void index_loads(struct seats *s, uint32_t shards)
+{
+	s->load_end = shards + 1;
+	s->load_min = shards;
+	s->by_load = mem_zalloc(s->load_end, sizeof(*s->by_load));
+	for (uint32_t i = 0; i < s->load_end; i++)
+		list_init(&s->by_load[i]);
+	for (uint32_t i = 0; i < s->count; i++) {
+		struct seat *seat = &s->items[i];
+
+		list_init(&seat->link);
+		if (!seat->allowed)
+			continue;
+		list_push_back(&s->by_load[seat->load], &seat->link);
+		if (seat->load < s->load_min)
+			s->load_min = seat->load;
+		if (seat->load > s->load_max)
+			s->load_max = seat->load;
+	}
+}
+
 void seats_init(struct seats *s, const struct view *v,
 		const struct route *route, const struct shard_map *map)
 {
 	const struct doc *d = NULL;
 
 	memset(s, 0, sizeof(*s));
+	s->items = mem_zalloc(count_members(v), sizeof(*s->items));
 	while ((d = view_next(v, DOC_ROSTER, d)))
 		add_members(s, v, d->u.roster, route);
 	if (s->count)
 		qsort(s->items, s->count, sizeof(*s->items), seat_cmp);
-	for (uint32_t i = 0; map && i < map->count; i++) {
-		const struct shard *sh = &map->shards[i];
-		struct seat *seat =
-			seats_find(s, sh->target ? sh->target : sh->owner);
-
-		if (seat)
-			seat->load++;
-	}
+	index_loads(s, map ? count_loads(s, map) : 0);
 }
 
 void seats_done(struct seats *s)
 {
 	free(s->items);
+	free(s->by_load);
 }
 
 struct seat *seats_find(const struct seats *s, incarnation_t inc)
@@ -83,30 +131,35 @@
 	return bsearch(&key, s->items, s->count, sizeof(*s->items), seat_cmp);
 }
 
-static struct seat *least_loaded(const struct seats *s)
+static void set_load(struct seats *s, struct seat *seat, uint32_t load)
 {
-	struct seat *best = NULL;
-
-	for (uint32_t i = 0; i < s->count; i++) {
-		struct seat *seat = &s->items[i];
-
-		if (seat->allowed && (!best || seat->load < best->load))
-			best = seat;
-	}
-	return best;
+	seat->load = load;
+	if (!seat->allowed)
+		return;
+	list_remove(&seat->link);
+	list_push_back(&s->by_load[load], &seat->link);
+	if (load < s->load_min)
+		s->load_min = load;
+	if (load > s->load_max)
+		s->load_max = load;
 }
 
-static struct seat *most_loaded(const struct seats *s)
+static struct seat *least_loaded(struct seats *s)
 {
-	struct seat *best = NULL;
-
-	for (uint32_t i = 0; i < s->count; i++) {
-		struct seat *seat = &s->items[i];
+	if (!s->allowed)
+		return NULL;
+	while (list_empty(&s->by_load[s->load_min]))
+		s->load_min++;
+	return list_entry(s->by_load[s->load_min].next, struct seat, link);
+}
 
-		if (seat->allowed && (!best || seat->load > best->load))
-			best = seat;
-	}
-	return best;
+static struct seat *most_loaded(struct seats *s)
+{
+	if (!s->allowed)
+		return NULL;
+	while (list_empty(&s->by_load[s->load_max]))
+		s->load_max--;
+	return list_entry(s->by_load[s->load_max].next, struct seat, link);
 }
 
 static void fill_one(struct shard *sh, struct seats *s)
@@ -115,7 +168,7 @@
 
 	if (!to)
 		return;
-	to->load++;
+	set_load(s, to, to->load + 1);
 	shard_assign(sh, to->inc);
 }
 
@@ -163,8 +216,7 @@
 
 	for (uint32_t i = 0; i < map->count; i++) {
 		struct shard *sh = &map->shards[i];
-		struct seat *holder =
-			seats_find(s, sh->target ? sh->target : sh->owner);
+		struct seat *holder = holder_of(s, sh);
 		struct seat *to = least_loaded(s);
 
 		if ((holder && holder->allowed) || !to)
@@ -172,8 +224,8 @@
 		if (!seats_find(s, sh->owner) || to->inc == sh->owner)
 			continue;
 		if (holder)
-			holder->load--;
-		to->load++;
+			set_load(s, holder, holder->load - 1);
+		set_load(s, to, to->load + 1);
 		sh->target = to->inc;
 		n++;
 	}
@@ -197,8 +249,8 @@
 		if (!from || sh->target || from->load <= mean + 1 ||
 		    to->load >= mean)
 			continue;
-		from->load--;
-		to->load++;
+		set_load(s, from, from->load - 1);
+		set_load(s, to, to->load + 1);
 		sh->target = to->inc;
 		n++;
 	}
--- a/core/placement.h
+++ b/core/placement.h
@@ -6,6 +6,7 @@
 
 /** A node that could own shards of the route, or does. */
 struct seat {
+	struct list link; /* in seats.by_load when allowed */
 	incarnation_t inc;
 	bool known;    /* has an entry that is not revoked */
 	bool allowed;  /* may get shards */
@@ -16,6 +17,11 @@
 	uint32_t count;
 	uint32_t allowed;
 	struct seat *items; /* by inc */
+	/* Allowed seats by load; each change of load is one step. */
+	struct list *by_load;
+	uint32_t load_end; /* loads are below this */
+	uint32_t load_min; /* no allowed seat is below this */
+	uint32_t load_max; /* none is above this */
 };
 
 /** The seats for @route, with their loads under @map (may be NULL). */
--- a/core/roster.c
+++ b/core/roster.c
@@ -22,7 +22,7 @@
 	if (!r)
 		return;
 	list_for_each_entry_safe(m, tmp, &r->members, link)
-		free(m);
+		roster_remove(r, m);
 	free(r);
 }
 
@@ -52,6 +52,8 @@
 
 	mem_copy_str(m->name, name, sizeof(m->name));
 	m->inc = inc;
+	m->roster = r;
+	list_init(&m->indexed);
 	list_push_back(&r->members, &m->link);
 	return m;
 }
@@ -60,6 +62,7 @@
 {
 	(void)r;
 	list_remove(&m->link);
+	list_remove(&m->indexed);
 	free(m);
 }
 
@@ -72,6 +75,8 @@
 		struct member *n = mem_new(struct member);
 
 		*n = *m;
+		n->roster = c;
+		list_init(&n->indexed);
 		list_push_back(&c->members, &n->link);
 	}
 	return c;
--- a/core/roster.h
+++ b/core/roster.h
@@ -20,8 +20,11 @@
 	char peer_addr[JD_ADDR_MAX]; /* for other nodes */
 	char http_addr[JD_ADDR_MAX]; /* for callers */
 	enum member_state state;
-	incarnation_t keeper; /* who confirms its lease; 0 for the store */
-	uint64_t term;	      /* rises with each change of keeper */
+	incarnation_t keeper;  /* who confirms its lease; 0 for the store */
+	uint64_t term;	       /* rises with each change of keeper */
+	struct roster *roster; /* the one it is listed in */
+	struct list indexed;   /* in the view's bucket; else an empty list */
+	uint32_t charges;      /* entries naming it keeper; set by the view */
 };
 
 struct roster {
--- a/core/view.c
+++ b/core/view.c
@@ -8,12 +8,16 @@
 void view_init(struct view *v)
 {
 	v->revision = 0;
-	list_init(&v->docs);
+	for (int i = 0; i < DOC_KIND_COUNT; i++)
+		list_init(&v->docs[i]);
+	for (int i = 0; i < VIEW_BUCKETS; i++)
+		list_init(&v->members[i]);
 }
 
 void view_done(struct view *v)
 {
-	docs_delete(&v->docs);
+	for (int i = 0; i < DOC_KIND_COUNT; i++)
+		docs_delete(&v->docs[i]);
 	v->revision = 0;
 }
 
@@ -21,7 +25,7 @@
 {
 	struct doc *d;
 
-	list_for_each_entry(d, &v->docs, link)
+	list_for_each_entry(d, &v->docs[key->kind], link)
 		if (doc_key_equal(&d->key, key))
 			return d;
 	return NULL;
@@ -46,6 +50,51 @@
 	}
 }
 
+/* Incarnations are random: their low bits spread well. */
+static struct list *bucket(struct view *v, incarnation_t inc)
+{
+	return &v->members[inc % VIEW_BUCKETS];
+}
+
+static struct member *find_member(const struct view *v, incarnation_t inc)
+{
+	const struct list *head = &v->members[inc % VIEW_BUCKETS];
+	struct member *m;
+
+	list_for_each_entry(m, head, indexed)
+		if (m->inc == inc)
+			return m;
+	return NULL;
+}
+
+static void index_roster(struct view *v, struct roster *r)
+{
+	struct member *m;
+
+	list_for_each_entry(m, &r->members, link) {
+		list_remove(&m->indexed);
+		list_push_back(bucket(v, m->inc), &m->indexed);
+	}
+}
+
+static void count_charges(struct view *v)
+{
+	const struct doc *d = NULL;
+	struct member *m;
+
+	while ((d = view_next(v, DOC_ROSTER, d)))
+		list_for_each_entry(m, &d->u.roster->members, link)
+			m->charges = 0;
+	while ((d = view_next(v, DOC_ROSTER, d))) {
+		list_for_each_entry(m, &d->u.roster->members, link) {
+			struct member *k = find_member(v, m->keeper);
+
+			if (k)
+				k->charges++;
+		}
+	}
+}
+
 bool view_apply(struct view *v, struct doc *d)
 {
 	struct doc *old = find(v, &d->key);
@@ -60,7 +109,12 @@
 		doc_delete(old);
 	}
 	list_remove(&d->link);
-	list_push_back(&v->docs, &d->link);
+	list_push_back(&v->docs[d->key.kind], &d->link);
+	if (d->key.kind == DOC_ROSTER) {
+		if (!doc_absent(d))
+			index_roster(v, d->u.roster);
+		count_charges(v);
+	}
 	return true;
 }
 
@@ -117,48 +171,46 @@
 const struct member *view_member(const struct view *v, incarnation_t inc,
 				 const struct roster **r)
 {
-	const struct doc *d = NULL;
+	const struct member *m = find_member(v, inc);
 
-	while ((d = view_next(v, DOC_ROSTER, d))) {
-		const struct member *m = roster_find(d->u.roster, inc);
+	if (m && r)
+		*r = m->roster;
+	return m;
+}
 
-		if (!m)
-			continue;
-		if (r)
-			*r = d->u.roster;
-		return m;
-	}
-	return NULL;
+/* Inserts a copy of @d behind all that are not newer. */
+static void add_copy(struct list *docs, const struct doc *d)
+{
+	struct doc *c = doc_copy(d);
+	struct list *pos = docs;
+
+	while (pos->prev != docs &&
+	       list_entry(pos->prev, struct doc, link)->revision > c->revision)
+		pos = pos->prev;
+	list_insert_before(pos, &c->link);
 }
 
 void view_newer(const struct view *v, revision_t from, struct list *docs)
 {
-	const struct doc *d;
-
-	list_for_each_entry(d, &v->docs, link) {
-		struct list *pos = docs;
-		struct doc *c;
+	for (int i = 0; i < DOC_KIND_COUNT; i++) {
+		const struct doc *d;
 
-		if (d->revision <= from)
-			continue;
-		c = doc_copy(d);
-		while (pos->prev != docs &&
-		       list_entry(pos->prev, struct doc, link)->revision >
-			       c->revision)
-			pos = pos->prev;
-		list_insert_before(pos, &c->link);
+		list_for_each_entry(d, &v->docs[i], link)
+			if (d->revision > from)
+				add_copy(docs, d);
 	}
 }
 
 const struct doc *view_next(const struct view *v, enum doc_kind kind,
 			    const struct doc *pos)
 {
-	const struct list *l = pos ? pos->link.next : v->docs.next;
+	const struct list *head = &v->docs[kind];
+	const struct list *l = pos ? pos->link.next : head->next;
 
-	for (; l != &v->docs; l = l->next) {
+	for (; l != head; l = l->next) {
 		const struct doc *d = list_entry(l, struct doc, link);
 
-		if (d->key.kind == kind && !doc_absent(d))
+		if (!doc_absent(d))
 			return d;
 	}
 	return NULL;
--- a/core/view.h
+++ b/core/view.h
@@ -5,9 +5,12 @@
 #include "core/doc.h"
 #include "core/message.h"
 
+#define VIEW_BUCKETS 1024
+
 struct view {
 	revision_t revision; /* every document up to here is known */
-	struct list docs;    /* of struct doc, each the newest known */
+	struct list docs[DOC_KIND_COUNT];  /* of struct doc, the newest known */
+	struct list members[VIEW_BUCKETS]; /* of struct member, by inc */
 };
 
 void view_init(struct view *v);
@@ -40,7 +43,8 @@
 /** Copies of the documents newer than @from, by rising revision. */
 void view_newer(const struct view *v, revision_t from, struct list *docs);
 
-/** Walks the rosters: the first after @pos (NULL to start), NULL at the end. */
+/** Walks the documents of @kind: the first after @pos (NULL to start), NULL at
+ * the end. */
 const struct doc *view_next(const struct view *v, enum doc_kind kind,
 			    const struct doc *pos);
 
--- /dev/null
+++ b/tests/placement_test.cpp
@@ -0,0 +1,288 @@
+#include "jd_test.hpp"
+
+#include <rapidcheck/gtest.h>
+
+#include <map>
+#include <set>
+
+extern "C" {
+#include "core/mem.h"
+#include "core/placement.h"
+}
+
+namespace
+{
+
+/* Six data centres in three regions, each with the same number of nodes. */
+class Fleet
+{
+public:
+	Fleet()
+	{
+		view_init(&v);
+		manifest = manifest_new();
+		for (int i = 0; i < 6; i++) {
+			struct data_centre *d =
+				manifest_add_data_centre(manifest);
+
+			mem_copy_str(d->name, dc(i).c_str(), JD_NAME_MAX);
+			mem_copy_str(d->region, region(i).c_str(), JD_NAME_MAX);
+		}
+		route = {};
+		mem_copy_str(route.name, "r", JD_NAME_MAX);
+		mem_copy_str(route.service, "live", JD_NAME_MAX);
+		route.kind = ROUTE_KEYED;
+	}
+
+	~Fleet()
+	{
+		view_done(&v);
+	}
+
+	static std::string dc(int i)
+	{
+		return "dc" + std::to_string(i);
+	}
+
+	static std::string region(int i)
+	{
+		return "region" + std::to_string(i % 3);
+	}
+
+	/* Hands the manifest over to the view; call once. */
+	void accept()
+	{
+		struct doc *d = doc_new(DOC_MANIFEST, "");
+
+		d->revision = ++revision;
+		d->u.manifest = manifest;
+		view_apply(&v, d);
+	}
+
+	void put(int i, const std::map<incarnation_t, member_state> &members)
+	{
+		struct doc *d = doc_new(DOC_ROSTER, dc(i).c_str());
+
+		d->revision = ++revision;
+		d->u.roster = roster_new(dc(i).c_str(), region(i).c_str());
+		for (const auto &[inc, state] : members) {
+			struct member *m = roster_add(d->u.roster, "node", inc);
+
+			m->state = state;
+			mem_copy_str(m->service, "live", JD_NAME_MAX);
+		}
+		view_apply(&v, d);
+	}
+
+	/* Nodes inc..inc+n-1 in each data centre i: 1000 * (i + 1) + k. */
+	void put_all(int n)
+	{
+		for (int i = 0; i < 6; i++) {
+			std::map<incarnation_t, member_state> m;
+
+			for (int k = 0; k < n; k++)
+				m[1000 * (i + 1) + k] = MEMBER_UP;
+			put(i, m);
+		}
+	}
+
+	struct view v;
+	struct manifest *manifest;
+	struct route route;
+	revision_t revision = 0;
+};
+
+std::map<incarnation_t, uint32_t> loads(const struct shard_map *m)
+{
+	std::map<incarnation_t, uint32_t> l;
+
+	for (uint32_t i = 0; i < m->count; i++)
+		l[m->shards[i].target ? m->shards[i].target
+				      : m->shards[i].owner]++;
+	return l;
+}
+
+/* Ends all moves, as the planner does after the owners' release. */
+void end_moves(struct shard_map *m)
+{
+	for (uint32_t i = 0; i < m->count; i++)
+		if (m->shards[i].target)
+			shard_assign(&m->shards[i], m->shards[i].target);
+}
+
+TEST(Placement, FillsEvenly)
+{
+	Fleet f;
+	struct shard_map *m = shard_map_new("r", 1024);
+
+	f.accept();
+	f.put_all(2);
+	EXPECT_EQ(placement_orphans(m, &f.v, &f.route), 1024u);
+	EXPECT_EQ(placement_fill(m, &f.v, &f.route), 1024u);
+	EXPECT_EQ(placement_orphans(m, &f.v, &f.route), 0u);
+	for (const auto &[inc, load] : loads(m)) {
+		EXPECT_GE(load, 1024u / 12) << inc;
+		EXPECT_LE(load, 1024u / 12 + 1) << inc;
+	}
+	shard_map_delete(m);
+}
+
+TEST(Placement, ALostNodeMovesItsOwnShardsOnly)
+{
+	Fleet f;
+	struct shard_map *m = shard_map_new("r", 1024);
+
+	f.accept();
+	f.put_all(2);
+	placement_fill(m, &f.v, &f.route);
+	uint32_t lost = loads(m)[1000];
+	struct shard_map *before = shard_map_copy(m);
+	f.put(0, {{1001, MEMBER_UP}});
+	EXPECT_EQ(placement_fill(m, &f.v, &f.route), lost);
+	for (uint32_t i = 0; i < m->count; i++) {
+		if (before->shards[i].owner == 1000) {
+			EXPECT_GT(m->shards[i].epoch, before->shards[i].epoch);
+		} else {
+			EXPECT_EQ(m->shards[i].owner, before->shards[i].owner);
+		}
+	}
+	EXPECT_EQ(placement_plan(m, &f.v, &f.route), 0u);
+	shard_map_delete(before);
+	shard_map_delete(m);
+}
+
+TEST(Placement, ARevokedOwnerKeepsItsShardsUntilItsEntryGoes)
+{
+	Fleet f;
+	struct shard_map *m = shard_map_new("r", 64);
+
+	f.accept();
+	f.put_all(1);
+	placement_fill(m, &f.v, &f.route);
+	f.put(0, {{1000, MEMBER_REVOKED}});
+	EXPECT_EQ(placement_fill(m, &f.v, &f.route), 0u);
+	shard_map_delete(m);
+}
+
+TEST(Placement, OneNodeMoreStaysWithinTheHysteresisOrTakesItsShare)
+{
+	Fleet f;
+	struct shard_map *m = shard_map_new("r", 1024);
+
+	f.accept();
+	f.put_all(2);
+	placement_fill(m, &f.v, &f.route);
+	f.put(0, {{1000, MEMBER_UP}, {1001, MEMBER_UP}, {1002, MEMBER_UP}});
+	uint32_t moved = placement_plan(m, &f.v, &f.route);
+	EXPECT_LE(moved, 1024u / 13 + 13);
+	EXPECT_GE(moved, 1024u / 13 - 13);
+	for (uint32_t i = 0; i < m->count; i++) {
+		if (m->shards[i].target) {
+			EXPECT_EQ(m->shards[i].target, 1002u);
+		}
+	}
+	end_moves(m);
+	EXPECT_EQ(placement_plan(m, &f.v, &f.route), 0u);
+	shard_map_delete(m);
+}
+
+TEST(Placement, NoNodeMayTakeAnythingThenNothingMoves)
+{
+	Fleet f;
+	struct shard_map *m = shard_map_new("r", 64);
+
+	f.accept();
+	f.put(0, {{1000, MEMBER_LEAVING}});
+	EXPECT_EQ(placement_fill(m, &f.v, &f.route), 0u);
+	EXPECT_EQ(placement_plan(m, &f.v, &f.route), 0u);
+	shard_map_delete(m);
+}
+
+struct member_state_of {
+	incarnation_t inc;
+	int dc;
+	member_state state;
+};
+
+bool may_take(const Fleet &f, const member_state_of &m)
+{
+	const struct data_centre *d = manifest_data_centre(
+		view_manifest(&f.v), Fleet::dc(m.dc).c_str());
+
+	return m.state == MEMBER_UP && d->state == DC_IN &&
+	       region_set_allows(&f.route.home_regions,
+				 Fleet::region(m.dc).c_str());
+}
+
+/*
+ * Whatever the states: a shard that moves goes to a node that is up, in a
+ * data centre that is in, inside the home regions; one whose owner is in a
+ * roster changes hands through a target only; and plans end.
+ */
+RC_GTEST_PROP(Placement, PlacesOnlyWhereItMay, ())
+{
+	Fleet f;
+	struct shard_map *m = shard_map_new("r", 256);
+	std::map<incarnation_t, member_state_of> members;
+	incarnation_t next = 1;
+	struct data_centre *d;
+
+	list_for_each_entry(d, &f.manifest->data_centres, link)
+		d->state = *rc::gen::element(DC_IN, DC_IN, DC_LEAVING, DC_OUT);
+	f.accept();
+	if (*rc::gen::arbitrary<bool>()) {
+		f.route.home_regions.count = 1;
+		mem_copy_str(f.route.home_regions.names[0], "region1",
+			     JD_NAME_MAX);
+	}
+	for (int step = 0; step < 6; step++) {
+		int dc = *rc::gen::inRange(0, 6);
+		std::map<incarnation_t, member_state> list;
+
+		for (auto it = members.begin(); it != members.end();)
+			it = it->second.dc == dc ? members.erase(it)
+						 : std::next(it);
+		int n = *rc::gen::inRange(0, 5);
+		for (int k = 0; k < n; k++) {
+			auto s = *rc::gen::element(MEMBER_UP, MEMBER_UP,
+						   MEMBER_LEAVING,
+						   MEMBER_REVOKED);
+			list[next] = s;
+			members[next] = {next, dc, s};
+			next++;
+		}
+		f.put(dc, list);
+
+		struct shard_map *before = shard_map_copy(m);
+		placement_fill(m, &f.v, &f.route);
+		for (uint32_t i = 0; i < m->count; i++) {
+			const struct shard *a = &before->shards[i];
+			const struct shard *b = &m->shards[i];
+
+			if (a->owner == b->owner && a->epoch == b->epoch)
+				continue;
+			RC_ASSERT(!members.count(a->owner));
+			RC_ASSERT(b->epoch > a->epoch);
+			RC_ASSERT(may_take(f, members.at(b->owner)));
+		}
+		shard_map_delete(before);
+
+		before = shard_map_copy(m);
+		placement_plan(m, &f.v, &f.route);
+		for (uint32_t i = 0; i < m->count; i++) {
+			const struct shard *b = &m->shards[i];
+
+			RC_ASSERT(b->owner == before->shards[i].owner);
+			RC_ASSERT(b->epoch == before->shards[i].epoch);
+			if (b->target != before->shards[i].target) {
+				RC_ASSERT(may_take(f, members.at(b->target)));
+			}
+		}
+		shard_map_delete(before);
+		end_moves(m);
+		RC_ASSERT(placement_plan(m, &f.v, &f.route) == 0u);
+	}
+	shard_map_delete(m);
+}
+
+} // namespace
