--- a/core/gate.h
+++ b/core/gate.h
@@ -63,8 +63,8 @@
 	struct list buckets[GATE_BUCKETS]; /* of struct gate_call */
 	struct list calls[GATE_BUCKETS];   /* of struct gate_call, by call */
 	struct admission admission;
-	struct list routes;  /* of struct gate_route */
-	struct list results; /* of struct gate_result */
+	struct list routes;   /* of struct gate_route */
+	struct list results;  /* of struct gate_result */
 	struct replay replay; /* of forwards from others */
 	uint64_t next_call;
 	uint64_t next_grant_ns;
