An empty string decodes without touching a null pointer

msgpack gives a null pointer for a string of no bytes; unpack_str handed it to memchr. It now reads an empty literal instead.

--- a/wire/pack.c
+++ b/wire/pack.c
@@ -119,8 +119,13 @@
 
 char *unpack_str(const msgpack_object *o)
 {
-	if (!o || o->type != MSGPACK_OBJECT_STR ||
-	    memchr(o->via.str.ptr, '\0', o->via.str.size))
+	const char *text;
+
+	if (!o || o->type != MSGPACK_OBJECT_STR)
+		return NULL;
+	/* An empty string may come as a null pointer. */
+	text = o->via.str.size ? o->via.str.ptr : "";
+	if (memchr(text, '\0', o->via.str.size))
 		return NULL;
-	return mem_dup(o->via.str.ptr, o->via.str.size);
+	return mem_dup(text, o->via.str.size);
 }
