Soak of the shipped cores; entries without a keeper are taken over

Cause: a node and its keeper lost together, a node without a keeper, and a node lost right after it joined kept their shards for ever.

Change: bench/soak drives eight shipped cores over four data centres through one bag of undelivered items, with one check of owners and epochs after each step. core/taker, run by the planner's holder, adopts entries without a keeper and revoked entries whose keeper is gone at once, and others when the keeper's contact has not changed for authority + lease, stretched by the drift. A taken entry names its former keeper (ousted) until that keeper owns up to the loss or a list of contacts made after the take shows it still silent; until then only the node's own heartbeat under the new term lets the new keeper act. Reads of a keeper count from the acknowledgement of the first contact of a stretch on, no longer from its sending. A keeper looks for entries that name it although their node was never heard.

--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 # Targets for people and CI; the build itself is CMakeLists.txt.
 JOBS ?= $(shell nproc)
 
-.PHONY: all deps build test lint format demo chaos recovery clean
+.PHONY: all deps build test lint format demo soak chaos clean
 
 all: build
 
@@ -23,6 +23,9 @@
 format:
 	clang-format -i $$(git ls-files '*.c' '*.h' '*.cpp')
 
+soak: build
+	build/bench-soak --seed $(or $(SEED),1) --steps $(or $(STEPS),1000000)
+
 demo: build
 	bash demo/demo.sh build
 
@@ -33,9 +36,5 @@
 	build/chaos --bin build --manifest examples/chaos.toml \
 		--seed $(SEED) --duration-s $(DURATION_S)
 
-# Time until every key is served again after each kind of loss.
-recovery: build
-	build/recovery --bin build --manifest examples/chaos.toml
-
 clean:
 	rm -rf build build-test build-cmake.log
--- a/chaos/chaos_main.c
+++ b/chaos/chaos_main.c
@@ -104,7 +104,7 @@
 	       (unsigned long)v.ops, (unsigned long)v.overlap,
 	       (unsigned long)v.doubled, (unsigned long)v.crossed,
 	       (unsigned long)v.false_not_run, (unsigned long)v.lost,
-	       (unsigned long)load_unavailable_ms(&x->load, 0));
+	       (unsigned long)load_unavailable_ms(&x->load, 0, UINT64_MAX));
 	return bad || !v.ops ? EXIT_FAILURE : EXIT_SUCCESS;
 }
 
--- a/core/ctx.h
+++ b/core/ctx.h
@@ -42,6 +42,7 @@
 	CALL_KEEPER,  /* a roster's read or write for its charges */
 	CALL_SWEEP,   /* orphaned shards get owners */
 	CALL_PLANNER, /* the duty's lease, planned moves */
+	CALL_TAKER,   /* keepers' contacts, entries taken over */
 };
 
 /** A store call that has not ended. */
--- a/core/keeper.c
+++ b/core/keeper.c
@@ -48,13 +48,22 @@
 	keeper_init(k);
 }
 
-static struct keeper_dc *dc_get(struct keeper *k, const char *name)
+static struct keeper_dc *dc_find(struct keeper *k, const char *name)
 {
 	struct keeper_dc *dc;
 
 	list_for_each_entry(dc, &k->dcs, link)
 		if (!strcmp(dc->name, name))
 			return dc;
+	return NULL;
+}
+
+static struct keeper_dc *dc_get(struct keeper *k, const char *name)
+{
+	struct keeper_dc *dc = dc_find(k, name);
+
+	if (dc)
+		return dc;
 	dc = mem_new(struct keeper_dc);
 	mem_copy_str(dc->name, name, sizeof(dc->name));
 	list_init(&dc->charges);
@@ -109,7 +118,11 @@
 
 static void renewed(struct keeper *k, struct ctx *c, uint64_t sent_ns)
 {
-	if (k->contact_ns &&
+	/*
+	 * Reads count only if they were sent after the first contact of a
+	 * stretch was in the store: a taker looks at the contact last.
+	 */
+	if (!k->contact_ns ||
 	    c->now_ns > k->contact_ns + c->opts->timing.authority_ns)
 		forget(k, c);
 	if (k->contact_ns < sent_ns)
@@ -179,18 +192,32 @@
 				c->now_ns + t->lease_ns +
 				t->lease_ns * 2 * t->drift_ppm / 1000000;
 		}
-	} else if (m->term > ch->term || ch->state == CHARGE_VERIFY) {
-		ch->state = CHARGE_OK;
+	} else if (m->term > ch->term || ch->state == CHARGE_VERIFY ||
+		   ch->state == CHARGE_TAKEN) {
+		ch->state = m->ousted ? CHARGE_TAKEN : CHARGE_OK;
 		ch->heard_ns = c->now_ns;
 	}
 	ch->term = m->term;
 }
 
+/* Entries that are gone or name another keeper are no charges any more. */
+static void drop_charges(struct keeper_dc *dc, const struct ctx *c,
+			 const struct roster *r)
+{
+	struct charge *ch, *tmp;
+
+	list_for_each_entry_safe(ch, tmp, &dc->charges, link) {
+		const struct member *m = roster_find(r, ch->inc);
+
+		if (!m || m->keeper != c->self)
+			charge_delete(ch);
+	}
+}
+
 void keeper_observe(struct keeper *k, struct ctx *c, const struct roster *r,
 		    uint64_t stretch)
 {
 	struct keeper_dc *dc;
-	struct charge *ch, *tmp;
 	const struct member *m;
 	bool any = false;
 
@@ -204,11 +231,7 @@
 	list_for_each_entry(m, &r->members, link)
 		if (m->keeper == c->self)
 			observe_entry(dc, c, m);
-	list_for_each_entry_safe(ch, tmp, &dc->charges, link) {
-		m = roster_find(r, ch->inc);
-		if (!m || m->keeper != c->self)
-			charge_delete(ch);
-	}
+	drop_charges(dc, c, r);
 }
 
 void keeper_on_heartbeat(struct keeper *k, struct ctx *c,
@@ -223,7 +246,12 @@
 		dc->verify |= c->now_ns >= dc->next_verify_ns;
 		return;
 	}
-	if (ch->state != CHARGE_OK || ch->term != hb->term)
+	if (ch->term != hb->term)
+		return;
+	/* It knows of us, so it takes no answer of its former keeper. */
+	if (ch->state == CHARGE_TAKEN)
+		ch->state = CHARGE_OK;
+	if (ch->state != CHARGE_OK)
 		return;
 	ch->heard_ns = c->now_ns;
 	if (ch->revision > hb->revision &&
@@ -284,6 +312,7 @@
 		return false;
 	if (ch->state == CHARGE_REVOKE && m->state != MEMBER_REVOKED) {
 		m->state = MEMBER_REVOKED;
+		m->ousted = 0;
 		return true;
 	}
 	if (ch->state == CHARGE_LAPSED && m->state == MEMBER_REVOKED) {
@@ -302,16 +331,34 @@
 		return false;
 	m->keeper = c->self;
 	m->term = a->old_term + 1;
+	m->ousted = 0;
 	return true;
 }
 
+/* Owns up to having lost entries to another keeper. */
+static bool edit_ousted(struct roster *r, const struct ctx *c)
+{
+	struct member *m;
+	bool any = false;
+
+	list_for_each_entry(m, &r->members, link) {
+		if (m->ousted != c->self)
+			continue;
+		m->ousted = 0;
+		any = true;
+	}
+	return any;
+}
+
 /* All wanted edits in one write; false when none is left. */
 static bool edit_roster(struct keeper_dc *dc, struct ctx *c, struct roster *r)
 {
 	struct adoption *a, *tmp;
 	struct charge *ch;
-	bool any = false;
+	bool any;
 
+	drop_charges(dc, c, r);
+	any = edit_ousted(r, c);
 	list_for_each_entry(ch, &dc->charges, link)
 		any |= edit_charge(r, c, ch);
 	list_for_each_entry_safe(a, tmp, &dc->adoptions, link) {
@@ -390,7 +437,15 @@
 static bool dc_idle(const struct keeper_dc *dc)
 {
 	return list_empty(&dc->charges) && list_empty(&dc->adoptions) &&
-	       !dc->calling && !dc->verify;
+	       !dc->calling && !dc->verify && !dc->dirty;
+}
+
+/* One that was heard since, or came since, was heard now at the latest. */
+static void forgive(struct charge *ch, const struct ctx *c, uint64_t paused)
+{
+	ch->heard_ns += paused;
+	if (ch->heard_ns > c->now_ns)
+		ch->heard_ns = c->now_ns;
 }
 
 /*
@@ -406,17 +461,62 @@
 	if (k->worked_ns && paused > c->opts->timing.detect_ns / 2)
 		list_for_each_entry(dc, &k->dcs, link)
 			list_for_each_entry(ch, &dc->charges, link)
-				ch->heard_ns += paused;
+				forgive(ch, c, paused);
 	k->worked_ns = c->now_ns;
 }
 
+/* The view has more of the entry than the store has shown the keeper. */
+static bool outdated(const struct charge *ch, const struct member *m)
+{
+	if (!ch || ch->term < m->term)
+		return true;
+	if (m->state == MEMBER_REVOKED)
+		return ch->state != CHARGE_WAIT && ch->state != CHARGE_LAPSED;
+	return ch->state == CHARGE_TAKEN && !m->ousted;
+}
+
+/*
+ * Entries that name us, although their node may never have been heard, and
+ * entries taken from us: without the charge we never answer the node again,
+ * so the entry need not name us as ousted.
+ */
+static void scan_roster(struct keeper *k, struct ctx *c, const struct roster *r)
+{
+	struct keeper_dc *dc = dc_find(k, r->dc);
+	const struct member *m;
+
+	list_for_each_entry(m, &r->members, link) {
+		if (m->keeper != c->self && m->ousted != c->self)
+			continue;
+		dc = dc_get(k, r->dc);
+		if (m->ousted == c->self)
+			dc->dirty = true;
+		else if (outdated(charge_find(dc, m->inc), m))
+			dc->verify = true;
+	}
+	if (dc)
+		drop_charges(dc, c, r);
+}
+
+static void scan(struct keeper *k, struct ctx *c)
+{
+	const struct doc *d = NULL;
+
+	if (c->now_ns < k->next_scan_ns)
+		return;
+	k->next_scan_ns = c->now_ns + VERIFY_AGAIN_NS;
+	while ((d = view_next(&c->view, DOC_ROSTER, d)))
+		scan_roster(k, c, d->u.roster);
+}
+
 void keeper_work(struct keeper *k, struct ctx *c)
 {
 	struct keeper_dc *dc, *tmp;
 
+	scan(k, c);
+	forgive_pause(k, c);
 	if (!keeper_active(k))
 		return;
-	forgive_pause(k, c);
 	if (k->contact_ns && !keeper_has_authority(k, c)) {
 		forget(k, c);
 		k->contact_ns = 0;
@@ -481,6 +581,7 @@
 	case CHARGE_WAIT:
 		return ch->wait_until_ns;
 	case CHARGE_VERIFY:
+	case CHARGE_TAKEN:
 	case CHARGE_REVOKE:
 	case CHARGE_LAPSED:
 		break;
--- a/core/keeper.h
+++ b/core/keeper.h
@@ -6,6 +6,7 @@
 
 enum charge_state {
 	CHARGE_VERIFY, /* the store has not shown the entry yet */
+	CHARGE_TAKEN,  /* its former keeper may still answer */
 	CHARGE_OK,     /* its heartbeats are answered */
 	CHARGE_REVOKE, /* silent: never answered again; to be written */
 	CHARGE_WAIT,   /* revoked in the store; its lease runs out */
@@ -52,6 +53,7 @@
 	uint64_t contact_count;
 	revision_t contact_revision;
 	uint64_t next_contact_ns;
+	uint64_t next_scan_ns;
 	uint64_t worked_ns; /* when it last looked for silence */
 	bool released;	    /* entries were removed: orphaned shards to sweep */
 };
--- a/core/node.c
+++ b/core/node.c
@@ -20,6 +20,7 @@
 	keeper_init(&n->keeper);
 	sweep_init(&n->sweep);
 	planner_init(&n->planner);
+	taker_init(&n->taker);
 	gate_init(&n->gate);
 	router_init(&n->router);
 	return n;
@@ -29,6 +30,7 @@
 {
 	router_done(&n->router);
 	gate_done(&n->gate);
+	taker_done(&n->taker);
 	planner_done(&n->planner);
 	sweep_done(&n->sweep);
 	keeper_done(&n->keeper);
@@ -207,6 +209,9 @@
 	case CALL_PLANNER:
 		planner_on_store(&n->planner, c, call, ev);
 		break;
+	case CALL_TAKER:
+		taker_on_store(&n->taker, c, call, ev);
+		break;
 	}
 	free(call);
 }
@@ -289,14 +294,30 @@
 	}
 }
 
+/*
+ * The node has a new incarnation: what waits at the gate was taken under the
+ * former one's epochs and must not run under the new one's lease.
+ */
+static void change_incarnation(struct node *n)
+{
+	struct gate_call *gc, *tmp;
+
+	list_for_each_entry_safe(gc, tmp, &n->gate.queue, queued) {
+		struct msg_cancel m = {.id = gc->id, .attempt = gc->attempt};
+
+		gate_on_cancel(&n->gate, &n->ctx, &m);
+	}
+	keeper_reset(&n->keeper);
+	n->keeper_self = n->ctx.self;
+}
+
 static void work(struct node *n)
 {
 	struct ctx *c = &n->ctx;
 
 	membership_follow(&n->membership, c);
 	if (c->self != n->keeper_self)
-		keeper_reset(&n->keeper);
-	n->keeper_self = c->self;
+		change_incarnation(n);
 	membership_work(&n->membership, c);
 	keeper_work(&n->keeper, c);
 	if (n->keeper.released) {
@@ -304,6 +325,7 @@
 		sweep_want(&n->sweep);
 	}
 	planner_work(&n->planner, c, &n->sweep, watches(n));
+	taker_work(&n->taker, c, n->planner.holder);
 	sweep_work(&n->sweep, c);
 	watch_work(n);
 	drain_work(n);
@@ -334,6 +356,7 @@
 	t = earlier(t, keeper_next_ns(&n->keeper, &n->ctx));
 	t = earlier(t, sweep_next_ns(&n->sweep));
 	t = earlier(t, planner_next_ns(&n->planner));
+	t = earlier(t, taker_next_ns(&n->taker));
 	t = earlier(t, gate_next_ns(&n->gate));
 	t = earlier(t, router_next_ns(&n->router));
 	return t > n->ctx.now_ns ? t : n->ctx.now_ns + TICK_MIN_NS;
--- a/core/node.h
+++ b/core/node.h
@@ -9,6 +9,7 @@
 #include "core/planner.h"
 #include "core/router.h"
 #include "core/sweep.h"
+#include "core/taker.h"
 
 enum drain_state {
 	DRAIN_NONE,
@@ -25,6 +26,7 @@
 	struct keeper keeper;
 	struct sweep sweep;
 	struct planner planner;
+	struct taker taker;
 	struct gate gate;
 	struct router router;
 	enum drain_state drain;
--- a/core/roster.h
+++ b/core/roster.h
@@ -22,6 +22,7 @@
 	enum member_state state;
 	incarnation_t keeper; /* who confirms its lease; 0 for the store */
 	uint64_t term;	      /* rises with each change of keeper */
+	incarnation_t ousted; /* former keeper that may still answer; or 0 */
 };
 
 struct roster {
--- a/wire/doc_codec.c
+++ b/wire/doc_codec.c
@@ -48,6 +48,7 @@
 	PACK_ENUM_OF(struct member, state, MEMBER_REVOKED + 1),
 	PACK_U64_OF(struct member, keeper),
 	PACK_U64_OF(struct member, term),
+	PACK_U64_OF(struct member, ousted),
 };
 static const struct pack_table member_table = PACK_TABLE(member_fields);
 
