--- a/core/gate.c
+++ b/core/gate.c
@@ -482,6 +482,18 @@
 	}
 }
 
+void gate_refuse_waiting(struct gate *g, struct ctx *c)
+{
+	for (int i = 0; i < GATE_BUCKETS; i++) {
+		struct gate_call *gc;
+
+		list_for_each_entry(gc, &g->buckets[i], link)
+			if (!gc->ended && !gc->call)
+				end(g, c, gc, OUTCOME_NOT_RUN, REFUSAL_NO_LEASE,
+				    NULL);
+	}
+}
+
 void gate_work(struct gate *g, struct ctx *c, const struct lease *lease)
 {
 	renew_grants(g, c, lease);
--- a/core/gate.h
+++ b/core/gate.h
@@ -90,6 +90,9 @@
 		      struct ev_upstream_answer *a, const struct lease *lease);
 void gate_on_cancel(struct gate *g, struct ctx *c, const struct msg_cancel *m);
 
+/** Ends all attempts that have not started; none of them ran. */
+void gate_refuse_waiting(struct gate *g, struct ctx *c);
+
 /** Renews grants, releases moving shards, forgets old attempts. */
 void gate_work(struct gate *g, struct ctx *c, const struct lease *lease);
 uint64_t gate_next_ns(const struct gate *g);
--- a/core/roster.h
+++ b/core/roster.h
@@ -25,6 +25,7 @@
 	struct roster *roster; /* the one it is listed in */
 	struct list indexed;   /* in the view's bucket; else an empty list */
 	uint32_t charges;      /* entries naming it keeper; set by the view */
+	incarnation_t ousted;  /* former keeper that may still answer; or 0 */
 };
 
 struct roster {
--- a/fakes/fleet.h
+++ b/fakes/fleet.h
@@ -7,7 +7,7 @@
 #define JD_FAKES_FLEET_H
 
 #include "core/node.h"
-#include "fakes/doc_store.h"
+#include "fakes/fleet_store.h"
 
 #define FLEET_SLOTS   (1u << 17)
 #define FLEET_SLOT_NS (100 * NS_PER_US)
@@ -64,7 +64,7 @@
 	uint64_t now_ns;
 	struct list wheel[FLEET_SLOTS]; /* of struct fleet_event */
 	struct list waiting;		/* watches: calls as fleet_event */
-	struct doc_store store;
+	struct fleet_store store;
 	struct fleet_node *nodes;
 	struct actions out;
 	struct fleet_counts counts;
--- a/tests/router_test.cpp
+++ b/tests/router_test.cpp
@@ -402,6 +402,7 @@
 	action_delete(a);
 	actions_done(&out);
 	tick(60 * NS_PER_S);
+	announce();
 	forward_in(1, 1);
 	EXPECT_EQ(next(ACT_UPSTREAM_CALL), nullptr);
 	EXPECT_EQ(next_message(MSG_ANSWER), nullptr);
