Service-level burn, metrics from one table, limited logs

Cause: a node counted outcomes only in total, its metrics had no help or type, and a repeated event could fill the log.

--- /dev/null
+++ b/cli/burn_html.h
@@ -0,0 +1,11 @@
+/** The burn report as one HTML page that needs nothing else. */
+#ifndef JD_CLI_BURN_HTML_H
+#define JD_CLI_BURN_HTML_H
+
+#include <stdio.h>
+
+#include "cli/burn_report.h"
+
+void burn_html_write(FILE *out, const struct burn_report *r);
+
+#endif
--- a/cli/command.c
+++ b/cli/command.c
@@ -10,6 +10,7 @@
 #include "cli/member_change.h"
 #include "cli/metrics.h"
 #include "cli/reference.h"
+#include "cli/report.h"
 #include "cli/status.h"
 #include "cli/where.h"
 #include "core/text.h"
@@ -22,6 +23,7 @@
 	COMMAND_WHERE,
 	COMMAND_DRAIN,
 	COMMAND_CONFIRM_LOST,
+	COMMAND_REPORT_BURN,
 	COMMAND_METRICS,
 	COMMAND_REFERENCE,
 	COMMAND_COUNT,
@@ -58,6 +60,10 @@
 				  "Say that a node's VM has ended for good, so "
 				  "that its keys need not wait. Never for one "
 				  "that may still run."},
+	[COMMAND_REPORT_BURN] = {"report burn", "", 0, 0,
+				 "Show for each route and organisation its "
+				 "objective, good and bad requests, burn rates "
+				 "and the budget left, from all nodes."},
 	[COMMAND_METRICS] = {"metrics", "[NODE]", 0, 1,
 			     "Print the counters of a node, by name or of the "
 			     "one at --node."},
@@ -83,6 +89,8 @@
 		return drain_run(o);
 	case COMMAND_CONFIRM_LOST:
 		return confirm_lost_run(o);
+	case COMMAND_REPORT_BURN:
+		return report_run(o);
 	case COMMAND_METRICS:
 		return metrics_run(o);
 	case COMMAND_REFERENCE:
--- a/core/router.c
+++ b/core/router.c
@@ -24,6 +24,7 @@
 	for (int i = 0; i < ROUTER_BUCKETS; i++)
 		list_init(&r->buckets[i]);
 	list_init(&r->held);
+	burn_init(&r->burn);
 	r->next_id = 1;
 	r->next_sequence = 1;
 }
@@ -46,6 +47,7 @@
 		list_for_each_entry_safe(e, tmp, &r->buckets[i], link)
 			entry_delete(r, e);
 	}
+	burn_done(&r->burn);
 }
 
 static struct list *bucket(struct router *r, uint64_t counter)
@@ -68,7 +70,10 @@
 	enum outcome outcome;
 	enum refusal refusal;
 	incarnation_t served_by;
-	const struct home *home;    /* of one that must go elsewhere; or NULL */
+	const struct home *home; /* of one that must go elsewhere; or NULL */
+	const char *route;	 /* NULL: none was found */
+	const char *organisation;
+	uint64_t received_ns;
 	struct http_answer *answer; /* taken */
 };
 
@@ -94,6 +99,36 @@
 	}
 }
 
+/* Answers below 500 to what did not run are the caller's own faults. */
+static bool is_callers_fault(const struct reply *p)
+{
+	return p->outcome == OUTCOME_NOT_RUN &&
+	       refusal_find(p->refusal)->http_code < 500;
+}
+
+/* Good is an answer within the route's objective; all else burns budget. */
+static void count_burn(struct router *r, const struct ctx *c,
+		       const struct reply *p)
+{
+	const struct manifest *mf = view_manifest(&c->view);
+	const struct route *route =
+		mf && p->route ? manifest_route(mf, p->route) : NULL;
+	const struct organisation *o;
+
+	if (!route || is_callers_fault(p))
+		return;
+	o = manifest_organisation(mf, p->organisation);
+	burn_add(&r->burn,
+		 &(struct burn_event){
+			 .route = route->name,
+			 .organisation = o ? o->name : "",
+			 .now_ns = c->now_ns,
+			 .good = p->outcome == OUTCOME_DONE &&
+				 c->now_ns - p->received_ns <=
+					 route->objective_ms * NS_PER_MS,
+		 });
+}
+
 static void reply(struct router *r, struct ctx *c, const struct reply *p)
 {
 	struct act_reply *a = &actions_add(c->out, ACT_REPLY)->u.reply;
@@ -110,6 +145,7 @@
 		a->retry_after_s = RETRY_AFTER_S;
 	if (p->home)
 		name_home(c, p->home, a);
+	count_burn(r, c, p);
 	r->outcomes[p->outcome]++;
 	if (!p->answer)
 		r->reasons[p->refusal]++;
@@ -122,6 +158,9 @@
 	if (e->may_have_run && p->outcome == OUTCOME_NOT_RUN)
 		p->outcome = OUTCOME_UNKNOWN;
 	p->caller = e->caller;
+	p->route = e->route;
+	p->organisation = e->organisation;
+	p->received_ns = e->received_ns;
 	reply(r, c, p);
 	entry_delete(r, e);
 }
@@ -343,6 +382,7 @@
 	e->id.node = c->boot;
 	e->id.counter = r->next_id++;
 	e->caller = ev->caller;
+	e->received_ns = c->now_ns;
 	e->idempotent = route_idempotent(in->home.route, ev->request->method);
 	mem_copy_str(e->route, in->home.route->name, sizeof(e->route));
 	mem_copy_str(e->key, in->key, sizeof(e->key));
@@ -411,12 +451,16 @@
 	r->requests++;
 	if (why != REFUSAL_NONE) {
 		reply(r, c,
-		      &(struct reply){.caller = ev->caller,
-				      .outcome = OUTCOME_NOT_RUN,
-				      .refusal = why,
-				      .home = why == REFUSAL_HOME_REGION
-						      ? &in.home
-						      : NULL});
+		      &(struct reply){
+			      .caller = ev->caller,
+			      .outcome = OUTCOME_NOT_RUN,
+			      .refusal = why,
+			      .route = in.home.route ? in.home.route->name
+						     : NULL,
+			      .organisation = organisation(ev->request),
+			      .received_ns = c->now_ns,
+			      .home = why == REFUSAL_HOME_REGION ? &in.home
+								 : NULL});
 		http_request_delete(ev->request);
 		ev->request = NULL;
 		return;
--- a/core/router.h
+++ b/core/router.h
@@ -2,6 +2,7 @@
 #ifndef JD_CORE_ROUTER_H
 #define JD_CORE_ROUTER_H
 
+#include "core/burn.h"
 #include "core/ctx.h"
 #include "core/gate.h"
 
@@ -29,6 +30,7 @@
 	char route[JD_NAME_MAX];
 	char key[JD_KEY_MAX];
 	char organisation[JD_NAME_MAX];
+	uint64_t received_ns;
 	uint64_t deadline_ns;
 	uint64_t retry_ns;    /* when held: not before */
 	revision_t revision;  /* of the view at the last attempt */
@@ -50,6 +52,7 @@
 	uint64_t outcomes[OUTCOME_COUNT];
 	uint64_t reasons[REFUSAL_COUNT]; /* of replies without an answer */
 	uint64_t unmatched;		 /* answers to nothing we wait for */
+	struct burn burn;		 /* good and bad requests by route */
 };
 
 void router_init(struct router *r);
--- a/io/log.c
+++ b/io/log.c
@@ -5,8 +5,10 @@
 #include <string.h>
 #include <time.h>
 
+#include "core/log_limit.h"
 #include "core/mem.h"
 #include "core/text.h"
+#include "io/clock.h"
 
 #define LINE_MAX_BYTES 1024
 
@@ -19,6 +21,7 @@
 
 static enum log_level log_min = LOG_INFO;
 static char log_name[JD_NAME_MAX] = "-";
+static struct log_limit log_limit;
 
 void log_init(enum log_level min, const char *name)
 {
@@ -26,19 +29,37 @@
 	mem_copy_str(log_name, name, sizeof(log_name));
 }
 
+/* What came from outside must not make up lines of its own. */
+static void clean(char *dst, const char *src, size_t cap)
+{
+	mem_copy_str(dst, src, cap);
+	for (; *dst; dst++)
+		if ((unsigned char)*dst < ' ' || *dst == 0x7f)
+			*dst = '?';
+}
+
 void log_write(enum log_level level, const char *line)
 {
+	char text[LINE_MAX_BYTES];
+	char note[48] = "";
+	uint64_t suppressed;
 	struct timespec ts;
 	struct tm tm;
 	char when[32];
 
 	if (level < log_min)
 		return;
+	if (!log_limit_admit(&log_limit, line, clock_now_ns(), &suppressed))
+		return;
+	if (suppressed)
+		text_format(note, sizeof(note), " suppressed=%lu",
+			    (unsigned long)suppressed);
+	clean(text, line, sizeof(text));
 	clock_gettime(CLOCK_REALTIME, &ts);
 	gmtime_r(&ts.tv_sec, &tm);
 	strftime(when, sizeof(when), "%Y-%m-%dT%H:%M:%S", &tm);
-	fprintf(stderr, "time=%s.%03ldZ level=%s node=%s %s\n", when,
-		ts.tv_nsec / 1000000, level_names[level], log_name, line);
+	fprintf(stderr, "time=%s.%03ldZ level=%s node=%s %s%s\n", when,
+		ts.tv_nsec / 1000000, level_names[level], log_name, text, note);
 }
 
 void log_event(enum log_level level, const char *fmt, ...)
--- a/io/log.h
+++ b/io/log.h
@@ -7,7 +7,10 @@
 /** Lines below @min are left out; @name goes into each line. */
 void log_init(enum log_level min, const char *name);
 
-/** Writes time, level and name before @line. */
+/**
+ * Writes time, level and name before @line. Repeats of one event are
+ * limited; suppressed=N says how many were left out.
+ */
 void log_write(enum log_level level, const char *line);
 
 void log_event(enum log_level level, const char *fmt, ...)
--- /dev/null
+++ b/io/metrics.h
@@ -0,0 +1,11 @@
+/** The node's counters in the common text format. */
+#ifndef JD_IO_METRICS_H
+#define JD_IO_METRICS_H
+
+#include "core/node.h"
+#include "io/peers.h"
+
+/** The page /-/metrics; free() it. */
+char *metrics_page(const struct node *n, const struct peers_stats *p);
+
+#endif
--- a/io/status_page.h
+++ b/io/status_page.h
@@ -5,7 +5,8 @@
 #include "core/node.h"
 #include "io/peers.h"
 
-/** The page at @path ("/status", "/metrics"), free() it; NULL for none. */
+/** The page at @path ("/status", "/metrics", "/burn"), free() it; NULL for
+ * none. */
 char *status_page(const struct node *n, const struct peers_stats *p,
 		  const char *path);
 
