--- a/cli/apply.c
+++ b/cli/apply.c
@@ -4,7 +4,6 @@
 #include <string.h>
 #include <sys/random.h>
 
-#include "cli/diff.h"
 #include "cli/exit_code.h"
 #include "cli/manifest_file.h"
 #include "cli/rollout.h"
@@ -69,58 +68,67 @@
 	}
 }
 
-/* Replaces the manifest that @d holds by @m (taken). */
-static int replace(const struct cli_options *o, struct doc *d,
-		   struct manifest *m)
+/* Writes @m (taken) over the manifest of @revision; gives the new one. */
+static int replace(const struct cli_options *o, struct manifest *m,
+		   revision_t *revision)
 {
-	int code;
+	struct doc *d = doc_new(DOC_MANIFEST, "");
+	int code = CLI_FAILED;
 
-	manifest_delete(d->u.manifest);
 	d->u.manifest = m;
-	if (!new_change_id(m->change_id, sizeof(m->change_id)))
-		return CLI_FAILED;
-	code = write_manifest(o->store, d);
+	d->revision = *revision;
+	if (new_change_id(m->change_id, sizeof(m->change_id)))
+		code = write_manifest(o->store, d);
 	if (code == CLI_OK)
 		printf("applied: revision %lu\n", (unsigned long)d->revision);
+	*revision = d->revision;
+	doc_delete(d);
 	return code;
 }
 
-static int apply(const struct cli_options *o, struct doc *d)
+static bool same(const struct manifest *in_force, const struct manifest *m)
 {
-	struct manifest *m =
-		manifest_file_read(o->words[0], d->u.manifest, o->json);
 	struct list changes;
-	int count, code = CLI_OK;
+	int count;
+
+	list_init(&changes);
+	count = manifest_diff(in_force, m, &changes);
+	changes_delete(&changes);
+	return in_force && !count;
+}
+
+static int apply(const struct cli_options *o, const struct view *fleet)
+{
+	const struct doc *in_force = view_doc(fleet, DOC_MANIFEST, "");
+	revision_t revision = in_force ? in_force->revision : 0;
+	struct manifest *m = manifest_file_read(o->words[0], fleet, o->json);
+	int code = CLI_OK;
 
 	if (!m)
 		return CLI_FINDINGS;
-	list_init(&changes);
-	count = manifest_diff(d->u.manifest, m, &changes);
-	if (!count && d->u.manifest) {
+	if (same(view_manifest(fleet), m)) {
 		printf("already in force: revision %lu\n",
-		       (unsigned long)d->revision);
+		       (unsigned long)revision);
 		manifest_delete(m);
 	} else {
-		code = replace(o, d, m);
+		code = replace(o, m, &revision);
 	}
-	changes_delete(&changes);
 	if (code == CLI_OK && o->wait)
-		code = rollout_wait(o, d->revision);
+		code = rollout_wait(o, revision);
 	return code;
 }
 
 int apply_run(const struct cli_options *o)
 {
-	struct doc_key key = {.kind = DOC_MANIFEST};
+	struct view fleet;
 	struct status st;
-	struct doc *d = store_call_get(o->store, &key, &st);
-	int code;
+	int code = CLI_FAILED;
 
-	if (!d) {
+	view_init(&fleet);
+	if (store_call_all(o->store, &fleet, &st) == STATUS_OK)
+		code = apply(o, &fleet);
+	else
 		fprintf(stderr, "%s\n", st.msg);
-		return CLI_FAILED;
-	}
-	code = apply(o, d);
-	doc_delete(d);
+	view_done(&fleet);
 	return code;
 }
--- a/cli/diff.c
+++ b/cli/diff.c
@@ -46,16 +46,17 @@
 	}
 }
 
-static int diff(const struct cli_options *o, const struct doc *in_force)
+static int diff(const struct cli_options *o, const struct view *fleet)
 {
-	struct manifest *m =
-		manifest_file_read(o->words[0], in_force->u.manifest, o->json);
+	const struct manifest *old = view_manifest(fleet);
+	const struct doc *in_force = view_doc(fleet, DOC_MANIFEST, "");
+	struct manifest *m = manifest_file_read(o->words[0], fleet, o->json);
 	struct list changes;
 
 	if (!m)
 		return CLI_FINDINGS;
 	list_init(&changes);
-	if (!manifest_diff(in_force->u.manifest, m, &changes) && !o->json)
+	if (!manifest_diff(old, m, &changes) && !o->json)
 		printf("no change to revision %lu\n",
 		       (unsigned long)in_force->revision);
 	else
@@ -67,16 +68,15 @@
 
 int diff_run(const struct cli_options *o)
 {
-	struct doc_key key = {.kind = DOC_MANIFEST};
+	struct view fleet;
 	struct status st;
-	struct doc *d = store_call_get(o->store, &key, &st);
-	int code;
+	int code = CLI_FAILED;
 
-	if (!d) {
+	view_init(&fleet);
+	if (store_call_all(o->store, &fleet, &st) == STATUS_OK)
+		code = diff(o, &fleet);
+	else
 		fprintf(stderr, "%s\n", st.msg);
-		return CLI_FAILED;
-	}
-	code = diff(o, d);
-	doc_delete(d);
+	view_done(&fleet);
 	return code;
 }
--- a/cli/manifest_file.c
+++ b/cli/manifest_file.c
@@ -38,8 +38,8 @@
 	json_decref(all);
 }
 
-struct manifest *manifest_file_read(const char *path,
-				    const struct manifest *in_force, bool json)
+struct manifest *manifest_file_read(const char *path, const struct view *fleet,
+				    bool json)
 {
 	struct manifest *m;
 	struct findings f;
@@ -51,7 +51,7 @@
 		return NULL;
 	}
 	findings_init(&f);
-	m = manifest_read_change(path, text, in_force, &f);
+	m = manifest_read_change(path, text, fleet, &f);
 	free(text);
 	findings_sort(&f);
 	if (json && f.count)
--- a/cli/manifest_file.h
+++ b/cli/manifest_file.h
@@ -5,13 +5,14 @@
 #include <stdbool.h>
 
 #include "core/manifest.h"
+#include "core/view.h"
 
 /**
- * Reads the manifest at @path, as a change of @in_force (may be NULL). NULL
- * after findings, which go to standard error, as JSON to standard output
- * with @json.
+ * Reads the manifest at @path, as a change of what @fleet runs (may be
+ * NULL). NULL after findings, which go to standard error, as JSON to
+ * standard output with @json.
  */
-struct manifest *manifest_file_read(const char *path,
-				    const struct manifest *in_force, bool json);
+struct manifest *manifest_file_read(const char *path, const struct view *fleet,
+				    bool json);
 
 #endif
--- a/core/manifest_check.c
+++ b/core/manifest_check.c
@@ -207,3 +207,45 @@
 	check_region_changes(m, in_force, f);
 	check_removed(m, in_force, f);
 }
+
+/* How many nodes may serve @route under @m. */
+static uint32_t count_places(const struct manifest *m,
+			     const struct route *route,
+			     const struct view *fleet)
+{
+	const struct doc *d = NULL;
+	uint32_t n = 0;
+
+	while ((d = view_next(fleet, DOC_ROSTER, d))) {
+		const struct roster *r = d->u.roster;
+		const struct data_centre *dc = manifest_data_centre(m, r->dc);
+		const struct member *it;
+
+		if ((dc && dc->state != DC_IN) ||
+		    !region_set_allows(&route->home_regions, r->region))
+			continue;
+		list_for_each_entry(it, &r->members, link)
+			n += it->state == MEMBER_UP &&
+			     !strcmp(it->service, route->service);
+	}
+	return n;
+}
+
+void manifest_check_places(const struct manifest *m, const struct view *fleet,
+			   struct findings *f)
+{
+	const struct manifest *old = view_manifest(fleet);
+	const struct route *r, *was;
+	int i = 0;
+
+	list_for_each_entry(r, &m->routes, link) {
+		was = old ? manifest_route(old, r->name) : NULL;
+		if (was && count_places(old, was, fleet) &&
+		    !count_places(m, r, fleet))
+			report_at(f, "route", i, "service",
+				  "a running node of it in a data centre that "
+				  "may serve the route",
+				  "none after this change");
+		i++;
+	}
+}
--- a/core/manifest_check.h
+++ b/core/manifest_check.h
@@ -4,6 +4,7 @@
 
 #include "core/finding.h"
 #include "core/manifest.h"
+#include "core/view.h"
 
 /**
  * Adds a finding, named by its field's path, for each rule that @m breaks.
@@ -13,4 +14,11 @@
 void manifest_check(const struct manifest *m, const struct manifest *in_force,
 		    struct findings *f);
 
+/**
+ * Adds a finding for each route that nodes of @fleet can serve under the
+ * manifest in force there, but none could under @m.
+ */
+void manifest_check_places(const struct manifest *m, const struct view *fleet,
+			   struct findings *f);
+
 #endif
--- a/io/manifest_reader.c
+++ b/io/manifest_reader.c
@@ -145,20 +145,21 @@
 	list_splice_back(&to->items, &fields.items);
 }
 
-static void check_whole(const struct manifest *m,
-			const struct manifest *in_force,
+static void check_whole(const struct manifest *m, const struct view *fleet,
 			const struct toml_text *t, struct findings *f)
 {
 	struct findings found;
 
 	findings_init(&found);
-	manifest_check(m, in_force, &found);
+	manifest_check(m, fleet ? view_manifest(fleet) : NULL, &found);
+	if (fleet)
+		manifest_check_places(m, fleet, &found);
 	add_places(&found, t, f);
 	findings_done(&found);
 }
 
 struct manifest *manifest_read_change(const char *file, const char *text,
-				      const struct manifest *in_force,
+				      const struct view *fleet,
 				      struct findings *f)
 {
 	struct toml_text *t = toml_read(file, text, f);
@@ -170,7 +171,7 @@
 	for (size_t i = 0; i < SECTION_COUNT; i++)
 		read_section(m, (enum manifest_section)i, t, f);
 	check_unknown(t, f);
-	check_whole(m, in_force, t, f);
+	check_whole(m, fleet, t, f);
 	toml_delete(t);
 	if (!f->count)
 		return m;
--- a/io/manifest_reader.h
+++ b/io/manifest_reader.h
@@ -4,6 +4,7 @@
 
 #include "core/finding.h"
 #include "core/manifest.h"
+#include "core/view.h"
 
 /**
  * Reads @text, named @file in findings. NULL when there is any finding;
@@ -12,9 +13,9 @@
 struct manifest *manifest_read(const char *file, const char *text,
 			       struct findings *f);
 
-/** Like manifest_read(), checked as a change of @in_force (may be NULL). */
+/** Like manifest_read(), checked as a change of what @fleet runs. */
 struct manifest *manifest_read_change(const char *file, const char *text,
-				      const struct manifest *in_force,
+				      const struct view *fleet,
 				      struct findings *f);
 
 /** The reference page of all fields in Markdown; free() it. */
--- a/tests/manifest_check_test.cpp
+++ b/tests/manifest_check_test.cpp
@@ -7,6 +7,8 @@
 
 extern "C" {
 #include "core/finding.h"
+#include "core/mem.h"
+#include "core/view.h"
 #include "io/manifest_reader.h"
 }
 
@@ -22,17 +24,47 @@
 	return s.str();
 }
 
-// All findings of @text as a change of @in_force, one a line.
-std::string check(const std::string &text,
-		  const struct manifest *in_force = nullptr)
+// A fleet that runs @m (taken), without nodes until they are added.
+class Fleet
+{
+public:
+	explicit Fleet(struct manifest *m)
+	{
+		struct doc *d = doc_new(DOC_MANIFEST, "");
+
+		d->u.manifest = m;
+		d->revision = 1;
+		view_init(&view);
+		view_apply(&view, d);
+	}
+	~Fleet()
+	{
+		view_done(&view);
+	}
+
+	void add_node(const char *dc, const char *region, const char *service)
+	{
+		struct doc *d = doc_new(DOC_ROSTER, dc);
+
+		d->revision = ++view.revision + 1;
+		d->u.roster = roster_new(dc, region);
+		struct member *m = roster_add(d->u.roster, dc, d->revision);
+		mem_copy_str(m->service, service, sizeof(m->service));
+		view_apply(&view, d);
+	}
+
+	struct view view;
+};
+
+// All findings of @text as a change of @fleet, one a line.
+std::string check(const std::string &text, const struct view *fleet = nullptr)
 {
 	struct findings f;
 	struct finding *it;
 	std::string all;
 
 	findings_init(&f);
-	struct manifest *m =
-		manifest_read_change("m", text.c_str(), in_force, &f);
+	struct manifest *m = manifest_read_change("m", text.c_str(), fleet, &f);
 	EXPECT_EQ(m == nullptr, f.count > 0);
 	manifest_delete(m);
 	findings_sort(&f);
@@ -188,10 +220,11 @@
 
 TEST(ManifestCheck, ChangesOfWhatRuns)
 {
-	struct manifest *old = read(dcs + route_text("shards = 64\n"));
+	Fleet fleet(read(dcs + route_text("shards = 64\n")));
+	const struct view *old = &fleet.view;
 	std::string all;
 
-	ASSERT_NE(old, nullptr);
+	ASSERT_NE(view_manifest(old), nullptr);
 	EXPECT_EQ(check(dcs + route_text("shards = 64\n"), old), "");
 	all = check(dcs + route_text("shards = 65\n"), old);
 	EXPECT_NE(all.find("m:14:10: route[0].shards"), std::string::npos)
@@ -209,7 +242,33 @@
 			  "path = \"/a/\"\nkind = \"any\"\n",
 		    old);
 	EXPECT_NE(all.find("route[0].kind"), std::string::npos) << all;
-	manifest_delete(old);
+}
+
+// The only nodes of a service must not lose their last allowed place.
+TEST(ManifestCheck, AChangeLeavesNoKeysWithoutAPlace)
+{
+	const std::string text = "[[data_centre]]\nname = \"s1\"\n"
+				 "region = \"south\"\n"
+				 "[[data_centre]]\nname = \"n1\"\n"
+				 "region = \"north\"\n";
+	Fleet fleet(read(text + route_text("")));
+	const std::string leaving = "[[data_centre]]\nname = \"s1\"\n"
+				    "region = \"south\"\n"
+				    "state = \"leaving\"\n" +
+				    text.substr(text.find("[[", 2));
+
+	EXPECT_EQ(check(leaving + route_text(""), &fleet.view), "");
+	fleet.add_node("s1", "south", "s");
+	fleet.add_node("n1", "north", "other");
+	std::string all = check(leaving + route_text(""), &fleet.view);
+	EXPECT_NE(all.find("route[0].service: expected a running node"),
+		  std::string::npos)
+		<< all;
+	all = check(text + route_text("home_regions = [\"north\"]\n"),
+		    &fleet.view);
+	EXPECT_NE(all.find("none after this change"), std::string::npos) << all;
+	fleet.add_node("n1", "north", "s");
+	EXPECT_EQ(check(leaving + route_text(""), &fleet.view), "");
 }
 
 TEST(ManifestCheck, TheReferencePageIsTrue)
@@ -225,7 +284,7 @@
 static void break_example(const std::string &name, bool lines)
 {
 	std::string text = slurp("examples/" + name + ".toml");
-	struct manifest *old = read(text);
+	Fleet fleet(read(text));
 	int times = *rc::gen::inRange(1, 6);
 
 	while (times-- > 0 && !text.empty()) {
@@ -245,8 +304,7 @@
 			break;
 		}
 	}
-	check(text, old);
-	manifest_delete(old);
+	check(text, &fleet.view);
 }
 
 RC_GTEST_PROP(ManifestCheck, BrokenBytesNeverCrash, ())
