--- a/tests/rollout_test.cpp
+++ b/tests/rollout_test.cpp
@@ -142,3 +142,22 @@
 	}));
 	EXPECT_EQ(n1.number("manifest_revision"), wanted);
 }
+
+// A lost node and, in turn, each of the others' keepers among them.
+TEST_F(Rollout, ALostNodeDoesNotHoldItUp)
+{
+	ASSERT_EQ(store.jackdaw("apply " + manifest(1000)).code, CLI_OK);
+	ASSERT_TRUE(jd::eventually([&] { return all_serve(); }));
+	for (jd::Node *n : {&n1, &n2, &n3}) {
+		n->stop(SIGKILL);
+		jd::Result r = store.jackdaw("--wait --timeout-s 60 apply " +
+					     manifest(1001 + n->http));
+		EXPECT_EQ(r.code, CLI_OK) << r.out;
+		EXPECT_NE(r.out.find("in force on 2 nodes"), std::string::npos)
+			<< r.out;
+		n->start();
+		seen.erase(n);
+		ASSERT_TRUE(jd::eventually([&] { return all_serve(); }));
+		look();
+	}
+}
