Front and peers: gone callers are seen, peers authenticate, unsent is not run

Cause: tests of the real front and of the real peers showed these faults. - evhttp stops reading while a request runs, so a caller that went away was never noticed: nothing was cancelled, and its request leaked when its connection closed.

Change: the front watches connections without evhttp's read callback and bounds pipelined bytes to 64 KB; callers count until their answer has left; ACT_EXIT waits for that up to 5 s; draining answers say Connection: close. unknown is 502 or 504 only. Refusals for the home region name a region and an entry there. Peers queue nothing for a node without a connection: a forward ends as not_run (peer_down) and is tried again, other messages wait for at most 0.5 s and 1 MB a node. Connections are given up after 3 s without acknowledgement, closed after 60 s without use.

--- a/daemon/jackdawd.c
+++ b/daemon/jackdawd.c
@@ -45,6 +45,20 @@
 	return EXIT_SUCCESS;
 }
 
+/* Prints a new key pair of a fleet as settings. */
+static int make_keys(void)
+{
+	struct peer_keys k;
+
+	if (!peer_keys_make(&k)) {
+		fprintf(stderr, "jackdawd: the library has no CURVE\n");
+		return EXIT_RUN;
+	}
+	printf("peer_public_key = '%s'\npeer_secret_key = '%s'\n", k.public_key,
+	       k.secret_key);
+	return EXIT_SUCCESS;
+}
+
 static int check(struct settings *s, const char *path)
 {
 	struct findings f;
@@ -73,9 +87,11 @@
 		arg_file0("s", "settings", "FILE", "settings in TOML");
 	struct arg_lit *only_check = arg_lit0(
 		NULL, "check-settings", "print all findings, exit 2 on any");
+	struct arg_lit *keys = arg_lit0(
+		NULL, "make-keys", "print a key pair for the fleet's peers");
 	struct arg_lit *help = arg_lit0("h", "help", "this text");
 	struct arg_end *end = arg_end(8);
-	void *table[] = {file, only_check, help, end};
+	void *table[] = {file, only_check, keys, help, end};
 	struct settings s;
 	int errors = arg_parse(argc, argv, table);
 	int code = EXIT_SETTINGS;
@@ -88,6 +104,8 @@
 		arg_print_glossary(help->count ? stdout : stderr, table,
 				   "  %-24s %s\n");
 		code = help->count ? EXIT_SUCCESS : EXIT_SETTINGS;
+	} else if (keys->count) {
+		code = make_keys();
 	} else if (!check(&s, file->count ? file->filename[0] : NULL)) {
 		log_init(s.log_level, s.name);
 		invariant_set_sink(log_invariant);
--- a/io/driver.c
+++ b/io/driver.c
@@ -13,6 +13,10 @@
 #include "io/store_client.h"
 #include "io/upstream_client.h"
 
+/* The last answers may take as long to leave. */
+#define EXIT_MAX_NS  (5 * NS_PER_S)
+#define EXIT_LOOK_MS 5
+
 struct driver {
 	struct event_base *base;
 	struct node *node;
@@ -21,15 +25,64 @@
 	struct store_client *store;
 	struct upstream_client *upstream;
 	struct event *timer;
+	struct event *exit_timer;
+	uint64_t exit_deadline_ns; /* 0: goes on */
 	struct actions out;
 	bool running; /* inside node_handle's actions */
 };
 
+static void handle(struct driver *d, struct event *ev);
+
+/* A forward that provably did not leave ends its attempt as not run. */
+static void answer_unsent(struct driver *d, const struct message *forward)
+{
+	struct message *m = message_new(MSG_ANSWER);
+	struct event ev = {
+		.kind = EV_MESSAGE, .now_ns = clock_now_ns(), .u.message = m};
+
+	m->from = forward->to;
+	m->to = forward->from;
+	m->u.answer.id = forward->u.forward.id;
+	m->u.answer.attempt = forward->u.forward.attempt;
+	m->u.answer.outcome = OUTCOME_NOT_RUN;
+	m->u.answer.refusal = REFUSAL_PEER_DOWN;
+	handle(d, &ev);
+}
+
+static void send_message(struct driver *d, const struct act_send *s)
+{
+	if (!peers_send(d->peers, s->addr, s->message) &&
+	    s->message->kind == MSG_FORWARD)
+		answer_unsent(d, s->message);
+}
+
+/* Answers that are being written may still leave whole. */
+static void on_exit_timer(evutil_socket_t fd, short what, void *arg)
+{
+	struct timeval again = {.tv_usec = EXIT_LOOK_MS * 1000};
+	struct driver *d = arg;
+
+	(void)fd;
+	(void)what;
+	if (front_waiting(d->front) && clock_now_ns() < d->exit_deadline_ns)
+		evtimer_add(d->exit_timer, &again);
+	else
+		event_base_loopexit(d->base, NULL);
+}
+
+static void start_exit(struct driver *d)
+{
+	if (d->exit_deadline_ns)
+		return;
+	d->exit_deadline_ns = clock_now_ns() + EXIT_MAX_NS;
+	on_exit_timer(-1, 0, d);
+}
+
 static void act(struct driver *d, struct action *a)
 {
 	switch (a->kind) {
 	case ACT_SEND:
-		peers_send(d->peers, a->u.send.addr, a->u.send.message);
+		send_message(d, &a->u.send);
 		break;
 	case ACT_STORE:
 		store_client_call(d->store, &a->u.store);
@@ -50,7 +103,7 @@
 		log_write(a->u.log.level, a->u.log.line);
 		break;
 	case ACT_EXIT:
-		event_base_loopexit(d->base, NULL);
+		start_exit(d);
 		break;
 	}
 }
@@ -130,13 +183,14 @@
 {
 	struct driver *d = arg;
 
-	return status_page(d->node, peers_stats(d->peers), path);
+	return status_page(d->node, peers_count(d->peers), path);
 }
 
 void driver_drain(struct driver *d)
 {
 	struct event ev = {.kind = EV_DRAIN, .now_ns = clock_now_ns()};
 
+	front_drain(d->front);
 	handle(d, &ev);
 }
 
@@ -150,6 +204,11 @@
 				   .on_event = on_front,
 				   .page = on_page,
 				   .arg = d};
+	struct peers_opts peers = {.base = base,
+				   .addr = s->peer_addr,
+				   .keys = s->peer_keys,
+				   .fn = on_message,
+				   .arg = d};
 	struct node_opts opts;
 	struct event ev = {.kind = EV_TICK, .now_ns = clock_now_ns()};
 	uint64_t seed;
@@ -161,9 +220,10 @@
 	d->base = base;
 	d->node = node_new(&opts);
 	d->timer = evtimer_new(base, on_timer, d);
+	d->exit_timer = evtimer_new(base, on_exit_timer, d);
 	d->store = store_client_new(base, s->store_addr, on_store, d);
 	d->upstream = upstream_client_new(base, on_upstream, d);
-	d->peers = peers_new(base, s->peer_addr, on_message, d, st);
+	d->peers = peers_new(&peers, st);
 	if (d->peers)
 		d->front = front_new(&front, st);
 	if (!d->front) {
@@ -183,6 +243,7 @@
 	upstream_client_delete(d->upstream);
 	store_client_delete(d->store);
 	event_free(d->timer);
+	event_free(d->exit_timer);
 	actions_done(&d->out);
 	node_delete(d->node);
 	free(d);
--- a/io/front.c
+++ b/io/front.c
@@ -1,6 +1,7 @@
 #include "io/front.h"
 
 #include <event2/buffer.h>
+#include <event2/bufferevent.h>
 #include <event2/http.h>
 #include <jansson.h>
 #include <stdlib.h>
@@ -17,6 +18,9 @@
 #define CALLER_BUCKETS	     1024
 #define MAX_HEADERS_BYTES    (32 << 10)
 #define CONNECTION_TIMEOUT_S 120
+#define PIPELINED_MAX_BYTES  (64 << 10)
+#define HTTP_BAD_GATEWAY     502
+#define HTTP_GATEWAY_TIMEOUT 504
 
 struct front {
 	struct front_opts opts;
@@ -24,15 +28,17 @@
 	struct list callers[CALLER_BUCKETS]; /* of struct caller */
 	uint64_t next_caller;
 	uint32_t waiting;
+	bool draining;
 };
 
-/* One request of a caller until it is answered. */
+/* One request of a caller until its answer has left. */
 struct caller {
 	struct list link;
 	struct front *front;
 	uint64_t id;
 	struct evhttp_request *req;
 	struct evhttp_connection *conn;
+	bool replied; /* the answer is being written */
 };
 
 static void caller_delete(struct caller *c)
@@ -49,10 +55,26 @@
 	struct event ev = {.kind = EV_CALLER_GONE,
 			   .now_ns = clock_now_ns(),
 			   .u.caller_gone.caller = c->id};
+	bool replied = c->replied;
 
 	evhttp_connection_set_closecb(conn, NULL, NULL);
+	/* evhttp leaves a request that is still to be answered to us. */
+	if (!evhttp_request_get_connection(c->req))
+		evhttp_request_free(c->req);
+	caller_delete(c);
+	if (!replied)
+		f->opts.on_event(f->opts.arg, &ev);
+}
+
+static void on_written(struct evhttp_request *req, void *arg)
+{
+	struct caller *c = arg;
+
+	(void)req;
+	bufferevent_setwatermark(evhttp_connection_get_bufferevent(c->conn),
+				 EV_READ, 0, 0);
+	evhttp_connection_set_closecb(c->conn, NULL, NULL);
 	caller_delete(c);
-	f->opts.on_event(f->opts.arg, &ev);
 }
 
 static struct caller *caller_find(struct front *f, uint64_t id)
@@ -65,6 +87,24 @@
 	return NULL;
 }
 
+/*
+ * While a request runs evhttp does not read, and would not see the caller go.
+ * Bytes of a next request wait in the buffer, up to the mark: evhttp's own
+ * callback must not see them before it is ready for them.
+ */
+static void watch_connection(struct evhttp_connection *conn)
+{
+	struct bufferevent *bev = evhttp_connection_get_bufferevent(conn);
+	bufferevent_event_cb on_event;
+	bufferevent_data_cb on_read, on_write;
+	void *arg;
+
+	bufferevent_getcb(bev, &on_read, &on_write, &on_event, &arg);
+	bufferevent_setcb(bev, NULL, on_write, on_event, arg);
+	bufferevent_setwatermark(bev, EV_READ, 0, PIPELINED_MAX_BYTES);
+	bufferevent_enable(bev, EV_READ);
+}
+
 static struct caller *caller_new(struct front *f, struct evhttp_request *req)
 {
 	struct caller *c = mem_new(struct caller);
@@ -76,6 +116,7 @@
 	list_push_back(&f->callers[c->id % CALLER_BUCKETS], &c->link);
 	f->waiting++;
 	evhttp_connection_set_closecb(c->conn, on_close, c);
+	watch_connection(c->conn);
 	return c;
 }
 
@@ -217,47 +258,67 @@
 	return f->waiting;
 }
 
+/* Only a not_run has a code that may invite to send it again. */
+static int status_of(const struct act_reply *r)
+{
+	int code = refusal_find(r->refusal)->http_code;
+
+	return r->outcome == OUTCOME_NOT_RUN || code == HTTP_BAD_GATEWAY
+		       ? code
+		       : HTTP_GATEWAY_TIMEOUT;
+}
+
 static void send_refusal(struct evhttp_request *req, const struct act_reply *r)
 {
-	const struct refusal_info *info = refusal_find(r->refusal);
+	const char *reason = refusal_find(r->refusal)->name;
 	char text[128];
 
 	text_format(text, sizeof(text), "outcome=%s reason=%s\n",
-		    outcome_name(r->outcome), info->name);
+		    outcome_name(r->outcome), reason);
 	evhttp_add_header(evhttp_request_get_output_headers(req),
-			  "X-Jackdaw-Reason", info->name);
-	reply_text(req,
-		   r->outcome == OUTCOME_UNKNOWN && info->http_code < 500
-			   ? 504
-			   : info->http_code,
-		   text);
+			  "X-Jackdaw-Reason", reason);
+	reply_text(req, status_of(r), text);
 }
 
-void front_reply(struct front *f, const struct act_reply *r)
+static void add_headers(const struct front *f, struct evkeyvalq *headers,
+			const struct act_reply *r)
 {
-	struct caller *c = caller_find(f, r->caller);
-	struct evhttp_request *req;
-	struct evkeyvalq *headers;
 	char number[16];
 
-	if (!c)
-		return;
-	req = c->req;
-	evhttp_connection_set_closecb(c->conn, NULL, NULL);
-	caller_delete(c);
-	headers = evhttp_request_get_output_headers(req);
 	evhttp_add_header(headers, "X-Jackdaw-Outcome",
 			  outcome_name(r->outcome));
 	if (r->served_by[0])
 		evhttp_add_header(headers, "X-Jackdaw-Served-By", r->served_by);
+	if (r->region[0])
+		evhttp_add_header(headers, "X-Jackdaw-Region", r->region);
+	if (r->entry_addr[0])
+		evhttp_add_header(headers, "X-Jackdaw-Entry", r->entry_addr);
 	if (r->retry_after_s) {
 		text_format(number, sizeof(number), "%u", r->retry_after_s);
 		evhttp_add_header(headers, "Retry-After", number);
 	}
+	if (f->draining)
+		evhttp_add_header(headers, "Connection", "close");
+}
+
+void front_reply(struct front *f, const struct act_reply *r)
+{
+	struct caller *c = caller_find(f, r->caller);
+
+	if (!c || c->replied)
+		return;
+	c->replied = true;
+	evhttp_request_set_on_complete_cb(c->req, on_written, c);
+	add_headers(f, evhttp_request_get_output_headers(c->req), r);
 	if (!r->answer) {
-		send_refusal(req, r);
+		send_refusal(c->req, r);
 		return;
 	}
-	http_to_evhttp(&r->answer->payload, req);
-	evhttp_send_reply(req, r->answer->code, NULL, NULL);
+	http_to_evhttp(&r->answer->payload, c->req);
+	evhttp_send_reply(c->req, r->answer->code, NULL, NULL);
+}
+
+void front_drain(struct front *f)
+{
+	f->draining = true;
 }
--- a/io/front.h
+++ b/io/front.h
@@ -31,7 +31,10 @@
 
 void front_reply(struct front *f, const struct act_reply *r);
 
-/** Callers that wait for an answer. */
+/** From now on each answer closes its connection. */
+void front_drain(struct front *f);
+
+/** Callers whose answer has not left whole. */
 uint32_t front_waiting(const struct front *f);
 
 #endif
--- a/io/peers.c
+++ b/io/peers.c
@@ -6,25 +6,50 @@
 
 #include "core/mem.h"
 #include "core/text.h"
+#include "io/clock.h"
 #include "wire/codec.h"
 
-#define QUEUE_MAX_MESSAGES 10000
+/* Queue to or from one node; the bytes are bounded by what entries keep. */
+#define QUEUE_MAX_MESSAGES 1000
 #define READ_BATCH	   256
+#define SOCKETS_MAX	   4096
+/* Sent, but not acknowledged for as long: the connection is given up. */
+#define UNACKED_MAX_MS	   3000
+/* What waits for a connection: how long, and how many bytes a node. */
+#define PENDING_NS	   (500 * NS_PER_MS)
+#define PENDING_MAX_BYTES  (1u << 20)
+#define PENDING_RETRY_MS   10
+/* A node that nothing was sent to for as long needs no connection. */
+#define IDLE_NS		   (60 * NS_PER_S)
+#define IDLE_SWEEP_S	   10
+#define KEEPALIVE_IDLE_S   60
+
+/* A message that waits for the connection to its node. */
+struct pending {
+	struct list link;
+	uint64_t deadline_ns;
+	struct wire_buf buf;
+};
 
 struct peer {
 	struct list link;
 	char addr[JD_ADDR_MAX];
 	void *push;
+	uint64_t idle_ns; /* to be closed then */
+	struct list pending;
+	size_t pending_bytes;
 };
 
 struct peers {
+	struct peers_opts opts;
 	void *zmq;
 	void *pull;
+	struct peer_auth *auth;
 	struct event *readable;
 	struct event *again; /* more was there than one turn reads */
-	struct list list;    /* of struct peer */
-	peers_message_fn fn;
-	void *arg;
+	struct event *retry; /* something is pending */
+	struct event *sweep;
+	struct list list; /* of struct peer */
 	struct peers_stats stats;
 };
 
@@ -49,34 +74,133 @@
 	set_int(s, ZMQ_RCVHWM, QUEUE_MAX_MESSAGES);
 	set_int(s, ZMQ_RECONNECT_IVL, 50);
 	set_int(s, ZMQ_RECONNECT_IVL_MAX, 500);
+	set_int(s, ZMQ_TCP_MAXRT, UNACKED_MAX_MS);
+	set_int(s, ZMQ_TCP_KEEPALIVE, 1);
+	set_int(s, ZMQ_TCP_KEEPALIVE_IDLE, KEEPALIVE_IDLE_S);
 	return s;
 }
 
-struct peers *peers_new(struct event_base *base, const char *addr,
-			peers_message_fn fn, void *arg, struct status *st)
+static void pending_delete(struct peer *it, struct pending *m)
+{
+	list_remove(&m->link);
+	it->pending_bytes -= m->buf.len;
+	free(m->buf.data);
+	free(m);
+}
+
+static void peer_delete(struct peers *p, struct peer *it)
+{
+	struct pending *m, *tmp;
+
+	list_for_each_entry_safe(m, tmp, &it->pending, link)
+		pending_delete(it, m);
+	list_remove(&it->link);
+	zmq_close(it->push);
+	free(it);
+	p->stats.open--;
+}
+
+static bool push(struct peers *p, struct peer *it, const struct wire_buf *b)
+{
+	if (zmq_send(it->push, b->data, b->len, ZMQ_DONTWAIT) < 0)
+		return false;
+	p->stats.sent++;
+	p->stats.sent_bytes += b->len;
+	return true;
+}
+
+/* Sends what waits; what waits for too long is dropped. */
+static void flush(struct peers *p, struct peer *it, uint64_t now_ns)
+{
+	struct pending *m, *tmp;
+
+	list_for_each_entry_safe(m, tmp, &it->pending, link) {
+		if (!push(p, it, &m->buf)) {
+			if (now_ns < m->deadline_ns)
+				return;
+			p->stats.dropped++;
+		}
+		pending_delete(it, m);
+	}
+}
+
+static void arm_retry(struct peers *p)
+{
+	struct timeval tv = {.tv_usec = PENDING_RETRY_MS * 1000};
+
+	if (!evtimer_pending(p->retry, NULL))
+		evtimer_add(p->retry, &tv);
+}
+
+static void on_retry(evutil_socket_t fd, short what, void *arg)
+{
+	struct peers *p = arg;
+	uint64_t now = clock_now_ns();
+	struct peer *it;
+
+	(void)fd;
+	(void)what;
+	list_for_each_entry(it, &p->list, link) {
+		flush(p, it, now);
+		if (!list_empty(&it->pending))
+			arm_retry(p);
+	}
+}
+
+static void on_sweep(evutil_socket_t fd, short what, void *arg)
+{
+	struct peers *p = arg;
+	uint64_t now = clock_now_ns();
+	struct peer *it, *tmp;
+
+	(void)fd;
+	(void)what;
+	list_for_each_entry_safe(it, tmp, &p->list, link)
+		if (now >= it->idle_ns)
+			peer_delete(p, it);
+}
+
+static bool listen_on(struct peers *p, struct status *st)
 {
-	struct peers *p = mem_new(struct peers);
 	char url[JD_ADDR_MAX + 8];
+	int64_t max = WIRE_MAX_BYTES;
 	evutil_socket_t fd;
 	size_t len = sizeof(fd);
 
-	p->fn = fn;
-	p->arg = arg;
-	list_init(&p->list);
-	p->zmq = zmq_ctx_new();
 	p->pull = socket_new(p, ZMQ_PULL);
-	text_format(url, sizeof(url), "tcp://%s", addr);
+	zmq_setsockopt(p->pull, ZMQ_MAXMSGSIZE, &max, sizeof(max));
+	peer_auth_server(p->auth, p->pull);
+	text_format(url, sizeof(url), "tcp://%s", p->opts.addr);
 	if (zmq_bind(p->pull, url) != 0) {
 		status_set(st, STATUS_IO, "%s: %s", url,
 			   zmq_strerror(zmq_errno()));
-		peers_delete(p);
-		return NULL;
+		return false;
 	}
 	zmq_getsockopt(p->pull, ZMQ_FD, &fd, &len);
-	p->readable = event_new(base, fd, EV_READ | EV_PERSIST, on_readable, p);
+	p->readable = event_new(p->opts.base, fd, EV_READ | EV_PERSIST,
+				on_readable, p);
 	event_add(p->readable, NULL);
-	p->again = evtimer_new(base, on_readable, p);
-	return p;
+	return true;
+}
+
+struct peers *peers_new(const struct peers_opts *o, struct status *st)
+{
+	struct peers *p = mem_new(struct peers);
+	struct timeval sweep = {.tv_sec = IDLE_SWEEP_S};
+
+	p->opts = *o;
+	list_init(&p->list);
+	p->zmq = zmq_ctx_new();
+	zmq_ctx_set(p->zmq, ZMQ_MAX_SOCKETS, SOCKETS_MAX);
+	p->auth = peer_auth_new(o->base, p->zmq, &o->keys);
+	p->again = evtimer_new(o->base, on_readable, p);
+	p->retry = evtimer_new(o->base, on_retry, p);
+	p->sweep = event_new(o->base, -1, EV_PERSIST, on_sweep, p);
+	event_add(p->sweep, &sweep);
+	if (listen_on(p, st))
+		return p;
+	peers_delete(p);
+	return NULL;
 }
 
 void peers_delete(struct peers *p)
@@ -85,13 +209,13 @@
 
 	if (p->readable)
 		event_free(p->readable);
-	if (p->again)
-		event_free(p->again);
-	list_for_each_entry_safe(it, tmp, &p->list, link) {
-		zmq_close(it->push);
-		free(it);
-	}
+	event_free(p->again);
+	event_free(p->retry);
+	event_free(p->sweep);
+	list_for_each_entry_safe(it, tmp, &p->list, link)
+		peer_delete(p, it);
 	zmq_close(p->pull);
+	peer_auth_delete(p->auth);
 	zmq_ctx_term(p->zmq);
 	free(p);
 }
@@ -106,26 +230,52 @@
 			return it;
 	it = mem_new(struct peer);
 	mem_copy_str(it->addr, addr, sizeof(it->addr));
+	list_init(&it->pending);
 	it->push = socket_new(p, ZMQ_PUSH);
+	/* Nothing is queued for a node that is not connected. */
+	set_int(it->push, ZMQ_IMMEDIATE, 1);
+	peer_auth_client(p->auth, it->push);
 	text_format(url, sizeof(url), "tcp://%s", addr);
 	zmq_connect(it->push, url);
 	list_push_back(&p->list, &it->link);
+	p->stats.open++;
 	return it;
 }
 
-void peers_send(struct peers *p, const char *addr, const struct message *m)
+/* Takes the bytes of @b if there is room for them. */
+static bool wait_for_connection(struct peers *p, struct peer *it,
+				struct wire_buf *b, uint64_t now_ns)
+{
+	struct pending *m;
+
+	if (it->pending_bytes + b->len > PENDING_MAX_BYTES)
+		return false;
+	m = mem_new(struct pending);
+	m->deadline_ns = now_ns + PENDING_NS;
+	m->buf = *b;
+	b->data = NULL;
+	it->pending_bytes += m->buf.len;
+	list_push_back(&it->pending, &m->link);
+	arm_retry(p);
+	return true;
+}
+
+bool peers_send(struct peers *p, const char *addr, const struct message *m)
 {
 	struct peer *it = peer_get(p, addr);
+	uint64_t now = clock_now_ns();
 	struct wire_buf b;
+	bool ok;
 
+	it->idle_ns = now + IDLE_NS;
 	wire_encode_message(m, &b);
-	if (zmq_send(it->push, b.data, b.len, ZMQ_DONTWAIT) < 0) {
+	ok = push(p, it, &b);
+	if (!ok && m->kind != MSG_FORWARD)
+		ok = wait_for_connection(p, it, &b, now);
+	if (!ok)
 		p->stats.dropped++;
-	} else {
-		p->stats.sent++;
-		p->stats.sent_bytes += b.len;
-	}
 	free(b.data);
+	return ok;
 }
 
 static bool read_one(struct peers *p)
@@ -144,7 +294,7 @@
 	m = wire_decode_message(zmq_msg_data(&msg), zmq_msg_size(&msg), &st);
 	zmq_msg_close(&msg);
 	if (m)
-		p->fn(p->arg, m);
+		p->opts.fn(p->opts.arg, m);
 	else
 		p->stats.broken++;
 	return true;
@@ -158,13 +308,15 @@
 {
 	struct timeval now = {0, 0};
 
+	peer_auth_read(p->auth);
 	for (int i = 0; i < READ_BATCH; i++)
 		if (!read_one(p))
 			return;
 	evtimer_add(p->again, &now);
 }
 
-const struct peers_stats *peers_stats(const struct peers *p)
+const struct peers_stats *peers_count(struct peers *p)
 {
+	p->stats.refused = peer_auth_refused(p->auth);
 	return &p->stats;
 }
--- a/io/settings.c
+++ b/io/settings.c
@@ -31,6 +31,11 @@
 	 .fallback = "127.0.0.1:7200"},
 	{"store_addr", FIELD_ADDR, STR_OF(store_addr),
 	 .help = "the platform's store", .fallback = "127.0.0.1:7000"},
+	{"peer_public_key", FIELD_TEXT, STR_OF(peer_keys.public_key),
+	 .help = "the fleet's CURVE key; without it peers talk in the clear",
+	 .fallback = ""},
+	{"peer_secret_key", FIELD_TEXT, STR_OF(peer_keys.secret_key),
+	 .help = "the secret key of that pair", .fallback = ""},
 	{"log_level", FIELD_CHOICE, offsetof(struct settings, log_level),
 	 .choices = level_choices, .help = "the lowest level that is logged",
 	 .fallback = "info"},
@@ -106,6 +111,17 @@
 			      "at least two heartbeats", "less");
 }
 
+static void check_keys(const struct settings *s, const struct toml_text *t,
+		       struct findings *f)
+{
+	const char *wrong = peer_keys_check(&s->peer_keys);
+
+	if (wrong)
+		field_finding(f, t, "peer_public_key",
+			      toml_find(t, "peer_public_key"), wrong,
+			      "another pair");
+}
+
 void settings_read(struct settings *s, const char *path, struct findings *f)
 {
 	const struct field_table *ft = &settings_table;
@@ -131,6 +147,7 @@
 			field_finding(f, t, v->path, v, "a known setting",
 				      v->text);
 	check_times(s, t, f);
+	check_keys(s, t, f);
 	toml_delete(t);
 }
 
--- a/io/settings.h
+++ b/io/settings.h
@@ -4,6 +4,7 @@
 
 #include "core/ctx.h"
 #include "core/finding.h"
+#include "io/peer_auth.h"
 
 struct settings {
 	char name[JD_NAME_MAX];
@@ -12,6 +13,7 @@
 	char http_addr[JD_ADDR_MAX];
 	char peer_addr[JD_ADDR_MAX];
 	char store_addr[JD_ADDR_MAX];
+	struct peer_keys peer_keys; /* of the fleet; empty: in the clear */
 	int log_level;
 	uint64_t max_body_bytes;
 	uint64_t heartbeat_ms;
--- a/io/status_page.c
+++ b/io/status_page.c
@@ -91,6 +91,8 @@
 		{"jackdaw_peer_bytes_received_total", p->received_bytes},
 		{"jackdaw_peer_broken_total", p->broken},
 		{"jackdaw_peer_dropped_total", p->dropped},
+		{"jackdaw_peer_refused_total", p->refused},
+		{"jackdaw_peers_open", p->open},
 		{"jackdaw_refused_messages_total", n->refused_messages},
 	};
 	char *text = text_new("%s", "");
