Router: work for held entries only when it is due

Cause: each event walked all held entries, and each 50 ms all forwarded ones against all rosters: 20000 held entries at 5000 events a second are 10^8 steps a second. A cancel missed the own gate after a change of incarnation.

Change: held entries stay in the order of their next try; all of them are tried only when the view has changed, and so is the search for lost gates. An entry knows that its attempt runs at the own gate.

--- a/core/router.c
+++ b/core/router.c
@@ -264,8 +264,8 @@
 	e->state = ENTRY_FORWARDED;
 	e->at = m->inc;
 	e->attempt++;
-	e->revision = c->view.revision;
-	if (m->inc == c->self)
+	e->local = m->inc == c->self;
+	if (e->local)
 		run_local(c, g, lease, e);
 	else
 		run_remote(r, c, e, m);
@@ -473,7 +473,7 @@
 
 	if (e->state != ENTRY_FORWARDED)
 		return;
-	if (e->at == c->self) {
+	if (e->local) {
 		gate_on_cancel(g, c, &m);
 		return;
 	}
@@ -527,6 +527,9 @@
 /* An idempotent request whose gate is gone need not wait for it. */
 static void give_up_lost(struct router *r, struct ctx *c)
 {
+	if (c->view.revision == r->lost_revision)
+		return;
+	r->lost_revision = c->view.revision;
 	for (int i = 0; i < ROUTER_BUCKETS; i++) {
 		struct entry *e;
 
@@ -540,26 +543,35 @@
 	}
 }
 
+/* Held entries are in the order of their next try; a new view tries all. */
+static void collect_due(struct router *r, const struct ctx *c, struct list *due)
+{
+	bool all = r->held_revision != c->view.revision;
+	struct entry *e, *tmp;
+
+	r->held_revision = c->view.revision;
+	list_for_each_entry_safe(e, tmp, &r->held, held) {
+		if (!all && c->now_ns < e->retry_ns)
+			return;
+		list_remove(&e->held);
+		list_push_back(due, &e->held);
+	}
+}
+
 void router_work(struct router *r, struct ctx *c, struct gate *g,
 		 const struct lease *lease)
 {
-	struct entry *e, *tmp;
 	struct list due;
 
 	if (c->now_ns >= r->next_expiry_ns)
 		give_up_lost(r, c);
 	expire(r, c, g);
 	list_init(&due);
-	list_for_each_entry_safe(e, tmp, &r->held, held) {
-		if (c->now_ns < e->retry_ns && e->revision == c->view.revision)
-			continue;
-		list_remove(&e->held);
-		list_push_back(&due, &e->held);
-	}
+	collect_due(r, c, &due);
 	while (!list_empty(&due)) {
-		e = list_entry(due.next, struct entry, held);
+		struct entry *e = list_entry(due.next, struct entry, held);
+
 		list_remove(&e->held);
-		e->revision = c->view.revision;
 		dispatch(r, c, g, lease, e);
 	}
 }
--- a/core/router.h
+++ b/core/router.h
@@ -31,8 +31,8 @@
 	char organisation[JD_NAME_MAX];
 	uint64_t deadline_ns;
 	uint64_t retry_ns;    /* when held: not before */
-	revision_t revision;  /* of the view at the last attempt */
 	incarnation_t at;     /* gate of the running attempt */
+	bool local;	      /* it is our own, whatever our incarnation */
 	enum refusal refusal; /* of the last attempt */
 	struct http_request *request;
 };
@@ -46,6 +46,8 @@
 	uint64_t bytes; /* of requests kept */
 	bool leaving;	/* takes no new requests */
 	uint64_t next_expiry_ns;
+	revision_t lost_revision; /* of the view that gates were found in */
+	revision_t held_revision; /* of the view that held ones were tried in */
 	uint64_t requests;
 	uint64_t outcomes[OUTCOME_COUNT];
 	uint64_t reasons[REFUSAL_COUNT]; /* of replies without an answer */
--- a/tests/router_test.cpp
+++ b/tests/router_test.cpp
@@ -50,6 +50,16 @@
 		node_delete(n);
 	}
 
+	// The view learns of @d, the newest document.
+	void take(struct doc *d)
+	{
+		struct list docs;
+
+		list_init(&docs);
+		list_push_back(&docs, &d->link);
+		view_sync(&n->ctx.view, d->revision - 1, d->revision, &docs);
+	}
+
 	static void bind(struct region_set *set, const char *region)
 	{
 		mem_copy_str(set->names[set->count++], region, JD_NAME_MAX);
@@ -92,7 +102,7 @@
 		o = manifest_add_organisation(d->u.manifest);
 		mem_copy_str(o->name, "org-b", sizeof(o->name));
 		bind(&o->home_regions, "b");
-		view_apply(&n->ctx.view, d);
+		take(d);
 	}
 
 	void apply_roster(const char *dc, const char *region, const char *name,
@@ -111,7 +121,7 @@
 				    "http-%s", name);
 			m->term = 1;
 		}
-		view_apply(&n->ctx.view, d);
+		take(d);
 	}
 
 	void own(const char *route, incarnation_t owner)
@@ -124,7 +134,7 @@
 		if (old)
 			d->u.map->shards[0] = old->shards[0];
 		shard_assign(&d->u.map->shards[0], owner);
-		view_apply(&n->ctx.view, d);
+		take(d);
 	}
 
 	void announce()
@@ -463,7 +473,7 @@
 	d->u.manifest = manifest_new();
 	bind(&add_route(d->u.manifest, "home-a", ROUTE_KEYED)->home_regions,
 	     "b");
-	view_apply(&n->ctx.view, d);
+	take(d);
 	tick(30 * NS_PER_MS);
 	expect_reply(OUTCOME_NOT_RUN, REFUSAL_HOME_REGION);
 	EXPECT_EQ(n->router.count, 0u);
@@ -499,6 +509,35 @@
 	EXPECT_EQ(n->router.bytes, 0u);
 }
 
+TEST_F(Router, ACallersGoneCancelsAtItsOwnGateUnderAnyIncarnation)
+{
+	struct event ev = {};
+
+	own("keyed", n->ctx.self);
+	ask("POST", "/keyed/k");
+	struct action *a = next(ACT_UPSTREAM_CALL);
+	ASSERT_NE(a, nullptr);
+	uint64_t call = a->u.call.call;
+	action_delete(a);
+	n->ctx.self++;
+	ev.kind = EV_CALLER_GONE;
+	ev.u.caller_gone.caller = 1;
+	handle(&ev);
+	a = next(ACT_UPSTREAM_CANCEL);
+	ASSERT_NE(a, nullptr);
+	EXPECT_EQ(a->u.cancel, call);
+	action_delete(a);
+}
+
+TEST_F(Router, AHeldRequestGoesOutAsSoonAsTheViewNamesAnOwner)
+{
+	ask("POST", "/keyed/k");
+	EXPECT_EQ(forwarded().attempt, 0u);
+	own("keyed", OTHER);
+	tick(NS_PER_MS);
+	EXPECT_EQ(forwarded().attempt, 1u);
+}
+
 TEST_F(Router, ACallerThatGoesAwayCancelsItsAttempt)
 {
 	struct event ev = {};
