--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 # Targets for people and CI; the build itself is CMakeLists.txt.
 JOBS ?= $(shell nproc)
 
-.PHONY: all deps build test lint format demo soak chaos recovery request-soak clean
+.PHONY: all deps build test lint format demo soak chaos recovery request-soak router-cost clean
 
 all: build
 
@@ -44,5 +44,9 @@
 request-soak: build
 	build/bench-request_soak $(SEED) $(or $(STEPS),50)
 
+# The router's own cost against a direct call to the upstream.
+router-cost: build
+	build/bench-router_cost --bin build --manifest examples/chaos.toml
+
 clean:
 	rm -rf build build-test build-cmake.log
--- a/fakes/request_world.c
+++ b/fakes/request_world.c
@@ -16,6 +16,7 @@
 #define REQUEST_EVERY	(2 * NS_PER_MS)
 #define ROUTE_MS	400
 #define HOP_NS		(2 * NS_PER_MS)
+#define ANNOUNCE_NS	(250 * NS_PER_MS)
 #define LATE_COPY_NS	(5 * NS_PER_S)
 #define VIEW_LAG_NS	(100 * NS_PER_MS)
 #define ROUTES		3
@@ -54,7 +55,8 @@
 	WORLD_REQUEST,
 	WORLD_GONE,
 	WORLD_CHURN,
-	WORLD_LEASE, /* the node's lease is confirmed again */
+	WORLD_LEASE,	/* the node's lease is confirmed again */
+	WORLD_ANNOUNCE, /* all upstreams say that they live */
 	WORLD_TICK,
 };
 
@@ -134,6 +136,7 @@
 	case WORLD_GONE:
 	case WORLD_CHURN:
 	case WORLD_LEASE:
+	case WORLD_ANNOUNCE:
 	case WORLD_TICK:
 		break;
 	}
@@ -710,6 +713,13 @@
 	event_add(w, WORLD_TICK, w->now_ns + TICK_NS);
 }
 
+static void on_announce(struct world *w)
+{
+	for (uint32_t i = 0; i < NODES; i++)
+		announce(w, i);
+	event_add(w, WORLD_ANNOUNCE, w->now_ns + ANNOUNCE_NS);
+}
+
 static void run_event(struct world *w, struct world_event *ev)
 {
 	struct node *n = w->nodes[ev->node];
@@ -741,6 +751,9 @@
 	case WORLD_LEASE:
 		lease_confirm(&n->membership.lease, w->now_ns, LEASE_NS);
 		break;
+	case WORLD_ANNOUNCE:
+		on_announce(w);
+		break;
 	case WORLD_TICK:
 		on_tick(w);
 		break;
@@ -763,10 +776,9 @@
 				     w->nodes[any_node(w, i)]->ctx.self);
 		w->maps[i] = d;
 	}
-	for (uint32_t i = 0; i < NODES; i++) {
+	for (uint32_t i = 0; i < NODES; i++)
 		view_fill(w, i);
-		announce(w, i);
-	}
+	on_announce(w);
 	event_add(w, WORLD_TICK, w->now_ns);
 	event_add(w, WORLD_REQUEST, w->now_ns);
 	event_add(w, WORLD_CHURN, w->now_ns + NS_PER_S / 10);
