Fewer copies of a request's body

Change: requests are shared by reference once they are stripped, evhttp's buffer is drained when the request is taken, and messages are handed to ZeroMQ without a copy. The bench divides by the requests that really run and measures connections on a fresh node.

--- a/bench/router_cost.c
+++ b/bench/router_cost.c
@@ -336,18 +336,34 @@
 	return failed;
 }
 
-/* Bytes that the process keeps for each of the idle connections. */
+/* Opens all connections with one request each, one after the other. */
+static void open_idle(struct client *c, struct event_base *base,
+		      const char *addr)
+{
+	client_open(c, base, addr, CONNECTIONS_MAX);
+	for (uint32_t i = 0; i < c->open; i++) {
+		c->left = 1;
+		send_next(&c->conns[i]);
+		event_base_dispatch(base);
+	}
+}
+
+/*
+ * Bytes that the process keeps for each idle connection: the second thousand,
+ * as the first takes up what the start has freed.
+ */
 static double connection_bytes(struct event_base *base, pid_t pid,
 			       const char *addr)
 {
-	static struct client c;
-	double before = resident_bytes(pid);
-	double after;
+	static struct client first, second;
+	double before, after;
 
-	client_open(&c, base, addr, CONNECTIONS_MAX);
-	client_run(&c, CONNECTIONS_MAX);
+	open_idle(&first, base, addr);
+	before = resident_bytes(pid);
+	open_idle(&second, base, addr);
 	after = resident_bytes(pid);
-	client_close(&c);
+	client_close(&first);
+	client_close(&second);
 	return (after - before) / CONNECTIONS_MAX;
 }
 
@@ -359,6 +375,7 @@
 	static struct client c;
 	pid_t pid = cl->nodes[owner].node;
 	double before = resident_bytes(pid);
+	uint32_t running;
 	double after;
 
 	client_open(&c, base, cl->nodes[owner].http_addr, IN_FLIGHT);
@@ -367,12 +384,50 @@
 	event_base_loopexit(base, &tv);
 	event_base_dispatch(base);
 	after = resident_bytes(pid);
+	running = c.running;
 	client_close(&c);
-	return (after - before) / IN_FLIGHT;
+	return running ? (after - before) / running : 0;
 }
 
-static bool with_cluster(struct cluster_opts *o, struct event_base *base,
-			 bool memory)
+/* In a fresh process: memory freed by earlier runs would be used again. */
+static uint32_t measure_memory(const struct cluster *cl,
+			       struct event_base *base, uint32_t owner)
+{
+	const struct cluster_node *n = &cl->nodes[owner];
+	double ours = connection_bytes(base, n->node, n->http_addr);
+
+	print_bench("connection_bytes", ours,
+		    connection_bytes(base, n->upstream, n->upstream_addr));
+	return 0;
+}
+
+static uint32_t measure_in_flight(const struct cluster *cl,
+				  struct event_base *base, uint32_t owner)
+{
+	print_bench("in_flight_64k_bytes", in_flight_bytes(cl, base, owner),
+		    IN_FLIGHT_BODY);
+	return 0;
+}
+
+enum measurement { MEASURE_TIME, MEASURE_MEMORY, MEASURE_IN_FLIGHT };
+
+static uint32_t measure(const struct cluster *cl, struct event_base *base,
+			enum measurement what, uint32_t owner)
+{
+	switch (what) {
+	case MEASURE_TIME:
+		return measure_time(cl, base, owner);
+	case MEASURE_MEMORY:
+		return measure_memory(cl, base, owner);
+	case MEASURE_IN_FLIGHT:
+		return measure_in_flight(cl, base, owner);
+	}
+	return 0;
+}
+
+/* One measurement on a cluster of its own. */
+static bool with_cluster(const struct cluster_opts *o, struct event_base *base,
+			 enum measurement what)
 {
 	static struct cluster cl;
 	uint32_t owner = NODES;
@@ -380,17 +435,8 @@
 
 	if (cluster_start(&cl, o))
 		owner = find_owner(&cl, base);
-	if (owner < NODES && !memory) {
-		failed = measure_time(&cl, base, owner);
-		print_bench("connection_bytes",
-			    connection_bytes(base, cl.nodes[owner].node,
-					     cl.nodes[owner].http_addr),
-			    connection_bytes(base, cl.nodes[owner].upstream,
-					     cl.nodes[owner].upstream_addr));
-	} else if (owner < NODES) {
-		print_bench("in_flight_64k_bytes",
-			    in_flight_bytes(&cl, base, owner), IN_FLIGHT_BODY);
-	}
+	if (owner < NODES)
+		failed = measure(&cl, base, what, owner);
 	cluster_stop(&cl);
 	if (failed)
 		printf("failed=%u\n", failed);
@@ -422,9 +468,10 @@
 		manifest->count ? manifest->sval[0] : "examples/chaos.toml";
 	o.port = port->count ? (uint16_t)port->ival[0] : 23500;
 	o.dir = dir;
-	ok = with_cluster(&o, base, false);
+	ok = with_cluster(&o, base, MEASURE_TIME);
+	ok &= with_cluster(&o, base, MEASURE_MEMORY);
 	o.work_ms = IN_FLIGHT_WORK_MS;
-	ok = ok && with_cluster(&o, base, true);
+	ok &= with_cluster(&o, base, MEASURE_IN_FLIGHT);
 	event_base_free(base);
 	arg_freetable(table, sizeof(table) / sizeof(*table));
 	return ok ? EXIT_SUCCESS : EXIT_FAILURE;
--- a/core/http.c
+++ b/core/http.c
@@ -80,6 +80,7 @@
 {
 	struct http_request *r = mem_new(struct http_request);
 
+	r->refs = 1;
 	mem_copy_str(r->method, method, sizeof(r->method));
 	r->target = mem_dup(target, strlen(target));
 	payload_init(&r->payload);
@@ -88,19 +89,17 @@
 
 void http_request_delete(struct http_request *r)
 {
-	if (!r)
+	if (!r || --r->refs)
 		return;
 	payload_done(&r->payload);
 	free(r->target);
 	free(r);
 }
 
-struct http_request *http_request_copy(const struct http_request *r)
+struct http_request *http_request_ref(struct http_request *r)
 {
-	struct http_request *c = http_request_new(r->method, r->target);
-
-	payload_copy(&c->payload, &r->payload);
-	return c;
+	r->refs++;
+	return r;
 }
 
 struct http_answer *http_answer_new(int code)
--- a/core/http.h
+++ b/core/http.h
@@ -17,8 +17,12 @@
 	unsigned char *body;
 };
 
-/** What a caller asks for; the method is upper case. */
+/**
+ * What a caller asks for; the method is upper case. Shared by reference: it
+ * does not change once it is.
+ */
 struct http_request {
+	uint32_t refs;
 	char method[16];
 	char *target; /* path and query */
 	struct payload payload;
@@ -42,7 +46,8 @@
 
 struct http_request *http_request_new(const char *method, const char *target);
 void http_request_delete(struct http_request *r);
-struct http_request *http_request_copy(const struct http_request *r);
+/** Another reference to @r; http_request_delete() each. */
+struct http_request *http_request_ref(struct http_request *r);
 
 struct http_answer *http_answer_new(int code);
 void http_answer_delete(struct http_answer *a);
--- a/core/router.c
+++ b/core/router.c
@@ -230,7 +230,7 @@
 	mem_copy_str(f->route, e->route, sizeof(f->route));
 	mem_copy_str(f->key, e->key, sizeof(f->key));
 	mem_copy_str(f->organisation, e->organisation, sizeof(f->organisation));
-	f->request = http_request_copy(e->request);
+	f->request = http_request_ref(e->request);
 }
 
 static void run_local(struct ctx *c, struct gate *g, const struct lease *lease,
--- a/io/http_convert.c
+++ b/io/http_convert.c
@@ -44,6 +44,7 @@
 		if (!is_hop_header(kv->key))
 			payload_add_header(p, kv->key, kv->value);
 	payload_set_body(p, len ? evbuffer_pullup(in, -1) : NULL, len);
+	evbuffer_drain(in, len); /* one copy is enough */
 }
 
 bool http_method(const char *name, enum evhttp_cmd_type *type)
--- a/io/peers.c
+++ b/io/peers.c
@@ -28,7 +28,7 @@
 struct pending {
 	struct list link;
 	uint64_t deadline_ns;
-	struct wire_buf buf;
+	zmq_msg_t msg;
 };
 
 struct peer {
@@ -83,8 +83,8 @@
 static void pending_delete(struct peer *it, struct pending *m)
 {
 	list_remove(&m->link);
-	it->pending_bytes -= m->buf.len;
-	free(m->buf.data);
+	it->pending_bytes -= zmq_msg_size(&m->msg);
+	zmq_msg_close(&m->msg);
 	free(m);
 }
 
@@ -100,12 +100,15 @@
 	p->stats.open--;
 }
 
-static bool push(struct peers *p, struct peer *it, const struct wire_buf *b)
+/* Takes the bytes of @msg on success. */
+static bool push(struct peers *p, struct peer *it, zmq_msg_t *msg)
 {
-	if (zmq_send(it->push, b->data, b->len, ZMQ_DONTWAIT) < 0)
+	size_t len = zmq_msg_size(msg);
+
+	if (zmq_msg_send(msg, it->push, ZMQ_DONTWAIT) < 0)
 		return false;
 	p->stats.sent++;
-	p->stats.sent_bytes += b->len;
+	p->stats.sent_bytes += len;
 	return true;
 }
 
@@ -115,7 +118,7 @@
 	struct pending *m, *tmp;
 
 	list_for_each_entry_safe(m, tmp, &it->pending, link) {
-		if (!push(p, it, &m->buf)) {
+		if (!push(p, it, &m->msg)) {
 			if (now_ns < m->deadline_ns)
 				return;
 			p->stats.dropped++;
@@ -242,39 +245,55 @@
 	return it;
 }
 
-/* Takes the bytes of @b if there is room for them. */
+/* Takes the bytes of @msg if there is room for them. */
 static bool wait_for_connection(struct peers *p, struct peer *it,
-				struct wire_buf *b, uint64_t now_ns)
+				zmq_msg_t *msg, uint64_t now_ns)
 {
+	size_t len = zmq_msg_size(msg);
 	struct pending *m;
 
-	if (it->pending_bytes + b->len > PENDING_MAX_BYTES)
+	if (it->pending_bytes + len > PENDING_MAX_BYTES)
 		return false;
 	m = mem_new(struct pending);
 	m->deadline_ns = now_ns + PENDING_NS;
-	m->buf = *b;
-	b->data = NULL;
-	it->pending_bytes += m->buf.len;
+	zmq_msg_init(&m->msg);
+	zmq_msg_move(&m->msg, msg);
+	it->pending_bytes += len;
 	list_push_back(&it->pending, &m->link);
 	arm_retry(p);
 	return true;
 }
 
+/* Called on ZeroMQ's thread once the bytes have left. */
+static void free_bytes(void *data, void *hint)
+{
+	(void)hint;
+	free(data);
+}
+
+static void encode(const struct message *m, zmq_msg_t *msg)
+{
+	struct wire_buf b;
+
+	wire_encode_message(m, &b);
+	zmq_msg_init_data(msg, b.data, b.len, free_bytes, NULL);
+}
+
 bool peers_send(struct peers *p, const char *addr, const struct message *m)
 {
 	struct peer *it = peer_get(p, addr);
 	uint64_t now = clock_now_ns();
-	struct wire_buf b;
+	zmq_msg_t msg;
 	bool ok;
 
 	it->idle_ns = now + IDLE_NS;
-	wire_encode_message(m, &b);
-	ok = push(p, it, &b);
+	encode(m, &msg);
+	ok = push(p, it, &msg);
 	if (!ok && m->kind != MSG_FORWARD)
-		ok = wait_for_connection(p, it, &b, now);
+		ok = wait_for_connection(p, it, &msg, now);
 	if (!ok)
 		p->stats.dropped++;
-	free(b.data);
+	zmq_msg_close(&msg);
 	return ok;
 }
 
