--- a/io/metrics.c
+++ b/io/metrics.c
@@ -77,6 +77,10 @@
 	 METRIC_COUNTER, SOURCE_PEERS, MEMBER(peers_stats, broken)},
 	{"jackdaw_peer_dropped_total", "Messages that could not be sent.",
 	 METRIC_COUNTER, SOURCE_PEERS, MEMBER(peers_stats, dropped)},
+	{"jackdaw_peer_refused_total", "Connections refused for their key.",
+	 METRIC_COUNTER, SOURCE_PEERS, MEMBER(peers_stats, refused)},
+	{"jackdaw_peers_open", "Nodes that a connection is kept to.",
+	 METRIC_GAUGE, SOURCE_PEERS, MEMBER(peers_stats, open)},
 };
 
 static const char *const type_names[] = {
