Spread changes as deltas, and keep a cold boot within the store's rates

Cause: a keeper sent whole rosters and maps for each change; at a cold boot all nodes raced for the rosters, all keepers read the store at each write, and the planner moved shards after each node that joined. After the loss of a data centre every keeper swept the maps, and a node could keep a keeper in its own data centre, which the loss then took along.

Change: the view keeps a bounded log of changes (core/doc_delta.c); a keeper sends deltas to a node whose revision the log covers. A node applies one only on its exact base, else says so in its next heartbeat, sent at once, and gets whole documents. Nothing is sent when nothing changed, nor before a node's first heartbeat says what it knows. Joins are spread while the planner is new, read the roster right before writing it, and back off after a lost race. The planner balances and makes new maps once the rosters are quiet. Watches that follow closely on one another wait a little. Keepers leave orphaned shards to the planner for a moment, and re-read a roster after a lost race. Nodes leave a keeper that is badly placed or crowded; keepers hold 8 to 12 nodes.

--- a/core/keeper.c
+++ b/core/keeper.c
@@ -255,8 +255,10 @@
 		return;
 	ch->heard_ns = c->now_ns;
 	if (ch->revision > hb->revision &&
-	    c->now_ns > ch->pushed_ns + PUSH_AGAIN_NS)
+	    (hb->missed || c->now_ns > ch->pushed_ns + PUSH_AGAIN_NS)) {
 		ch->revision = hb->revision;
+		ch->missed = true;
+	}
 	if (ch->revision < hb->revision)
 		ch->revision = hb->revision;
 	if (!keeper_has_authority(k, c))
@@ -418,18 +420,31 @@
 		write_roster(dc, c);
 }
 
+static void fill_sync(struct msg_sync *s, const struct ctx *c,
+		      const struct charge *ch)
+{
+	if (!ch->missed) {
+		view_changes(&c->view, ch->revision, s);
+		return;
+	}
+	s->from = ch->revision;
+	s->to = c->view.revision;
+	view_newer(&c->view, ch->revision, &s->docs);
+}
+
 static void push(struct ctx *c, struct charge *ch)
 {
 	struct message *msg;
 
-	if (ch->state != CHARGE_OK || ch->revision >= c->view.revision)
+	/* Its first heartbeat says what it knows. */
+	if (ch->state != CHARGE_OK || !ch->revision ||
+	    ch->revision >= c->view.revision || ch->revision >= c->view.newest)
 		return;
 	msg = message_new(MSG_SYNC);
-	msg->u.sync.from = ch->revision;
-	msg->u.sync.to = c->view.revision;
-	view_newer(&c->view, ch->revision, &msg->u.sync.docs);
+	fill_sync(&msg->u.sync, c, ch);
 	ch->revision = c->view.revision;
 	ch->pushed_ns = c->now_ns;
+	ch->missed = false;
 	ctx_send(c, ch->inc, ch->addr, msg);
 }
 
@@ -539,14 +554,19 @@
 {
 	struct keeper_dc *dc = dc_get(k, call->key.name);
 	struct doc *d, *tmp;
+	bool reread = false;
 	bool answered =
 		ev->status == STATUS_OK || ev->status == STATUS_CONFLICT;
 
 	dc->calling = false;
-	if (ev->status == STATUS_CONFLICT)
+	if (ev->status == STATUS_CONFLICT) {
+		/* Others write too; after a data centre's loss many do. */
 		dc->dirty = true;
+		reread = true;
+		dc->next_try_ns = c->now_ns + rng_below(&c->rng, RETRY_NS);
+	}
 	if (answered)
-		dc->verify = call->stretch != c->stretch;
+		dc->verify = reread || call->stretch != c->stretch;
 	if (!answered) {
 		/* It may have taken effect: read before the next write. */
 		dc->verify = true;
--- a/core/keeper.h
+++ b/core/keeper.h
@@ -24,6 +24,7 @@
 	uint64_t heard_ns;
 	uint64_t wait_until_ns;
 	revision_t revision; /* what it is taken to know */
+	bool missed;	     /* a delta did not fit: send whole documents */
 	uint64_t pushed_ns;
 };
 
--- a/core/membership.c
+++ b/core/membership.c
@@ -5,11 +5,25 @@
 #include "core/mem.h"
 
 /* A keeper with fewer nodes than this is preferred over a new one. */
-#define KEEPER_GROUP 4
+#define KEEPER_GROUP	   8
+/* Nodes look for another keeper when theirs has more than this. */
+#define KEEPER_GROUP_MAX   12
+/* How often a node whose keeper could be better placed looks for another. */
+#define IMPROVE_NS	   (5 * NS_PER_S)
+/*
+ * When a whole fleet starts, joins are spread over this time. It does so
+ * until the store has taken some writes since the planner took its lease.
+ * Those that lose the race for the roster come back within a window that
+ * doubles each time.
+ */
+#define COLD_START_NS	   (3 * NS_PER_S)
+#define COLD_START_WRITES  200
+#define CONFLICT_NS	   (100 * NS_PER_MS)
+#define CONFLICT_SHIFT_MAX 3
 /* Heartbeats without an answer until the store is asked instead. */
-#define SILENT_BEATS 2
+#define SILENT_BEATS	   2
 /* Heartbeats without an answer until another keeper is asked for. */
-#define CHANGE_BEATS 6
+#define CHANGE_BEATS	   6
 
 static uint64_t beat_ns(const struct ctx *c)
 {
@@ -39,6 +53,21 @@
 	return m->state == MEMBERSHIP_IN && lease_valid(&m->lease, c->now_ns);
 }
 
+/*
+ * A keeper in another data centre outlives the loss of ours; one in our
+ * region stays in reach when regions are cut off.
+ */
+static uint32_t place_rank(const struct ctx *c, const struct roster *r)
+{
+	uint32_t rank = 0;
+
+	if (strcmp(r->dc, c->opts->dc) != 0)
+		rank += 4;
+	if (!strcmp(r->region, c->opts->region))
+		rank += 8;
+	return rank;
+}
+
 /* Higher is better; 0 for a node that can't be the keeper. */
 static uint64_t keeper_rank(struct ctx *c, const struct roster *r,
 			    const struct member *m, incarnation_t avoid)
@@ -53,10 +82,7 @@
 	charges = m->charges;
 	if (charges < KEEPER_GROUP)
 		rank += 2 + (charges > 0);
-	if (strcmp(r->dc, c->opts->dc) != 0)
-		rank += 4;
-	if (!strcmp(r->region, c->opts->region))
-		rank += 8;
+	rank += place_rank(c, r);
 	return (rank << 32) + (rng_next(&c->rng) >> 32);
 }
 
@@ -129,14 +155,57 @@
 	return view_member(&c->view, c->self, NULL);
 }
 
+static void read_own_roster(struct ctx *c, enum call_owner owner)
+{
+	ctx_call(c, &(struct call_opts){.owner = owner,
+					.kind = STORE_GET,
+					.doc_kind = DOC_ROSTER,
+					.name = c->opts->dc});
+}
+
+/* True when no planner has been at work for long: the whole fleet starts. */
+static bool cold_start(const struct ctx *c)
+{
+	const struct doc *d = view_doc(&c->view, DOC_PLANNER, "");
+
+	return !d || doc_absent(d) ||
+	       c->view.revision < d->revision + COLD_START_WRITES;
+}
+
+static void booted(struct membership *m, struct ctx *c)
+{
+	if (m->spread || !cold_start(c)) {
+		m->state = MEMBERSHIP_JOIN;
+		return;
+	}
+	m->spread = true;
+	m->next_try_ns = c->now_ns + rng_below(&c->rng, COLD_START_NS);
+}
+
+static uint64_t conflict_ns(struct membership *m, struct ctx *c)
+{
+	uint32_t shift = m->conflicts < CONFLICT_SHIFT_MAX ? m->conflicts
+							   : CONFLICT_SHIFT_MAX;
+
+	m->conflicts++;
+	m->stale = true;
+	return rng_below(&c->rng, CONFLICT_NS << shift);
+}
+
 static void join(struct membership *m, struct ctx *c)
 {
 	if (!m->service[0] || m->leaving)
 		return;
 	if (c->now_ns < m->next_try_ns || ctx_calling(c, CALL_JOIN))
 		return;
-	if (!own_entry(c))
-		write_roster(c, roster_with_self(m, c));
+	if (own_entry(c))
+		return;
+	if (m->stale) {
+		m->stale = false;
+		read_own_roster(c, CALL_JOIN);
+		return;
+	}
+	write_roster(c, roster_with_self(m, c));
 }
 
 static void beat(struct membership *m, struct ctx *c)
@@ -155,6 +224,7 @@
 	msg->u.heartbeat.sent_ns = c->now_ns;
 	msg->u.heartbeat.term = m->term;
 	msg->u.heartbeat.revision = c->view.revision;
+	msg->u.heartbeat.missed = c->view.missed;
 	ctx_send(c, m->keeper, keeper->peer_addr, msg);
 }
 
@@ -165,10 +235,37 @@
 		return;
 	m->next_read_ns =
 		c->now_ns + ctx_jitter(c, c->opts->timing.lease_ns / 3);
-	ctx_call(c, &(struct call_opts){.owner = CALL_CONFIRM,
-					.kind = STORE_GET,
-					.doc_kind = DOC_ROSTER,
-					.name = c->opts->dc});
+	read_own_roster(c, CALL_CONFIRM);
+}
+
+/* As many of a crowded keeper's nodes leave it as it has too many. */
+static bool crowded(const struct member *k, struct ctx *c)
+{
+	return k->charges > KEEPER_GROUP_MAX &&
+	       rng_below(&c->rng, k->charges) < k->charges - KEEPER_GROUP_MAX;
+}
+
+/* True when the keeper answers, but another would do better. */
+static bool could_improve(struct membership *m, struct ctx *c)
+{
+	const struct member *k = view_member(&c->view, m->keeper, NULL);
+	const struct member *best;
+
+	if (!k || c->now_ns < m->next_improve_ns)
+		return false;
+	m->next_improve_ns = c->now_ns + ctx_jitter(c, IMPROVE_NS);
+	best = choose_keeper(c, m->keeper);
+	if (!best)
+		return false;
+	if (place_rank(c, best->roster) != place_rank(c, k->roster))
+		return place_rank(c, best->roster) > place_rank(c, k->roster);
+	return best->charges < KEEPER_GROUP && crowded(k, c);
+}
+
+static bool keeper_lost(const struct membership *m, const struct ctx *c)
+{
+	return !m->keeper ||
+	       c->now_ns > m->heard_ns + CHANGE_BEATS * beat_ns(c);
 }
 
 static void change_keeper(struct membership *m, struct ctx *c)
@@ -178,7 +275,7 @@
 
 	if (c->now_ns < m->next_adopt_ns)
 		return;
-	if (m->keeper && c->now_ns <= m->heard_ns + CHANGE_BEATS * beat_ns(c))
+	if (!keeper_lost(m, c) && !could_improve(m, c))
 		return;
 	m->next_adopt_ns = c->now_ns + ctx_jitter(c, 4 * beat_ns(c));
 	k = choose_keeper(c, m->keeper);
@@ -271,6 +368,7 @@
 	m->term = self->term;
 	m->keeper = self->keeper;
 	m->next_beat_ns = c->now_ns;
+	m->next_improve_ns = c->now_ns + ctx_jitter(c, IMPROVE_NS);
 }
 
 /* The store's own answer shows the entry in force: the lease goes on. */
@@ -295,7 +393,7 @@
 	if (boot_read && ev->status == STATUS_OK) {
 		view_sync(&c->view, 0, ev->revision, &ev->docs);
 		if (m->state == MEMBERSHIP_BOOT)
-			m->state = MEMBERSHIP_JOIN;
+			booted(m, c);
 	}
 	list_for_each_entry_safe(d, tmp, &ev->docs, link) {
 		list_remove(&d->link);
@@ -305,12 +403,11 @@
 		confirm_from_store(m, c, call);
 	if (call->owner == CALL_JOIN && !answered) {
 		/* It may have taken effect: read before the next try. */
-		ctx_call(c, &(struct call_opts){.owner = CALL_JOIN,
-						.kind = STORE_GET,
-						.doc_kind = DOC_ROSTER,
-						.name = c->opts->dc});
+		read_own_roster(c, CALL_JOIN);
 	}
-	if (ev->status != STATUS_OK)
+	if (call->owner == CALL_JOIN && ev->status == STATUS_CONFLICT)
+		m->next_try_ns = c->now_ns + conflict_ns(m, c);
+	else if (ev->status != STATUS_OK)
 		m->next_try_ns = c->now_ns + ctx_jitter(c, 50 * NS_PER_MS);
 	membership_follow(m, c);
 }
--- a/core/membership.h
+++ b/core/membership.h
@@ -23,6 +23,10 @@
 	uint64_t next_read_ns; /* of the own entry, keeper silent */
 	uint64_t next_try_ns;  /* of boot or join */
 	uint64_t next_adopt_ns;
+	uint64_t next_improve_ns; /* look for a better keeper */
+	uint32_t conflicts;	  /* of the writes of the own entry, in a row */
+	bool stale;		  /* the known roster is too old to write on */
+	bool spread;		  /* the join was put off for a cold start */
 };
 
 void membership_init(struct membership *m);
--- a/core/message.c
+++ b/core/message.c
@@ -22,8 +22,10 @@
 	struct message *m = mem_new(struct message);
 
 	m->kind = kind;
-	if (kind == MSG_SYNC)
+	if (kind == MSG_SYNC) {
 		list_init(&m->u.sync.docs);
+		list_init(&m->u.sync.deltas);
+	}
 	return m;
 }
 
@@ -34,6 +36,7 @@
 	switch (m->kind) {
 	case MSG_SYNC:
 		docs_delete(&m->u.sync.docs);
+		doc_deltas_delete(&m->u.sync.deltas);
 		break;
 	case MSG_RELEASE:
 		free(m->u.release.shards);
--- a/core/message.h
+++ b/core/message.h
@@ -3,6 +3,7 @@
 #define JD_CORE_MESSAGE_H
 
 #include "core/doc.h"
+#include "core/doc_delta.h"
 #include "core/http.h"
 #include "core/refusal.h"
 #include "core/types.h"
@@ -31,6 +32,7 @@
 	uint64_t sent_ns; /* sender's clock; echoed, not read by others */
 	uint64_t term;
 	revision_t revision; /* all documents up to here are known */
+	bool missed;	     /* a delta did not fit: whole documents, please */
 };
 
 struct msg_heartbeat_ack {
@@ -47,7 +49,8 @@
 struct msg_sync {
 	revision_t from; /* complete for a reader that knows up to here */
 	revision_t to;
-	struct list docs; /* of struct doc, by rising revision */
+	struct list docs;   /* of struct doc, by rising revision */
+	struct list deltas; /* of struct doc_delta, in order */
 };
 
 struct msg_release {
--- a/core/node.c
+++ b/core/node.c
@@ -8,6 +8,8 @@
 /* A drain that has not ended by then ends anyway. */
 #define DRAIN_MAX_NS	 (30 * NS_PER_S)
 #define WATCH_BACKOFF_NS (100 * NS_PER_MS)
+/* Changes that follow one another closely are read together. */
+#define WATCH_GAP_NS	 (300 * NS_PER_MS)
 /* What is overdue waits for something else; look again after this. */
 #define TICK_MIN_NS	 (5 * NS_PER_MS)
 
@@ -98,6 +100,7 @@
 		n->next_watch_ns = c->now_ns + ctx_jitter(c, WATCH_BACKOFF_NS);
 		return;
 	}
+	n->next_watch_ns = call->sent_ns + ctx_jitter(c, WATCH_GAP_NS);
 	view_sync(&c->view, call->revision, ev->revision, &ev->docs);
 	while ((d = view_next(&c->view, DOC_ROSTER, d)))
 		if (d->revision > call->revision)
@@ -263,8 +266,9 @@
 		keeper_on_adopt(&n->keeper, c, m);
 		break;
 	case MSG_SYNC:
-		view_sync(&c->view, m->u.sync.from, m->u.sync.to,
-			  &m->u.sync.docs);
+		view_take(&c->view, &m->u.sync);
+		if (c->view.missed)
+			n->membership.next_beat_ns = c->now_ns;
 		break;
 	case MSG_RELEASE:
 		planner_on_release(&n->planner, c, m);
@@ -346,7 +350,7 @@
 	keeper_work(&n->keeper, c);
 	if (n->keeper.released) {
 		n->keeper.released = false;
-		sweep_want(&n->sweep);
+		sweep_want_unless_planned(&n->sweep, c);
 	}
 	planner_work(&n->planner, c, &n->sweep, watches(n));
 	taker_work(&n->taker, c, n->planner.holder);
@@ -383,5 +387,7 @@
 	t = earlier(t, taker_next_ns(&n->taker));
 	t = earlier(t, gate_next_ns(&n->gate));
 	t = earlier(t, router_next_ns(&n->router));
+	if (watches(n) && !ctx_calling(&n->ctx, CALL_WATCH))
+		t = earlier(t, n->next_watch_ns);
 	return t > n->ctx.now_ns ? t : n->ctx.now_ns + TICK_MIN_NS;
 }
--- a/core/placement.c
+++ b/core/placement.c
@@ -265,7 +265,20 @@
 
 	seats_init(&s, v, route, map);
 	if (s.allowed)
-		n = plan_forced(map, &s) + plan_balance(map, &s);
+		n = plan_forced(map, &s);
+	seats_done(&s);
+	return n;
+}
+
+uint32_t placement_balance(struct shard_map *map, const struct view *v,
+			   const struct route *route)
+{
+	struct seats s;
+	uint32_t n = 0;
+
+	seats_init(&s, v, route, map);
+	if (s.allowed)
+		n = plan_balance(map, &s);
 	seats_done(&s);
 	return n;
 }
--- a/core/placement.h
+++ b/core/placement.h
@@ -44,11 +44,17 @@
 			   const struct route *route);
 
 /**
- * Marks planned moves: off nodes that may not keep their shards, and, when
- * loads differ by more than the hysteresis, from the fullest to the
- * emptiest. Returns how many marks it set.
+ * Marks planned moves off nodes that may not keep their shards. Returns how
+ * many marks it set.
  */
 uint32_t placement_plan(struct shard_map *map, const struct view *v,
 			const struct route *route);
 
+/**
+ * Marks planned moves from the fullest nodes to the emptiest when loads
+ * differ by more than the hysteresis. Returns how many marks it set.
+ */
+uint32_t placement_balance(struct shard_map *map, const struct view *v,
+			   const struct route *route);
+
 #endif
--- a/core/planner.c
+++ b/core/planner.c
@@ -10,6 +10,12 @@
 #define RENEW_NS     NS_PER_S
 #define CLAIM_NS     (500 * NS_PER_MS)
 #define PLAN_NS	     (100 * NS_PER_MS)
+/*
+ * Nodes come in bursts. Loads are balanced, and new maps made, once the
+ * rosters have not changed for a while.
+ */
+#define QUIET_NS     (500 * NS_PER_MS)
+#define QUIET_MAX_NS (3 * NS_PER_S)
 
 enum planner_step { STEP_LEASE = 1, STEP_MAP };
 
@@ -99,6 +105,37 @@
 	return n;
 }
 
+static revision_t newest_roster(const struct view *v)
+{
+	const struct doc *d = NULL;
+	revision_t newest = 0;
+
+	while ((d = view_next(v, DOC_ROSTER, d)))
+		if (newest < d->revision)
+			newest = d->revision;
+	return newest;
+}
+
+static void follow_rosters(struct planner *p, const struct ctx *c)
+{
+	revision_t newest = newest_roster(&c->view);
+
+	if (newest == p->rosters)
+		return;
+	p->rosters = newest;
+	if (!p->unsettled)
+		p->quiet_by_ns = c->now_ns + QUIET_MAX_NS;
+	p->unsettled = true;
+	p->quiet_ns = c->now_ns + QUIET_NS;
+	if (p->quiet_ns > p->quiet_by_ns)
+		p->quiet_ns = p->quiet_by_ns;
+}
+
+static bool settled(const struct planner *p, const struct ctx *c)
+{
+	return !p->unsettled || c->now_ns >= p->quiet_ns;
+}
+
 static bool plan_route(struct planner *p, struct ctx *c,
 		       const struct route *route)
 {
@@ -111,6 +148,8 @@
 	d = doc_copy(old);
 	ended = finish_moves(p, d->u.map);
 	marked = placement_plan(d->u.map, &c->view, route);
+	if (settled(p, c))
+		marked += placement_balance(d->u.map, &c->view, route);
 	if (!ended && !marked) {
 		doc_delete(d);
 		return false;
@@ -128,7 +167,8 @@
 	return true;
 }
 
-static bool needs_sweep(const struct ctx *c, const struct route *r)
+static bool needs_sweep(const struct planner *p, const struct ctx *c,
+			const struct route *r)
 {
 	const struct shard_map *map = view_map(&c->view, r->name);
 	struct seats seats;
@@ -136,6 +176,8 @@
 
 	if (map)
 		return placement_orphans(map, &c->view, r) > 0;
+	if (!settled(p, c))
+		return false;
 	seats_init(&seats, &c->view, r, NULL);
 	allowed = seats.allowed > 0;
 	seats_done(&seats);
@@ -149,18 +191,22 @@
 
 	if (!m || p->writing || c->now_ns < p->next_plan_ns)
 		return;
-	if (p->planned == c->view.revision && list_empty(&p->releases))
+	follow_rosters(p, c);
+	if (p->planned == c->view.revision && list_empty(&p->releases) &&
+	    !(p->unsettled && settled(p, c)))
 		return;
 	p->next_plan_ns = c->now_ns + PLAN_NS;
 	p->planned = c->view.revision;
 	list_for_each_entry(r, &m->routes, link) {
 		if (r->kind != ROUTE_KEYED)
 			continue;
-		if (needs_sweep(c, r))
+		if (needs_sweep(p, c, r))
 			sweep_want(s);
 		else if (plan_route(p, c, r))
 			return;
 	}
+	if (settled(p, c))
+		p->unsettled = false;
 	/* Releases that ended nothing are too old or will come again. */
 	planner_done(p);
 }
@@ -188,6 +234,8 @@
 		return p->next_claim_ns ? p->next_claim_ns : DEADLINE_NEVER;
 	if (p->next_plan_ns < p->next_renew_ns && !list_empty(&p->releases))
 		return p->next_plan_ns;
+	if (p->unsettled && p->quiet_ns < p->next_renew_ns)
+		return p->quiet_ns;
 	return p->next_renew_ns;
 }
 
--- a/core/planner.h
+++ b/core/planner.h
@@ -20,6 +20,10 @@
 	uint64_t next_claim_ns;
 	bool writing;	      /* a map write has not ended */
 	revision_t planned;   /* the view's revision at the last plan */
+	revision_t rosters;   /* the newest roster's revision seen */
+	uint64_t quiet_ns;    /* from then on the rosters count as settled */
+	uint64_t quiet_by_ns; /* they do so then at the latest */
+	bool unsettled;	      /* they changed since the last balance */
 	struct list releases; /* of struct release */
 };
 
--- a/core/roster.c
+++ b/core/roster.c
@@ -66,18 +66,22 @@
 	free(m);
 }
 
+void member_set(struct member *m, const struct member *from)
+{
+	struct member old = *m;
+
+	*m = *from;
+	m->link = old.link;
+	m->indexed = old.indexed;
+	m->roster = old.roster;
+}
+
 struct roster *roster_copy(const struct roster *r)
 {
 	struct roster *c = roster_new(r->dc, r->region);
 	const struct member *m;
 
-	list_for_each_entry(m, &r->members, link) {
-		struct member *n = mem_new(struct member);
-
-		*n = *m;
-		n->roster = c;
-		list_init(&n->indexed);
-		list_push_back(&c->members, &n->link);
-	}
+	list_for_each_entry(m, &r->members, link)
+		member_set(roster_add(c, m->name, m->inc), m);
 	return c;
 }
--- a/core/roster.h
+++ b/core/roster.h
@@ -42,6 +42,8 @@
 struct member *roster_find_name(const struct roster *r, const char *name);
 struct member *roster_add(struct roster *r, const char *name,
 			  incarnation_t inc);
+/** Copies all but its place in lists from @from. */
+void member_set(struct member *m, const struct member *from);
 void roster_remove(struct roster *r, struct member *m);
 
 /** A deep copy; roster_delete() it. */
--- a/core/shard_map.c
+++ b/core/shard_map.c
@@ -17,14 +17,32 @@
 	return m;
 }
 
-void shard_map_delete(struct shard_map *m)
+void shard_map_free_pinned(struct list *pinned)
 {
 	struct pinned_key *p, *tmp;
 
+	list_for_each_entry_safe(p, tmp, pinned, link)
+		free(p);
+	list_init(pinned);
+}
+
+void shard_map_copy_pinned(struct list *to, const struct list *from)
+{
+	const struct pinned_key *p;
+
+	list_for_each_entry(p, from, link) {
+		struct pinned_key *q = mem_new(struct pinned_key);
+
+		*q = *p;
+		list_push_back(to, &q->link);
+	}
+}
+
+void shard_map_delete(struct shard_map *m)
+{
 	if (!m)
 		return;
-	list_for_each_entry_safe(p, tmp, &m->pinned, link)
-		free(p);
+	shard_map_free_pinned(&m->pinned);
 	free(m->shards);
 	free(m);
 }
@@ -32,15 +50,9 @@
 struct shard_map *shard_map_copy(const struct shard_map *m)
 {
 	struct shard_map *c = shard_map_new(m->route, m->count);
-	const struct pinned_key *p;
 
 	memcpy(c->shards, m->shards, m->count * sizeof(*m->shards));
-	list_for_each_entry(p, &m->pinned, link) {
-		struct pinned_key *q = mem_new(struct pinned_key);
-
-		*q = *p;
-		list_push_back(&c->pinned, &q->link);
-	}
+	shard_map_copy_pinned(&c->pinned, &m->pinned);
 	return c;
 }
 
--- a/core/shard_map.h
+++ b/core/shard_map.h
@@ -29,6 +29,10 @@
 void shard_map_delete(struct shard_map *m);
 struct shard_map *shard_map_copy(const struct shard_map *m);
 
+/** Frees all of a list of struct pinned_key, or copies it to an empty one. */
+void shard_map_free_pinned(struct list *pinned);
+void shard_map_copy_pinned(struct list *to, const struct list *from);
+
 /** Index of the shard that @key of @len bytes falls into. */
 uint32_t shard_map_index(const struct shard_map *m, const void *key,
 			 size_t len);
--- a/core/sweep.c
+++ b/core/sweep.c
@@ -4,7 +4,8 @@
 
 #include "core/placement.h"
 
-#define RETRY_NS (50 * NS_PER_MS)
+#define RETRY_NS   (50 * NS_PER_MS)
+#define PLANNER_NS (300 * NS_PER_MS)
 
 void sweep_init(struct sweep *s)
 {
@@ -20,6 +21,36 @@
 void sweep_want(struct sweep *s)
 {
 	s->wanted = true;
+	s->unless_planned = false;
+}
+
+void sweep_want_unless_planned(struct sweep *s, struct ctx *c)
+{
+	incarnation_t planner = view_planner(&c->view).holder;
+
+	if (planner && planner != c->self && !s->wanted) {
+		s->unless_planned = true;
+		s->next_try_ns = c->now_ns + ctx_jitter(c, PLANNER_NS);
+	}
+	s->wanted = true;
+}
+
+/* True when the view shows shards without an owner, or a map to be made. */
+static bool orphans(const struct ctx *c)
+{
+	const struct manifest *m = view_manifest(&c->view);
+	const struct route *r;
+
+	if (!m)
+		return false;
+	list_for_each_entry(r, &m->routes, link) {
+		const struct shard_map *map = view_map(&c->view, r->name);
+
+		if (r->kind == ROUTE_KEYED &&
+		    (!map || placement_orphans(map, &c->view, r)))
+			return true;
+	}
+	return false;
 }
 
 static void list_kind(struct ctx *c, enum doc_kind kind)
@@ -34,6 +65,9 @@
 	if (!s->wanted || s->state != SWEEP_IDLE || c->now_ns < s->next_try_ns)
 		return;
 	s->wanted = false;
+	if (s->unless_planned && !orphans(c))
+		return;
+	s->unless_planned = false;
 	s->state = SWEEP_MAPS;
 	list_kind(c, DOC_MAP);
 }
--- a/core/sweep.h
+++ b/core/sweep.h
@@ -14,6 +14,7 @@
 struct sweep {
 	enum sweep_state state;
 	bool wanted;
+	bool unless_planned; /* not when the planner was faster */
 	uint64_t next_try_ns;
 	uint32_t writing; /* writes that have not ended */
 	struct list maps; /* of struct doc, as read in SWEEP_MAPS */
@@ -22,6 +23,8 @@
 void sweep_init(struct sweep *s);
 void sweep_done(struct sweep *s);
 void sweep_want(struct sweep *s);
+/** The planner sweeps; if shards are still orphaned a while later, we do. */
+void sweep_want_unless_planned(struct sweep *s, struct ctx *c);
 void sweep_work(struct sweep *s, struct ctx *c);
 uint64_t sweep_next_ns(const struct sweep *s);
 void sweep_on_store(struct sweep *s, struct ctx *c, const struct call *call,
--- a/core/view.c
+++ b/core/view.c
@@ -5,19 +5,28 @@
 #include "core/invariant.h"
 #include "core/mem.h"
 
+/* The log of changes names at most so many shards, keys and members. */
+#define DELTAS_SIZE_MAX 8192
+
 void view_init(struct view *v)
 {
 	v->revision = 0;
+	v->newest = 0;
+	v->missed = false;
 	for (int i = 0; i < DOC_KIND_COUNT; i++)
 		list_init(&v->docs[i]);
 	for (int i = 0; i < VIEW_BUCKETS; i++)
 		list_init(&v->members[i]);
+	list_init(&v->deltas);
+	v->deltas_size = 0;
 }
 
 void view_done(struct view *v)
 {
 	for (int i = 0; i < DOC_KIND_COUNT; i++)
 		docs_delete(&v->docs[i]);
+	doc_deltas_delete(&v->deltas);
+	v->deltas_size = 0;
 	v->revision = 0;
 }
 
@@ -32,6 +41,17 @@
 }
 
 /* An owner changes only together with a rise of the epoch. */
+static void check_epoch(const struct shard_map *map, uint32_t i,
+			const struct shard *y)
+{
+	const struct shard *x = &map->shards[i];
+
+	JD_INVARIANT(y->epoch > x->epoch ||
+			     (y->epoch == x->epoch && y->owner == x->owner),
+		     "route=%s shard=%u epoch=%lu->%lu", map->route, i,
+		     (unsigned long)x->epoch, (unsigned long)y->epoch);
+}
+
 static void check_epochs(const struct doc *old, const struct doc *new)
 {
 	const struct shard_map *a = old->u.map;
@@ -39,15 +59,56 @@
 
 	if (old->key.kind != DOC_MAP || !a || !b || a->count != b->count)
 		return;
-	for (uint32_t i = 0; i < a->count; i++) {
-		const struct shard *x = &a->shards[i];
-		const struct shard *y = &b->shards[i];
-
-		JD_INVARIANT(y->epoch > x->epoch || (y->epoch == x->epoch &&
-						     y->owner == x->owner),
-			     "route=%s shard=%u epoch=%lu->%lu", a->route, i,
-			     (unsigned long)x->epoch, (unsigned long)y->epoch);
-	}
+	for (uint32_t i = 0; i < a->count; i++)
+		check_epoch(a, i, &b->shards[i]);
+}
+
+static void check_edits(const struct doc *old, const struct doc_delta *d)
+{
+	const struct map_edits *e = &d->u.map;
+
+	if (old->key.kind != DOC_MAP)
+		return;
+	for (uint32_t i = 0; i < e->count; i++)
+		if (e->items[i].index < old->u.map->count)
+			check_epoch(old->u.map, e->items[i].index,
+				    &e->items[i].shard);
+}
+
+static void drop_delta(struct view *v, struct doc_delta *d)
+{
+	v->deltas_size -= doc_delta_size(d);
+	doc_delta_delete(d);
+}
+
+/* The deltas of a document lead up to the held one without a gap. */
+static void log_delta(struct view *v, struct doc_delta *d)
+{
+	v->deltas_size += doc_delta_size(d);
+	list_push_back(&v->deltas, &d->link);
+	while (v->deltas_size > DELTAS_SIZE_MAX)
+		drop_delta(v,
+			   list_entry(v->deltas.next, struct doc_delta, link));
+}
+
+static void drop_deltas_of(struct view *v, const struct doc_key *key)
+{
+	struct doc_delta *d, *tmp;
+
+	list_for_each_entry_safe(d, tmp, &v->deltas, link)
+		if (doc_key_equal(&d->key, key))
+			drop_delta(v, d);
+}
+
+static void log_change(struct view *v, const struct doc *old,
+		       const struct doc *new)
+{
+	struct doc_delta *d = doc_delta_between(old, new);
+
+	if (d)
+		log_delta(v, d);
+	else
+		drop_deltas_of(v, &new->key);
 }
 
 /* Incarnations are random: their low bits spread well. */
@@ -95,6 +156,17 @@
 	}
 }
 
+static void update_index(struct view *v, struct doc *d)
+{
+	if (v->newest < d->revision)
+		v->newest = d->revision;
+	if (d->key.kind != DOC_ROSTER)
+		return;
+	if (!doc_absent(d))
+		index_roster(v, d->u.roster);
+	count_charges(v);
+}
+
 bool view_apply(struct view *v, struct doc *d)
 {
 	struct doc *old = find(v, &d->key);
@@ -105,19 +177,44 @@
 	}
 	if (old) {
 		check_epochs(old, d);
+		log_change(v, old, d);
 		list_remove(&old->link);
 		doc_delete(old);
 	}
 	list_remove(&d->link);
 	list_push_back(&v->docs[d->key.kind], &d->link);
-	if (d->key.kind == DOC_ROSTER) {
-		if (!doc_absent(d))
-			index_roster(v, d->u.roster);
-		count_charges(v);
-	}
+	update_index(v, d);
+	return true;
+}
+
+/* False when @d doesn't fit the held document. */
+static bool apply_delta(struct view *v, const struct doc_delta *d)
+{
+	struct doc *doc = find(v, &d->key);
+
+	if (!doc || doc->revision < d->base)
+		return false;
+	if (doc->revision >= d->revision)
+		return true;
+	check_edits(doc, d);
+	if (!doc_delta_apply(d, doc))
+		return false;
+	log_delta(v, doc_delta_copy(d));
+	update_index(v, doc);
 	return true;
 }
 
+void view_take(struct view *v, struct msg_sync *sync)
+{
+	const struct doc_delta *d;
+	bool whole = true;
+
+	list_for_each_entry(d, &sync->deltas, link)
+		whole &= apply_delta(v, d);
+	view_sync(v, sync->from, whole ? sync->to : 0, &sync->docs);
+	v->missed = !whole;
+}
+
 void view_sync(struct view *v, revision_t from, revision_t to,
 	       struct list *docs)
 {
@@ -201,6 +298,41 @@
 	}
 }
 
+/* Copies the deltas that lead from @from to @d; false for a gap. */
+static bool add_deltas(const struct view *v, const struct doc *d,
+		       revision_t from, struct list *deltas)
+{
+	const struct doc_delta *x;
+	bool found = false;
+
+	list_for_each_entry(x, &v->deltas, link) {
+		struct doc_delta *c;
+
+		if (x->revision <= from || !doc_key_equal(&x->key, &d->key))
+			continue;
+		if (!found && x->base > from)
+			return false;
+		found = true;
+		c = doc_delta_copy(x);
+		list_push_back(deltas, &c->link);
+	}
+	return found;
+}
+
+void view_changes(const struct view *v, revision_t from, struct msg_sync *sync)
+{
+	sync->from = from;
+	sync->to = v->revision;
+	for (int i = 0; i < DOC_KIND_COUNT; i++) {
+		const struct doc *d;
+
+		list_for_each_entry(d, &v->docs[i], link)
+			if (d->revision > from &&
+			    !add_deltas(v, d, from, &sync->deltas))
+				add_copy(&sync->docs, d);
+	}
+}
+
 const struct doc *view_next(const struct view *v, enum doc_kind kind,
 			    const struct doc *pos)
 {
--- a/core/view.h
+++ b/core/view.h
@@ -9,8 +9,12 @@
 
 struct view {
 	revision_t revision; /* every document up to here is known */
+	revision_t newest;   /* of all held documents */
+	bool missed;	     /* a delta did not fit and nothing came since */
 	struct list docs[DOC_KIND_COUNT];  /* of struct doc, the newest known */
 	struct list members[VIEW_BUCKETS]; /* of struct member, by inc */
+	struct list deltas;   /* of struct doc_delta, the latest ones */
+	uint32_t deltas_size; /* what they name, all together */
 };
 
 void view_init(struct view *v);
@@ -40,9 +44,22 @@
 const struct member *view_member(const struct view *v, incarnation_t inc,
 				 const struct roster **r);
 
+/**
+ * Takes what another node sent. A delta whose base is not the held revision
+ * is dropped; then the view stays as complete as it was, and the sender
+ * learns so from the next heartbeat.
+ */
+void view_take(struct view *v, struct msg_sync *sync);
+
 /** Copies of the documents newer than @from, by rising revision. */
 void view_newer(const struct view *v, revision_t from, struct list *docs);
 
+/**
+ * Fills @sync for a node that knows all up to @from: deltas where the log
+ * of changes reaches back that far, else whole documents.
+ */
+void view_changes(const struct view *v, revision_t from, struct msg_sync *sync);
+
 /** Walks the documents of @kind: the first after @pos (NULL to start), NULL at
  * the end. */
 const struct doc *view_next(const struct view *v, enum doc_kind kind,
--- a/tests/placement_test.cpp
+++ b/tests/placement_test.cpp
@@ -147,6 +147,7 @@
 		}
 	}
 	EXPECT_EQ(placement_plan(m, &f.v, &f.route), 0u);
+	EXPECT_EQ(placement_balance(m, &f.v, &f.route), 0u);
 	shard_map_delete(before);
 	shard_map_delete(m);
 }
@@ -173,7 +174,8 @@
 	f.put_all(2);
 	placement_fill(m, &f.v, &f.route);
 	f.put(0, {{1000, MEMBER_UP}, {1001, MEMBER_UP}, {1002, MEMBER_UP}});
-	uint32_t moved = placement_plan(m, &f.v, &f.route);
+	EXPECT_EQ(placement_plan(m, &f.v, &f.route), 0u);
+	uint32_t moved = placement_balance(m, &f.v, &f.route);
 	EXPECT_LE(moved, 1024u / 13 + 13);
 	EXPECT_GE(moved, 1024u / 13 - 13);
 	for (uint32_t i = 0; i < m->count; i++) {
@@ -183,6 +185,7 @@
 	}
 	end_moves(m);
 	EXPECT_EQ(placement_plan(m, &f.v, &f.route), 0u);
+	EXPECT_EQ(placement_balance(m, &f.v, &f.route), 0u);
 	shard_map_delete(m);
 }
 
@@ -269,6 +272,7 @@
 
 		before = shard_map_copy(m);
 		placement_plan(m, &f.v, &f.route);
+		placement_balance(m, &f.v, &f.route);
 		for (uint32_t i = 0; i < m->count; i++) {
 			const struct shard *b = &m->shards[i];
 
@@ -281,6 +285,7 @@
 		shard_map_delete(before);
 		end_moves(m);
 		RC_ASSERT(placement_plan(m, &f.v, &f.route) == 0u);
+		RC_ASSERT(placement_balance(m, &f.v, &f.route) == 0u);
 	}
 	shard_map_delete(m);
 }
--- a/wire/codec.c
+++ b/wire/codec.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include "core/mem.h"
+#include "wire/delta_codec.h"
 #include "wire/doc_codec.h"
 #include "wire/pack.h"
 
@@ -19,6 +20,7 @@
 	PACK_U64_OF(struct msg_heartbeat, sent_ns),
 	PACK_U64_OF(struct msg_heartbeat, term),
 	PACK_U64_OF(struct msg_heartbeat, revision),
+	PACK_BOOL_OF(struct msg_heartbeat, missed),
 };
 
 static const struct pack_field heartbeat_ack_fields[] = {
@@ -197,6 +199,19 @@
 	return true;
 }
 
+static void pack_sync(msgpack_packer *pk, const struct msg_sync *s)
+{
+	msgpack_pack_array(pk, 2);
+	pack_docs(pk, &s->docs);
+	pack_deltas(pk, &s->deltas);
+}
+
+static bool unpack_sync(const msgpack_object *o, struct msg_sync *s)
+{
+	return unpack_docs(unpack_at(o, 0), &s->docs) &&
+	       unpack_deltas(unpack_at(o, 1), &s->deltas);
+}
+
 static void pack_released(msgpack_packer *pk, const struct msg_release *r)
 {
 	msgpack_pack_array(pk, (size_t)r->count * 2);
@@ -230,7 +245,7 @@
 {
 	switch (m->kind) {
 	case MSG_SYNC:
-		pack_docs(pk, &m->u.sync.docs);
+		pack_sync(pk, &m->u.sync);
 		break;
 	case MSG_RELEASE:
 		pack_released(pk, &m->u.release);
@@ -255,7 +270,7 @@
 {
 	switch (m->kind) {
 	case MSG_SYNC:
-		return unpack_docs(o, &m->u.sync.docs);
+		return unpack_sync(o, &m->u.sync);
 	case MSG_RELEASE:
 		return unpack_released(o, &m->u.release);
 	case MSG_FORWARD:
--- a/wire/doc_codec.c
+++ b/wire/doc_codec.c
@@ -5,6 +5,7 @@
 
 #include "core/mem.h"
 #include "wire/pack.h"
+#include "wire/shard_codec.h"
 
 #define SHARDS_MAX (1u << 20)
 
@@ -51,7 +52,7 @@
 	PACK_U64_OF(struct member, term),
 	PACK_U64_OF(struct member, ousted),
 };
-static const struct pack_table member_table = PACK_TABLE(member_fields);
+const struct pack_table member_table = PACK_TABLE(member_fields);
 
 static const struct pack_field contact_fields[] = {
 	PACK_U64_OF(struct contact, node),
@@ -222,44 +223,10 @@
 	return true;
 }
 
-/* The incarnations a map names, each once; shards name them by index. */
-struct names {
-	uint32_t count;
-	incarnation_t *items;
-};
-
-static uint32_t names_index(struct names *n, incarnation_t inc)
-{
-	uint32_t i = n->count;
-
-	while (i-- > 0)
-		if (n->items[i] == inc)
-			return i;
-	n->items = mem_realloc(n->items, n->count + 1, sizeof(*n->items));
-	n->items[n->count] = inc;
-	return n->count++;
-}
-
-static void pack_names(msgpack_packer *pk, const struct names *n)
-{
-	msgpack_pack_array(pk, n->count);
-	for (uint32_t i = 0; i < n->count; i++)
-		msgpack_pack_uint64(pk, n->items[i]);
-}
-
-static void pack_shard(msgpack_packer *pk, const struct shard *s,
-		       struct names *n)
-{
-	msgpack_pack_uint32(pk, names_index(n, s->owner));
-	msgpack_pack_uint32(pk, names_index(n, s->target));
-	msgpack_pack_uint64(pk, s->epoch);
-}
-
 /* Columns of one kind each pack and read faster than an array a shard. */
 static void pack_map(msgpack_packer *pk, const struct shard_map *m)
 {
 	struct names n = {0};
-	const struct pinned_key *p;
 	msgpack_sbuffer body;
 	msgpack_packer bpk;
 
@@ -268,12 +235,7 @@
 	msgpack_pack_array(&bpk, (size_t)m->count * 3);
 	for (uint32_t i = 0; i < m->count; i++)
 		pack_shard(&bpk, &m->shards[i], &n);
-	msgpack_pack_array(&bpk, count(&m->pinned));
-	list_for_each_entry(p, &m->pinned, link) {
-		msgpack_pack_array(&bpk, 4);
-		pack_str(&bpk, p->key);
-		pack_shard(&bpk, &p->shard, &n);
-	}
+	pack_pinned(&bpk, &m->pinned, &n);
 	msgpack_pack_array(pk, 3);
 	pack_names(pk, &n);
 	msgpack_sbuffer_write(pk->data, body.data, body.size);
@@ -281,48 +243,15 @@
 	free(n.items);
 }
 
-static bool unpack_name(const msgpack_object *names, const msgpack_object *o,
-			incarnation_t *inc)
-{
-	uint64_t i;
-
-	return unpack_u64(o, &i) && unpack_u64(unpack_at(names, i), inc);
-}
-
-/* The shard whose three numbers start at @at of the array @o. */
-static bool unpack_shard(const msgpack_object *names, const msgpack_object *o,
-			 size_t at, struct shard *s)
-{
-	return unpack_name(names, unpack_at(o, at), &s->owner) &&
-	       unpack_name(names, unpack_at(o, at + 1), &s->target) &&
-	       unpack_u64(unpack_at(o, at + 2), &s->epoch);
-}
-
-static bool unpack_pinned(const msgpack_object *names, const msgpack_object *o,
-			  struct shard_map *m)
-{
-	struct pinned_key *p = mem_new(struct pinned_key);
-	char *key = unpack_str(unpack_at(o, 0));
-
-	list_push_back(&m->pinned, &p->link);
-	if (!key)
-		return false;
-	mem_copy_str(p->key, key, sizeof(p->key));
-	free(key);
-	return unpack_shard(names, o, 1, &p->shard);
-}
-
 static bool unpack_map(const msgpack_object *o, struct doc *d)
 {
 	const msgpack_object *names = unpack_at(o, 0);
 	const msgpack_object *shards = unpack_at(o, 1);
 	const msgpack_object *pinned = unpack_at(o, 2);
-	const msgpack_object *it;
 	struct shard_map *m;
 	uint32_t n;
 
-	if (!shards || shards->type != MSGPACK_OBJECT_ARRAY || !pinned ||
-	    pinned->type != MSGPACK_OBJECT_ARRAY)
+	if (!shards || shards->type != MSGPACK_OBJECT_ARRAY)
 		return false;
 	n = shards->via.array.size / 3;
 	if (!n || n > SHARDS_MAX || shards->via.array.size % 3)
@@ -332,10 +261,7 @@
 	for (uint32_t i = 0; i < n; i++)
 		if (!unpack_shard(names, shards, (size_t)i * 3, &m->shards[i]))
 			return false;
-	for (size_t i = 0; (it = unpack_at(pinned, i)); i++)
-		if (!unpack_pinned(names, it, m))
-			return false;
-	return true;
+	return unpack_pinned(names, pinned, &m->pinned);
 }
 
 void pack_doc(msgpack_packer *pk, const struct doc *d)
--- a/wire/doc_codec.h
+++ b/wire/doc_codec.h
@@ -5,6 +5,9 @@
 #include <msgpack.h>
 
 #include "core/doc.h"
+#include "wire/pack.h"
+
+extern const struct pack_table member_table;
 
 /** The content of @d, nil for an absent one. */
 void pack_doc(msgpack_packer *pk, const struct doc *d);
