A join that may have taken effect spends its incarnation; focused tests

Cause (by reading, then shown by test): a node whose join was not answered tried again under the same incarnation.

Change: after a join without an answer, and when the own entry turns up revoked before it was joined, the next try is made under a new incarnation; the entry of the spent one is revoked by its keeper like any silent node's.

--- a/core/membership.c
+++ b/core/membership.c
@@ -129,14 +129,20 @@
 	return view_member(&c->view, c->self, NULL);
 }
 
+/*
+ * A write without an answer may have taken effect, and the entry may have
+ * been revoked and removed since: that incarnation is spent.
+ */
 static void join(struct membership *m, struct ctx *c)
 {
 	if (!m->service[0] || m->leaving)
 		return;
 	if (c->now_ns < m->next_try_ns || ctx_calling(c, CALL_JOIN))
 		return;
-	if (!own_entry(c))
-		write_roster(c, roster_with_self(m, c));
+	if (m->join_unknown || own_entry(c))
+		c->self = rng_next(&c->rng);
+	m->join_unknown = false;
+	write_roster(c, roster_with_self(m, c));
 }
 
 static void beat(struct membership *m, struct ctx *c)
@@ -304,6 +310,7 @@
 	if (call->owner == CALL_CONFIRM && ev->status == STATUS_OK)
 		confirm_from_store(m, c, call);
 	if (call->owner == CALL_JOIN && !answered) {
+		m->join_unknown = true;
 		/* It may have taken effect: read before the next try. */
 		ctx_call(c, &(struct call_opts){.owner = CALL_JOIN,
 						.kind = STORE_GET,
--- a/core/membership.h
+++ b/core/membership.h
@@ -16,6 +16,7 @@
 	struct lease lease;
 	char service[JD_NAME_MAX]; /* of the upstream; empty: not announced */
 	bool leaving;		   /* drains; wants its entry to say so */
+	bool join_unknown;	   /* the last write may have taken effect */
 	incarnation_t keeper;
 	uint64_t term;
 	uint64_t heard_ns; /* send time of the last answered heartbeat */
--- /dev/null
+++ b/tests/membership_test.cpp
@@ -0,0 +1,158 @@
+#include "core_rig.hpp"
+
+extern "C" {
+#include "core/membership.h"
+}
+
+class MembershipTest : public CoreRig
+{
+protected:
+	void SetUp() override
+	{
+		CoreRig::SetUp();
+		membership_init(&m);
+		membership_announce(&m, "book");
+	}
+
+	void give(struct action *a, bool answered = true)
+	{
+		struct ev_store ev;
+
+		if (answered)
+			serve(a, &ev);
+		else
+			leave_unanswered(a, &ev);
+		struct call *call = ctx_take_call(&c, ev.op);
+		membership_on_store(&m, &c, call, &ev);
+		docs_delete(&ev.docs);
+		free(call);
+		action_delete(a);
+	}
+
+	void work()
+	{
+		membership_follow(&m, &c);
+		membership_work(&m, &c);
+		while (struct action *a = next_call()) {
+			give(a);
+			membership_follow(&m, &c);
+			membership_work(&m, &c);
+		}
+	}
+
+	// Up to its first write of the own entry, which is returned unserved.
+	struct action *first_write()
+	{
+		membership_work(&m, &c);
+		struct action *a = next_call();
+		give(a);
+		membership_work(&m, &c);
+		return next_call();
+	}
+
+	void revoke()
+	{
+		struct doc *d = doc_store_read(&store, DOC_ROSTER, "a");
+
+		roster_find(d->u.roster, c.self)->state = MEMBER_REVOKED;
+		put(d);
+	}
+
+	struct membership m;
+};
+
+TEST_F(MembershipTest, JoinsUnderItsIncarnation)
+{
+	work();
+	EXPECT_EQ(m.state, MEMBERSHIP_IN);
+	EXPECT_EQ(entry("a", c.self).inc, c.self);
+}
+
+TEST_F(MembershipTest, AWriteThatMayHaveTakenEffectSpendsTheIncarnation)
+{
+	struct action *a = first_write();
+	incarnation_t first = c.self;
+
+	ASSERT_EQ(a->u.store.kind, STORE_CAS);
+	give(a, false);
+	/* It had not when it was read back, but it may have come and gone. */
+	work();
+	c.now_ns += NS_PER_S;
+	work();
+	EXPECT_EQ(m.state, MEMBERSHIP_IN);
+	EXPECT_NE(c.self, first);
+	EXPECT_EQ(entry("a", first).inc, 0u);
+}
+
+TEST_F(MembershipTest, AnEntryRevokedBeforeItWasSeenIsNotJoined)
+{
+	struct action *a = first_write();
+	incarnation_t first = c.self;
+
+	serve_lost(a);
+	revoke();
+	give(a, false);
+	work();
+	c.now_ns += NS_PER_S;
+	work();
+	EXPECT_EQ(m.state, MEMBERSHIP_IN);
+	EXPECT_NE(c.self, first);
+	EXPECT_EQ(entry("a", first).state, MEMBER_REVOKED);
+}
+
+TEST_F(MembershipTest, ARevokedNodeRejoinsAsANewIncarnation)
+{
+	incarnation_t first;
+
+	work();
+	first = c.self;
+	lease_confirm(&m.lease, c.now_ns, opts.timing.lease_ns);
+	revoke();
+	sync();
+	membership_follow(&m, &c);
+	EXPECT_FALSE(membership_may_serve(&m, &c));
+	c.now_ns += NS_PER_S;
+	work();
+	EXPECT_EQ(m.state, MEMBERSHIP_IN);
+	EXPECT_NE(c.self, first);
+}
+
+TEST_F(MembershipTest, TheStoreConfirmsFromTheSendOfTheRead)
+{
+	work();
+	ASSERT_EQ(m.state, MEMBERSHIP_IN);
+	c.now_ns += NS_PER_S;
+	membership_work(&m, &c);
+	struct action *a = next_call();
+	ASSERT_NE(a, nullptr);
+	ASSERT_EQ(a->u.store.kind, STORE_GET);
+	uint64_t sent_ns = c.now_ns;
+	c.now_ns += NS_PER_S;
+	give(a);
+	EXPECT_EQ(m.lease.deadline_ns, sent_ns + opts.timing.lease_ns);
+}
+
+TEST_F(MembershipTest, NoAnswerOfTheOldTermOnceAnotherKeeperIsAskedFor)
+{
+	struct doc *d = roster("b");
+
+	add(d, "n2", 42, 0);
+	add(d, "n3", 43, 0);
+	put(d);
+	work();
+	ASSERT_EQ(m.state, MEMBERSHIP_IN);
+	ASSERT_NE(m.keeper, 0u);
+	for (int i = 0; i < 30; i++) {
+		c.now_ns += 100 * NS_PER_MS;
+		work();
+	}
+	ASSERT_GT(sent[MSG_ADOPT], 0);
+	uint64_t before = m.lease.deadline_ns;
+	struct message *ack = message_new(MSG_HEARTBEAT_ACK);
+	ack->from = m.keeper;
+	ack->u.heartbeat_ack.term = m.term;
+	ack->u.heartbeat_ack.sent_ns = c.now_ns;
+	membership_on_ack(&m, &c, ack);
+	message_delete(ack);
+	EXPECT_EQ(m.lease.deadline_ns, before);
+}
