--- a/core/membership.c
+++ b/core/membership.c
@@ -192,19 +192,24 @@
 	return rng_below(&c->rng, CONFLICT_NS << shift);
 }
 
+/*
+ * A write without an answer may have taken effect, and the entry may have
+ * been revoked and removed since: that incarnation is spent.
+ */
 static void join(struct membership *m, struct ctx *c)
 {
 	if (!m->service[0] || m->leaving)
 		return;
 	if (c->now_ns < m->next_try_ns || ctx_calling(c, CALL_JOIN))
 		return;
-	if (own_entry(c))
-		return;
 	if (m->stale) {
 		m->stale = false;
 		read_own_roster(c, CALL_JOIN);
 		return;
 	}
+	if (m->join_unknown || own_entry(c))
+		c->self = rng_next(&c->rng);
+	m->join_unknown = false;
 	write_roster(c, roster_with_self(m, c));
 }
 
@@ -402,6 +407,7 @@
 	if (call->owner == CALL_CONFIRM && ev->status == STATUS_OK)
 		confirm_from_store(m, c, call);
 	if (call->owner == CALL_JOIN && !answered) {
+		m->join_unknown = true;
 		/* It may have taken effect: read before the next try. */
 		read_own_roster(c, CALL_JOIN);
 	}
