--- a/wire/pack.c
+++ b/wire/pack.c
@@ -58,11 +58,14 @@
 
 static bool unpack_text(const msgpack_object *o, char *dst, size_t cap)
 {
-	if (o->type != MSGPACK_OBJECT_STR || o->via.str.size >= cap ||
-	    memchr(o->via.str.ptr, '\0', o->via.str.size))
+	if (o->type != MSGPACK_OBJECT_STR || o->via.str.size >= cap)
 		return false;
-	memcpy(dst, o->via.str.ptr, o->via.str.size);
 	dst[o->via.str.size] = '\0';
+	if (!o->via.str.size) /* its pointer may be NULL */
+		return true;
+	if (memchr(o->via.str.ptr, '\0', o->via.str.size))
+		return false;
+	memcpy(dst, o->via.str.ptr, o->via.str.size);
 	return true;
 }
 
