--- a/core/gate.h
+++ b/core/gate.h
@@ -7,6 +7,7 @@
 
 #include "core/admission.h"
 #include "core/ctx.h"
+#include "core/hot_keys.h"
 #include "core/lease.h"
 #include "core/replay.h"
 
@@ -66,6 +67,7 @@
 	struct list results;  /* of struct gate_result */
 	struct replay replay; /* of forwards from others */
 	uint64_t next_call;
+	struct hot_keys hot;
 	uint64_t next_grant_ns;
 	uint64_t grant_digest;	   /* of the set sent last; 0: send it whole */
 	uint64_t grant_version;	   /* of that set */
