Tests on real processes have a loopback address of their own

Cause: several test programs at once shared 127.0.0.1; a port that a node frees while it restarts could be taken by another program. One run of the restart test took 98 s while four other test runs were on the machine; it was not seen again in 9 runs after it.

Change: each test process uses 127.x.y.z made from its process id, and counts its ports up from 25000.

--- a/tests/process.hpp
+++ b/tests/process.hpp
@@ -29,49 +29,47 @@
 	std::this_thread::sleep_for(std::chrono::milliseconds(ms));
 }
 
-inline bool can_bind(int port)
+// A loopback address of this test process: ports that a restarting node
+// frees for a moment can't be taken by another test.
+inline std::string ip()
+{
+	unsigned pid = static_cast<unsigned>(getpid());
+
+	return "127." + std::to_string(1 + (pid >> 16) % 200) + "." +
+	       std::to_string(pid >> 8 & 255) + "." + std::to_string(pid & 255);
+}
+
+inline std::string loopback(int port)
+{
+	return ip() + ":" + std::to_string(port);
+}
+
+inline sockaddr_in socket_address(int port)
 {
-	int fd = socket(AF_INET, SOCK_STREAM, 0);
 	sockaddr_in a = {};
 
 	a.sin_family = AF_INET;
 	a.sin_port = htons(static_cast<uint16_t>(port));
-	a.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-	bool ok = bind(fd, reinterpret_cast<sockaddr *>(&a), sizeof(a)) == 0;
-	close(fd);
-	return ok;
+	inet_pton(AF_INET, ip().c_str(), &a.sin_addr);
+	return a;
 }
 
 inline bool answers(int port)
 {
 	int fd = socket(AF_INET, SOCK_STREAM, 0);
-	sockaddr_in a = {};
-
-	a.sin_family = AF_INET;
-	a.sin_port = htons(static_cast<uint16_t>(port));
-	a.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	sockaddr_in a = socket_address(port);
 	bool ok = connect(fd, reinterpret_cast<sockaddr *>(&a), sizeof(a)) == 0;
+
 	close(fd);
 	return ok;
 }
 
-// A port that nobody listens on; different test processes start apart.
+// A port of that address that this process has not used yet.
 inline int free_port()
 {
-	static int next = static_cast<int>(getpid()) * 37 % 900;
-
-	for (int i = 0; i < 1000; i++) {
-		int port = 25000 + next++ % 1000;
+	static int next = 25000;
 
-		if (can_bind(port))
-			return port;
-	}
-	return 0;
-}
-
-inline std::string loopback(int port)
-{
-	return "127.0.0.1:" + std::to_string(port);
+	return next++;
 }
 
 // A child process; killed and reaped at the end of its scope.
