--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 # Targets for people and CI; the build itself is CMakeLists.txt.
 JOBS ?= $(shell nproc)
 
-.PHONY: all deps build test lint format demo soak chaos recovery request-soak router-cost clean
+.PHONY: all deps build test lint format demo soak chaos recovery request-soak router-cost rollout clean
 
 all: build
 
@@ -48,5 +48,9 @@
 router-cost: build
 	build/bench-router_cost --bin build --manifest examples/chaos.toml
 
+# Time from apply until a manifest is in force on every node.
+rollout: build
+	bash bench/rollout.sh build $(or $(NODES),24) $(or $(APPLIES),10)
+
 clean:
 	rm -rf build build-test build-cmake.log
--- a/cli/apply.c
+++ b/cli/apply.c
@@ -80,7 +80,9 @@
 	if (new_change_id(m->change_id, sizeof(m->change_id)))
 		code = write_manifest(o->store, d);
 	if (code == CLI_OK)
-		printf("applied: revision %lu\n", (unsigned long)d->revision);
+		printf(o->json ? "{\"result\":\"applied\",\"revision\":%lu}\n"
+			       : "applied: revision %lu\n",
+		       (unsigned long)d->revision);
 	*revision = d->revision;
 	doc_delete(d);
 	return code;
@@ -107,7 +109,8 @@
 	if (!m)
 		return CLI_FINDINGS;
 	if (same(view_manifest(fleet), m)) {
-		printf("already in force: revision %lu\n",
+		printf(o->json ? "{\"result\":\"already\",\"revision\":%lu}\n"
+			       : "already in force: revision %lu\n",
 		       (unsigned long)revision);
 		manifest_delete(m);
 	} else {
--- a/cli/rollout.c
+++ b/cli/rollout.c
@@ -27,16 +27,22 @@
 	return n;
 }
 
-static void name_lagging(const struct fleet *f, revision_t revision)
+/* Names and addresses are checked ones: they need no quoting in JSON. */
+static void name_lagging(const struct cli_options *o, const struct fleet *f,
+			 revision_t revision)
 {
 	for (size_t i = 0; i < f->count; i++) {
 		const struct fleet_node *n = &f->nodes[i];
 
-		if (!has(n, revision))
-			fprintf(stderr, "lags: %s in %s at %s (%s)\n",
-				n->member->name, n->roster->dc,
-				n->member->http_addr,
-				n->page ? "older revision" : "no answer");
+		if (has(n, revision))
+			continue;
+		fprintf(stderr, "lags: %s in %s at %s (%s)\n", n->member->name,
+			n->roster->dc, n->member->http_addr,
+			n->page ? "older revision" : "no answer");
+		if (o->json)
+			printf("{\"result\":\"lags\",\"node\":\"%s\","
+			       "\"answers\":%s}\n",
+			       n->member->name, n->page ? "true" : "false");
 	}
 }
 
@@ -61,7 +67,7 @@
 		n = lagging(&f, revision);
 		*count = f.count;
 		if (last && n)
-			name_lagging(&f, revision);
+			name_lagging(o, &f, revision);
 	} else if (last) {
 		fprintf(stderr, "%s\n", st.msg);
 	}
@@ -83,7 +89,10 @@
 		uint64_t now = clock_now_ns();
 
 		if (!n) {
-			printf("in force on %zu nodes after %lu ms\n", count,
+			printf(o->json ? "{\"result\":\"in_force\",\"nodes\":"
+					 "%zu,\"after_ms\":%lu}\n"
+				       : "in force on %zu nodes after %lu ms\n",
+			       count,
 			       (unsigned long)((now - start) / NS_PER_MS));
 			return CLI_OK;
 		}
--- a/cli/where.c
+++ b/cli/where.c
@@ -20,15 +20,19 @@
 		text_format(why, cap, "pinned key");
 }
 
+static void print_json(json_t *answer)
+{
+	json_dumpf(answer, stdout, JSON_INDENT(2) | JSON_PRESERVE_ORDER);
+	printf("\n");
+}
+
 static void print(const struct cli_options *o, json_t *answer)
 {
 	const char *owner, *dc, *target, *why;
 	json_int_t epoch;
 
 	if (o->json) {
-		json_dumpf(answer, stdout,
-			   JSON_INDENT(2) | JSON_PRESERVE_ORDER);
-		printf("\n");
+		print_json(answer);
 		return;
 	}
 	json_unpack(answer, "{s:s,s:s,s:I,s:s,s:s}", "owner", &owner,
@@ -60,6 +64,21 @@
 	return m ? CLI_OK : CLI_NOT_FOUND;
 }
 
+static int where_any(const struct cli_options *o, const struct route *route)
+{
+	json_t *answer =
+		json_pack("{s:s,s:s,s:n,s:s}", "route", route->name, "key",
+			  o->words[1], "owner", "why", "any endpoint");
+
+	if (o->json)
+		print_json(answer);
+	else
+		printf("any endpoint of %s: the route has no owners\n",
+		       route->service);
+	json_decref(answer);
+	return CLI_OK;
+}
+
 static int where(const struct cli_options *o, const struct fleet *f)
 {
 	const char *name = o->words[0];
@@ -71,11 +90,8 @@
 		fprintf(stderr, "no route %s\n", name);
 		return CLI_NOT_FOUND;
 	}
-	if (route->kind == ROUTE_ANY) {
-		printf("any endpoint of %s: the route has no owners\n",
-		       route->service);
-		return CLI_OK;
-	}
+	if (route->kind == ROUTE_ANY)
+		return where_any(o, route);
 	if (!map) {
 		fprintf(stderr, "no owners yet: no node of %s has joined\n",
 			route->service);
--- a/io/settings.c
+++ b/io/settings.c
@@ -60,7 +60,7 @@
 	 .fallback = "10000"},
 };
 
-static const struct field_table settings_table = {
+const struct field_table settings_table = {
 	.name = "",
 	.help = "A daemon's settings: TOML, all at the top level, all with a "
 		"default.",
--- a/io/settings.h
+++ b/io/settings.h
@@ -4,6 +4,7 @@
 
 #include "core/ctx.h"
 #include "core/finding.h"
+#include "io/field.h"
 #include "io/peer_auth.h"
 
 struct settings {
@@ -23,6 +24,9 @@
 	uint64_t drift_ppm;
 };
 
+/** All settings with their defaults. */
+extern const struct field_table settings_table;
+
 /** Values that run one node on loopback. */
 void settings_default(struct settings *s);
 
--- a/tests/apply_test.cpp
+++ b/tests/apply_test.cpp
@@ -57,6 +57,19 @@
 		<< again.out;
 }
 
+TEST(Apply, JsonIsAnObjectALine)
+{
+	jd::Store store;
+	jd::Result r = store.jackdaw("--json --wait apply " + demo);
+
+	EXPECT_NE(r.out.find("{\"result\":\"applied\",\"revision\":2}\n"
+			     "{\"result\":\"in_force\",\"nodes\":0,"),
+		  std::string::npos)
+		<< r.out;
+	r = store.jackdaw("--json apply " + demo);
+	EXPECT_EQ(r.out, "{\"result\":\"already\",\"revision\":2}\n");
+}
+
 TEST(Apply, ALostAnswerIsSettledByReadingBack)
 {
 	jd::Store store;
--- a/tests/manifest_check_test.cpp
+++ b/tests/manifest_check_test.cpp
@@ -2,6 +2,7 @@
 
 #include <rapidcheck/gtest.h>
 
+#include <filesystem>
 #include <fstream>
 #include <sstream>
 
@@ -104,11 +105,16 @@
 
 TEST(ManifestCheck, ExamplesAreAccepted)
 {
-	for (const char *name : {"demo", "ezustkep", "luz-de-portal"})
-		EXPECT_EQ(
-			check(slurp("examples/" + std::string(name) + ".toml")),
-			"")
-			<< name;
+	int count = 0;
+
+	for (const auto &file :
+	     std::filesystem::directory_iterator(JD_SOURCE_DIR "/examples")) {
+		std::string name = file.path().filename();
+
+		EXPECT_EQ(check(slurp("examples/" + name)), "") << name;
+		count++;
+	}
+	EXPECT_GE(count, 3);
 }
 
 TEST(ManifestCheck, ExamplesHaveTheirRealSizes)
