apply --on: only over the revision that was reviewed

Cause: between diff and apply another operator's change could slip in; and the test of racing operators relied on four programs to start within a second, which a busy machine does not promise.

Change: apply --on REVISION exits 3 when another is in force; diff prints the one it compared with.

--- a/cli/apply.c
+++ b/cli/apply.c
@@ -1,6 +1,7 @@
 #include "cli/apply.h"
 
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 #include <sys/random.h>
 
@@ -99,6 +100,15 @@
 	return in_force && !count;
 }
 
+/* True unless the caller named another revision than the one in force. */
+static bool is_on(const struct cli_options *o, revision_t revision)
+{
+	char *end;
+
+	return !o->on ||
+	       (strtoull(o->on, &end, 10) == revision && !*end && end != o->on);
+}
+
 static int apply(const struct cli_options *o, const struct view *fleet)
 {
 	const struct doc *in_force = view_doc(fleet, DOC_MANIFEST, "");
@@ -113,6 +123,11 @@
 			       : "already in force: revision %lu\n",
 		       (unsigned long)revision);
 		manifest_delete(m);
+	} else if (!is_on(o, revision)) {
+		fprintf(stderr, "conflict: revision %lu is in force, not %s\n",
+			(unsigned long)revision, o->on);
+		manifest_delete(m);
+		code = CLI_CONFLICT;
 	} else {
 		code = replace(o, m, &revision);
 	}
--- a/cli/diff.c
+++ b/cli/diff.c
@@ -61,6 +61,8 @@
 		       (unsigned long)in_force->revision);
 	else
 		diff_print(&changes, o->json);
+	fprintf(stderr, "revision in force: %lu\n",
+		in_force ? (unsigned long)in_force->revision : 0);
 	changes_delete(&changes);
 	manifest_delete(m);
 	return CLI_OK;
--- a/cli/jackdaw.c
+++ b/cli/jackdaw.c
@@ -19,6 +19,8 @@
 	struct arg_str *store =
 		arg_str0(NULL, "store", "IP:PORT", "the platform's store");
 	struct arg_str *node = arg_str0(NULL, "node", "IP:PORT", "any node");
+	struct arg_str *on = arg_str0(NULL, "on", "REVISION",
+				      "apply only over that revision");
 	struct arg_lit *json = arg_lit0(NULL, "json", "JSON for scripts");
 	struct arg_lit *wait =
 		arg_lit0(NULL, "wait", "until it has happened everywhere");
@@ -30,8 +32,8 @@
 	struct arg_str *words =
 		arg_strn(NULL, NULL, "COMMAND", 0, CLI_WORDS_MAX, "see above");
 	struct arg_end *end = arg_end(8);
-	void *table[] = {store, node, json,  wait, timeout,
-			 html,	help, words, end};
+	void *table[] = {store,	  node, on,   json,  wait,
+			 timeout, html, help, words, end};
 	struct cli_options o = {0};
 	int code = CLI_OK;
 
@@ -47,6 +49,7 @@
 	} else {
 		o.store = store->sval[0];
 		o.node = node->sval[0];
+		o.on = on->count ? on->sval[0] : NULL;
 		o.json = json->count > 0;
 		o.wait = wait->count > 0;
 		o.timeout_ms = (uint64_t)timeout->ival[0] * 1000;
--- a/cli/options.h
+++ b/cli/options.h
@@ -11,6 +11,7 @@
 	const char *store; /* address of the platform's store */
 	const char *node;  /* HTTP address of a node */
 	const char *html;  /* file for the report; NULL for none */
+	const char *on;	   /* revision that apply must find; NULL for any */
 	bool json;
 	bool wait;
 	uint64_t timeout_ms;		  /* of --wait */
