--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 JOBS ?= $(shell nproc)
 
 .PHONY: all deps build test lint format demo bench soak chaos recovery \
-	request-soak router-cost clean
+	request-soak router-cost rollout clean
 
 all: build
 
@@ -54,5 +54,9 @@
 router-cost: build
 	build/bench-router_cost --bin build --manifest examples/chaos.toml
 
+# Time from apply until a manifest is in force on every node.
+rollout: build
+	bash bench/rollout.sh build $(or $(NODES),24) $(or $(APPLIES),10)
+
 clean:
 	rm -rf build build-test build-cmake.log
--- a/cli/apply.c
+++ b/cli/apply.c
@@ -1,6 +1,7 @@
 #include "cli/apply.h"
 
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 #include <sys/random.h>
 
@@ -80,7 +81,9 @@
 	if (new_change_id(m->change_id, sizeof(m->change_id)))
 		code = write_manifest(o->store, d);
 	if (code == CLI_OK)
-		printf("applied: revision %lu\n", (unsigned long)d->revision);
+		printf(o->json ? "{\"result\":\"applied\",\"revision\":%lu}\n"
+			       : "applied: revision %lu\n",
+		       (unsigned long)d->revision);
 	*revision = d->revision;
 	doc_delete(d);
 	return code;
@@ -97,6 +100,15 @@
 	return in_force && !count;
 }
 
+/* True unless the caller named another revision than the one in force. */
+static bool is_on(const struct cli_options *o, revision_t revision)
+{
+	char *end;
+
+	return !o->on ||
+	       (strtoull(o->on, &end, 10) == revision && !*end && end != o->on);
+}
+
 static int apply(const struct cli_options *o, const struct view *fleet)
 {
 	const struct doc *in_force = view_doc(fleet, DOC_MANIFEST, "");
@@ -107,9 +119,15 @@
 	if (!m)
 		return CLI_FINDINGS;
 	if (same(view_manifest(fleet), m)) {
-		printf("already in force: revision %lu\n",
+		printf(o->json ? "{\"result\":\"already\",\"revision\":%lu}\n"
+			       : "already in force: revision %lu\n",
 		       (unsigned long)revision);
 		manifest_delete(m);
+	} else if (!is_on(o, revision)) {
+		fprintf(stderr, "conflict: revision %lu is in force, not %s\n",
+			(unsigned long)revision, o->on);
+		manifest_delete(m);
+		code = CLI_CONFLICT;
 	} else {
 		code = replace(o, m, &revision);
 	}
