Placement: a shard on its way counts once when its owner is lost

Change: such a shard goes to its target if that may take it, else its count is taken off the target first.

--- a/core/placement.c
+++ b/core/placement.c
@@ -162,12 +162,20 @@
 	return list_entry(s->by_load[s->load_max].next, struct seat, link);
 }
 
+/* An owner lost in a planned move: the shard goes where it was to go. */
 static void fill_one(struct shard *sh, struct seats *s)
 {
+	struct seat *target = sh->target ? seats_find(s, sh->target) : NULL;
 	struct seat *to = least_loaded(s);
 
+	if (target && target->allowed) {
+		shard_assign(sh, target->inc);
+		return;
+	}
 	if (!to)
 		return;
+	if (target)
+		set_load(s, target, target->load - 1);
 	set_load(s, to, to->load + 1);
 	shard_assign(sh, to->inc);
 }
--- a/tests/placement_test.cpp
+++ b/tests/placement_test.cpp
@@ -152,6 +152,43 @@
 	shard_map_delete(m);
 }
 
+/* All shards on their way to one node, their owner gone meanwhile. */
+TEST(Placement, ALostOwnersMoveEndsAtItsTarget)
+{
+	Fleet f;
+	struct shard_map *map = shard_map_new("r", 16);
+
+	f.accept();
+	f.put(0, {{1, MEMBER_UP}});
+	f.put(1, {{2, MEMBER_UP}});
+	for (uint32_t i = 0; i < map->count; i++)
+		map->shards[i] = {9, 1, 4};
+	EXPECT_EQ(placement_fill(map, &f.v, &f.route), 16u);
+	for (uint32_t i = 0; i < map->count; i++) {
+		EXPECT_EQ(map->shards[i].owner, 1u);
+		EXPECT_EQ(map->shards[i].target, 0u);
+		EXPECT_EQ(map->shards[i].epoch, 5u);
+	}
+	shard_map_delete(map);
+}
+
+/* The target may not take them any more: the others get them evenly. */
+TEST(Placement, ALostOwnersMoveToALeavingNodeGoesElsewhere)
+{
+	Fleet f;
+	struct shard_map *map = shard_map_new("r", 16);
+
+	f.accept();
+	f.put(0, {{1, MEMBER_LEAVING}});
+	f.put(1, {{2, MEMBER_UP}});
+	for (uint32_t i = 0; i < map->count; i++)
+		map->shards[i] = {9, 1, 4};
+	EXPECT_EQ(placement_fill(map, &f.v, &f.route), 16u);
+	for (uint32_t i = 0; i < map->count; i++)
+		EXPECT_EQ(map->shards[i].owner, 2u);
+	shard_map_delete(map);
+}
+
 TEST(Placement, ARevokedOwnerKeepsItsShardsUntilItsEntryGoes)
 {
 	Fleet f;
