A shard lost during a planned move counts its target once

Cause: filling an orphan left the load of its planned target in place, so a node's load could pass the number of shards and run over the index of loads.

Change: the target's load goes down before the orphan is given away. The new test in tests/placement_test.cpp overflowed under the sanitizers before.

--- a/core/placement.c
+++ b/core/placement.c
@@ -164,8 +164,13 @@
 
 static void fill_one(struct shard *sh, struct seats *s)
 {
-	struct seat *to = least_loaded(s);
+	struct seat *target = sh->target ? seats_find(s, sh->target) : NULL;
+	struct seat *to;
 
+	/* It is on its way no more. */
+	if (target)
+		set_load(s, target, target->load - 1);
+	to = least_loaded(s);
 	if (!to)
 		return;
 	set_load(s, to, to->load + 1);
--- a/tests/placement_test.cpp
+++ b/tests/placement_test.cpp
@@ -152,6 +152,23 @@
 	shard_map_delete(m);
 }
 
+TEST(Placement, AnOwnerLostDuringAPlannedMoveCountsItsTargetOnce)
+{
+	Fleet f;
+	struct shard_map *map = shard_map_new("r", 8);
+
+	f.accept();
+	f.put(0, {{1, MEMBER_UP}});
+	for (uint32_t i = 0; i < map->count; i++)
+		map->shards[i] = {99, 1, 1};
+	EXPECT_EQ(placement_fill(map, &f.v, &f.route), 8u);
+	for (uint32_t i = 0; i < map->count; i++) {
+		EXPECT_EQ(map->shards[i].owner, 1u);
+		EXPECT_EQ(map->shards[i].target, 0u);
+	}
+	shard_map_delete(map);
+}
+
 TEST(Placement, ARevokedOwnerKeepsItsShardsUntilItsEntryGoes)
 {
 	Fleet f;
