--- /dev/null
+++ b/bench/churn.c
@@ -0,0 +1,113 @@
+/*
+ * How many shards change their owner when one node leaves, and how long
+ * placement takes. The minimum is the share of the node that leaves; plain
+ * modulo placement (shard mod nodes) is the baseline.
+ */
+#include <stdio.h>
+#include <stdlib.h>
+#include <time.h>
+
+#include "core/mem.h"
+#include "core/placement.h"
+#include "core/text.h"
+
+#define SHARDS 16384
+#define DCS    7
+
+static struct doc *roster(uint32_t dc, uint32_t nodes, uint32_t gone)
+{
+	char name[JD_NAME_MAX];
+	struct doc *d;
+
+	text_format(name, sizeof(name), "dc%u", dc);
+	d = doc_new(DOC_ROSTER, name);
+	d->revision = gone == UINT32_MAX ? 1 : 2;
+	d->u.roster = roster_new(name, "region");
+	for (uint32_t i = dc; i < nodes; i += DCS) {
+		struct member *m;
+
+		if (i == gone)
+			continue;
+		m = roster_add(d->u.roster, "node",
+			       (i + 1) * UINT64_C(0x9e3779b97f4a7c15));
+		mem_copy_str(m->service, "live", sizeof(m->service));
+	}
+	return d;
+}
+
+static void fill_view(struct view *v, uint32_t nodes, uint32_t gone)
+{
+	for (uint32_t dc = 0; dc < DCS; dc++)
+		view_apply(v, roster(dc, nodes, gone));
+}
+
+static uint32_t count_moved(const struct shard_map *a,
+			    const struct shard_map *b)
+{
+	uint32_t n = 0;
+
+	for (uint32_t i = 0; i < a->count; i++)
+		n += a->shards[i].owner != b->shards[i].owner;
+	return n;
+}
+
+static double modulo_moved(uint32_t nodes)
+{
+	uint32_t n = 0;
+
+	for (uint32_t i = 0; i < SHARDS; i++)
+		n += i % nodes != i % (nodes - 1);
+	return (double)n / SHARDS;
+}
+
+static double now_ms(void)
+{
+	struct timespec ts;
+
+	clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &ts);
+	return (double)ts.tv_sec * 1e3 + (double)ts.tv_nsec / 1e6;
+}
+
+static void run(uint32_t nodes)
+{
+	struct route route = {.kind = ROUTE_KEYED, .service = "live"};
+	struct shard_map *map = shard_map_new("live", SHARDS);
+	struct shard_map *before;
+	struct view v;
+	double moved, filled, left;
+
+	view_init(&v);
+	fill_view(&v, nodes, UINT32_MAX);
+	filled = now_ms();
+	placement_fill(map, &v, &route);
+	filled = now_ms() - filled;
+	before = shard_map_copy(map);
+	fill_view(&v, nodes, nodes / 2);
+	left = now_ms();
+	placement_fill(map, &v, &route);
+	placement_plan(map, &v, &route);
+	placement_balance(map, &v, &route);
+	left = now_ms() - left;
+	for (uint32_t i = 0; i < map->count; i++)
+		if (map->shards[i].target)
+			shard_assign(&map->shards[i], map->shards[i].target);
+	moved = (double)count_moved(before, map) / SHARDS;
+	printf("nodes=%u moved=%.5f minimum=%.5f modulo=%.5f fill_ms=%.2f "
+	       "leave_ms=%.2f\n",
+	       nodes, moved, 1.0 / nodes, modulo_moved(nodes), filled, left);
+	printf("bench: name=churn_leave_n%u ours=%.5f baseline=%.5f "
+	       "ratio=%.4f\n",
+	       nodes, moved, modulo_moved(nodes), moved / modulo_moved(nodes));
+	shard_map_delete(before);
+	shard_map_delete(map);
+	view_done(&v);
+}
+
+int main(void)
+{
+	static const uint32_t nodes[] = {13, 70, 710};
+
+	for (size_t i = 0; i < sizeof(nodes) / sizeof(*nodes); i++)
+		run(nodes[i]);
+	return EXIT_SUCCESS;
+}
--- a/core/membership.c
+++ b/core/membership.c
@@ -53,6 +53,10 @@
 	return m->state == MEMBERSHIP_IN && lease_valid(&m->lease, c->now_ns);
 }
 
+#define PLACE_OTHER_DC	 4
+#define PLACE_OWN_REGION 8
+#define PLACE_BEST	 (PLACE_OTHER_DC + PLACE_OWN_REGION)
+
 /*
  * A keeper in another data centre outlives the loss of ours; one in our
  * region stays in reach when regions are cut off.
@@ -62,9 +66,9 @@
 	uint32_t rank = 0;
 
 	if (strcmp(r->dc, c->opts->dc) != 0)
-		rank += 4;
+		rank += PLACE_OTHER_DC;
 	if (!strcmp(r->region, c->opts->region))
-		rank += 8;
+		rank += PLACE_OWN_REGION;
 	return rank;
 }
 
@@ -255,15 +259,19 @@
 {
 	const struct member *k = view_member(&c->view, m->keeper, NULL);
 	const struct member *best;
+	uint32_t place;
 
 	if (!k || c->now_ns < m->next_improve_ns)
 		return false;
-	m->next_improve_ns = c->now_ns + ctx_jitter(c, IMPROVE_NS);
+	m->next_improve_ns = c->now_ns + IMPROVE_NS;
+	place = place_rank(c, k->roster);
+	if (place == PLACE_BEST && k->charges <= KEEPER_GROUP_MAX)
+		return false;
 	best = choose_keeper(c, m->keeper);
 	if (!best)
 		return false;
-	if (place_rank(c, best->roster) != place_rank(c, k->roster))
-		return place_rank(c, best->roster) > place_rank(c, k->roster);
+	if (place_rank(c, best->roster) != place)
+		return place_rank(c, best->roster) > place;
 	return best->charges < KEEPER_GROUP && crowded(k, c);
 }
 
@@ -373,7 +381,7 @@
 	m->term = self->term;
 	m->keeper = self->keeper;
 	m->next_beat_ns = c->now_ns;
-	m->next_improve_ns = c->now_ns + ctx_jitter(c, IMPROVE_NS);
+	m->next_improve_ns = c->now_ns + IMPROVE_NS;
 }
 
 /* The store's own answer shows the entry in force: the lease goes on. */
