Find hot keys at their gate and move their shards apart

Cause: nothing noticed hot keys; when several fell on one owner they stayed there, for placement counts shards and not requests.

A hot key moves with its shard, by the planned move that exists: target, release, next epoch. So no new way to own a key comes in, and the argument for one owner stays as it is. Pinned keys are not used for it: with 16384 shards the rest of a hot key's shard is a 16384th of the keys, and no pin can split one key.

--- a/core/gate.c
+++ b/core/gate.c
@@ -20,6 +20,7 @@
 	}
 	admission_init(&g->admission);
 	list_init(&g->routes);
+	hot_keys_init(&g->hot);
 	list_init(&g->results);
 	replay_init(&g->replay);
 	g->next_call = 1;
@@ -329,8 +330,10 @@
 		return;
 	}
 	sh = local_shard(g, c, gc);
-	if (sh)
+	if (sh) {
 		sh->in_flight++;
+		hot_keys_count(&g->hot, gc->route, gc->shard, f->key);
+	}
 	admit(g, c, lease);
 }
 
@@ -448,6 +451,22 @@
 	ctx_send(c, planner->inc, planner->peer_addr, msg);
 }
 
+static void report_hot_keys(struct gate *g, struct ctx *c)
+{
+	incarnation_t holder = view_planner(&c->view).holder;
+	const struct member *planner = view_member(&c->view, holder, NULL);
+	struct hot_report items[HOT_KEYS_REPORT];
+	uint32_t n = hot_keys_report(&g->hot, c->now_ns, items);
+	struct message *msg;
+
+	if (!n || !planner)
+		return;
+	msg = message_new(MSG_HOT_KEYS);
+	msg->u.hot_keys.count = n;
+	memcpy(msg->u.hot_keys.items, items, n * sizeof(*items));
+	ctx_send(c, planner->inc, planner->peer_addr, msg);
+}
+
 static void release(struct gate *g, struct ctx *c)
 {
 	incarnation_t holder = view_planner(&c->view).holder;
@@ -498,6 +517,7 @@
 {
 	renew_grants(g, c, lease);
 	release(g, c);
+	report_hot_keys(g, c);
 	expire(g, c);
 	admit(g, c, lease);
 }
--- a/core/gate.h
+++ b/core/gate.h
@@ -7,6 +7,7 @@
 
 #include "core/admission.h"
 #include "core/ctx.h"
+#include "core/hot_keys.h"
 #include "core/lease.h"
 #include "core/replay.h"
 
@@ -67,6 +68,7 @@
 	struct list results;  /* of struct gate_result */
 	struct replay replay; /* of forwards from others */
 	uint64_t next_call;
+	struct hot_keys hot;
 	uint64_t next_grant_ns;
 	uint64_t next_release_ns;
 	uint64_t next_expiry_ns;
--- a/core/message.c
+++ b/core/message.c
@@ -7,8 +7,9 @@
 static const char *const message_names[MSG_KIND_COUNT] = {
 	[MSG_HEARTBEAT] = "heartbeat", [MSG_HEARTBEAT_ACK] = "heartbeat_ack",
 	[MSG_ADOPT] = "adopt",	       [MSG_SYNC] = "sync",
-	[MSG_RELEASE] = "release",     [MSG_FORWARD] = "forward",
-	[MSG_ANSWER] = "answer",       [MSG_CANCEL] = "cancel",
+	[MSG_RELEASE] = "release",     [MSG_HOT_KEYS] = "hot_keys",
+	[MSG_FORWARD] = "forward",     [MSG_ANSWER] = "answer",
+	[MSG_CANCEL] = "cancel",
 };
 
 static const char *const outcome_names[OUTCOME_COUNT] = {
@@ -52,6 +53,7 @@
 	case MSG_HEARTBEAT_ACK:
 	case MSG_ADOPT:
 	case MSG_CANCEL:
+	case MSG_HOT_KEYS:
 	case MSG_KIND_COUNT:
 		break;
 	}
--- a/core/message.h
+++ b/core/message.h
@@ -4,6 +4,7 @@
 
 #include "core/doc.h"
 #include "core/doc_delta.h"
+#include "core/hot_keys.h"
 #include "core/http.h"
 #include "core/refusal.h"
 #include "core/types.h"
@@ -14,6 +15,7 @@
 	MSG_ADOPT,	   /* a node asks a new keeper to take it on */
 	MSG_SYNC,	   /* documents written since a revision */
 	MSG_RELEASE,	   /* owner to planner: a planned move may end */
+	MSG_HOT_KEYS,	   /* owner to planner: its hottest keys */
 	MSG_FORWARD,	   /* entry to owner: run this request */
 	MSG_ANSWER,	   /* owner to entry: what came of it */
 	MSG_CANCEL,	   /* entry to owner: nobody waits any more */
@@ -60,6 +62,11 @@
 	epoch_t *epochs;
 };
 
+struct msg_hot_keys {
+	uint32_t count;
+	struct hot_report items[HOT_KEYS_REPORT];
+};
+
 struct msg_forward {
 	struct request_id id;
 	uint32_t attempt;
@@ -97,6 +104,7 @@
 		struct msg_adopt adopt;
 		struct msg_sync sync;
 		struct msg_release release;
+		struct msg_hot_keys hot_keys;
 		struct msg_forward forward;
 		struct msg_answer answer;
 		struct msg_cancel cancel;
--- a/core/node.c
+++ b/core/node.c
@@ -273,6 +273,9 @@
 	case MSG_RELEASE:
 		planner_on_release(&n->planner, c, m);
 		break;
+	case MSG_HOT_KEYS:
+		planner_on_hot_keys(&n->planner, c, &m->u.hot_keys);
+		break;
 	case MSG_FORWARD:
 		gate_run(&n->gate, c, &n->membership.lease, &m->u.forward,
 			 m->from);
--- a/core/placement.h
+++ b/core/placement.h
@@ -11,6 +11,7 @@
 	bool known;    /* has an entry that is not revoked */
 	bool allowed;  /* may get shards */
 	uint32_t load; /* shards owned or on their way */
+	uint64_t heat; /* requests a second of its hot shards */
 };
 
 struct seats {
--- a/core/planner.c
+++ b/core/planner.c
@@ -23,6 +23,7 @@
 {
 	memset(p, 0, sizeof(*p));
 	list_init(&p->releases);
+	hot_shards_init(&p->hot);
 }
 
 static void release_delete(struct release *r)
@@ -33,7 +34,7 @@
 	free(r);
 }
 
-void planner_done(struct planner *p)
+static void drop_releases(struct planner *p)
 {
 	struct release *r, *tmp;
 
@@ -41,6 +42,12 @@
 		release_delete(r);
 }
 
+void planner_done(struct planner *p)
+{
+	drop_releases(p);
+	hot_shards_done(&p->hot);
+}
+
 static void claim(struct planner *p, struct ctx *c)
 {
 	const struct doc *old = view_doc(&c->view, DOC_PLANNER, "");
@@ -150,6 +157,8 @@
 	marked = placement_plan(d->u.map, &c->view, route);
 	if (settled(p, c))
 		marked += placement_balance(d->u.map, &c->view, route);
+	marked +=
+		hot_shards_plan(&p->hot, d->u.map, &c->view, route, c->now_ns);
 	if (!ended && !marked) {
 		doc_delete(d);
 		return false;
@@ -193,10 +202,11 @@
 		return;
 	follow_rosters(p, c);
 	if (p->planned == c->view.revision && list_empty(&p->releases) &&
-	    !(p->unsettled && settled(p, c)))
+	    !p->hot.fresh && !(p->unsettled && settled(p, c)))
 		return;
 	p->next_plan_ns = c->now_ns + PLAN_NS;
 	p->planned = c->view.revision;
+	p->hot.fresh = false;
 	list_for_each_entry(r, &m->routes, link) {
 		if (r->kind != ROUTE_KEYED)
 			continue;
@@ -208,7 +218,7 @@
 	if (settled(p, c))
 		p->unsettled = false;
 	/* Releases that ended nothing are too old or will come again. */
-	planner_done(p);
+	drop_releases(p);
 }
 
 void planner_work(struct planner *p, struct ctx *c, struct sweep *s,
@@ -254,6 +264,15 @@
 	list_push_back(&p->releases, &r->link);
 }
 
+void planner_on_hot_keys(struct planner *p, struct ctx *c,
+			 const struct msg_hot_keys *m)
+{
+	if (!p->holder)
+		return;
+	for (uint32_t i = 0; i < m->count; i++)
+		hot_shards_add(&p->hot, &m->items[i], c->now_ns);
+}
+
 static void on_lease(struct planner *p, struct ctx *c, const struct call *call,
 		     struct ev_store *ev)
 {
--- a/core/planner.h
+++ b/core/planner.h
@@ -3,6 +3,7 @@
 #define JD_CORE_PLANNER_H
 
 #include "core/ctx.h"
+#include "core/hot_shards.h"
 #include "core/sweep.h"
 
 /** Shards of one route that their owner has released. */
@@ -25,6 +26,7 @@
 	uint64_t quiet_by_ns; /* they do so then at the latest */
 	bool unsettled;	      /* they changed since the last balance */
 	struct list releases; /* of struct release */
+	struct hot_shards hot;
 };
 
 void planner_init(struct planner *p);
@@ -35,6 +37,8 @@
 		  bool candidate);
 uint64_t planner_next_ns(const struct planner *p);
 void planner_on_release(struct planner *p, struct ctx *c, struct message *msg);
+void planner_on_hot_keys(struct planner *p, struct ctx *c,
+			 const struct msg_hot_keys *m);
 void planner_on_store(struct planner *p, struct ctx *c, const struct call *call,
 		      struct ev_store *ev);
 
--- a/tests/codec_test.cpp
+++ b/tests/codec_test.cpp
@@ -70,6 +70,31 @@
 	doc_delete(d);
 }
 
+TEST(Codec, HotKeysComeBackAndAreBounded)
+{
+	struct message *m = message_new(MSG_HOT_KEYS);
+
+	m->u.hot_keys.count = HOT_KEYS_REPORT;
+	for (uint32_t i = 0; i < HOT_KEYS_REPORT; i++)
+		m->u.hot_keys.items[i] = {"r", i, 100 * i};
+	struct message *back = round_trip(m);
+	ASSERT_NE(back, nullptr);
+	EXPECT_EQ(back->u.hot_keys.count, (uint32_t)HOT_KEYS_REPORT);
+	EXPECT_EQ(back->u.hot_keys.items[7].shard, 7u);
+	EXPECT_EQ(back->u.hot_keys.items[7].rate, 700u);
+	EXPECT_STREQ(back->u.hot_keys.items[7].route, "r");
+	message_delete(back);
+	m->u.hot_keys.count = 0;
+	struct wire_buf b;
+	struct status st;
+	wire_encode_message(m, &b);
+	/* The count is the last number before the empty array. */
+	b.data[b.len - 2] = HOT_KEYS_REPORT + 1;
+	EXPECT_EQ(wire_decode_message(b.data, b.len, &st), nullptr);
+	free(b.data);
+	message_delete(m);
+}
+
 RC_GTEST_PROP(Codec, AnyBytesAreRefusedOrDecoded, (const std::string &bytes))
 {
 	struct status st;
--- a/wire/codec.c
+++ b/wire/codec.c
@@ -44,6 +44,17 @@
 	PACK_U32_OF(struct msg_release, count),
 };
 
+static const struct pack_field hot_keys_fields[] = {
+	PACK_U32_OF(struct msg_hot_keys, count),
+};
+
+static const struct pack_field hot_report_fields[] = {
+	PACK_STR_OF(struct hot_report, route),
+	PACK_U32_OF(struct hot_report, shard),
+	PACK_U32_OF(struct hot_report, rate),
+};
+static const struct pack_table hot_report_table = PACK_TABLE(hot_report_fields);
+
 static const struct pack_field forward_fields[] = {
 	PACK_U64_OF(struct msg_forward, id.node),
 	PACK_U64_OF(struct msg_forward, id.counter),
@@ -78,6 +89,7 @@
 	[MSG_ADOPT] = PACK_TABLE(adopt_fields),
 	[MSG_SYNC] = PACK_TABLE(sync_fields),
 	[MSG_RELEASE] = PACK_TABLE(release_fields),
+	[MSG_HOT_KEYS] = PACK_TABLE(hot_keys_fields),
 	[MSG_FORWARD] = PACK_TABLE(forward_fields),
 	[MSG_ANSWER] = PACK_TABLE(answer_fields),
 	[MSG_CANCEL] = PACK_TABLE(cancel_fields),
@@ -240,6 +252,24 @@
 	return true;
 }
 
+static void pack_hot_keys(msgpack_packer *pk, const struct msg_hot_keys *h)
+{
+	msgpack_pack_array(pk, h->count);
+	for (uint32_t i = 0; i < h->count; i++)
+		pack_struct(pk, &h->items[i], &hot_report_table);
+}
+
+static bool unpack_hot_keys(const msgpack_object *o, struct msg_hot_keys *h)
+{
+	if (h->count > HOT_KEYS_REPORT)
+		return false;
+	for (uint32_t i = 0; i < h->count; i++)
+		if (!unpack_struct(unpack_at(o, i), &h->items[i],
+				   &hot_report_table))
+			return false;
+	return true;
+}
+
 /* What a kind carries beside its plain fields. */
 static void pack_rest(msgpack_packer *pk, const struct message *m)
 {
@@ -250,6 +280,9 @@
 	case MSG_RELEASE:
 		pack_released(pk, &m->u.release);
 		break;
+	case MSG_HOT_KEYS:
+		pack_hot_keys(pk, &m->u.hot_keys);
+		break;
 	case MSG_FORWARD:
 		pack_request(pk, m->u.forward.request);
 		break;
@@ -273,6 +306,8 @@
 		return unpack_sync(o, &m->u.sync);
 	case MSG_RELEASE:
 		return unpack_released(o, &m->u.release);
+	case MSG_HOT_KEYS:
+		return unpack_hot_keys(o, &m->u.hot_keys);
 	case MSG_FORWARD:
 		m->u.forward.request = unpack_request(o);
 		return m->u.forward.request != NULL;
