Answers whole or not at all; gone callers cost no scan

Cause: an answer of more than 8 MB would make ZeroMQ close the connection between two nodes, with all that was on it. Each caller that goes away walked all entries: a lost network with 20000 callers would stall the loop. Headers that Connection names went on to the upstream.

Change: a larger answer than 4 MB ends as unknown with answer_too_large; entries are found by caller in buckets; headers of one hop stay behind.

--- a/core/gate.c
+++ b/core/gate.c
@@ -339,11 +339,23 @@
 	return NULL;
 }
 
+/* It could not go back over the wire: the caller gets it whole or not. */
+static void drop_large_answer(struct ev_upstream_answer *a)
+{
+	if (!a->answer || a->answer->payload.body_len <= HTTP_ANSWER_MAX_BYTES)
+		return;
+	http_answer_delete(a->answer);
+	a->answer = NULL;
+	a->outcome = OUTCOME_UNKNOWN;
+	a->refusal = REFUSAL_ANSWER_TOO_LARGE;
+}
+
 void gate_on_upstream(struct gate *g, struct ctx *c,
 		      struct ev_upstream_answer *a, const struct lease *lease)
 {
 	struct gate_call *gc = a->call ? find_call(g, a->call) : NULL;
 
+	drop_large_answer(a);
 	if (gc) {
 		end(g, c, gc, a->outcome, a->refusal, a->answer);
 		a->answer = NULL;
--- a/core/http.h
+++ b/core/http.h
@@ -5,6 +5,9 @@
 #include "core/list.h"
 #include "core/types.h"
 
+/* The largest body of an answer; a request has its route's limit. */
+#define HTTP_ANSWER_MAX_BYTES (4u << 20)
+
 struct header {
 	struct list link;
 	char *name;
--- a/core/refusal.h
+++ b/core/refusal.h
@@ -19,13 +19,14 @@
 	REFUSAL_MOVING,	     /* the key is being handed over */
 	REFUSAL_NO_LEASE,    /* the owner may not pass it on */
 	REFUSAL_QUEUE_FULL,
-	REFUSAL_DEADLINE,	 /* it passed before anything ran */
-	REFUSAL_PEER_DOWN,	 /* the owner is not connected: not sent */
-	REFUSAL_UPSTREAM_DOWN,	 /* no connection: no byte was written */
-	REFUSAL_UPSTREAM_SHED,	 /* the upstream says it did not run it */
-	REFUSAL_LEAVING,	 /* the node drains */
-	REFUSAL_CONNECTION_LOST, /* after a byte was written */
-	REFUSAL_NO_ANSWER,	 /* none within the deadline */
+	REFUSAL_DEADLINE,	  /* it passed before anything ran */
+	REFUSAL_PEER_DOWN,	  /* the owner is not connected: not sent */
+	REFUSAL_UPSTREAM_DOWN,	  /* no connection: no byte was written */
+	REFUSAL_UPSTREAM_SHED,	  /* the upstream says it did not run it */
+	REFUSAL_LEAVING,	  /* the node drains */
+	REFUSAL_CONNECTION_LOST,  /* after a byte was written */
+	REFUSAL_NO_ANSWER,	  /* none within the deadline */
+	REFUSAL_ANSWER_TOO_LARGE, /* it ran */
 	REFUSAL_COUNT,
 };
 
--- a/core/router.c
+++ b/core/router.c
@@ -21,8 +21,10 @@
 void router_init(struct router *r)
 {
 	memset(r, 0, sizeof(*r));
-	for (int i = 0; i < ROUTER_BUCKETS; i++)
+	for (int i = 0; i < ROUTER_BUCKETS; i++) {
 		list_init(&r->buckets[i]);
+		list_init(&r->callers[i]);
+	}
 	list_init(&r->held);
 	burn_init(&r->burn);
 	r->next_id = 1;
@@ -32,6 +34,7 @@
 static void entry_delete(struct router *r, struct entry *e)
 {
 	list_remove(&e->link);
+	list_remove(&e->by_caller);
 	list_remove(&e->held);
 	http_request_delete(e->request);
 	r->bytes -= e->bytes;
@@ -55,6 +58,11 @@
 	return &r->buckets[counter % ROUTER_BUCKETS];
 }
 
+static struct list *caller_bucket(struct router *r, uint64_t caller)
+{
+	return &r->callers[caller % ROUTER_BUCKETS];
+}
+
 static struct entry *find(struct router *r, uint64_t counter)
 {
 	struct entry *e;
@@ -394,6 +402,7 @@
 	request_strip(e->request);
 	e->bytes = request_bytes(e->request);
 	list_push_back(bucket(r, e->id.counter), &e->link);
+	list_push_back(caller_bucket(r, e->caller), &e->by_caller);
 	r->count++;
 	r->bytes += e->bytes;
 	return e;
@@ -532,15 +541,13 @@
 void router_on_caller_gone(struct router *r, struct ctx *c, struct gate *g,
 			   uint64_t caller)
 {
-	for (int i = 0; i < ROUTER_BUCKETS; i++) {
-		struct entry *e, *tmp;
+	struct entry *e, *tmp;
 
-		list_for_each_entry_safe(e, tmp, &r->buckets[i], link) {
-			if (e->caller != caller)
-				continue;
-			cancel(c, g, e);
-			entry_delete(r, e);
-		}
+	list_for_each_entry_safe(e, tmp, caller_bucket(r, caller), by_caller) {
+		if (e->caller != caller)
+			continue;
+		cancel(c, g, e);
+		entry_delete(r, e);
 	}
 }
 
--- a/core/router.h
+++ b/core/router.h
@@ -18,8 +18,9 @@
 
 /** One caller's request until its outcome. */
 struct entry {
-	struct list link; /* in its bucket */
-	struct list held; /* in router.held while ENTRY_HELD */
+	struct list link;      /* in its bucket */
+	struct list by_caller; /* in the bucket of its caller */
+	struct list held;      /* in router.held while ENTRY_HELD */
 	struct request_id id;
 	uint64_t caller;
 	enum entry_state state;
@@ -41,6 +42,7 @@
 
 struct router {
 	struct list buckets[ROUTER_BUCKETS]; /* of struct entry */
+	struct list callers[ROUTER_BUCKETS]; /* of struct entry, by caller */
 	struct list held;		     /* of struct entry */
 	uint64_t next_id;
 	uint64_t next_sequence; /* of forwards to other nodes */
--- a/io/http_convert.c
+++ b/io/http_convert.c
@@ -33,6 +33,25 @@
 	return false;
 }
 
+/* True when the value of Connection names the header, too. */
+static bool is_named_hop(struct evhttp_request *req, const char *name)
+{
+	const char *p = evhttp_find_header(
+		evhttp_request_get_input_headers(req), "Connection");
+	size_t len = strlen(name);
+
+	while (p && *p) {
+		size_t part;
+
+		p += strspn(p, ", \t");
+		part = strcspn(p, ", \t");
+		if (part == len && !strncasecmp(p, name, len))
+			return true;
+		p += part;
+	}
+	return false;
+}
+
 static void take_payload(struct payload *p, struct evhttp_request *req)
 {
 	struct evbuffer *in = evhttp_request_get_input_buffer(req);
@@ -41,7 +60,7 @@
 
 	for (kv = evhttp_request_get_input_headers(req)->tqh_first; kv;
 	     kv = kv->next.tqe_next)
-		if (!is_hop_header(kv->key))
+		if (!is_hop_header(kv->key) && !is_named_hop(req, kv->key))
 			payload_add_header(p, kv->key, kv->value);
 	payload_set_body(p, len ? evbuffer_pullup(in, -1) : NULL, len);
 	evbuffer_drain(in, len); /* one copy is enough */
--- a/tests/front_test.cpp
+++ b/tests/front_test.cpp
@@ -187,6 +187,20 @@
 	until([&] { return front_waiting(f) == 0; });
 }
 
+TEST_F(Front, HeadersOfOneHopStayBehind)
+{
+	struct raw r(base, addr);
+
+	ask(&r,
+	    "GET /x HTTP/1.1\r\nHost: h\r\nTE: trailers\r\n"
+	    "Connection: keep-alive, X-Hop\r\nX-Hop: 1\r\nX-End: 2\r\n\r\n");
+	const struct payload *p = &events[0].u.request.request->payload;
+	EXPECT_EQ(payload_header(p, "Connection"), nullptr);
+	EXPECT_EQ(payload_header(p, "TE"), nullptr);
+	EXPECT_EQ(payload_header(p, "X-Hop"), nullptr);
+	EXPECT_STREQ(payload_header(p, "X-End"), "2");
+}
+
 TEST_F(Front, ARefusalSaysOutcomeReasonAndWhereElse)
 {
 	struct raw r(base, addr);
--- a/tests/router_test.cpp
+++ b/tests/router_test.cpp
@@ -281,14 +281,17 @@
 		handle(&ev);
 	}
 
-	void upstream_done(uint64_t call)
+	void upstream_done(uint64_t call, size_t body = 0)
 	{
+		std::string bytes(body, 'x');
 		struct event ev = {};
 
 		ev.kind = EV_UPSTREAM_ANSWER;
 		ev.u.upstream_answer.call = call;
 		ev.u.upstream_answer.outcome = OUTCOME_DONE;
 		ev.u.upstream_answer.answer = http_answer_new(200);
+		payload_set_body(&ev.u.upstream_answer.answer->payload,
+				 bytes.data(), bytes.size());
 		handle(&ev);
 	}
 
@@ -424,6 +427,22 @@
 		action_delete(a);
 }
 
+TEST_F(Router, AnAnswerComesWholeOrNotAtAll)
+{
+	own("keyed", n->ctx.self);
+	for (size_t body : {HTTP_ANSWER_MAX_BYTES, HTTP_ANSWER_MAX_BYTES + 1}) {
+		ask("GET", "/keyed/k");
+		struct action *a = next(ACT_UPSTREAM_CALL);
+		ASSERT_NE(a, nullptr);
+		upstream_done(a->u.call.call, body);
+		action_delete(a);
+		if (body == HTTP_ANSWER_MAX_BYTES)
+			expect_reply(OUTCOME_DONE, REFUSAL_NONE);
+		else
+			expect_reply(OUTCOME_UNKNOWN, REFUSAL_ANSWER_TOO_LARGE);
+	}
+}
+
 // The gate looks at its queue in time for the entry to hear of it.
 TEST_F(Router, AWaitingAttemptIsLookedAtOften)
 {
