--- a/core/gate.c
+++ b/core/gate.c
@@ -353,6 +353,17 @@
 		g->next_grant_ns = c->now_ns + GRANT_AGAIN_NS;
 }
 
+/* It could not go back over the wire: the caller gets it whole or not. */
+static void drop_large_answer(struct ev_upstream_answer *a)
+{
+	if (!a->answer || a->answer->payload.body_len <= HTTP_ANSWER_MAX_BYTES)
+		return;
+	http_answer_delete(a->answer);
+	a->answer = NULL;
+	a->outcome = OUTCOME_UNKNOWN;
+	a->refusal = REFUSAL_ANSWER_TOO_LARGE;
+}
+
 void gate_on_upstream(struct gate *g, struct ctx *c,
 		      struct ev_upstream_answer *a, const struct lease *lease)
 {
@@ -360,6 +371,7 @@
 
 	if (!a->call || a->refusal == REFUSAL_NOT_OWNER)
 		resend_grants(g, c);
+	drop_large_answer(a);
 	if (gc) {
 		end(g, c, gc, a->outcome, a->refusal, a->answer);
 		a->answer = NULL;
