--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 # Targets for people and CI; the build itself is CMakeLists.txt.
 JOBS ?= $(shell nproc)
 
-.PHONY: all deps build test lint format demo soak chaos recovery request-soak router-cost clean
+.PHONY: all deps build test lint format demo bench soak chaos recovery request-soak router-cost clean
 
 all: build
 
@@ -26,6 +26,11 @@
 soak: build
 	build/bench-soak --seed $(or $(SEED),1) --steps $(or $(STEPS),1000000)
 
+# Programs whose last lines are "bench: name=... ours=... baseline=...".
+BENCHES = tail
+bench: build
+	set -e; for b in $(BENCHES); do build/bench-$$b; done
+
 demo: build
 	bash demo/demo.sh build
 
--- a/core/admission.c
+++ b/core/admission.c
@@ -108,16 +108,23 @@
 	return sum;
 }
 
-/* Its part of @total by weight, at least one. */
-static uint32_t share(const struct admission *a, const struct org_queue *o,
-		      uint32_t total)
+/* Its part of @total by weight, at least one; @also has orders too. */
+static uint32_t share_beside(const struct admission *a,
+			     const struct org_queue *o,
+			     const struct org_queue *also, uint32_t total)
 {
-	uint32_t sum = busy_weight(a, o);
+	uint32_t sum = busy_weight(a, also);
 	uint32_t n = sum ? total * o->weight / sum : 0;
 
 	return n ? n : 1;
 }
 
+static uint32_t share(const struct admission *a, const struct org_queue *o,
+		      uint32_t total)
+{
+	return share_beside(a, o, o, total);
+}
+
 static void unqueue(struct admission *a, struct ticket *t)
 {
 	list_remove(&t->link);
@@ -156,7 +163,7 @@
 		return true;
 	worst = greediest(a);
 	if (!worst || worst == o || o->waiting >= share(a, o, cap) ||
-	    worst->waiting <= share(a, worst, cap))
+	    worst->waiting <= share_beside(a, worst, o, cap))
 		return false;
 	drop(a, list_entry(worst->tickets.prev, struct ticket, link));
 	return true;
--- a/core/limiter.c
+++ b/core/limiter.c
@@ -8,8 +8,11 @@
 #define COLD_MAX_NS	   (60 * NS_PER_S)
 #define CUT_FACTOR	   0.7
 #define GROWTH_FACTOR	   1.25
-#define HOLD_MIN_NS	   (2 * NS_PER_S)
-#define HOLD_MAX_NS	   (16 * NS_PER_S)
+#define SHED_HOLD_MIN_NS   (NS_PER_S / 2)
+#define SHED_HOLD_MAX_NS   (2 * NS_PER_S)
+#define HOLD_MIN_NS	   (10 * NS_PER_S)
+#define HOLD_MAX_NS	   (60 * NS_PER_S)
+#define CEILING_NEAR	   0.7 /* a failure from there on is the same one */
 #define SLOW_FACTOR	   2
 #define SLOW_MARGIN_NS	   NS_PER_MS
 #define CUT_HELPED	   0.85 /* latency after a cut that did something */
@@ -48,6 +51,7 @@
 
 void limiter_say_cold(struct limiter *l, bool cold, uint64_t now_ns)
 {
+	l->unheard = false;
 	if (!cold) {
 		l->cold_until_ns = 0;
 		return;
@@ -85,15 +89,17 @@
 	l->cuts++;
 }
 
-/* Each refusal at a known ceiling doubles the time until the next try. */
-static void note_ceiling(struct limiter *l, uint64_t now_ns)
+/* Each failure at a known ceiling doubles the time until the next try. */
+static void note_ceiling(struct limiter *l, uint64_t now_ns, uint64_t min_ns,
+			 uint64_t max_ns)
 {
-	if (l->ceiling_hold_ns && now_ns < l->ceiling_until_ns + HOLD_MIN_NS)
+	if (l->ceiling_hold_ns && now_ns < l->ceiling_until_ns + min_ns &&
+	    l->limit > CEILING_NEAR * l->ceiling)
 		l->ceiling_hold_ns *= 2;
 	else
-		l->ceiling_hold_ns = HOLD_MIN_NS;
-	if (l->ceiling_hold_ns > HOLD_MAX_NS)
-		l->ceiling_hold_ns = HOLD_MAX_NS;
+		l->ceiling_hold_ns = min_ns;
+	if (l->ceiling_hold_ns > max_ns)
+		l->ceiling_hold_ns = max_ns;
 	l->ceiling = l->limit;
 	l->ceiling_until_ns = now_ns + l->ceiling_hold_ns;
 }
@@ -111,7 +117,7 @@
 {
 	if (!may_cut(l, now_ns))
 		return;
-	note_ceiling(l, now_ns);
+	note_ceiling(l, now_ns, SHED_HOLD_MIN_NS, SHED_HOLD_MAX_NS);
 	lower(l, 1);
 	l->cut_from = 0;
 	open_window(l, now_ns);
@@ -124,9 +130,12 @@
 		open_window(l, now_ns);
 	if (++l->window.failures < FAILURES_OF_COLD || !may_cut(l, now_ns))
 		return;
-	note_ceiling(l, now_ns);
+	/* At the cold limit it is down, not overloaded. */
+	if (l->limit > limiter_cold(l->slots))
+		note_ceiling(l, now_ns, HOLD_MIN_NS, HOLD_MAX_NS);
 	limiter_reset(l, l->slots, now_ns);
 	l->phase = LIMITER_STEADY;
+	l->unheard = true;
 }
 
 static void grow(struct limiter *l, uint64_t now_ns)
@@ -135,7 +144,7 @@
 			      ? l->limit * (GROWTH_FACTOR - 1)
 			      : 1;
 
-	if (!l->window.full)
+	if (!l->window.full || l->unheard)
 		return;
 	l->limit += step < 1 ? 1 : step;
 	if (l->ceiling && now_ns < l->ceiling_until_ns &&
--- a/core/limiter.h
+++ b/core/limiter.h
@@ -37,6 +37,7 @@
 	enum limiter_phase phase;
 	uint64_t
 		cold_until_ns; /* the upstream's own word, believed till then */
+	bool unheard;	       /* it failed and hasn't announced itself since */
 	uint64_t baseline_ns;  /* latency without overload; 0 unknown */
 	uint64_t next_cut_ns;
 	struct limiter_window window;
--- /dev/null
+++ b/fakes/upstream_state.c
@@ -0,0 +1,208 @@
+#include "fakes/upstream_state.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "core/mem.h"
+
+#define SAMPLE_EVERY_NS (100 * NS_PER_MS)
+#define PERMILLE	1000
+
+void upstream_state_init(struct upstream_state *s,
+			 const struct upstream_opts *o, uint64_t instance,
+			 uint64_t now_ns)
+{
+	memset(s, 0, sizeof(*s));
+	s->opts = *o;
+	s->instance = instance;
+	s->slow_permille = PERMILLE;
+	list_init(&s->routes);
+	if (o->cold_ns)
+		upstream_state_chill(s, now_ns);
+}
+
+void upstream_state_done(struct upstream_state *s)
+{
+	struct fence_route *r, *tmp;
+
+	list_for_each_entry_safe(r, tmp, &s->routes, link) {
+		free(r->shards);
+		free(r);
+	}
+}
+
+void upstream_state_chill(struct upstream_state *s, uint64_t now_ns)
+{
+	s->cold_until_ns = now_ns + s->opts.cold_ns;
+}
+
+static bool cold(const struct upstream_state *s, uint64_t now_ns)
+{
+	return now_ns < s->cold_until_ns;
+}
+
+bool upstream_state_says_cold(const struct upstream_state *s, uint64_t now_ns)
+{
+	return s->opts.announces_cold && cold(s, now_ns);
+}
+
+static struct fence_shard *shard(struct upstream_state *s, const char *route,
+				 uint32_t i)
+{
+	struct fence_route *r;
+
+	list_for_each_entry(r, &s->routes, link)
+		if (!strcmp(r->name, route))
+			goto found;
+	r = mem_new(struct fence_route);
+	mem_copy_str(r->name, route, sizeof(r->name));
+	list_push_back(&s->routes, &r->link);
+found:
+	if (i >= r->count) {
+		r->shards = mem_realloc(r->shards, i + 1, sizeof(*r->shards));
+		memset(&r->shards[r->count], 0,
+		       (i + 1 - r->count) * sizeof(*r->shards));
+		r->count = i + 1;
+	}
+	return &r->shards[i];
+}
+
+void upstream_state_grant(struct upstream_state *s, const struct grant_range *g,
+			  uint64_t deadline_ns)
+{
+	for (uint32_t i = g->first; i <= g->last; i++) {
+		struct fence_shard *sh = shard(s, g->route, i);
+
+		if (g->epoch < sh->seen)
+			continue;
+		sh->seen = g->epoch;
+		sh->granted = g->epoch;
+		sh->deadline_ns = deadline_ns;
+	}
+}
+
+static bool fence_holds(struct upstream_state *s, const struct fence *f,
+			uint64_t now_ns)
+{
+	struct fence_shard *sh;
+
+	if (!s->opts.checks_grants || !f)
+		return true;
+	sh = shard(s, f->route, f->shard);
+	if (f->epoch > sh->seen)
+		sh->seen = f->epoch;
+	return f->epoch == sh->seen && f->epoch == sh->granted &&
+	       now_ns < sh->deadline_ns;
+}
+
+static void note_load(struct upstream_state *s, uint64_t now_ns)
+{
+	uint32_t last =
+		(s->next_sample + UPSTREAM_REPORTS - 1) % UPSTREAM_REPORTS;
+	struct load_sample *l = &s->samples[s->next_sample];
+
+	if (now_ns < s->samples[last].at_ns + SAMPLE_EVERY_NS)
+		return;
+	l->at_ns = now_ns;
+	l->permille = s->running * PERMILLE / s->opts.slots;
+	s->next_sample = (s->next_sample + 1) % UPSTREAM_REPORTS;
+}
+
+uint32_t upstream_state_load(const struct upstream_state *s, uint64_t now_ns)
+{
+	const struct load_sample *best = NULL;
+
+	if (s->report == REPORT_LIES)
+		return s->lie_permille;
+	if (!s->opts.report_lag_ns)
+		return s->running * PERMILLE / s->opts.slots;
+	for (int i = 0; i < UPSTREAM_REPORTS; i++) {
+		const struct load_sample *l = &s->samples[i];
+
+		if (l->at_ns + s->opts.report_lag_ns <= now_ns &&
+		    (!best || l->at_ns > best->at_ns))
+			best = l;
+	}
+	return best ? best->permille : 0;
+}
+
+/* Beyond its slots, or what it bears while cold, orders share its time. */
+static uint64_t end_of(const struct upstream_state *s,
+		       const struct order_opts *o, uint64_t now_ns)
+{
+	uint64_t work = o->work_ns ? o->work_ns : s->opts.work_ns;
+	uint64_t start =
+		now_ns > s->stall_until_ns ? now_ns : s->stall_until_ns;
+	uint32_t bears = s->opts.slots;
+
+	if (cold(s, now_ns) && s->opts.cold_bears)
+		bears = s->opts.cold_bears;
+	work = work * s->slow_permille / PERMILLE;
+	if (s->running > bears)
+		work = work * s->running / bears;
+	return start + work;
+}
+
+static enum order_verdict refuse(struct upstream_state *s)
+{
+	s->refused++;
+	return ORDER_REFUSED;
+}
+
+static enum order_verdict fall_over(struct upstream_state *s, uint64_t now_ns)
+{
+	s->falls++;
+	s->running = 0;
+	s->instance++;
+	s->down_until_ns = now_ns + s->opts.restart_ns;
+	upstream_state_chill(s, s->down_until_ns);
+	return ORDER_BREAKS;
+}
+
+static enum order_verdict too_many(struct upstream_state *s, uint64_t now_ns)
+{
+	if (s->running >= s->opts.slots + s->opts.queue)
+		return refuse(s);
+	if (!cold(s, now_ns) || s->running < s->opts.cold_bears)
+		return ORDER_RUNS;
+	switch (s->opts.cold_mode) {
+	case COLD_REFUSES:
+		return refuse(s);
+	case COLD_SLOWS:
+		return ORDER_RUNS;
+	case COLD_FALLS_OVER:
+		break;
+	}
+	return fall_over(s, now_ns);
+}
+
+enum order_verdict upstream_state_order(struct upstream_state *s,
+					const struct order_opts *o,
+					uint64_t now_ns, uint64_t *end_ns)
+{
+	enum order_verdict v;
+
+	if (now_ns < s->down_until_ns)
+		return ORDER_NO_CONN;
+	if (!fence_holds(s, o->fence, now_ns)) {
+		s->fenced++;
+		return ORDER_FENCED;
+	}
+	if (s->draining || now_ns >= o->deadline_ns)
+		return refuse(s);
+	v = too_many(s, now_ns);
+	if (v != ORDER_RUNS)
+		return v;
+	s->running++;
+	s->ran++;
+	note_load(s, now_ns);
+	*end_ns = end_of(s, o, now_ns);
+	return ORDER_RUNS;
+}
+
+void upstream_state_end(struct upstream_state *s, uint64_t now_ns)
+{
+	if (s->running)
+		s->running--;
+	note_load(s, now_ns);
+}
--- a/tests/admission_test.cpp
+++ b/tests/admission_test.cpp
@@ -306,6 +306,19 @@
 	EXPECT_GT(b.done["greedy"], 4000);
 }
 
+TEST(Admission, AFullQueueHasRoomForAnOrganisationThatHadNone)
+{
+	Bench b(20);
+
+	b.load("", 4000, 2, 5 * MS);
+	b.run(b.now + NS_PER_S);
+	for (int i = 0; i < 200; i++)
+		b.offer("greedy", 5 * MS, NS_PER_S);
+	EXPECT_EQ(b.a.waiting, 80u);
+	EXPECT_EQ(b.offer("small", 5 * MS, NS_PER_S), REFUSAL_NONE);
+	EXPECT_EQ(b.a.waiting, 80u);
+}
+
 TEST(Admission, LongOrdersCannotHoldAllSlots)
 {
 	Bench b(20);
--- a/tests/limiter_test.cpp
+++ b/tests/limiter_test.cpp
@@ -87,6 +87,40 @@
 	EXPECT_EQ(f.limit(), 2u);
 }
 
+TEST(Limiter, AfterAFallTheLimitThatCausedItIsNotTriedAgainSoon)
+{
+	Feed f(20);
+	uint64_t fell;
+
+	while (f.limit() < 6)
+		f.answers(20, 5 * MS);
+	fell = f.now;
+	limiter_on_end(&f.l, ORDER_FAILED, 0, f.now);
+	limiter_on_end(&f.l, ORDER_FAILED, 0, f.now);
+	limiter_reset(&f.l, 20, f.now);
+	limiter_say_cold(&f.l, false, f.now);
+	while (f.now < fell + 9 * NS_PER_S) {
+		f.answers(1, 5 * MS);
+		ASSERT_LT(f.limit(), 6u);
+	}
+	f.answers(4000, 5 * MS);
+	EXPECT_EQ(f.limit(), 20u);
+}
+
+TEST(Limiter, AfterAFallNothingGrowsBeforeItAnnouncesItself)
+{
+	Feed f(20);
+
+	f.answers(2000, 5 * MS);
+	limiter_on_end(&f.l, ORDER_FAILED, 0, f.now);
+	limiter_on_end(&f.l, ORDER_FAILED, 0, f.now);
+	f.answers(500, 5 * MS);
+	EXPECT_EQ(f.limit(), 2u);
+	limiter_say_cold(&f.l, false, f.now);
+	f.answers(500, 5 * MS);
+	EXPECT_GT(f.limit(), 2u);
+}
+
 TEST(Limiter, TheUpstreamsWordKeepsItColdWhateverTheAnswers)
 {
 	Feed f(20);
--- /dev/null
+++ b/tests/retry_budget_test.cpp
@@ -0,0 +1,46 @@
+#include "jd_test.hpp"
+
+extern "C" {
+#include "core/retry_budget.h"
+}
+
+TEST(RetryBudget, ExtraAttemptsAreAShareOfFirstOnes)
+{
+	struct retry_budget b;
+	uint64_t now = NS_PER_S;
+	int extra = 0;
+
+	retry_budget_init(&b);
+	for (int i = 0; i < 10000; i++) {
+		now += NS_PER_MS / 10;
+		retry_budget_earn(&b);
+		for (int j = 0; j < 3; j++)
+			extra += retry_budget_spend(&b, now);
+	}
+	/* A tenth, plus the few that are free: ten a second. */
+	EXPECT_LE(extra, 1000 + 11);
+	EXPECT_GT(b.denied, 0u);
+}
+
+TEST(RetryBudget, LittleTrafficMayRetryToo)
+{
+	struct retry_budget b;
+
+	retry_budget_init(&b);
+	EXPECT_TRUE(retry_budget_spend(&b, NS_PER_S));
+	EXPECT_FALSE(retry_budget_spend(&b, NS_PER_S));
+	EXPECT_TRUE(retry_budget_spend(&b, 2 * NS_PER_S));
+}
+
+TEST(RetryBudget, WhatIsSavedUpIsBounded)
+{
+	struct retry_budget b;
+	int extra = 0;
+
+	retry_budget_init(&b);
+	for (int i = 0; i < 100000; i++)
+		retry_budget_earn(&b);
+	for (int i = 0; i < 100; i++)
+		extra += retry_budget_spend(&b, 1);
+	EXPECT_LE(extra, 21);
+}
