Upstream: writes next to the check, grants only on change, a full stand-in

Cause: the clock was compared with the lease before evhttp got the request, but the bytes left later in the loop, or after a connect. The whole set of grants went out as JSON every 400 ms, and an extension could have kept a released shard granted. The stand-in checked no grants, knew no cold start, and its refusals lost X-Not-Run: evhttp_send_error() drops headers, so the router took a refusal for an answer.

Change: on a reused connection the bytes go to the socket right after the check; on a new one the clock is read again once it is connected; a request that is half sent when the lease ends is cut off. What remains is a pause of the process between reading the clock and the system call. Grants are sent whole when they changed, else they last on by version; 409 or no answer makes the gate send them whole again. "X-Not-Run: fence" is no sign of overload.

--- a/core/action.h
+++ b/core/action.h
@@ -86,6 +86,8 @@
 struct act_grant {
 	char addr[JD_ADDR_MAX];
 	uint64_t deadline_ns; /* sent on as time left */
+	uint64_t version;     /* of the set of grants; rises with each */
+	bool whole;	      /* @ranges replace the set before; or it lasts */
 	struct list ranges;   /* of struct grant_range */
 };
 
--- a/core/event.h
+++ b/core/event.h
@@ -38,6 +38,7 @@
 	uint64_t caller;
 };
 
+/** The end of a call, or, with @call 0, of grants that were not taken. */
 struct ev_upstream_answer {
 	uint64_t call;
 	enum outcome outcome;
--- a/core/gate.c
+++ b/core/gate.c
@@ -2,12 +2,14 @@
 
 #include <stdlib.h>
 #include <string.h>
+#include <xxhash.h>
 
 #include "core/home_region.h"
 #include "core/invariant.h"
 #include "core/mem.h"
 
 #define GRANT_NS	 (400 * NS_PER_MS)
+#define GRANT_AGAIN_NS	 (20 * NS_PER_MS)
 #define RELEASE_AGAIN_NS (100 * NS_PER_MS)
 #define EXPIRY_NS	 (200 * NS_PER_MS)
 
@@ -84,6 +86,7 @@
 			    "slots=%u checks_grants=%d",
 			    a->service, a->addr, a->slots, a->checks_grants);
 		g->next_grant_ns = c->now_ns;
+		g->grant_digest = 0;
 	}
 	g->upstream = *a;
 	admission_announce(&g->admission, a, c->now_ns);
@@ -344,11 +347,21 @@
 	return NULL;
 }
 
+/* Not taken, or the upstream has another set: it gets the whole one. */
+static void resend_grants(struct gate *g, const struct ctx *c)
+{
+	g->grant_digest = 0;
+	if (g->next_grant_ns > c->now_ns + GRANT_AGAIN_NS)
+		g->next_grant_ns = c->now_ns + GRANT_AGAIN_NS;
+}
+
 void gate_on_upstream(struct gate *g, struct ctx *c,
 		      struct ev_upstream_answer *a, const struct lease *lease)
 {
 	struct gate_call *gc = a->call ? find_call(g, a->call) : NULL;
 
+	if (!a->call || a->refusal == REFUSAL_NOT_OWNER)
+		resend_grants(g, c);
 	if (gc) {
 		end(g, c, gc, a->outcome, a->refusal, a->answer);
 		a->answer = NULL;
@@ -394,21 +407,58 @@
 	}
 }
 
+/* Never 0, which stands for "nothing sent". */
+static uint64_t digest(const struct act_grant *a)
+{
+	const struct grant_range *r;
+	uint64_t sum = 1;
+
+	list_for_each_entry(r, &a->ranges, link) {
+		uint64_t part[] = {sum, r->first, r->last, r->epoch};
+
+		sum = XXH3_64bits(part, sizeof(part)) ^
+		      XXH3_64bits(r->route, strlen(r->route));
+	}
+	return sum ? sum : 1;
+}
+
+static void drop_ranges(struct act_grant *a)
+{
+	struct grant_range *r, *tmp;
+
+	list_for_each_entry_safe(r, tmp, &a->ranges, link) {
+		list_remove(&r->link);
+		free(r);
+	}
+}
+
+/* The ranges are sent only when they changed; else they just last on. */
 static void renew_grants(struct gate *g, struct ctx *c,
 			 const struct lease *lease)
 {
 	const struct doc *d = NULL;
 	struct act_grant *a;
+	uint64_t sum;
 
-	if (!g->upstream.instance || c->now_ns < g->next_grant_ns ||
-	    !lease_valid(lease, c->now_ns))
+	if (!g->upstream.instance || !lease_valid(lease, c->now_ns) ||
+	    (c->now_ns < g->next_grant_ns &&
+	     g->grant_revision == c->view.revision))
 		return;
 	g->next_grant_ns = c->now_ns + GRANT_NS;
+	g->grant_revision = c->view.revision;
 	a = &actions_add(c->out, ACT_GRANT)->u.grant;
 	mem_copy_str(a->addr, g->upstream.addr, sizeof(a->addr));
 	a->deadline_ns = lease->deadline_ns;
 	while ((d = view_next(&c->view, DOC_MAP, d)))
 		grant_map(a, c, g, d->u.map);
+	sum = digest(a);
+	a->whole = sum != g->grant_digest;
+	if (a->whole)
+		g->grant_version = c->now_ns;
+	else
+		drop_ranges(a);
+	a->version = g->grant_version;
+	g->grant_digest = sum;
 }
 
 static void release_add(struct message *msg, uint32_t shard, epoch_t epoch)
--- a/core/gate.h
+++ b/core/gate.h
@@ -68,6 +68,9 @@
 	struct replay replay; /* of forwards from others */
 	uint64_t next_call;
 	uint64_t next_grant_ns;
+	uint64_t grant_digest;	   /* of the set sent last; 0: send it whole */
+	uint64_t grant_version;	   /* of that set */
+	revision_t grant_revision; /* of the view it was made from */
 	uint64_t next_release_ns;
 	uint64_t next_expiry_ns;
 	uint64_t served;  /* calls that ended */
--- a/fakes/upstream_main.c
+++ b/fakes/upstream_main.c
@@ -1,202 +1,56 @@
 #include <argtable2.h>
-#include <event2/buffer.h>
 #include <event2/event.h>
-#include <event2/http.h>
-#include <jansson.h>
 #include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
-#include <sys/random.h>
 
-#include "core/mem.h"
-#include "core/types.h"
-#include "io/addr.h"
-#include "io/clock.h"
+#include "fakes/upstream_server.h"
 
-#define ANNOUNCE_EVERY_MS 500
+#define SLOTS_DEFAULT	    20
+#define CONNECTIONS_DEFAULT 130
+#define COLD_BEARS_DEFAULT  4
 
-struct upstream {
-	struct event_base *base;
-	const char *service;
-	const char *addr;
-	const char *node;
-	uint64_t instance;
-	uint32_t slots;
-	uint32_t running;
-	uint64_t work_ms;
-	uint64_t served;
-	FILE *record; /* what ran under which grant; NULL for none */
-};
-
-/* One order that runs. */
-struct order {
-	struct upstream *up;
-	struct evhttp_request *req;
-	struct evhttp_connection *conn;
-	struct event *timer;
-};
-
-static void order_delete(struct order *o)
+static int int_or(const struct arg_int *a, int otherwise)
 {
-	o->up->running--;
-	event_free(o->timer);
-	free(o);
+	return a->count ? a->ival[0] : otherwise;
 }
 
-static const char *in_header(struct evhttp_request *req, const char *name)
+static uint64_t ns_or(const struct arg_int *ms, int otherwise_ms)
 {
-	const char *v =
-		evhttp_find_header(evhttp_request_get_input_headers(req), name);
-
-	return v ? v : "-";
+	return (uint64_t)int_or(ms, otherwise_ms) * NS_PER_MS;
 }
 
-static void record(struct upstream *up, struct evhttp_request *req,
-		   const char *what)
+static bool cold_mode(const struct arg_str *a, enum cold_mode *mode)
 {
-	if (!up->record)
-		return;
-	fprintf(up->record,
-		"time_ns=%lu upstream=%s what=%s id=%s fence=%s uri=%s\n",
-		(unsigned long)clock_now_ns(), up->addr, what,
-		in_header(req, "X-Request-Id"), in_header(req, "X-Fence"),
-		evhttp_request_get_uri(req));
-	fflush(up->record);
-}
-
-static void reply(struct upstream *up, struct evhttp_request *req)
-{
-	struct evbuffer *b = evbuffer_new();
-	struct evbuffer *in = evhttp_request_get_input_buffer(req);
-
-	evbuffer_add_printf(b, "upstream=%s uri=%s fence=%s\n", up->addr,
-			    evhttp_request_get_uri(req),
-			    in_header(req, "X-Fence"));
-	evbuffer_add_buffer(b, in);
-	evhttp_send_reply(req, 200, "OK", b);
-	evbuffer_free(b);
-}
-
-static void on_done(evutil_socket_t fd, short what, void *arg)
-{
-	struct order *o = arg;
-
-	(void)fd;
-	(void)what;
-	evhttp_connection_set_closecb(o->conn, NULL, NULL);
-	record(o->up, o->req, "end");
-	o->up->served++;
-	reply(o->up, o->req);
-	order_delete(o);
-}
-
-static void on_closed(struct evhttp_connection *conn, void *arg)
-{
-	struct order *o = arg;
-
-	(void)conn;
-	record(o->up, o->req, "cancelled");
-	order_delete(o);
-}
-
-static void on_order(struct upstream *up, struct evhttp_request *req)
-{
-	struct timeval tv = {.tv_sec = (time_t)(up->work_ms / 1000),
-			     .tv_usec =
-				     (suseconds_t)(up->work_ms % 1000 * 1000)};
-	struct order *o;
-
-	if (up->running >= up->slots) {
-		evhttp_add_header(evhttp_request_get_output_headers(req),
-				  "X-Not-Run", "1");
-		evhttp_send_error(req, 503, NULL);
-		return;
+	static const char *const names[] = {
+		[COLD_REFUSES] = "refuses",
+		[COLD_SLOWS] = "slows",
+		[COLD_FALLS_OVER] = "falls-over",
+	};
+
+	if (!a->count)
+		return true;
+	for (unsigned int i = 0; i < sizeof(names) / sizeof(*names); i++) {
+		if (strcmp(a->sval[0], names[i]) != 0)
+			continue;
+		*mode = (enum cold_mode)i;
+		return true;
 	}
-	o = mem_new(struct order);
-	o->up = up;
-	o->req = req;
-	o->conn = evhttp_request_get_connection(req);
-	up->running++;
-	record(up, req, "start");
-	o->timer = evtimer_new(up->base, on_done, o);
-	evhttp_connection_set_closecb(o->conn, on_closed, o);
-	evtimer_add(o->timer, &tv);
-}
-
-static void on_http(struct evhttp_request *req, void *arg)
-{
-	if (!strncmp(evhttp_request_get_uri(req), "/-/", 3))
-		evhttp_send_reply(req, 200, "OK", NULL);
-	else
-		on_order(arg, req);
-}
-
-static void on_announced(struct evhttp_request *req, void *arg)
-{
-	(void)req;
-	(void)arg;
+	return false;
 }
 
-static void announce(struct upstream *up)
+static int run(struct upstream_server_opts *o)
 {
-	char ip[JD_ADDR_MAX] = "127.0.0.1";
-	uint16_t port = 0;
-	struct evhttp_connection *conn;
-	struct evhttp_request *req;
-	json_t *o;
-	char *body;
+	struct upstream_server *s;
 
-	addr_split(up->node, ip, sizeof(ip), &port);
-	conn = evhttp_connection_base_new(up->base, NULL, ip, port);
-	evhttp_connection_free_on_completion(conn);
-	evhttp_connection_set_timeout(conn, 1);
-	req = evhttp_request_new(on_announced, NULL);
-	o = json_pack("{s:s,s:s,s:I,s:i,s:i,s:b,s:i}", "service", up->service,
-		      "addr", up->addr, "instance", (json_int_t)up->instance,
-		      "slots", (int)up->slots, "connections", 130,
-		      "checks_grants", 0, "load_permille",
-		      (int)(up->running * 1000 / up->slots));
-	body = json_dumps(o, JSON_COMPACT);
-	json_decref(o);
-	evbuffer_add(evhttp_request_get_output_buffer(req), body, strlen(body));
-	free(body);
-	evhttp_add_header(evhttp_request_get_output_headers(req), "Host", ip);
-	evhttp_add_header(evhttp_request_get_output_headers(req), "Connection",
-			  "close");
-	evhttp_make_request(conn, req, EVHTTP_REQ_POST, "/-/announce");
-}
-
-static void on_announce_timer(evutil_socket_t fd, short what, void *arg)
-{
-	(void)fd;
-	(void)what;
-	announce(arg);
-}
-
-static int run(struct upstream *up)
-{
-	struct timeval every = {.tv_usec = ANNOUNCE_EVERY_MS * 1000};
-	struct evhttp *http;
-	struct event *timer;
-	char ip[JD_ADDR_MAX];
-	uint16_t port;
-
-	up->base = event_base_new();
-	http = evhttp_new(up->base);
-	evhttp_set_gencb(http, on_http, up);
-	if (!addr_split(up->addr, ip, sizeof(ip), &port) ||
-	    evhttp_bind_socket(http, ip, port) != 0) {
-		fprintf(stderr, "event=start_failed addr=%s\n", up->addr);
+	o->base = event_base_new();
+	s = upstream_server_new(o);
+	if (!s) {
+		fprintf(stderr, "event=start_failed addr=%s\n", o->addr);
 		return EXIT_FAILURE;
 	}
-	if (getrandom(&up->instance, sizeof(up->instance), 0) < 0)
-		return EXIT_FAILURE;
-	up->instance >>= 8;
-	timer = event_new(up->base, -1, EV_PERSIST, on_announce_timer, up);
-	event_add(timer, &every);
-	announce(up);
-	event_base_dispatch(up->base);
+	event_base_dispatch(o->base);
 	return EXIT_SUCCESS;
 }
 
@@ -207,22 +61,54 @@
 		arg_str1(NULL, "node", "IP:PORT", "the jackdawd beside it");
 	struct arg_str *service = arg_str1(NULL, "service", "NAME", "service");
 	struct arg_int *slots = arg_int0(NULL, "slots", "N", "slots (20)");
+	struct arg_int *conns =
+		arg_int0(NULL, "connections", "N", "connections (130)");
+	struct arg_int *queue =
+		arg_int0(NULL, "queue", "N", "orders beyond the slots (0)");
 	struct arg_int *work = arg_int0(NULL, "work-ms", "N", "work a request");
+	struct arg_int *cost = arg_int0(NULL, "connection-ms", "N",
+					"cost of a new connection (1)");
+	struct arg_int *cold =
+		arg_int0(NULL, "cold-ms", "N", "cold after the start (0)");
+	struct arg_int *bears =
+		arg_int0(NULL, "cold-bears", "N", "orders while cold (4)");
+	struct arg_str *mode = arg_str0(NULL, "cold-mode", "MODE",
+					"refuses, slows or falls-over");
+	struct arg_lit *says =
+		arg_lit0(NULL, "announces-cold", "says when it is cold");
+	struct arg_int *restart = arg_int0(NULL, "restart-ms", "N",
+					   "down after it fell over (1000)");
+	struct arg_int *lag =
+		arg_int0(NULL, "report-lag-ms", "N", "load report (0)");
+	struct arg_lit *checks =
+		arg_lit0(NULL, "checks-grants", "refuses stale fences");
 	struct arg_file *rec = arg_file0(NULL, "record", "FILE", "what ran");
 	struct arg_end *end = arg_end(8);
-	void *table[] = {addr, node, service, slots, work, rec, end};
-	struct upstream up = {0};
+	void *table[] = {addr,	  node, service, slots, conns, queue,
+			 work,	  cost, cold,	 bears, mode,  says,
+			 restart, lag,	checks,	 rec,	end};
+	struct upstream_server_opts o = {0};
 
 	signal(SIGPIPE, SIG_IGN);
-	if (arg_parse(argc, argv, table)) {
+	if (arg_parse(argc, argv, table) ||
+	    !cold_mode(mode, &o.upstream.cold_mode)) {
 		arg_print_errors(stderr, end, "fake-upstream");
 		return EXIT_FAILURE;
 	}
-	up.addr = addr->sval[0];
-	up.node = node->sval[0];
-	up.service = service->sval[0];
-	up.slots = slots->count ? (uint32_t)slots->ival[0] : 20;
-	up.work_ms = work->count ? (uint64_t)work->ival[0] : 1;
-	up.record = rec->count ? fopen(rec->filename[0], "a") : NULL;
-	return run(&up);
+	o.addr = addr->sval[0];
+	o.node = node->sval[0];
+	o.service = service->sval[0];
+	o.connections = (uint32_t)int_or(conns, CONNECTIONS_DEFAULT);
+	o.conn_cost_ns = ns_or(cost, 1);
+	o.record = rec->count ? fopen(rec->filename[0], "a") : NULL;
+	o.upstream.slots = (uint32_t)int_or(slots, SLOTS_DEFAULT);
+	o.upstream.queue = (uint32_t)int_or(queue, 0);
+	o.upstream.work_ns = ns_or(work, 1);
+	o.upstream.cold_ns = ns_or(cold, 0);
+	o.upstream.cold_bears = (uint32_t)int_or(bears, COLD_BEARS_DEFAULT);
+	o.upstream.announces_cold = says->count > 0;
+	o.upstream.restart_ns = ns_or(restart, 1000);
+	o.upstream.report_lag_ns = ns_or(lag, 0);
+	o.upstream.checks_grants = checks->count > 0;
+	return run(&o);
 }
--- a/fakes/upstream_state.c
+++ b/fakes/upstream_state.c
@@ -81,6 +81,32 @@
 	}
 }
 
+bool upstream_state_replace(struct upstream_state *s, uint64_t version)
+{
+	struct fence_route *r;
+
+	if (version < s->version)
+		return false;
+	s->version = version;
+	list_for_each_entry(r, &s->routes, link)
+		for (uint32_t i = 0; i < r->count; i++)
+			r->shards[i].granted = 0;
+	return true;
+}
+
+bool upstream_state_extend(struct upstream_state *s, uint64_t version,
+			   uint64_t deadline_ns)
+{
+	struct fence_route *r;
+
+	if (version != s->version)
+		return false;
+	list_for_each_entry(r, &s->routes, link)
+		for (uint32_t i = 0; i < r->count; i++)
+			r->shards[i].deadline_ns = deadline_ns;
+	return true;
+}
+
 static bool fence_holds(struct upstream_state *s, const struct fence *f,
 			uint64_t now_ns)
 {
--- a/fakes/upstream_state.h
+++ b/fakes/upstream_state.h
@@ -71,6 +71,7 @@
 	struct load_sample samples[UPSTREAM_REPORTS]; /* a ring */
 	uint32_t next_sample;
 	struct list routes; /* of struct fence_route */
+	uint64_t version;   /* of the set of grants held */
 	uint64_t ran;
 	uint64_t refused;
 	uint64_t fenced;
@@ -89,6 +90,16 @@
 void upstream_state_grant(struct upstream_state *s, const struct grant_range *g,
 			  uint64_t deadline_ns);
 
+/**
+ * The grants that follow replace those held; false for a set older than
+ * that, which changes nothing.
+ */
+bool upstream_state_replace(struct upstream_state *s, uint64_t version);
+
+/** The set held lasts until @deadline_ns; false if it is another version. */
+bool upstream_state_extend(struct upstream_state *s, uint64_t version,
+			   uint64_t deadline_ns);
+
 struct order_opts {
 	const struct fence *fence; /* NULL for none */
 	uint64_t deadline_ns;
--- a/io/upstream_client.c
+++ b/io/upstream_client.c
@@ -4,8 +4,11 @@
 #include <event2/bufferevent.h>
 #include <event2/http.h>
 #include <jansson.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/socket.h>
 
 #include "core/mem.h"
 #include "core/text.h"
@@ -15,6 +18,8 @@
 
 /* An upstream says so when it did not run a request that it refuses. */
 #define HEADER_NOT_RUN "X-Not-Run"
+/* Its value when it holds no valid grant for the fence. */
+#define NOT_RUN_FENCE  "fence"
 
 /* A connection to the upstream, kept for the next call. */
 struct conn {
@@ -23,13 +28,17 @@
 	char addr[JD_ADDR_MAX];
 	struct evhttp_connection *http;
 	struct call_out *call; /* NULL while idle */
+	/* evhttp's own, while on_connect() stands before it. */
+	bufferevent_event_cb evhttp_event;
+	void *evhttp_arg;
 };
 
 struct call_out {
 	struct evhttp_request *req;
 	struct event *timer;
 	struct act_upstream_call act;
-	bool wrote; /* a byte left the process */
+	bool wrote;	   /* a byte left the process */
+	enum refusal late; /* why it was given up before that */
 };
 
 struct upstream_client {
@@ -96,7 +105,6 @@
 static struct conn *conn_new(struct upstream_client *u, const char *addr)
 {
 	struct conn *cn = mem_new(struct conn);
-	struct bufferevent *bev;
 	char ip[JD_ADDR_MAX] = "127.0.0.1";
 	uint16_t port = 0;
 
@@ -104,22 +112,31 @@
 	mem_copy_str(cn->addr, addr, sizeof(cn->addr));
 	addr_split(addr, ip, sizeof(ip), &port);
 	cn->http = evhttp_connection_base_new(u->base, NULL, ip, port);
-	bev = evhttp_connection_get_bufferevent(cn->http);
-	evbuffer_add_cb(bufferevent_get_output(bev), on_output, cn);
+	evbuffer_add_cb(bufferevent_get_output(
+				evhttp_connection_get_bufferevent(cn->http)),
+			on_output, cn);
 	list_push_back(&u->idle, &cn->link);
 	return cn;
 }
 
+/* The one used last, if there is one; those of an old address go. */
 static struct conn *conn_get(struct upstream_client *u, const char *addr)
 {
-	struct conn *cn;
+	struct conn *cn, *tmp;
 
-	list_for_each_entry(cn, &u->idle, link)
+	list_for_each_entry_safe(cn, tmp, &u->idle, link) {
 		if (!strcmp(cn->addr, addr))
 			return cn;
+		conn_delete(cn);
+	}
 	return conn_new(u, addr);
 }
 
+static struct bufferevent *conn_bev(const struct conn *cn)
+{
+	return evhttp_connection_get_bufferevent(cn->http);
+}
+
 /* Ends the call; evhttp connects anew when the connection was closed. */
 static void finish(struct conn *cn, struct ev_upstream_answer *a)
 {
@@ -136,11 +153,15 @@
 
 static void fail(struct conn *cn, enum refusal late)
 {
-	bool wrote = cn->call->wrote;
-	struct ev_upstream_answer a = {
-		.outcome = wrote ? OUTCOME_UNKNOWN : OUTCOME_NOT_RUN,
-		.refusal = wrote ? late : REFUSAL_UPSTREAM_DOWN,
-	};
+	const struct call_out *c = cn->call;
+	struct ev_upstream_answer a = {.outcome = OUTCOME_UNKNOWN,
+				       .refusal = late};
+
+	if (!c->wrote) {
+		a.outcome = OUTCOME_NOT_RUN;
+		a.refusal = c->late != REFUSAL_NONE ? c->late
+						    : REFUSAL_UPSTREAM_DOWN;
+	}
 
 	finish(cn, &a);
 }
@@ -149,6 +170,7 @@
 {
 	struct conn *cn = arg;
 	struct ev_upstream_answer a = {.outcome = OUTCOME_DONE};
+	const char *not_run;
 
 	if (!cn->call)
 		return;
@@ -156,10 +178,13 @@
 		fail(cn, REFUSAL_CONNECTION_LOST);
 		return;
 	}
-	if (evhttp_find_header(evhttp_request_get_input_headers(req),
-			       HEADER_NOT_RUN)) {
+	not_run = evhttp_find_header(evhttp_request_get_input_headers(req),
+				     HEADER_NOT_RUN);
+	if (not_run) {
 		a.outcome = OUTCOME_NOT_RUN;
-		a.refusal = REFUSAL_UPSTREAM_SHED;
+		a.refusal = !strcmp(not_run, NOT_RUN_FENCE)
+				    ? REFUSAL_NOT_OWNER
+				    : REFUSAL_UPSTREAM_SHED;
 	} else {
 		a.answer = http_answer_from_evhttp(req);
 	}
@@ -173,11 +198,39 @@
 	fail(cn, why);
 }
 
-static void on_late(evutil_socket_t fd, short what, void *arg)
+static bool sending(const struct conn *cn)
+{
+	return evbuffer_get_length(bufferevent_get_output(conn_bev(cn))) > 0;
+}
+
+static void arm(struct conn *cn, uint64_t at_ns, uint64_t now_ns)
 {
+	uint64_t left = at_ns > now_ns ? at_ns - now_ns : 0;
+	struct timeval tv = {
+		.tv_sec = (time_t)(left / NS_PER_S),
+		.tv_usec = (suseconds_t)(left % NS_PER_S / NS_PER_US)};
+
+	evtimer_add(cn->call->timer, &tv);
+}
+
+/*
+ * An upstream that has not read the whole request when the lease ends must
+ * not get the rest of it.
+ */
+static void on_timer(evutil_socket_t fd, short what, void *arg)
+{
+	struct conn *cn = arg;
+	const struct act_upstream_call *act = &cn->call->act;
+	uint64_t now = clock_now_ns();
+
 	(void)fd;
 	(void)what;
-	abandon(arg, REFUSAL_NO_ANSWER);
+	if (now >= act->deadline_ns)
+		abandon(cn, REFUSAL_NO_ANSWER);
+	else if (now >= act->write_before_ns && sending(cn))
+		abandon(cn, REFUSAL_NO_LEASE);
+	else
+		arm(cn, act->deadline_ns, now);
 }
 
 static void add_headers(struct evhttp_request *req,
@@ -213,47 +266,111 @@
 
 static void start_timer(struct conn *cn, uint64_t now_ns)
 {
-	uint64_t left = cn->call->act.deadline_ns - now_ns;
-	struct timeval tv = {
-		.tv_sec = (time_t)(left / NS_PER_S),
-		.tv_usec = (suseconds_t)(left % NS_PER_S / NS_PER_US)};
+	const struct act_upstream_call *act = &cn->call->act;
+	uint64_t first = act->deadline_ns < act->write_before_ns
+				 ? act->deadline_ns
+				 : act->write_before_ns;
 
-	cn->call->timer = evtimer_new(cn->client->base, on_late, cn);
-	evtimer_add(cn->call->timer, &tv);
+	cn->call->timer = evtimer_new(cn->client->base, on_timer, cn);
+	arm(cn, first, now_ns);
+}
+
+/* Why no byte may leave any more; REFUSAL_NONE if they may. */
+static enum refusal too_late(const struct act_upstream_call *act,
+			     uint64_t now_ns)
+{
+	if (now_ns >= act->deadline_ns)
+		return REFUSAL_DEADLINE;
+	return now_ns >= act->write_before_ns ? REFUSAL_NO_LEASE : REFUSAL_NONE;
+}
+
+/*
+ * Writes what evhttp has put into the buffer. Left to the loop, it would go
+ * out after all other events of this turn, long after the clock was read.
+ */
+static void write_now(struct conn *cn)
+{
+	struct evbuffer *out = bufferevent_get_output(conn_bev(cn));
+
+	evbuffer_unfreeze(out, 1);
+	evbuffer_write(out, bufferevent_getfd(conn_bev(cn)));
+	evbuffer_freeze(out, 1);
+	/* It tells of what it wrote itself only. */
+	if (!evbuffer_get_length(out))
+		bufferevent_trigger(conn_bev(cn), EV_WRITE, 0);
+}
+
+/* Connected: the clock is read again before evhttp gets to write. */
+static void on_connect(struct bufferevent *bev, short what, void *arg)
+{
+	struct conn *cn = arg;
+	enum refusal late;
+	int on = 1;
+
+	bufferevent_setcb(bev, NULL, NULL, cn->evhttp_event, cn->evhttp_arg);
+	if (!(what & BEV_EVENT_CONNECTED) || !cn->call) {
+		cn->evhttp_event(bev, what, cn->evhttp_arg);
+		return;
+	}
+	setsockopt(bufferevent_getfd(bev), IPPROTO_TCP, TCP_NODELAY, &on,
+		   sizeof(on));
+	late = too_late(&cn->call->act, clock_now_ns());
+	if (late != REFUSAL_NONE) {
+		cn->call->late = late;
+		abandon(cn, late);
+		return;
+	}
+	/* The bufferevent goes on to write in the same call. */
+	cn->evhttp_event(bev, what, cn->evhttp_arg);
+}
+
+static void watch_connect(struct conn *cn)
+{
+	bufferevent_data_cb on_read, on_write;
+
+	bufferevent_getcb(conn_bev(cn), &on_read, &on_write, &cn->evhttp_event,
+			  &cn->evhttp_arg);
+	bufferevent_setcb(conn_bev(cn), on_read, on_write, on_connect, cn);
+}
+
+static void send_request(struct conn *cn, uint64_t now_ns)
+{
+	struct act_upstream_call *act = &cn->call->act;
+	enum evhttp_cmd_type type = EVHTTP_REQ_GET;
+
+	http_method(act->request->method, &type);
+	cn->call->req = evhttp_request_new(on_answer, cn);
+	http_to_evhttp(&act->request->payload, cn->call->req);
+	add_headers(cn->call->req, act, now_ns);
+	start_timer(cn, now_ns);
+	if (evhttp_make_request(cn->http, cn->call->req, type,
+				act->request->target) != 0 ||
+	    !cn->call)
+		return;
+	if (sending(cn))
+		write_now(cn);
+	else
+		watch_connect(cn);
 }
 
 void upstream_client_call(struct upstream_client *u,
 			  struct act_upstream_call *call)
 {
-	struct conn *cn = conn_get(u, call->addr);
-	enum evhttp_cmd_type type = EVHTTP_REQ_GET;
-	struct evhttp_request *req;
-	uint64_t now;
+	uint64_t now = clock_now_ns();
+	enum refusal late = too_late(call, now);
+	struct conn *cn;
 
-	cn->call = mem_new(struct call_out);
-	list_remove(&cn->link);
-	list_push_back(&u->busy, &cn->link);
-	http_method(call->request->method, &type);
-	req = evhttp_request_new(on_answer, cn);
-	cn->call->req = req;
-	http_to_evhttp(&call->request->payload, req);
-	now = clock_now_ns();
-	if (now >= call->write_before_ns || now >= call->deadline_ns) {
-		evhttp_request_free(req);
-		free(cn->call);
-		cn->call = NULL;
-		list_remove(&cn->link);
-		list_push_front(&u->idle, &cn->link);
-		refuse(u, call,
-		       now >= call->deadline_ns ? REFUSAL_DEADLINE
-						: REFUSAL_NO_LEASE);
+	if (late != REFUSAL_NONE) {
+		refuse(u, call, late);
 		return;
 	}
+	cn = conn_get(u, call->addr);
+	list_remove(&cn->link);
+	list_push_back(&u->busy, &cn->link);
+	cn->call = mem_new(struct call_out);
 	cn->call->act = *call;
 	call->request = NULL;
-	add_headers(req, &cn->call->act, now);
-	start_timer(cn, now);
-	evhttp_make_request(cn->http, req, type, cn->call->act.request->target);
+	send_request(cn, now);
 }
 
 void upstream_client_cancel(struct upstream_client *u, uint64_t call)
@@ -268,10 +385,14 @@
 	}
 }
 
+/* What was not taken is sent again, whole. */
 static void on_granted(struct evhttp_request *req, void *arg)
 {
-	(void)req;
-	(void)arg;
+	struct upstream_client *u = arg;
+	struct ev_upstream_answer a = {.outcome = OUTCOME_NOT_RUN};
+
+	if (!req || evhttp_request_get_response_code(req) / 100 != 2)
+		u->done(u->arg, &a);
 }
 
 static char *grant_json(const struct act_grant *g)
@@ -282,11 +403,14 @@
 	uint64_t now = clock_now_ns();
 	char *text;
 
+	json_object_set_new(o, "version", json_integer((json_int_t)g->version));
 	list_for_each_entry(r, &g->ranges, link)
 		json_array_append_new(
 			list, json_pack("[s,i,i,I]", r->route, (int)r->first,
 					(int)r->last, (json_int_t)r->epoch));
-	json_object_set_new(o, "grants", list);
+	if (g->whole)
+		json_object_set(o, "grants", list);
+	json_decref(list);
 	json_object_set_new(
 		o, "time_left_ms",
 		json_integer(g->deadline_ns > now
@@ -310,7 +434,7 @@
 	conn = evhttp_connection_base_new(u->base, NULL, ip, port);
 	evhttp_connection_free_on_completion(conn);
 	evhttp_connection_set_timeout(conn, 2);
-	req = evhttp_request_new(on_granted, NULL);
+	req = evhttp_request_new(on_granted, u);
 	evhttp_add_header(evhttp_request_get_output_headers(req), "Host",
 			  g->addr);
 	evhttp_add_header(evhttp_request_get_output_headers(req), "Connection",
--- /dev/null
+++ b/tests/upstream_state_test.cpp
@@ -0,0 +1,183 @@
+#include "jd_test.hpp"
+
+extern "C" {
+#include "core/mem.h"
+#include "fakes/upstream_state.h"
+}
+
+static const uint64_t MS = NS_PER_MS;
+
+struct Up {
+	struct upstream_state s;
+	uint64_t now = 1000 * MS;
+	uint64_t end = 0;
+
+	explicit Up(struct upstream_opts o)
+	{
+		o.slots = 4;
+		o.work_ns = 5 * MS;
+		upstream_state_init(&s, &o, 1, now);
+	}
+	~Up()
+	{
+		upstream_state_done(&s);
+	}
+
+	enum order_verdict order(const struct fence *f = nullptr)
+	{
+		struct order_opts o = {f, now + NS_PER_S, 0};
+
+		return upstream_state_order(&s, &o, now, &end);
+	}
+};
+
+static struct fence fence_of(uint32_t shard, epoch_t epoch)
+{
+	struct fence f = {};
+
+	mem_copy_str(f.route, "archive", sizeof(f.route));
+	f.shard = shard;
+	f.epoch = epoch;
+	return f;
+}
+
+static void grant(Up &u, uint32_t first, uint32_t last, epoch_t epoch)
+{
+	struct grant_range g = {};
+
+	mem_copy_str(g.route, "archive", sizeof(g.route));
+	g.first = first;
+	g.last = last;
+	g.epoch = epoch;
+	upstream_state_grant(&u.s, &g, u.now + 500 * MS);
+}
+
+TEST(UpstreamState, RefusesBeyondItsSlots)
+{
+	Up u({});
+
+	for (int i = 0; i < 4; i++)
+		EXPECT_EQ(u.order(), ORDER_RUNS);
+	EXPECT_EQ(u.order(), ORDER_REFUSED);
+	upstream_state_end(&u.s, u.now);
+	EXPECT_EQ(u.order(), ORDER_RUNS);
+}
+
+TEST(UpstreamState, StallsAndSlowdownsDelayTheEnd)
+{
+	Up u({});
+
+	u.order();
+	EXPECT_EQ(u.end, u.now + 5 * MS);
+	u.s.slow_permille = 10000;
+	u.order();
+	EXPECT_EQ(u.end, u.now + 50 * MS);
+	u.s.stall_until_ns = u.now + 300 * MS;
+	u.order();
+	EXPECT_EQ(u.end, u.now + 350 * MS);
+}
+
+TEST(UpstreamState, AColdOneFallsOverAndComesBackCold)
+{
+	struct upstream_opts o = {};
+
+	o.cold_ns = NS_PER_S;
+	o.cold_bears = 1;
+	o.cold_mode = COLD_FALLS_OVER;
+	o.restart_ns = 100 * MS;
+	o.announces_cold = true;
+	Up u(o);
+	EXPECT_TRUE(upstream_state_says_cold(&u.s, u.now));
+	EXPECT_EQ(u.order(), ORDER_RUNS);
+	EXPECT_EQ(u.order(), ORDER_BREAKS);
+	EXPECT_EQ(u.s.instance, 2u);
+	EXPECT_EQ(u.order(), ORDER_NO_CONN);
+	u.now += 100 * MS;
+	EXPECT_EQ(u.order(), ORDER_RUNS);
+	u.now += NS_PER_S;
+	EXPECT_FALSE(upstream_state_says_cold(&u.s, u.now));
+	EXPECT_EQ(u.order(), ORDER_RUNS);
+}
+
+TEST(UpstreamState, OnlyAGrantedUnexpiredNewestFenceRuns)
+{
+	struct upstream_opts o = {};
+
+	o.checks_grants = true;
+	Up u(o);
+	struct fence f3 = fence_of(7, 3), f4 = fence_of(7, 4),
+		     other = fence_of(9, 3);
+
+	EXPECT_EQ(u.order(&f3), ORDER_FENCED);
+	grant(u, 5, 8, 3);
+	EXPECT_EQ(u.order(&f3), ORDER_RUNS);
+	EXPECT_EQ(u.order(&other), ORDER_FENCED);
+	EXPECT_EQ(u.order(&f4), ORDER_FENCED);
+	/* The higher one was seen: the lower is stale for good. */
+	EXPECT_EQ(u.order(&f3), ORDER_FENCED);
+	grant(u, 7, 7, 3);
+	EXPECT_EQ(u.order(&f3), ORDER_FENCED);
+	grant(u, 7, 7, 4);
+	EXPECT_EQ(u.order(&f4), ORDER_RUNS);
+	u.now += 500 * MS;
+	EXPECT_EQ(u.order(&f4), ORDER_FENCED);
+	EXPECT_TRUE(upstream_state_extend(&u.s, 0, u.now + 500 * MS));
+	EXPECT_EQ(u.order(&f4), ORDER_RUNS);
+}
+
+TEST(UpstreamState, AWholeSetReplacesTheOneBeforeAndAnOlderOneIsRefused)
+{
+	struct upstream_opts o = {};
+
+	o.checks_grants = true;
+	Up u(o);
+	struct fence a = fence_of(1, 3), b = fence_of(2, 3);
+
+	EXPECT_TRUE(upstream_state_replace(&u.s, 10));
+	grant(u, 1, 2, 3);
+	EXPECT_EQ(u.order(&a), ORDER_RUNS);
+	EXPECT_TRUE(upstream_state_replace(&u.s, 20));
+	grant(u, 2, 2, 3);
+	EXPECT_EQ(u.order(&a), ORDER_FENCED);
+	EXPECT_EQ(u.order(&b), ORDER_RUNS);
+	EXPECT_FALSE(upstream_state_replace(&u.s, 10));
+	EXPECT_FALSE(upstream_state_extend(&u.s, 10, u.now + NS_PER_S));
+	EXPECT_EQ(u.order(&a), ORDER_FENCED);
+	EXPECT_TRUE(upstream_state_extend(&u.s, 20, u.now + NS_PER_S));
+	EXPECT_EQ(u.order(&a), ORDER_FENCED);
+}
+
+TEST(UpstreamState, OneThatDoesNotCheckRunsAnyFence)
+{
+	Up u({});
+	struct fence f = fence_of(7, 3);
+
+	EXPECT_EQ(u.order(&f), ORDER_RUNS);
+}
+
+TEST(UpstreamState, TheReportLagsOrLies)
+{
+	struct upstream_opts o = {};
+
+	o.report_lag_ns = NS_PER_S;
+	Up u(o);
+	u.order();
+	u.order();
+	EXPECT_EQ(upstream_state_load(&u.s, u.now), 0u);
+	u.now += NS_PER_S;
+	EXPECT_EQ(upstream_state_load(&u.s, u.now), 250u);
+	u.s.report = REPORT_LIES;
+	u.s.lie_permille = 10;
+	EXPECT_EQ(upstream_state_load(&u.s, u.now), 10u);
+}
+
+TEST(UpstreamState, DrainingAndLateOrdersAreNotRun)
+{
+	Up u({});
+	struct order_opts late = {nullptr, u.now, 0};
+
+	EXPECT_EQ(upstream_state_order(&u.s, &late, u.now, &u.end),
+		  ORDER_REFUSED);
+	u.s.draining = true;
+	EXPECT_EQ(u.order(), ORDER_REFUSED);
+}
