Router: balancer for routes that any endpoint serves, retries in a budget

Cause: such a request went to a random endpoint of the nearest data centre; a refusal by its full queue ended the request, and other refusals were tried again without a bound.

Change: core/pools keeps a balancer for each such route, and one for each organisation with home regions, so that its requests never leave them. A refused request goes to another endpoint at once. Attempts that cost an upstream (full, shed, down, lost) come out of one retry budget, for keyed routes too. Held requests of moving keys don't use it up.

Not done: hedges in the router.

--- a/core/router.c
+++ b/core/router.c
@@ -25,6 +25,8 @@
 		list_init(&r->buckets[i]);
 	list_init(&r->held);
 	burn_init(&r->burn);
+	pools_init(&r->pools);
+	retry_budget_init(&r->budget);
 	r->next_id = 1;
 	r->next_sequence = 1;
 }
@@ -48,6 +50,7 @@
 			entry_delete(r, e);
 	}
 	burn_done(&r->burn);
+	pools_done(&r->pools);
 }
 
 static struct list *bucket(struct router *r, uint64_t counter)
@@ -175,43 +178,17 @@
 	list_push_back(&r->held, &e->held);
 }
 
-static bool can_serve(const struct ctx *c, const struct roster *ro,
-		      const struct member *m, const struct home *home)
+/* Any endpoint of the service but the one that was tried last. */
+static incarnation_t choose_any(struct router *r, struct ctx *c,
+				struct entry *e, const struct home *home)
 {
-	const struct data_centre *dc =
-		manifest_data_centre(view_manifest(&c->view), ro->dc);
+	struct balancer *b;
+	incarnation_t to;
 
-	return m->state == MEMBER_UP &&
-	       !strcmp(m->service, home->route->service) &&
-	       (!dc || dc->state == DC_IN) && home_allows(home, ro->region);
-}
-
-/* Any endpoint of the service: one at random, the own data centre first. */
-static incarnation_t choose_any(struct ctx *c, const struct home *home)
-{
-	incarnation_t best = 0;
-	const struct doc *d = NULL;
-	uint64_t best_rank = 0;
-
-	while ((d = view_next(&c->view, DOC_ROSTER, d))) {
-		const struct member *m;
-
-		list_for_each_entry(m, &d->u.roster->members, link) {
-			uint64_t rank = rng_next(&c->rng) >> 8;
-
-			if (!can_serve(c, d->u.roster, m, home))
-				continue;
-			if (!strcmp(d->u.roster->region, c->opts->region))
-				rank |= UINT64_C(1) << 57;
-			if (!strcmp(d->u.roster->dc, c->opts->dc))
-				rank |= UINT64_C(1) << 56;
-			if (rank >= best_rank) {
-				best_rank = rank;
-				best = m->inc;
-			}
-		}
-	}
-	return best;
+	e->pool = pools_get(&r->pools, c, home);
+	b = &e->pool->balancer;
+	to = balancer_choose(b, e->at, &c->rng, c->now_ns);
+	return to ? to : balancer_choose(b, 0, &c->rng, c->now_ns);
 }
 
 /* The owner of the entry's key; 0 and a reason when none may serve it. */
@@ -236,15 +213,16 @@
 }
 
 /* The gate for the next attempt; 0 and a reason when there is none. */
-static incarnation_t choose(struct ctx *c, const struct entry *e,
+static incarnation_t choose(struct router *r, struct ctx *c, struct entry *e,
 			    const struct home *home, enum refusal *why)
 {
+	e->pool = NULL;
 	switch (home->route->kind) {
 	case ROUTE_KEYED:
 		return choose_owner(c, e, home, why);
 	case ROUTE_ANY:
 		*why = REFUSAL_NO_OWNER;
-		return choose_any(c, home);
+		return choose_any(r, c, e, home);
 	}
 	return 0;
 }
@@ -304,6 +282,11 @@
 	e->at = m->inc;
 	e->attempt++;
 	e->local = m->inc == c->self;
+	e->started_ns = c->now_ns;
+	if (e->attempt == 1)
+		retry_budget_earn(&r->budget);
+	if (e->pool)
+		balancer_on_start(&e->pool->balancer, e->at, c->now_ns);
 	if (e->local)
 		run_local(c, g, lease, e);
 	else
@@ -345,7 +328,7 @@
 		end_not_run(r, c, e, REFUSAL_HOME_REGION, &home);
 		return;
 	}
-	m = view_member(&c->view, choose(c, e, &home, &why), NULL);
+	m = view_member(&c->view, choose(r, c, e, &home, &why), NULL);
 	if (m)
 		start_attempt(r, c, g, lease, e, m);
 	else
@@ -469,18 +452,69 @@
 	dispatch(r, c, g, lease, e);
 }
 
+static void attempt_over(const struct entry *e, const struct ctx *c,
+			 enum attempt_end end)
+{
+	if (e->pool && e->state == ENTRY_FORWARDED)
+		balancer_on_end(&e->pool->balancer, e->at, end,
+				c->now_ns - e->started_ns, c->now_ns);
+}
+
+static enum attempt_end attempt_end(const struct msg_answer *a)
+{
+	if (a->outcome == OUTCOME_DONE)
+		return ATTEMPT_ANSWERED;
+	switch (a->refusal) {
+	case REFUSAL_QUEUE_FULL:
+	case REFUSAL_UPSTREAM_SHED:
+		return ATTEMPT_REFUSED;
+	case REFUSAL_DEADLINE:
+	case REFUSAL_NO_ANSWER:
+		return ATTEMPT_CANCELLED;
+	default:
+		return ATTEMPT_FAILED;
+	}
+}
+
+/* Retries after these reach an upstream that has too much already. */
+static bool costs_upstream(enum refusal refusal)
+{
+	return refusal == REFUSAL_QUEUE_FULL ||
+	       refusal == REFUSAL_UPSTREAM_SHED ||
+	       refusal == REFUSAL_UPSTREAM_DOWN ||
+	       refusal == REFUSAL_CONNECTION_LOST;
+}
+
 /* Another attempt is safe after "not run", or when running twice is. */
-static bool may_retry(const struct entry *e, const struct msg_answer *a,
-		      const struct ctx *c)
+static bool retry_is_safe(const struct entry *e, const struct msg_answer *a)
 {
-	if (c->now_ns >= e->deadline_ns)
-		return false;
 	if (a->outcome == OUTCOME_NOT_RUN)
-		return refusal_find(a->refusal)->retry;
+		return refusal_find(a->refusal)->retry ||
+		       (e->pool && a->refusal == REFUSAL_QUEUE_FULL);
 	return a->outcome == OUTCOME_UNKNOWN && e->idempotent &&
 	       a->refusal == REFUSAL_CONNECTION_LOST;
 }
 
+static bool may_retry(struct router *r, const struct entry *e,
+		      const struct msg_answer *a, const struct ctx *c)
+{
+	if (c->now_ns >= e->deadline_ns || !retry_is_safe(e, a))
+		return false;
+	return !costs_upstream(a->refusal) ||
+	       retry_budget_spend(&r->budget, c->now_ns);
+}
+
+/* Another endpoint may take it at once. */
+static void retry_elsewhere(struct router *r, const struct ctx *c,
+			    struct entry *e)
+{
+	if (!e->pool)
+		return;
+	e->retry_ns = c->now_ns;
+	list_remove(&e->held);
+	list_push_front(&r->held, &e->held);
+}
+
 void router_on_answer(struct router *r, struct ctx *c, incarnation_t from,
 		      struct msg_answer *a)
 {
@@ -495,8 +529,11 @@
 	}
 	if (a->outcome == OUTCOME_UNKNOWN)
 		e->may_have_run = true;
-	if (may_retry(e, a, c)) {
+	attempt_over(e, c, attempt_end(a));
+	if (may_retry(r, e, a, c)) {
 		hold(r, c, e, a->refusal);
+		if (costs_upstream(a->refusal))
+			retry_elsewhere(r, c, e);
 		return;
 	}
 	if (a->answer)
@@ -538,6 +575,7 @@
 		list_for_each_entry_safe(e, tmp, &r->buckets[i], link) {
 			if (e->caller != caller)
 				continue;
+			attempt_over(e, c, ATTEMPT_CANCELLED);
 			cancel(c, g, e);
 			entry_delete(r, e);
 		}
@@ -562,6 +600,7 @@
 				p.outcome = OUTCOME_UNKNOWN;
 				p.refusal = REFUSAL_NO_ANSWER;
 			}
+			attempt_over(e, c, ATTEMPT_CANCELLED);
 			cancel(c, g, e);
 			finish(r, c, e, &p);
 		}
@@ -582,6 +621,7 @@
 			    view_member(&c->view, e->at, NULL))
 				continue;
 			e->may_have_run = true;
+			attempt_over(e, c, ATTEMPT_FAILED);
 			hold(r, c, e, REFUSAL_NO_OWNER);
 		}
 	}
--- a/core/router.h
+++ b/core/router.h
@@ -5,6 +5,8 @@
 #include "core/burn.h"
 #include "core/ctx.h"
 #include "core/gate.h"
+#include "core/pools.h"
+#include "core/retry_budget.h"
 
 #define ROUTER_BUCKETS	   1024
 /* Bounds on what one entry keeps; past them it refuses. */
@@ -35,6 +37,8 @@
 	uint64_t retry_ns;    /* when held: not before */
 	incarnation_t at;     /* gate of the running attempt */
 	bool local;	      /* it is our own, whatever our incarnation */
+	struct pool *pool;    /* of the running attempt; NULL: has owners */
+	uint64_t started_ns;  /* that attempt */
 	enum refusal refusal; /* of the last attempt */
 	struct http_request *request;
 };
@@ -50,6 +54,8 @@
 	uint64_t next_expiry_ns;
 	revision_t lost_revision; /* of the view that gates were found in */
 	revision_t held_revision; /* of the view that held ones were tried in */
+	struct pools pools;
+	struct retry_budget budget; /* of attempts that cost an upstream */
 	uint64_t requests;
 	uint64_t outcomes[OUTCOME_COUNT];
 	uint64_t reasons[REFUSAL_COUNT]; /* of replies without an answer */
