--- a/bench/soak.c
+++ b/bench/soak.c
@@ -23,9 +23,10 @@
 #define STEP_MAX_NS  (2 * NS_PER_MS)
 #define ANNOUNCE_NS  NS_PER_S
 #define AUTHORITY_NS (4 * NS_PER_S)
-#define FAULTS_NS    (30 * NS_PER_S)
+#define FAULTS_NS    (45 * NS_PER_S)
 #define QUIET_NS     (20 * NS_PER_S)
 #define HOLD_MAX_NS  (8 * NS_PER_S)
+#define CUT_MAX_NS   (25 * NS_PER_S)
 
 enum item_kind {
 	ITEM_MESSAGE, /* between two nodes, as bytes */
@@ -95,6 +96,8 @@
 	uint64_t store_down_until_ns;
 	uint64_t phase_end_ns;
 	uint32_t fault_one_in; /* steps */
+	uint32_t drop_one_in;  /* items */
+	uint32_t hold_one_in;
 	bool quiet;
 	bool verbose;
 	uint64_t next_life;
@@ -165,7 +168,7 @@
 	it->to = to;
 	if (from < SLOTS)
 		it->life = s->procs[from].life;
-	if (!s->quiet && chance(s, 100))
+	if (!s->quiet && chance(s, s->hold_one_in))
 		it->hold_ns = s->now_ns + rng_below(&s->rng, HOLD_MAX_NS);
 	list_push_back(&s->bag, &it->link);
 	s->bag_count++;
@@ -585,7 +588,7 @@
 	if (!it)
 		return;
 	own = it->kind == ITEM_PASS || it->kind == ITEM_PASSED;
-	if (own || s->quiet || !chance(s, 40))
+	if (own || s->quiet || !chance(s, s->drop_one_in))
 		deliver(s, it);
 	item_delete(s, it);
 }
@@ -610,7 +613,7 @@
 
 static void fault_cut(struct soak *s)
 {
-	uint64_t end = until(s, 10 * NS_PER_S);
+	uint64_t end = until(s, CUT_MAX_NS);
 	int a = (int)rng_below(&s->rng, PLACES);
 
 	if (chance(s, 2)) {
@@ -879,6 +882,8 @@
 {
 	rng_init(&s->rng, s->seed);
 	s->fault_one_in = 250u << rng_below(&s->rng, 5);
+	s->drop_one_in = 5u << rng_below(&s->rng, 4);
+	s->hold_one_in = 10u << rng_below(&s->rng, 4);
 	s->now_ns = NS_PER_S;
 	s->quiet = true;
 	s->phase_end_ns = s->now_ns + QUIET_NS;
--- a/tests/keeper_test.cpp
+++ b/tests/keeper_test.cpp
@@ -90,6 +90,25 @@
 		return acks;
 	}
 
+	// The view learns the roster as another node shows it.
+	void show_roster()
+	{
+		view_apply(&c.view, doc_copy(roster));
+	}
+
+	// Another keeper had the node; this one took its entry.
+	void take_over()
+	{
+		struct member *m = roster_find(roster->u.roster, 42);
+
+		m->term = 2;
+		m->ousted = 99;
+		roster->revision++;
+		show_roster();
+		c.now_ns += 300 * NS_PER_MS;
+		work();
+	}
+
 	enum member_state state()
 	{
 		struct member *m = roster_find(roster->u.roster, 42);
@@ -129,6 +148,65 @@
 	EXPECT_EQ(roster_find(roster->u.roster, 42), nullptr);
 }
 
+TEST_F(KeeperTest, APauseNeverPutsAHeartbeatIntoTheFuture)
+{
+	c.now_ns += 60 * NS_PER_S;
+	heartbeat(1);
+	work();
+	for (int i = 0; i < 5; i++) {
+		c.now_ns += 200 * NS_PER_MS;
+		work();
+	}
+	EXPECT_EQ(state(), MEMBER_REVOKED);
+}
+
+TEST_F(KeeperTest, ATakenNodeIsRevokedOnlyOnceItsFormerKeeperIsOut)
+{
+	take_over();
+	for (int i = 0; i < 10; i++) {
+		c.now_ns += 200 * NS_PER_MS;
+		work();
+	}
+	EXPECT_EQ(state(), MEMBER_UP);
+	roster_find(roster->u.roster, 42)->ousted = 0;
+	roster->revision++;
+	show_roster();
+	for (int i = 0; i < 6; i++) {
+		c.now_ns += 200 * NS_PER_MS;
+		work();
+	}
+	EXPECT_EQ(state(), MEMBER_REVOKED);
+}
+
+TEST_F(KeeperTest, ATakenNodeIsItsOwnOnceHeardUnderTheNewTerm)
+{
+	take_over();
+	heartbeat(2);
+	EXPECT_EQ(work(), 1);
+	for (int i = 0; i < 5; i++) {
+		c.now_ns += 200 * NS_PER_MS;
+		work();
+	}
+	EXPECT_EQ(state(), MEMBER_REVOKED);
+	EXPECT_EQ(roster_find(roster->u.roster, 42)->ousted, 0u);
+}
+
+TEST_F(KeeperTest, AnOustedKeeperStopsAnsweringAndOwnsUp)
+{
+	struct member *m = roster_find(roster->u.roster, 42);
+
+	m->keeper = 99;
+	m->term = 2;
+	m->ousted = c.self;
+	roster->revision++;
+	show_roster();
+	c.now_ns += 300 * NS_PER_MS;
+	work();
+	EXPECT_EQ(roster_find(roster->u.roster, 42)->ousted, 0u);
+	heartbeat(1);
+	EXPECT_EQ(work(), 0);
+}
+
 TEST_F(KeeperTest, ItsOwnPauseIsNoSilenceOfItsNodes)
 {
 	c.now_ns += 5 * NS_PER_S;
