--- a/bench/router_cost.c
+++ b/bench/router_cost.c
@@ -204,7 +204,7 @@
 {
 	uint64_t at = (uint64_t)(s->count - 1) * permille / 1000;
 
-	return US(s->ns[at]);
+	return (double)s->ns[at] / (double)NS_PER_US;
 }
 
 /* Which node serves the key, once the cluster is up; NODES for none. */
@@ -263,7 +263,7 @@
 	c.to = s;
 	client_run(&c, requests);
 	s->per_second +=
-		requests * 1e9 / ROUNDS / (double)(clock_now_ns() - start);
+		1e9 * requests / ROUNDS / (double)(clock_now_ns() - start);
 	s->cpu_us += (nodes_cpu_us(cl) - nodes) / requests / ROUNDS;
 	s->upstream_cpu_us += (cpu_us(upstream) - up) / requests / ROUNDS;
 	client_close(&c);
