--- a/bench/control.c
+++ b/bench/control.c
@@ -265,13 +265,13 @@
 	print_ratio(r->f, "lose_dc_ms", ms, BUDGET_SERVED_MS);
 }
 
-static void run_size(uint32_t nodes, uint32_t shards)
+static void run_size(uint32_t nodes, uint32_t shards, uint64_t seed)
 {
 	struct fleet_opts o = {.nodes = nodes,
 			       .shards = shards,
 			       .dcs = 7,
 			       .boot_ns = 500 * NS_PER_MS,
-			       .seed = 1};
+			       .seed = seed};
 	struct run r = {0};
 
 	r.f = fleet_new(&o);
@@ -285,20 +285,25 @@
 	fleet_delete(r.f);
 }
 
-/* bench-control [NODES SHARDS]: one size, or the series of the page. */
+static uint32_t number(const char *s)
+{
+	return (uint32_t)strtoul(s, NULL, 10);
+}
+
+/* bench-control [NODES SHARDS [SEED]]: one size, or the page's series. */
 int main(int argc, char **argv)
 {
 	static const uint32_t nodes[] = {10, 20, 40, 80, 160, 320};
 	static const uint32_t shards[] = {256, 1024, 4096};
 
-	if (argc == 3) {
-		run_size((uint32_t)strtoul(argv[1], NULL, 10),
-			 (uint32_t)strtoul(argv[2], NULL, 10));
+	if (argc >= 3) {
+		run_size(number(argv[1]), number(argv[2]),
+			 argc > 3 ? number(argv[3]) : 1);
 		return EXIT_SUCCESS;
 	}
 	for (size_t i = 0; i < sizeof(shards) / sizeof(*shards); i++)
-		run_size(80, shards[i]);
+		run_size(80, shards[i], 1);
 	for (size_t i = 0; i < sizeof(nodes) / sizeof(*nodes); i++)
-		run_size(nodes[i], 16384);
+		run_size(nodes[i], 16384, 1);
 	return EXIT_SUCCESS;
 }
