Count pinned keys like shards when placing

Cause: a pinned key's target was not counted in its load, but a pinned key whose owner is lost takes one off it, which goes below zero.

Change: pinned keys count for their holder.

Conclusion: the loads stay within the lists by load for pinned keys too.

--- a/core/placement.c
+++ b/core/placement.c
@@ -65,19 +65,25 @@
 	return seats_find(s, sh->target ? sh->target : sh->owner);
 }
 
+static void count_load(struct seats *s, const struct shard *sh)
+{
+	struct seat *seat = holder_of(s, sh);
+
+	if (seat)
+		seat->load++;
+}
+
 static uint32_t count_loads(struct seats *s, const struct shard_map *map)
 {
 	const struct pinned_key *p;
 	uint32_t n = map->count;
 
-	for (uint32_t i = 0; i < map->count; i++) {
-		struct seat *seat = holder_of(s, &map->shards[i]);
-
-		if (seat)
-			seat->load++;
-	}
-	list_for_each_entry(p, &map->pinned, link)
+	for (uint32_t i = 0; i < map->count; i++)
+		count_load(s, &map->shards[i]);
+	list_for_each_entry(p, &map->pinned, link) {
+		count_load(s, &p->shard);
 		n++;
+	}
 	return n;
 }
 
--- a/tests/placement_test.cpp
+++ b/tests/placement_test.cpp
@@ -226,6 +226,25 @@
 	shard_map_delete(m);
 }
 
+/* A pinned key on its way counts for its target, as a shard does. */
+TEST(Placement, APinnedKeyOfALostOwnerIsPlacedAnew)
+{
+	Fleet f;
+	struct shard_map *m = shard_map_new("r", 16);
+	struct pinned_key *p = mem_new(struct pinned_key);
+
+	mem_copy_str(p->key, "hot", sizeof(p->key));
+	p->shard = {9, 1, 4};
+	list_push_back(&m->pinned, &p->link);
+	f.accept();
+	f.put(0, {{1, MEMBER_LEAVING}});
+	f.put(1, {{2, MEMBER_UP}});
+	EXPECT_EQ(placement_fill(m, &f.v, &f.route), 17u);
+	EXPECT_EQ(p->shard.owner, 2u);
+	EXPECT_EQ(p->shard.epoch, 5u);
+	shard_map_delete(m);
+}
+
 TEST(Placement, NoNodeMayTakeAnythingThenNothingMoves)
 {
 	Fleet f;
