Removed documents stay removed; long store outages; restarts revoke their past

A view that held the planner's lapsed lease kept it, and a lagging node's sync could bring it back to a view that was complete past the removal. Nobody claimed the duty, so nobody took entries over. Two tests in view_test.

Cause 2: a store outage or a cut region of more than 15 s stopped keyed serving, as keepers stopped answering. Change: store_outage_grace defaults to 2 h; contact is shown each 5 s whatever the grace.

Cause 3: with a long grace a restart of all nodes would wait for it. Change: a node that joins revokes entries of its own name and peer address, whose processes are gone since it has bound that address; they wait one lease.

Cause 4: keys of a draining upstream were refused, not moved. Change: its node marks its entry LEAVING and unmarks it when the upstream is back. Two tests in membership_test.

--- a/bench/router_cost.c
+++ b/bench/router_cost.c
@@ -457,8 +457,10 @@
 	struct arg_end *end = arg_end(4);
 	void *table[] = {bin, manifest, port, end};
 	char dir[] = "/tmp/jd-router-cost-XXXXXX";
-	struct cluster_opts o = {
-		.service = "archive", .nodes = NODES, .dcs = NODES};
+	struct cluster_opts o = {.service = "archive",
+				 .nodes = NODES,
+				 .dcs = NODES,
+				 .grace_ms = 15000};
 	struct event_base *base = event_base_new();
 	bool ok;
 
--- a/bench/soak.c
+++ b/bench/soak.c
@@ -814,9 +814,56 @@
 	doc_delete(d);
 }
 
+/* The rosters as the store has them, to see who should act. */
+static void print_rosters(struct soak *s)
+{
+	for (int i = 0; i < DCS; i++) {
+		struct doc *d =
+			doc_store_read(&s->store, DOC_ROSTER, dc_names[i]);
+		const struct member *m;
+
+		if (d && d->u.roster)
+			list_for_each_entry(m, &d->u.roster->members, link)
+				printf("roster: dc=%s name=%s inc=%016lx "
+				       "state=%d keeper=%016lx term=%lu "
+				       "ousted=%016lx\n",
+				       dc_names[i], m->name,
+				       (unsigned long)m->inc, m->state,
+				       (unsigned long)m->keeper,
+				       (unsigned long)m->term,
+				       (unsigned long)m->ousted);
+		doc_delete(d);
+	}
+}
+
+/* Who holds the planner's duty, and what each node takes for it. */
+static void print_planner(struct soak *s)
+{
+	struct doc *d = doc_store_read(&s->store, DOC_PLANNER, "");
+
+	if (d)
+		printf("planner: store holder=%016lx revision=%lu\n",
+		       (unsigned long)d->u.planner.holder,
+		       (unsigned long)d->revision);
+	doc_delete(d);
+	for (int i = 0; i < SLOTS; i++) {
+		const struct node *n = s->procs[i].node;
+
+		if (n)
+			printf("planner: node=%s self=%016lx view=%016lx "
+			       "revision=%lu holder=%d state=%d\n",
+			       n->opts.name, (unsigned long)n->ctx.self,
+			       (unsigned long)view_planner(&n->ctx.view).holder,
+			       (unsigned long)n->ctx.view.revision,
+			       n->planner.holder, n->membership.state);
+	}
+}
+
 /* After a quiet phase all shards are served again. */
 static void check_served(struct soak *s)
 {
+	uint64_t before = s->unserved;
+
 	for (int r = 0; r < ROUTES; r++) {
 		for (uint32_t i = 0; i < SHARDS; i++) {
 			if (count_owners(s, r, i))
@@ -825,6 +872,10 @@
 			print_unserved(s, r, i);
 		}
 	}
+	if (s->unserved > before) {
+		print_rosters(s);
+		print_planner(s);
+	}
 }
 
 /* --- the run ---------------------------------------------------------- */
--- a/chaos/chaos_main.c
+++ b/chaos/chaos_main.c
@@ -19,6 +19,7 @@
 #define QUIET_CHECK_S 4	 /* at its end every key must be served */
 #define MAP_EVERY_MS  1000
 #define WORK_MS	      5
+#define GRACE_MS      15000 /* a lost pair comes back within QUIET_S */
 
 struct chaos {
 	struct event_base *base;
@@ -104,7 +105,7 @@
 	       (unsigned long)v.ops, (unsigned long)v.overlap,
 	       (unsigned long)v.doubled, (unsigned long)v.crossed,
 	       (unsigned long)v.false_not_run, (unsigned long)v.lost,
-	       (unsigned long)load_unavailable_ms(&x->load, 0, UINT64_MAX));
+	       (unsigned long)load_unavailable_ms(&x->load, 0));
 	return bad || !v.ops ? EXIT_FAILURE : EXIT_SUCCESS;
 }
 
@@ -121,7 +122,8 @@
 				 .nodes = 6,
 				 .dcs = 3,
 				 .work_ms = WORK_MS,
-				 .checks_grants = false};
+				 .grace_ms = GRACE_MS,
+				 .checks_grants = true};
 	struct load_opts lo = {.base = x.base,
 			       .path = "/" ROUTE "/",
 			       .keys = 64,
--- a/chaos/cluster.c
+++ b/chaos/cluster.c
@@ -76,9 +76,11 @@
 	if (!f)
 		return false;
 	fprintf(f,
-		"name = \"%s\"\ndata_centre = \"%s\"\nregion = \"south\"\n"
+		"store_outage_grace_ms = %u\nname = \"%s\"\ndata_centre = "
+		"\"%s\"\nregion = \"south\"\n"
 		"http_addr = \"%s\"\npeer_addr = \"%s\"\nstore_addr = \"%s\"\n",
-		n->name, n->dc, n->http_addr, n->peer_addr, c->store_addr);
+		c->opts.grace_ms, n->name, n->dc, n->http_addr, n->peer_addr,
+		c->store_addr);
 	return fclose(f) == 0;
 }
 
--- a/chaos/cluster.h
+++ b/chaos/cluster.h
@@ -32,6 +32,7 @@
 	uint32_t dcs;	  /* data centres, all of one region */
 	uint32_t work_ms; /* of the upstreams */
 	bool checks_grants;
+	uint32_t grace_ms; /* store_outage_grace_ms of the nodes */
 };
 
 struct cluster {
--- a/chaos/load.c
+++ b/chaos/load.c
@@ -174,34 +174,74 @@
 	l->up[l->targets++] = true;
 }
 
-uint64_t load_unavailable_ms(const struct load *l, uint64_t from_ns,
-			     uint64_t to_ns)
+/* A key was served at that time. */
+struct served {
+	uint32_t key;
+	uint64_t end_ns;
+};
+
+static int served_cmp(const void *a, const void *b)
+{
+	const struct served *x = a;
+	const struct served *y = b;
+
+	if (x->key != y->key)
+		return x->key < y->key ? -1 : 1;
+	return (x->end_ns > y->end_ns) - (x->end_ns < y->end_ns);
+}
+
+static size_t collect_served(const struct load *l, struct served *out)
 {
-	uint64_t *done_ns = mem_zalloc(l->opts.keys, sizeof(*done_ns));
-	uint64_t *asked_ns = mem_zalloc(l->opts.keys, sizeof(*asked_ns));
+	const struct op *op;
+	size_t n = 0;
+
+	list_for_each_entry(op, &l->ops, link) {
+		if (op->end != OP_DONE)
+			continue;
+		out[n].key = op->key;
+		out[n++].end_ns = op->end_ns;
+	}
+	qsort(out, n, sizeof(*out), served_cmp);
+	return n;
+}
+
+/* The first time from @at_ns on that @key was served; UINT64_MAX for none. */
+static uint64_t next_served(const struct served *s, size_t n, uint32_t key,
+			    uint64_t at_ns)
+{
+	struct served want = {.key = key, .end_ns = at_ns};
+	size_t lo = 0, hi = n;
+
+	while (lo < hi) {
+		size_t mid = lo + (hi - lo) / 2;
+
+		if (served_cmp(&s[mid], &want) < 0)
+			lo = mid + 1;
+		else
+			hi = mid;
+	}
+	return lo < n && s[lo].key == key ? s[lo].end_ns : UINT64_MAX;
+}
+
+uint64_t load_unavailable_ms(const struct load *l, uint64_t from_ns)
+{
+	struct served *s = mem_zalloc(l->count, sizeof(*s));
+	size_t n = collect_served(l, s);
+	uint64_t last = clock_now_ns();
 	uint64_t worst = 0;
 	const struct op *op;
 
-	/* From the first request that was not done to the next that was. */
 	list_for_each_entry(op, &l->ops, link) {
-		uint64_t *asked = &asked_ns[op->key];
+		uint64_t end = next_served(s, n, op->key, op->start_ns);
 
-		if (op->start_ns < from_ns || op->start_ns > to_ns)
+		if (op->start_ns < from_ns)
 			continue;
-		if (op->end != OP_DONE) {
-			if (!*asked)
-				*asked = op->start_ns;
-			continue;
-		}
-		if (*asked && op->end_ns > *asked &&
-		    op->end_ns - *asked > worst)
-			worst = op->end_ns - *asked;
-		if (op->end_ns - op->start_ns > worst)
-			worst = op->end_ns - op->start_ns;
-		*asked = 0;
+		if (end == UINT64_MAX)
+			end = last;
+		if (end - op->start_ns > worst)
+			worst = end - op->start_ns;
 	}
-	free(done_ns);
-	free(asked_ns);
+	free(s);
 	return worst / NS_PER_MS;
 }
 
--- a/chaos/load.h
+++ b/chaos/load.h
@@ -56,9 +56,12 @@
 void load_done(struct load *l);
 void load_add_target(struct load *l, const char *addr);
 
-/** Longest time without a done for a key that was asked for, ms. */
-uint64_t load_unavailable_ms(const struct load *l, uint64_t from_ns,
-			     uint64_t to_ns);
+/**
+ * The longest that a key which was asked for at or after @from_ns went
+ * without any request of it being done, ms.
+ */
+uint64_t load_unavailable_ms(const struct load *l, uint64_t from_ns);
+
 /** How many requests ended that way. */
 uint64_t load_count(const struct load *l, enum op_end end);
 
--- /dev/null
+++ b/chaos/recovery_main.c
@@ -0,0 +1,210 @@
+#include <argtable2.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+#include "chaos/cluster.h"
+#include "chaos/load.h"
+#include "cli/http_call.h"
+#include "core/text.h"
+#include "io/clock.h"
+
+#define ROUTE	  "archive"
+#define BOOT_S	  6
+#define WATCH_S	  10
+#define DRAIN_S	  9
+#define NODES	  6
+#define DCS	  3
+#define TARGET_MS 3000
+#define GRACE_MS  7200000 /* as by default */
+
+/** What happens to the cluster; the figure is the worst key's gap. */
+enum scenario {
+	CALM,		 /* nothing: the floor of the figure */
+	KILL_NODE,	 /* one VM lost */
+	KILL_KEEPER,	 /* a VM that confirms others' leases */
+	KILL_PLANNER,	 /* the VM with the planner's duty */
+	FREEZE_NODE,	 /* a node stands still for 5 s and returns */
+	KILL_DC,	 /* a third of the VMs at once */
+	STORE_DOWN,	 /* the store is away for 6 s, nothing else */
+	STORE_DOWN_KILL, /* the store is away for 4 s, a VM is lost in it */
+	PLANNED_STOP,	 /* SIGTERM */
+	SCENARIO_COUNT,
+};
+
+static const char *const scenario_names[SCENARIO_COUNT] = {
+	[CALM] = "calm",
+	[KILL_NODE] = "killed_node",
+	[KILL_KEEPER] = "killed_keeper",
+	[KILL_PLANNER] = "killed_planner",
+	[FREEZE_NODE] = "frozen_node",
+	[KILL_DC] = "lost_data_centre",
+	[STORE_DOWN] = "store_down",
+	[STORE_DOWN_KILL] = "store_down_then_killed_node",
+	[PLANNED_STOP] = "planned_stop",
+};
+
+struct recovery {
+	struct event_base *base;
+	struct cluster cluster;
+	struct load load;
+};
+
+static void run_for_ms(struct event_base *base, unsigned ms)
+{
+	struct timeval tv = {.tv_sec = ms / 1000, .tv_usec = ms % 1000 * 1000L};
+
+	event_base_loopexit(base, &tv);
+	event_base_dispatch(base);
+}
+
+/* The first node whose status page says @what, node 1 if none does. */
+static uint32_t find_node(const struct cluster *c, const char *what)
+{
+	for (uint32_t i = 0; i < c->opts.nodes; i++) {
+		struct status st;
+		char *text = http_call(c->nodes[i].http_addr, "/-/status", NULL,
+				       500, &st);
+		bool found = text && strstr(text, what);
+
+		free(text);
+		if (found)
+			return i;
+	}
+	return 1;
+}
+
+static void kill_node(struct recovery *r, uint32_t i)
+{
+	r->load.up[i] = false;
+	cluster_node_kill(&r->cluster, i);
+}
+
+static void kill_dc(struct recovery *r, uint32_t dc)
+{
+	for (uint32_t i = dc; i < NODES; i += DCS)
+		kill_node(r, i);
+}
+
+static void freeze(struct recovery *r, uint32_t i)
+{
+	r->load.up[i] = false;
+	cluster_node_freeze(&r->cluster, i, false);
+	run_for_ms(r->base, 5000);
+	cluster_node_thaw(&r->cluster, i);
+	r->load.up[i] = true;
+}
+
+static void cause(struct recovery *r, enum scenario s)
+{
+	switch (s) {
+	case CALM:
+	case SCENARIO_COUNT:
+		break;
+	case KILL_NODE:
+		kill_node(r, 1);
+		break;
+	case KILL_KEEPER:
+		kill_node(r, find_node(&r->cluster, "\"keeper\":true"));
+		break;
+	case KILL_PLANNER:
+		kill_node(r, find_node(&r->cluster, "\"planner\":true"));
+		break;
+	case FREEZE_NODE:
+		freeze(r, 1);
+		break;
+	case KILL_DC:
+		kill_dc(r, 1);
+		break;
+	case STORE_DOWN:
+		cluster_store_fault(&r->cluster, "{\"down_ms\":6000}");
+		break;
+	case STORE_DOWN_KILL:
+		cluster_store_fault(&r->cluster, "{\"down_ms\":4000}");
+		run_for_ms(r->base, 500);
+		kill_node(r, 1);
+		break;
+	case PLANNED_STOP:
+		r->load.up[1] = false;
+		cluster_node_term(&r->cluster, 1);
+		break;
+	}
+}
+
+static bool measure(struct recovery *r, enum scenario s)
+{
+	uint64_t from;
+
+	for (uint32_t i = 0; i < NODES; i++)
+		load_add_target(&r->load, r->cluster.nodes[i].http_addr);
+	run_for_ms(r->base, BOOT_S * 1000);
+	from = clock_now_ns();
+	cause(r, s);
+	run_for_ms(r->base, WATCH_S * 1000);
+	r->load.paused = true;
+	run_for_ms(r->base, DRAIN_S * 1000);
+	printf("bench: name=recovery_%s value=%lu unit=ms target=%d\n",
+	       scenario_names[s],
+	       (unsigned long)load_unavailable_ms(&r->load, from), TARGET_MS);
+	fflush(stdout);
+	return load_count(&r->load, OP_DONE) > 0;
+}
+
+static bool run_scenario(const char *bin, const char *manifest, uint16_t port,
+			 enum scenario s)
+{
+	char dir[] = "/tmp/jackdaw-recovery-XXXXXX";
+	struct recovery r = {.base = event_base_new()};
+	struct cluster_opts o = {.bin = bin,
+				 .dir = mkdtemp(dir),
+				 .manifest = manifest,
+				 .service = ROUTE,
+				 .port = port,
+				 .nodes = NODES,
+				 .dcs = DCS,
+				 .grace_ms = GRACE_MS,
+				 .work_ms = 5};
+	struct load_opts lo = {.base = r.base,
+			       .path = "/" ROUTE "/",
+			       .keys = 64,
+			       .per_second = 300,
+			       .in_flight_max = 1000,
+			       .seed = 1};
+	bool ok;
+
+	load_init(&r.load, &lo);
+	ok = o.dir && cluster_start(&r.cluster, &o) && measure(&r, s);
+	cluster_stop(&r.cluster);
+	load_done(&r.load);
+	event_base_free(r.base);
+	return ok;
+}
+
+int main(int argc, char **argv)
+{
+	struct arg_str *bin = arg_str1(NULL, "bin", "DIR", "the programs");
+	struct arg_str *manifest = arg_str1(NULL, "manifest", "FILE", "");
+	struct arg_str *only = arg_str0(NULL, "only", "NAME", "one scenario");
+	struct arg_int *port = arg_int0(NULL, "port", "N", "first of 100");
+	struct arg_end *end = arg_end(4);
+	void *table[] = {bin, manifest, only, port, end};
+	int code = EXIT_SUCCESS;
+
+	signal(SIGPIPE, SIG_IGN);
+	if (arg_parse(argc, argv, table)) {
+		arg_print_errors(stderr, end, "recovery");
+		return EXIT_FAILURE;
+	}
+	for (int s = 0; s < SCENARIO_COUNT; s++) {
+		if (only->count &&
+		    strcmp(only->sval[0], scenario_names[s]) != 0)
+			continue;
+		if (!run_scenario(bin->sval[0], manifest->sval[0],
+				  port->count ? (uint16_t)port->ival[0] : 18500,
+				  s))
+			code = EXIT_FAILURE;
+	}
+	return code;
+}
--- a/core/ctx.c
+++ b/core/ctx.c
@@ -4,11 +4,16 @@
 
 #include "core/mem.h"
 
+/* Contact is shown at least this many times within its authority. */
+#define CONTACT_SHARE 3
+
 const struct timing timing_default = {
 	.heartbeat_ns = 250 * NS_PER_MS,
 	.lease_ns = 1200 * NS_PER_MS,
 	.detect_ns = 750 * NS_PER_MS,
-	.authority_ns = 15 * NS_PER_S,
+	/* Regions lose each other, and with it the store, for an hour. */
+	.authority_ns = 2 * 3600 * NS_PER_S,
+	.contact_ns = 5 * NS_PER_S,
 	.store_ns = 1500 * NS_PER_MS,
 	.watch_ns = 5 * NS_PER_S,
 	.drift_ppm = 10000,
@@ -99,3 +104,10 @@
 {
 	return t_ns - t_ns / 4 + rng_below(&c->rng, t_ns / 2 + 1);
 }
+
+uint64_t timing_contact_ns(const struct timing *t)
+{
+	uint64_t longest = t->authority_ns / CONTACT_SHARE;
+
+	return t->contact_ns < longest ? t->contact_ns : longest;
+}
--- a/core/ctx.h
+++ b/core/ctx.h
@@ -15,6 +15,7 @@
 	uint64_t lease_ns;     /* a confirmation holds that long */
 	uint64_t detect_ns;    /* silence after which a node is revoked */
 	uint64_t authority_ns; /* a keeper answers without the store */
+	uint64_t contact_ns;   /* between two signs of a keeper's contact */
 	uint64_t store_ns;     /* deadline of a store call */
 	uint64_t watch_ns;     /* deadline of a waiting watch */
 	uint64_t drift_ppm;    /* bound between two nodes' clocks */
@@ -22,6 +23,9 @@
 
 extern const struct timing timing_default;
 
+/** Time between two signs of contact, well within the authority it gives. */
+uint64_t timing_contact_ns(const struct timing *t);
+
 struct node_opts {
 	char name[JD_NAME_MAX];
 	char dc[JD_NAME_MAX];
--- a/core/keeper.c
+++ b/core/keeper.c
@@ -7,8 +7,6 @@
 #include "core/mem.h"
 #include "core/text.h"
 
-/* Contact is renewed this many times within the authority it gives. */
-#define CONTACT_SHARE	3
 /* Documents are sent again to a node that has not taken them. */
 #define PUSH_AGAIN_NS	(400 * NS_PER_MS)
 #define RETRY_NS	(40 * NS_PER_MS)
@@ -131,7 +129,7 @@
 
 static void renew_contact(struct keeper *k, struct ctx *c)
 {
-	uint64_t period = c->opts->timing.authority_ns / CONTACT_SHARE;
+	uint64_t period = timing_contact_ns(&c->opts->timing);
 	char name[JD_NAME_MAX];
 	struct doc *d;
 
--- a/core/membership.c
+++ b/core/membership.c
@@ -36,8 +36,10 @@
 	lease_init(&m->lease);
 }
 
-void membership_announce(struct membership *m, const char *service)
+void membership_announce(struct membership *m, const char *service,
+			 bool draining)
 {
+	m->upstream_draining = draining;
 	mem_copy_str(m->service, service, sizeof(m->service));
 }
 
@@ -119,6 +121,23 @@
 		 &(struct call_opts){.owner = CALL_BOOT, .kind = STORE_WATCH});
 }
 
+/*
+ * Earlier processes of this node are gone, since their peer address is ours
+ * now: their entries need no keeper to notice it, only the lease's time.
+ */
+static void revoke_predecessors(struct roster *r, const struct ctx *c)
+{
+	struct member *m;
+
+	list_for_each_entry(m, &r->members, link) {
+		if (m->inc == c->self || strcmp(m->name, c->opts->name) != 0 ||
+		    strcmp(m->peer_addr, c->opts->peer_addr) != 0)
+			continue;
+		m->state = MEMBER_REVOKED;
+		m->ousted = 0;
+	}
+}
+
 /* A roster with the own entry in it, to be written. */
 static struct doc *roster_with_self(struct membership *m, struct ctx *c)
 {
@@ -130,6 +149,7 @@
 	d->u.roster = old && old->u.roster
 			      ? roster_copy(old->u.roster)
 			      : roster_new(c->opts->dc, c->opts->region);
+	revoke_predecessors(d->u.roster, c);
 	self = roster_add(d->u.roster, c->opts->name, c->self);
 	mem_copy_str(self->service, m->service, sizeof(self->service));
 	mem_copy_str(self->peer_addr, c->opts->peer_addr,
@@ -202,7 +222,7 @@
  */
 static void join(struct membership *m, struct ctx *c)
 {
-	if (!m->service[0] || m->leaving)
+	if (!m->service[0] || m->leaving || m->upstream_draining)
 		return;
 	if (c->now_ns < m->next_try_ns || ctx_calling(c, CALL_JOIN))
 		return;
@@ -301,19 +321,32 @@
 	ctx_send(c, k->inc, k->peer_addr, msg);
 }
 
-/* Writes LEAVING into the own entry once the node drains. */
-static void announce_leaving(struct membership *m, struct ctx *c)
+/* LEAVING while the node or its upstream drains; UP again after the latter. */
+static bool wanted_state(const struct membership *m, const struct member *self,
+			 enum member_state *want)
+{
+	*want = m->leaving || m->upstream_draining ? MEMBER_LEAVING : MEMBER_UP;
+	if (self->state == MEMBER_REVOKED || self->state == *want)
+		return false;
+	return *want == MEMBER_LEAVING || m->marked;
+}
+
+static void write_state(struct membership *m, struct ctx *c)
 {
 	const struct doc *old = view_doc(&c->view, DOC_ROSTER, c->opts->dc);
 	const struct member *self = own_entry(c);
+	enum member_state want;
 	struct doc *d;
 
-	if (!m->leaving || !self || self->state != MEMBER_UP ||
+	if (self && self->state == MEMBER_UP && !m->upstream_draining)
+		m->marked = false;
+	if (!self || !wanted_state(m, self, &want) ||
 	    c->now_ns < m->next_try_ns || ctx_calling(c, CALL_JOIN))
 		return;
+	m->marked |= want == MEMBER_LEAVING && !m->leaving;
 	d = doc_new(DOC_ROSTER, c->opts->dc);
 	d->u.roster = roster_copy(old->u.roster);
-	roster_find(d->u.roster, c->self)->state = MEMBER_LEAVING;
+	roster_find(d->u.roster, c->self)->state = want;
 	write_roster(c, d);
 }
 
@@ -330,7 +363,7 @@
 		beat(m, c);
 		read_own_entry(m, c);
 		change_keeper(m, c);
-		announce_leaving(m, c);
+		write_state(m, c);
 		break;
 	}
 }
@@ -351,6 +384,7 @@
 	membership_init(&fresh);
 	mem_copy_str(fresh.service, m->service, sizeof(fresh.service));
 	fresh.leaving = m->leaving;
+	fresh.upstream_draining = m->upstream_draining;
 	fresh.state = MEMBERSHIP_BOOT;
 	fresh.next_try_ns = c->now_ns + ctx_jitter(c, 100 * NS_PER_MS);
 	*m = fresh;
@@ -404,7 +438,7 @@
 		ev->status == STATUS_OK || ev->status == STATUS_CONFLICT;
 
 	if (boot_read && ev->status == STATUS_OK) {
-		view_sync(&c->view, 0, ev->revision, &ev->docs);
+		view_snapshot(&c->view, ev->revision, &ev->docs);
 		if (m->state == MEMBERSHIP_BOOT)
 			booted(m, c);
 	}
--- a/core/membership.h
+++ b/core/membership.h
@@ -16,6 +16,8 @@
 	struct lease lease;
 	char service[JD_NAME_MAX]; /* of the upstream; empty: not announced */
 	bool leaving;		   /* drains; wants its entry to say so */
+	bool upstream_draining;	   /* by the upstream's own word */
+	bool marked;		   /* our LEAVING is the upstream's draining */
 	bool join_unknown;	   /* the last write may have taken effect */
 	incarnation_t keeper;
 	uint64_t term;
@@ -32,8 +34,12 @@
 
 void membership_init(struct membership *m);
 
-/** The upstream announced itself: the node may join. */
-void membership_announce(struct membership *m, const char *service);
+/**
+ * The upstream announced itself: the node may join. While the upstream
+ * drains the entry says LEAVING, so that its keys move away.
+ */
+void membership_announce(struct membership *m, const char *service,
+			 bool draining);
 
 /** Does what is due; membership_next_ns() says when again. */
 void membership_work(struct membership *m, struct ctx *c);
--- a/core/node.c
+++ b/core/node.c
@@ -210,7 +210,7 @@
 	const struct member *self =
 		view_member(&n->ctx.view, n->ctx.self, NULL);
 
-	if (self && self->state == MEMBER_LEAVING)
+	if (self && self->state == MEMBER_LEAVING && !n->membership.marked)
 		on_drain(n);
 }
 
@@ -321,7 +321,8 @@
 		break;
 	case EV_ANNOUNCE:
 		gate_announce(&n->gate, c, &ev->u.announce);
-		membership_announce(&n->membership, ev->u.announce.service);
+		membership_announce(&n->membership, ev->u.announce.service,
+				    ev->u.announce.draining);
 		break;
 	case EV_DRAIN:
 		on_drain(n);
--- a/core/planner.c
+++ b/core/planner.c
@@ -51,9 +51,10 @@
 static void claim(struct planner *p, struct ctx *c)
 {
 	const struct doc *old = view_doc(&c->view, DOC_PLANNER, "");
+	bool held = old && !doc_absent(old);
 	struct doc *d;
 
-	if (old && !doc_absent(old) && old->u.planner.holder != c->self) {
+	if (held && old->u.planner.holder != c->self) {
 		p->next_claim_ns = 0;
 		return;
 	}
@@ -68,7 +69,7 @@
 	ctx_call(c, &(struct call_opts){.owner = CALL_PLANNER,
 					.kind = STORE_CAS,
 					.doc_kind = DOC_PLANNER,
-					.revision = old ? old->revision : 0,
+					.revision = held ? old->revision : 0,
 					.ttl_ms = LEASE_TTL_MS,
 					.step = STEP_LEASE,
 					.doc = d});
--- a/core/taker.c
+++ b/core/taker.c
@@ -5,8 +5,6 @@
 
 #include "core/mem.h"
 
-/* Contacts are listed this many times within a keeper's authority. */
-#define LIST_SHARE	  3
 #define LIST_AGAIN_NS	  (200 * NS_PER_MS)
 #define SCAN_NS		  (250 * NS_PER_MS)
 /* Contacts of nodes long gone that are removed after one list. */
@@ -164,8 +162,8 @@
 		return;
 	if (c->now_ns >= t->next_list_ns) {
 		t->next_list_ns =
-			c->now_ns + ctx_jitter(c, c->opts->timing.authority_ns /
-							  LIST_SHARE);
+			c->now_ns +
+			ctx_jitter(c, timing_contact_ns(&c->opts->timing));
 		ctx_call(c, &(struct call_opts){.owner = CALL_TAKER,
 						.kind = STORE_LIST,
 						.doc_kind = DOC_CONTACT});
--- a/core/view.c
+++ b/core/view.c
@@ -171,7 +171,8 @@
 {
 	struct doc *old = find(v, &d->key);
 
-	if (old && old->revision >= d->revision) {
+	/* One that is not held although the view is complete was removed. */
+	if (d->revision <= (old ? old->revision : v->revision)) {
 		doc_delete(d);
 		return false;
 	}
@@ -228,6 +229,40 @@
 		v->revision = to;
 }
 
+static bool contains(const struct list *docs, const struct doc_key *key)
+{
+	const struct doc *d;
+
+	list_for_each_entry(d, docs, link)
+		if (doc_key_equal(&d->key, key))
+			return true;
+	return false;
+}
+
+/* An absent document for each held one that the snapshot lacks. */
+static void add_removed(const struct view *v, revision_t to, struct list *docs)
+{
+	for (int i = 0; i < DOC_KIND_COUNT; i++) {
+		const struct doc *held;
+
+		list_for_each_entry(held, &v->docs[i], link) {
+			struct doc *d;
+
+			if (held->revision >= to || contains(docs, &held->key))
+				continue;
+			d = doc_new(held->key.kind, held->key.name);
+			d->revision = to;
+			list_push_back(docs, &d->link);
+		}
+	}
+}
+
+void view_snapshot(struct view *v, revision_t to, struct list *docs)
+{
+	add_removed(v, to, docs);
+	view_sync(v, 0, to, docs);
+}
+
 const struct doc *view_doc(const struct view *v, enum doc_kind kind,
 			   const char *name)
 {
--- a/core/view.h
+++ b/core/view.h
@@ -30,6 +30,12 @@
 void view_sync(struct view *v, revision_t from, revision_t to,
 	       struct list *docs);
 
+/**
+ * Takes all documents that the store has at @to. It names no removed ones:
+ * what is held and not among them is gone.
+ */
+void view_snapshot(struct view *v, revision_t to, struct list *docs);
+
 /** The held document, also an absent one; NULL if never seen. */
 const struct doc *view_doc(const struct view *v, enum doc_kind kind,
 			   const char *name);
--- a/tests/membership_test.cpp
+++ b/tests/membership_test.cpp
@@ -11,7 +11,7 @@
 	{
 		CoreRig::SetUp();
 		membership_init(&m);
-		membership_announce(&m, "book");
+		membership_announce(&m, "book", false);
 	}
 
 	void give(struct action *a, bool answered = true)
@@ -172,3 +172,36 @@
 	message_delete(ack);
 	EXPECT_EQ(m.lease.deadline_ns, before);
 }
+
+TEST_F(MembershipTest, ARestartedNodeRevokesItsPredecessor)
+{
+	work();
+	incarnation_t first = c.self;
+
+	/* The process starts anew: it knows nothing of its former entry. */
+	view_done(&c.view);
+	view_init(&c.view);
+	membership_init(&m);
+	membership_announce(&m, "book", false);
+	c.self = first + 1;
+	work();
+	EXPECT_EQ(entry("a", c.self).state, MEMBER_UP);
+	EXPECT_EQ(entry("a", first).state, MEMBER_REVOKED);
+}
+
+TEST_F(MembershipTest, ADrainingUpstreamMarksTheNodeAndUnmarksIt)
+{
+	work();
+	EXPECT_EQ(entry("a", c.self).state, MEMBER_UP);
+	membership_announce(&m, "book", true);
+	c.now_ns += NS_PER_S;
+	work();
+	EXPECT_EQ(entry("a", c.self).state, MEMBER_LEAVING);
+	EXPECT_TRUE(m.marked);
+	membership_announce(&m, "book", false);
+	c.now_ns += NS_PER_S;
+	work();
+	EXPECT_EQ(entry("a", c.self).state, MEMBER_UP);
+	work();
+	EXPECT_FALSE(m.marked);
+}
--- a/tests/taker_test.cpp
+++ b/tests/taker_test.cpp
@@ -7,12 +7,15 @@
 static const incarnation_t NODE = 42;
 static const incarnation_t KEEPER = 77;
 
+static const uint64_t AUTHORITY_NS = 15 * NS_PER_S;
+
 class TakerTest : public CoreRig
 {
 protected:
 	void SetUp() override
 	{
 		CoreRig::SetUp();
+		opts.timing.authority_ns = AUTHORITY_NS;
 		taker_init(&t);
 	}
 
@@ -71,8 +74,7 @@
 	struct taker t;
 };
 
-static const uint64_t SILENCE_NS =
-	timing_default.authority_ns + timing_default.lease_ns;
+static const uint64_t SILENCE_NS = AUTHORITY_NS + timing_default.lease_ns;
 
 TEST_F(TakerTest, ANodeWithoutAKeeperGetsOneAtOnce)
 {
--- a/tests/view_test.cpp
+++ b/tests/view_test.cpp
@@ -61,6 +61,41 @@
 	EXPECT_EQ(view_member(&v, 8, nullptr), nullptr);
 }
 
+TEST_F(View, WhatASnapshotLacksIsGoneAndDoesNotComeBack)
+{
+	struct doc *d = doc_new(DOC_PLANNER, "");
+	struct list docs;
+
+	d->revision = 5;
+	d->u.planner.holder = 7;
+	view_apply(&v, d);
+	list_init(&docs);
+	list_push_back(&docs, &roster("dc1", 8)->link);
+	view_snapshot(&v, 9, &docs);
+	EXPECT_EQ(view_planner(&v).holder, 0u);
+	EXPECT_NE(view_roster(&v, "dc1"), nullptr);
+	EXPECT_EQ(v.revision, 9u);
+	d = doc_new(DOC_PLANNER, "");
+	d->revision = 6;
+	d->u.planner.holder = 7;
+	EXPECT_FALSE(view_apply(&v, d));
+	EXPECT_EQ(view_planner(&v).holder, 0u);
+}
+
+/* A snapshot names no removed document; a lagging node may still send it. */
+TEST_F(View, ARemovedDocumentFromALaggingNodeIsDropped)
+{
+	struct doc *d = doc_new(DOC_PLANNER, "");
+	struct list docs;
+
+	list_init(&docs);
+	view_snapshot(&v, 9, &docs);
+	d->revision = 5;
+	d->u.planner.holder = 7;
+	EXPECT_FALSE(view_apply(&v, d));
+	EXPECT_EQ(view_planner(&v).holder, 0u);
+}
+
 TEST_F(View, ForgetsMembersOfAReplacedRoster)
 {
 	struct doc *d = roster("dc1", 2);
