How long a data centre taken out and a draining upstream get new work

make recovery has two more kinds: the manifest takes a data centre out, an upstream drains by its own word.

--- a/chaos/cluster.c
+++ b/chaos/cluster.c
@@ -196,10 +196,10 @@
 	free(http_call(c->store_addr, "/admin/fault", json, 1000, &st));
 }
 
-static bool apply(struct cluster *c)
+bool cluster_apply(struct cluster *c, const char *manifest)
 {
-	const char *args[] = {"jackdaw", "--store",	   c->store_addr,
-			      "apply",	 c->opts.manifest, NULL};
+	const char *args[] = {"jackdaw", "--store", c->store_addr,
+			      "apply",	 manifest,  NULL};
 	int status = -1;
 
 	for (int i = 0; i < 50 && status; i++) {
@@ -222,7 +222,7 @@
 	text_format(c->store_addr, sizeof(c->store_addr), "127.0.0.1:%u",
 		    o->port);
 	c->store = spawn(c, "store", args[0], args);
-	if (!apply(c))
+	if (!cluster_apply(c, c->opts.manifest))
 		return false;
 	for (uint32_t i = 0; i < o->nodes; i++) {
 		name_node(c, i);
--- a/chaos/cluster.h
+++ b/chaos/cluster.h
@@ -45,6 +45,9 @@
 /** Starts the store, applies the manifest, starts all nodes. */
 bool cluster_start(struct cluster *c, const struct cluster_opts *o);
 
+/** Puts @manifest in force; false when the store refuses it. */
+bool cluster_apply(struct cluster *c, const char *manifest);
+
 /** Ends all processes that it started. */
 void cluster_stop(struct cluster *c);
 
--- a/chaos/history.c
+++ b/chaos/history.c
@@ -5,6 +5,7 @@
 #include <string.h>
 
 #include "core/mem.h"
+#include "core/text.h"
 
 #define LINE_MAX_BYTES 512
 
@@ -139,3 +140,21 @@
 	free(r.items);
 	return ok;
 }
+
+uint64_t history_last_start_ns(const char *path, const char *addr)
+{
+	FILE *f = fopen(path, "r");
+	char line[LINE_MAX_BYTES], want[LINE_MAX_BYTES / 4];
+	uint64_t last = 0;
+	struct started s;
+
+	if (!f)
+		return 0;
+	text_format(want, sizeof(want), " upstream=%s ", addr);
+	while (fgets(line, sizeof(line), f))
+		if (strstr(line, want) && parse_line(line, &s) &&
+		    s.time_ns > last)
+			last = s.time_ns;
+	fclose(f);
+	return last;
+}
--- a/chaos/history.h
+++ b/chaos/history.h
@@ -20,4 +20,10 @@
 bool history_check(const struct load *l, const char *path,
 		   struct history_verdict *v);
 
+/**
+ * When the upstream at @addr last started an order, by the record at @path;
+ * 0 if it never did.
+ */
+uint64_t history_last_start_ns(const char *path, const char *addr);
+
 #endif
--- a/chaos/recovery_main.c
+++ b/chaos/recovery_main.c
@@ -6,10 +6,12 @@
 #include <unistd.h>
 
 #include "chaos/cluster.h"
+#include "chaos/history.h"
 #include "chaos/load.h"
 #include "cli/http_call.h"
 #include "core/text.h"
 #include "io/clock.h"
+#include "io/file.h"
 
 #define ROUTE	  "archive"
 #define BOOT_S	  6
@@ -31,6 +33,8 @@
 	STORE_DOWN,	 /* the store is away for 6 s, nothing else */
 	STORE_DOWN_KILL, /* the store is away for 4 s, a VM is lost in it */
 	PLANNED_STOP,	 /* SIGTERM */
+	DC_OUT,		 /* a data centre is taken out by the manifest */
+	UPSTREAM_DRAINS, /* by its own word */
 	SCENARIO_COUNT,
 };
 
@@ -44,6 +48,8 @@
 	[STORE_DOWN] = "store_down",
 	[STORE_DOWN_KILL] = "store_down_then_killed_node",
 	[PLANNED_STOP] = "planned_stop",
+	[DC_OUT] = "data_centre_out",
+	[UPSTREAM_DRAINS] = "upstream_drains",
 };
 
 struct recovery {
@@ -97,6 +103,35 @@
 	r->load.up[i] = true;
 }
 
+/* The manifest with data centre 1 taken out, in a file beside the logs. */
+static void take_out(struct recovery *r)
+{
+	static const char name[] = "name = \"dc-1\"\n";
+	char path[CLUSTER_PATH_MAX];
+	struct status st;
+	char *text = file_read(r->cluster.opts.manifest, &st);
+	char *at = text ? strstr(text, name) : NULL;
+	FILE *f;
+
+	text_format(path, sizeof(path), "%s/out.toml", r->cluster.opts.dir);
+	f = at ? fopen(path, "w") : NULL;
+	if (f) {
+		at += strlen(name);
+		fprintf(f, "%.*sstate = \"out\"\n%s", (int)(at - text), text,
+			at);
+		fclose(f);
+		cluster_apply(&r->cluster, path);
+	}
+	free(text);
+}
+
+static void drain_upstream(const struct cluster_node *n)
+{
+	struct status st;
+
+	free(http_call(n->upstream_addr, "/admin/drain", NULL, 1000, &st));
+}
+
 static void cause(struct recovery *r, enum scenario s)
 {
 	switch (s) {
@@ -130,9 +165,29 @@
 		r->load.up[1] = false;
 		cluster_node_term(&r->cluster, 1);
 		break;
+	case DC_OUT:
+		take_out(r);
+		break;
+	case UPSTREAM_DRAINS:
+		drain_upstream(&r->cluster.nodes[1]);
+		break;
 	}
 }
 
+/* How long after @from the node's upstream still got new work. */
+static void print_last_work(const struct recovery *r, enum scenario s,
+			    uint32_t i, uint64_t from)
+{
+	char record[CLUSTER_PATH_MAX];
+	uint64_t last;
+
+	text_format(record, sizeof(record), "%s/record", r->cluster.opts.dir);
+	last = history_last_start_ns(record, r->cluster.nodes[i].upstream_addr);
+	printf("bench: name=last_new_work_%s node=%s value=%lu unit=ms\n",
+	       scenario_names[s], r->cluster.nodes[i].name,
+	       (unsigned long)(last > from ? (last - from) / NS_PER_MS : 0));
+}
+
 static bool measure(struct recovery *r, enum scenario s)
 {
 	uint64_t from;
@@ -148,6 +203,11 @@
 	printf("bench: name=recovery_%s value=%lu unit=ms target=%d\n",
 	       scenario_names[s],
 	       (unsigned long)load_unavailable_ms(&r->load, from), TARGET_MS);
+	if (s == DC_OUT)
+		for (uint32_t i = 1; i < NODES; i += DCS)
+			print_last_work(r, s, i, from);
+	if (s == UPSTREAM_DRAINS)
+		print_last_work(r, s, 1, from);
 	fflush(stdout);
 	return load_count(&r->load, OP_DONE) > 0;
 }
--- a/core/request_key.c
+++ b/core/request_key.c
@@ -94,14 +94,3 @@
 {
 	payload_strip(&a->payload, "X-Jackdaw-");
 }
-
-bool request_idempotent(const struct http_request *r)
-{
-	static const char *const methods[] = {"GET", "HEAD", "OPTIONS", "PUT",
-					      "DELETE"};
-
-	for (size_t i = 0; i < sizeof(methods) / sizeof(*methods); i++)
-		if (!strcmp(r->method, methods[i]))
-			return true;
-	return false;
-}
--- a/core/request_key.h
+++ b/core/request_key.h
@@ -28,7 +28,4 @@
 /** Removes headers of an answer that only jackdawd may set. */
 void answer_strip(struct http_answer *a);
 
-/** True for methods that may run twice without harm. */
-bool request_idempotent(const struct http_request *r);
-
 #endif
--- a/tests/request_key_test.cpp
+++ b/tests/request_key_test.cpp
@@ -91,18 +91,14 @@
 	EXPECT_STREQ(payload_header(&r->payload, "X-Other"), "kept");
 }
 
-TEST_F(RequestKey, OnlyMethodsThatMayRunTwiceAreIdempotent)
+TEST_F(RequestKey, OnlyMethodsThatMayRunTwiceAreIdempotentByDefault)
 {
-	for (const char *m : {"GET", "HEAD", "OPTIONS", "PUT", "DELETE"}) {
-		struct http_request *q = http_request_new(m, "/");
+	struct manifest *m = manifest_new();
+	const struct route *fresh = manifest_add_route(m);
 
-		EXPECT_TRUE(request_idempotent(q)) << m;
-		http_request_delete(q);
-	}
-	for (const char *m : {"POST", "PATCH"}) {
-		struct http_request *q = http_request_new(m, "/");
-
-		EXPECT_FALSE(request_idempotent(q)) << m;
-		http_request_delete(q);
-	}
+	for (const char *name : {"GET", "HEAD", "OPTIONS", "PUT", "DELETE"})
+		EXPECT_TRUE(route_idempotent(fresh, name)) << name;
+	for (const char *name : {"POST", "PATCH"})
+		EXPECT_FALSE(route_idempotent(fresh, name)) << name;
+	manifest_delete(m);
 }
