One loop takes a store's documents; one place watches a connection

Cause: taking each document of a store's answer into the view stood in six places beside view_sync()'s own loop, and the way round evhttp's blindness for callers that go away in the front and again in the upstream stand-in. Change: view_apply_all() and io/http_watch serve them all.

--- a/core/keeper.c
+++ b/core/keeper.c
@@ -551,7 +551,6 @@
 		      struct ev_store *ev)
 {
 	struct keeper_dc *dc = dc_get(k, call->key.name);
-	struct doc *d, *tmp;
 	bool reread = false;
 	bool answered =
 		ev->status == STATUS_OK || ev->status == STATUS_CONFLICT;
@@ -571,12 +570,9 @@
 		dc->dirty = true;
 		dc->next_try_ns = c->now_ns + ctx_jitter(c, RETRY_NS);
 	}
-	list_for_each_entry_safe(d, tmp, &ev->docs, link) {
-		list_remove(&d->link);
-		if (view_apply(&c->view, d) && call->kind == STORE_CAS &&
-		    ev->status == STATUS_OK)
-			k->released = true;
-	}
+	if (view_apply_all(&c->view, &ev->docs) && call->kind == STORE_CAS &&
+	    ev->status == STATUS_OK)
+		k->released = true;
 	if (answered && view_roster(&c->view, call->key.name))
 		keeper_observe(k, c, view_roster(&c->view, call->key.name),
 			       call->stretch);
--- a/core/membership.c
+++ b/core/membership.c
@@ -432,7 +432,6 @@
 void membership_on_store(struct membership *m, struct ctx *c,
 			 const struct call *call, struct ev_store *ev)
 {
-	struct doc *d, *tmp;
 	bool boot_read = call->owner == CALL_BOOT;
 	bool answered =
 		ev->status == STATUS_OK || ev->status == STATUS_CONFLICT;
@@ -442,10 +441,7 @@
 		if (m->state == MEMBERSHIP_BOOT)
 			booted(m, c);
 	}
-	list_for_each_entry_safe(d, tmp, &ev->docs, link) {
-		list_remove(&d->link);
-		view_apply(&c->view, d);
-	}
+	view_apply_all(&c->view, &ev->docs);
 	if (call->owner == CALL_CONFIRM && ev->status == STATUS_OK)
 		confirm_from_store(m, c, call);
 	if (call->owner == CALL_JOIN && !answered) {
--- a/core/planner.c
+++ b/core/planner.c
@@ -295,12 +295,7 @@
 void planner_on_store(struct planner *p, struct ctx *c, const struct call *call,
 		      struct ev_store *ev)
 {
-	struct doc *d, *tmp;
-
-	list_for_each_entry_safe(d, tmp, &ev->docs, link) {
-		list_remove(&d->link);
-		view_apply(&c->view, d);
-	}
+	view_apply_all(&c->view, &ev->docs);
 	if (call->step == STEP_LEASE) {
 		on_lease(p, c, call, ev);
 		return;
--- a/core/sweep.c
+++ b/core/sweep.c
@@ -139,14 +139,10 @@
 
 static void on_write(struct sweep *s, struct ctx *c, struct ev_store *ev)
 {
-	struct doc *d, *tmp;
 
 	if (ev->status != STATUS_OK)
 		fail(s, c);
-	list_for_each_entry_safe(d, tmp, &ev->docs, link) {
-		list_remove(&d->link);
-		view_apply(&c->view, d);
-	}
+	view_apply_all(&c->view, &ev->docs);
 	if (--s->writing == 0)
 		s->state = SWEEP_IDLE;
 }
@@ -154,7 +150,6 @@
 void sweep_on_store(struct sweep *s, struct ctx *c, const struct call *call,
 		    struct ev_store *ev)
 {
-	struct doc *d, *tmp;
 
 	if (s->state == SWEEP_WRITE) {
 		on_write(s, c, ev);
@@ -172,9 +167,6 @@
 		list_kind(c, DOC_ROSTER);
 		return;
 	}
-	list_for_each_entry_safe(d, tmp, &ev->docs, link) {
-		list_remove(&d->link);
-		view_apply(&c->view, d);
-	}
+	view_apply_all(&c->view, &ev->docs);
 	write_maps(s, c);
 }
--- a/core/taker.c
+++ b/core/taker.c
@@ -277,12 +277,7 @@
 /* What was taken needs another list; what failed, another try. */
 static void on_roster(struct taker *t, struct ctx *c, struct ev_store *ev)
 {
-	struct doc *d, *tmp;
-
-	list_for_each_entry_safe(d, tmp, &ev->docs, link) {
-		list_remove(&d->link);
-		view_apply(&c->view, d);
-	}
+	view_apply_all(&c->view, &ev->docs);
 	if (t->next_list_ns > c->now_ns + LIST_AGAIN_NS)
 		t->next_list_ns = c->now_ns + LIST_AGAIN_NS;
 }
--- a/core/view.c
+++ b/core/view.c
@@ -188,6 +188,18 @@
 	return true;
 }
 
+bool view_apply_all(struct view *v, struct list *docs)
+{
+	struct doc *d, *tmp;
+	bool any = false;
+
+	list_for_each_entry_safe(d, tmp, docs, link) {
+		list_remove(&d->link);
+		any |= view_apply(v, d);
+	}
+	return any;
+}
+
 /* False when @d doesn't fit the held document. */
 static bool apply_delta(struct view *v, const struct doc_delta *d)
 {
@@ -219,12 +231,7 @@
 void view_sync(struct view *v, revision_t from, revision_t to,
 	       struct list *docs)
 {
-	struct doc *d, *tmp;
-
-	list_for_each_entry_safe(d, tmp, docs, link) {
-		list_remove(&d->link);
-		view_apply(v, d);
-	}
+	view_apply_all(v, docs);
 	if (from <= v->revision && to > v->revision)
 		v->revision = to;
 }
@@ -374,7 +381,7 @@
 	const struct list *head = &v->docs[kind];
 	const struct list *l = pos ? pos->link.next : head->next;
 
-	/* The analyzer loses track of the links in view_sync()'s walk. */
+	/* The analyzer loses track of the links in view_apply_all()'s walk. */
 	/* NOLINTNEXTLINE(clang-analyzer-core.NullDereference) */
 	for (; l != head; l = l->next) {
 		const struct doc *d = list_entry(l, struct doc, link);
--- a/core/view.h
+++ b/core/view.h
@@ -23,6 +23,9 @@
 /** Takes @d if it is newer than the one held, else frees it. */
 bool view_apply(struct view *v, struct doc *d);
 
+/** The same for each of @docs, which ends empty; true if any was newer. */
+bool view_apply_all(struct view *v, struct list *docs);
+
 /**
  * Takes all of @docs. They are all documents written in (from, to], so the
  * view is complete up to @to if it was up to @from.
--- a/fakes/upstream_server.c
+++ b/fakes/upstream_server.c
@@ -12,10 +12,10 @@
 #include "core/mem.h"
 #include "io/addr.h"
 #include "io/clock.h"
+#include "io/http_watch.h"
 
-#define ANNOUNCE_EVERY_MS   500
-#define PIPELINED_MAX_BYTES 65536
-#define CONN_BUCKETS	    64
+#define ANNOUNCE_EVERY_MS 500
+#define CONN_BUCKETS	  64
 
 /** A connection that has carried an order. */
 struct conn {
@@ -120,23 +120,6 @@
 	return c;
 }
 
-/*
- * evhttp does not read while an order runs and would not see the caller go;
- * its own read callback must not see bytes of a next one.
- */
-static void watch(struct evhttp_connection *http)
-{
-	struct bufferevent *bev = evhttp_connection_get_bufferevent(http);
-	bufferevent_event_cb on_event;
-	bufferevent_data_cb on_read, on_write;
-	void *arg;
-
-	bufferevent_getcb(bev, &on_read, &on_write, &on_event, &arg);
-	bufferevent_setcb(bev, NULL, on_write, on_event, arg);
-	bufferevent_setwatermark(bev, EV_READ, 0, PIPELINED_MAX_BYTES);
-	bufferevent_enable(bev, EV_READ);
-}
-
 static void reply(struct upstream_server *s, struct evhttp_request *req)
 {
 	struct evbuffer *b = evbuffer_new();
@@ -234,7 +217,7 @@
 	tv = until(end_ns + (fresh ? s->opts.conn_cost_ns : 0));
 	o->timer = evtimer_new(s->opts.base, on_done, o);
 	evtimer_add(o->timer, &tv);
-	watch(o->conn->http);
+	http_watch_close(o->conn->http);
 }
 
 static void on_order(struct upstream_server *s, struct evhttp_request *req)
--- a/io/front.c
+++ b/io/front.c
@@ -14,11 +14,11 @@
 #include "io/addr.h"
 #include "io/clock.h"
 #include "io/http_convert.h"
+#include "io/http_watch.h"
 
 #define CALLER_BUCKETS	     1024
 #define MAX_HEADERS_BYTES    (32 << 10)
 #define CONNECTION_TIMEOUT_S 120
-#define PIPELINED_MAX_BYTES  (64 << 10)
 #define HTTP_BAD_GATEWAY     502
 #define HTTP_GATEWAY_TIMEOUT 504
 
@@ -87,24 +87,6 @@
 	return NULL;
 }
 
-/*
- * While a request runs evhttp does not read, and would not see the caller go.
- * Bytes of a next request wait in the buffer, up to the mark: evhttp's own
- * callback must not see them before it is ready for them.
- */
-static void watch_connection(struct evhttp_connection *conn)
-{
-	struct bufferevent *bev = evhttp_connection_get_bufferevent(conn);
-	bufferevent_event_cb on_event;
-	bufferevent_data_cb on_read, on_write;
-	void *arg;
-
-	bufferevent_getcb(bev, &on_read, &on_write, &on_event, &arg);
-	bufferevent_setcb(bev, NULL, on_write, on_event, arg);
-	bufferevent_setwatermark(bev, EV_READ, 0, PIPELINED_MAX_BYTES);
-	bufferevent_enable(bev, EV_READ);
-}
-
 static struct caller *caller_new(struct front *f, struct evhttp_request *req)
 {
 	struct caller *c = mem_new(struct caller);
@@ -116,7 +98,7 @@
 	list_push_back(&f->callers[c->id % CALLER_BUCKETS], &c->link);
 	f->waiting++;
 	evhttp_connection_set_closecb(c->conn, on_close, c);
-	watch_connection(c->conn);
+	http_watch_close(c->conn);
 	return c;
 }
 
