--- /dev/null
+++ b/core/keymap.c
@@ -0,0 +1,248 @@
+#include "core/keymap.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "core/mem.h"
+
+/* Longer rows would be too coarse to even the load out. */
+#define JOINED_MAX  1024u
+/* A candidate this far below its share gets keys; moving them has a price. */
+#define BALANCE_LOW 0.6
+
+struct keymap *keymap_new(const char *service)
+{
+	struct keymap *m = mem_new(struct keymap);
+
+	mem_copy_str(m->service, service, sizeof(m->service));
+	list_init(&m->rows);
+	return m;
+}
+
+void keymap_delete(struct keymap *m)
+{
+	struct keyrow *r, *tmp;
+
+	if (!m)
+		return;
+	list_for_each_entry_safe(r, tmp, &m->rows, link)
+		free(r);
+	free(m);
+}
+
+struct keymap *keymap_copy(const struct keymap *m)
+{
+	struct keymap *c = keymap_new(m->service);
+	const struct keyrow *r;
+
+	c->fence = m->fence;
+	list_for_each_entry(r, &m->rows, link) {
+		struct keyrow *n = mem_dup(r, sizeof(*r));
+
+		list_push_back(&c->rows, &n->link);
+	}
+	return c;
+}
+
+struct keyrow *keymap_add(struct keymap *m, uint32_t from, uint32_t to)
+{
+	struct keyrow *r = mem_new(struct keyrow);
+
+	r->from = from;
+	r->to = to;
+	list_push_back(&m->rows, &r->link);
+	return r;
+}
+
+struct keyrow *keymap_find(const struct keymap *m, uint32_t key)
+{
+	struct keyrow *r;
+
+	list_for_each_entry(r, &m->rows, link)
+		if (key >= r->from && key <= r->to)
+			return r;
+	return NULL;
+}
+
+bool keymap_valid(const struct keymap *m)
+{
+	const struct keyrow *r;
+	uint32_t next = 0;
+
+	list_for_each_entry(r, &m->rows, link) {
+		if (r->from != next || r->to < r->from || r->fence > m->fence)
+			return false;
+		next = r->to + 1;
+	}
+	return next == KEYMAP_KEYS;
+}
+
+bool holder_equal(const struct holder_id *a, const struct holder_id *b)
+{
+	return a->born == b->born && !strcmp(a->node, b->node) &&
+	       !strcmp(a->instance, b->instance);
+}
+
+uint32_t keymap_keys_of(const struct keymap *m, const struct holder_id *id)
+{
+	const struct keyrow *r;
+	uint32_t n = 0;
+
+	list_for_each_entry(r, &m->rows, link)
+		if (holder_equal(&r->owner, id))
+			n += r->to - r->from + 1;
+	return n;
+}
+
+uint32_t keymap_rows_of(const struct keymap *m, const struct holder_id *id)
+{
+	const struct keyrow *r;
+	uint32_t n = 0;
+
+	list_for_each_entry(r, &m->rows, link)
+		n += holder_equal(&r->owner, id);
+	return n;
+}
+
+struct keyrow *keymap_split(struct keyrow *row, uint32_t from)
+{
+	struct keyrow *n = mem_dup(row, sizeof(*row));
+
+	n->from = from;
+	row->to = from - 1;
+	list_push_front(&row->link, &n->link);
+	return n;
+}
+
+void keymap_move(struct keymap *m, struct keyrow *row,
+		 const struct holder_id *to, const char *handover)
+{
+	row->owner = *to;
+	row->fence = ++m->fence;
+	row->target[0] = '\0';
+	mem_copy_str(row->handover, handover, sizeof(row->handover));
+}
+
+void keymap_join(struct keymap *m)
+{
+	struct keyrow *r, *tmp;
+	struct keyrow *last = NULL;
+
+	list_for_each_entry_safe(r, tmp, &m->rows, link) {
+		if (last && last->fence == r->fence &&
+		    holder_equal(&last->owner, &r->owner) &&
+		    !strcmp(last->handover, r->handover) &&
+		    !strcmp(last->target, r->target) &&
+		    r->to - last->from < JOINED_MAX) {
+			last->to = r->to;
+			list_remove(&r->link);
+			free(r);
+			continue;
+		}
+		last = r;
+	}
+}
+
+struct keymap_candidate *keymap_emptiest(struct list *candidates)
+{
+	struct keymap_candidate *best = NULL;
+	struct keymap_candidate *c;
+
+	list_for_each_entry(c, candidates, link) {
+		if (!c->weight)
+			continue;
+		if (!best || c->keys / c->weight < best->keys / best->weight)
+			best = c;
+	}
+	return best;
+}
+
+void keymap_deal(struct keymap *m, struct list *candidates)
+{
+	const struct keymap_candidate *c;
+	uint32_t n = 0;
+	uint32_t rows, from = 0;
+
+	list_for_each_entry(c, candidates, link)
+		n += c->weight > 0;
+	rows = n * KEYMAP_ROWS_EACH;
+	m->fence++;
+	for (uint32_t i = 0; i < rows; i++) {
+		uint32_t end = (uint32_t)((uint64_t)KEYMAP_KEYS * (i + 1) /
+					  rows);
+		struct keymap_candidate *to = keymap_emptiest(candidates);
+		struct keyrow *r = keymap_add(m, from, end - 1);
+
+		r->owner = to->id;
+		r->fence = m->fence;
+		to->keys += end - from;
+		from = end;
+	}
+}
+
+static struct keymap_candidate *candidate_of(struct list *candidates,
+					     const struct holder_id *id)
+{
+	struct keymap_candidate *c;
+
+	list_for_each_entry(c, candidates, link)
+		if (holder_equal(&c->id, id))
+			return c;
+	return NULL;
+}
+
+/* The row to take from the fullest one; NULL when it would gain nothing. */
+static struct keyrow *row_to_take(struct keymap *m, struct list *candidates,
+				  const struct keymap_candidate *to,
+				  double share)
+{
+	struct keyrow *best = NULL;
+	double most = 0;
+	struct keyrow *r;
+
+	list_for_each_entry(r, &m->rows, link) {
+		struct keymap_candidate *c =
+			candidate_of(candidates, &r->owner);
+		uint32_t n = r->to - r->from + 1;
+
+		if (!c || c == to || r->target[0])
+			continue;
+		if (c->keys - n < share * c->weight * BALANCE_LOW ||
+		    to->keys + n > share * to->weight * 1.2)
+			continue;
+		if (c->keys / (c->weight ? c->weight : 0.01) > most) {
+			most = c->keys / (c->weight ? c->weight : 0.01);
+			best = r;
+		}
+	}
+	return best;
+}
+
+bool keymap_balance(struct keymap *m, struct list *candidates)
+{
+	struct keymap_candidate *to = keymap_emptiest(candidates);
+	const struct keymap_candidate *c;
+	struct keyrow *r;
+	double weights = 0;
+	double share;
+	bool any = false;
+
+	list_for_each_entry(c, candidates, link)
+		weights += c->weight;
+	share = weights > 0 ? KEYMAP_KEYS / weights : 0;
+	while (to && to->keys < share * to->weight * BALANCE_LOW) {
+		while (to->keys < share * to->weight &&
+		       (r = row_to_take(m, candidates, to, share))) {
+			double n = r->to - r->from + 1;
+
+			candidate_of(candidates, &r->owner)->keys -= n;
+			to->keys += n;
+			mem_copy_str(r->target, to->id.node, sizeof(r->target));
+			any = true;
+		}
+		if (to->keys < share * to->weight * BALANCE_LOW)
+			break;
+		to = keymap_emptiest(candidates);
+	}
+	return any;
+}
--- /dev/null
+++ b/core/keyplan.c
@@ -0,0 +1,238 @@
+#include "core/keyplan.h"
+
+#include <string.h>
+
+#include "core/mem.h"
+
+/* Nodes that start together register within that time. */
+#define FIRST_DEAL_NS	(1500 * NS_PER_MS)
+/* And no further one has for as long. */
+#define SETTLED_NS	(500 * NS_PER_MS)
+#define LOOK_NS		(100 * NS_PER_MS)
+#define AGAIN_NS	(300 * NS_PER_MS)
+/* A node behind the first one in line waits as long for each before it. */
+#define RANK_NS		(250 * NS_PER_MS)
+/* Cards that lapsed while the store was away return within that time. */
+#define LAPSE_GRACE_NS	(2200 * NS_PER_MS)
+/* Trouble with the store is remembered for so long. */
+#define TROUBLE_NS	(10 * NS_PER_S)
+/* The same upstreams for as long, before keys are evened out. */
+#define STABLE_NS	(1500 * NS_PER_MS)
+/* Nodes whose keys one write moves: it has a condition for each. */
+#define ORPHANS_MAX	(STORE_EXPECT_MAX - 1)
+
+void keyplan_init(struct keyplan *p, uint64_t now_ns)
+{
+	memset(p, 0, sizeof(*p));
+	p->first_ns = now_ns + FIRST_DEAL_NS;
+	p->stable_ns = now_ns;
+}
+
+bool keyplan_on_end(struct keyplan *p, const struct mesh_ctx *c,
+		    const struct ev_store_end *e)
+{
+	if (!p->op || e->op != p->op)
+		return false;
+	p->op = 0;
+	p->next_ns = c->now_ns + (e->end == STORE_DONE ? LOOK_NS : AGAIN_NS);
+	return true;
+}
+
+static bool alive(const struct mesh_ctx *c, const struct dir_node *n)
+{
+	return n->revision && !n->leaving &&
+	       c->now_ns < n->heard_ns + DIR_SILENT_NS;
+}
+
+/* Place in line: how many live nodes have a lower name. */
+static uint32_t rank(const struct mesh_ctx *c)
+{
+	const struct dir_node *n;
+	uint32_t before = 0;
+
+	list_for_each_entry(n, &c->dir.nodes, link)
+		before += alive(c, n) && strcmp(n->name, c->opts->node) < 0;
+	return before;
+}
+
+static uint64_t waited_ns(const struct mesh_ctx *c, const struct session *s)
+{
+	uint64_t wait = RANK_NS * rank(c);
+
+	if (s->trouble_ns && c->now_ns < s->trouble_ns + TROUBLE_NS)
+		wait += LAPSE_GRACE_NS;
+	return wait;
+}
+
+/* True when @node has had no card for as long as this node has to wait. */
+static bool orphaned(const struct mesh_ctx *c, const char *node, uint64_t wait)
+{
+	const struct dir_node *n = directory_node(&c->dir, node);
+
+	return !n || (!n->revision && c->now_ns >= n->absent_ns + wait);
+}
+
+static void write_map(struct keyplan *p, struct mesh_ctx *c, struct keymap *map,
+		      struct act_store_call *a)
+{
+	struct record *rec = record_new(RECORD_KEYMAP, map->service);
+
+	keymap_join(map);
+	rec->u.keymap = map;
+	list_push_back(&a->puts, &rec->link);
+	p->op = a->op;
+}
+
+static void deal(struct keyplan *p, struct mesh_ctx *c, const char *service,
+		 struct list *candidates)
+{
+	struct keymap *map = keymap_new(service);
+	struct act_store_call *a = mesh_store_call(c, CALL_WRITE);
+
+	mesh_expect(a, RECORD_KEYMAP, service, 0);
+	keymap_deal(map, candidates);
+	write_map(p, c, map, a);
+	p->deals++;
+	mesh_log(c->out, LOG_INFO, "event=keys_dealt service=%s", service);
+}
+
+static bool expected(const struct act_store_call *a, const char *node)
+{
+	for (uint32_t i = 0; i < a->expect_count; i++)
+		if (!strcmp(a->expect[i].name, node))
+			return true;
+	return false;
+}
+
+/* Keys of nodes without a card go on, under the condition that it is so. */
+static bool adopt(struct keyplan *p, struct mesh_ctx *c,
+		  const struct session *s, const struct dir_keymap *k,
+		  struct list *candidates)
+{
+	uint64_t wait = waited_ns(c, s);
+	struct act_store_call *a = NULL;
+	struct keymap *map = NULL;
+	struct keyrow *r;
+	uint32_t keys = 0;
+
+	list_for_each_entry(r, &k->map->rows, link) {
+		struct keymap_candidate *to = keymap_emptiest(candidates);
+		struct keyrow *mine;
+
+		if (!to || !orphaned(c, r->owner.node, wait))
+			continue;
+		if (!a) {
+			a = mesh_store_call(c, CALL_WRITE);
+			mesh_expect(a, RECORD_KEYMAP, k->map->service,
+				    k->revision);
+			map = keymap_copy(k->map);
+		}
+		if (!expected(a, r->owner.node)) {
+			if (a->expect_count > ORPHANS_MAX)
+				continue;
+			mesh_expect(a, RECORD_CARD, r->owner.node, 0);
+		}
+		mine = keymap_find(map, r->from);
+		to->keys += r->to - r->from + 1;
+		keys += r->to - r->from + 1;
+		keymap_move(map, mine, &to->id, "");
+	}
+	if (!a)
+		return false;
+	write_map(p, c, map, a);
+	p->orphan_moves += keys;
+	mesh_log(c->out, LOG_INFO,
+		 "event=keys_adopted service=%s keys=%u nodes=%u revision=%lu",
+		 map->service, keys, a->expect_count - 1,
+		 (unsigned long)k->revision);
+	return true;
+}
+
+static bool any_target(const struct keymap *m)
+{
+	const struct keyrow *r;
+
+	list_for_each_entry(r, &m->rows, link)
+		if (r->target[0])
+			return true;
+	return false;
+}
+
+static void balance(struct keyplan *p, struct mesh_ctx *c,
+		    const struct dir_keymap *k, struct list *candidates)
+{
+	struct keymap *map;
+	struct act_store_call *a;
+
+	if (c->now_ns < p->stable_ns + STABLE_NS + RANK_NS * rank(c) ||
+	    any_target(k->map))
+		return;
+	map = keymap_copy(k->map);
+	if (!keymap_balance(map, candidates)) {
+		keymap_delete(map);
+		return;
+	}
+	a = mesh_store_call(c, CALL_WRITE);
+	mesh_expect(a, RECORD_KEYMAP, map->service, k->revision);
+	write_map(p, c, map, a);
+	p->balance_moves++;
+	mesh_log(c->out, LOG_INFO, "event=keys_balanced service=%s revision=%lu",
+		 map->service, (unsigned long)k->revision);
+}
+
+/* A number that changes with the set of candidates. */
+static uint64_t set_of(const struct list *candidates)
+{
+	const struct keymap_candidate *it;
+	uint64_t sum = 0;
+
+	list_for_each_entry(it, candidates, link)
+		sum += it->id.born * 31 + strlen(it->id.node) + 1;
+	return sum;
+}
+
+static void plan(struct keyplan *p, struct mesh_ctx *c,
+		 const struct session *s, const char *service)
+{
+	const struct dir_keymap *k = directory_keymap(&c->dir, service);
+	struct list candidates;
+	uint64_t set;
+
+	list_init(&candidates);
+	directory_candidates(&c->dir, service, c->now_ns, &candidates);
+	set = set_of(&candidates);
+	if (set != p->last_count) {
+		p->last_count = set;
+		p->stable_ns = c->now_ns;
+	}
+	if (list_empty(&candidates)) {
+		/* Nobody could take them. */
+	} else if (!k) {
+		if (c->now_ns >= p->first_ns + RANK_NS * rank(c) &&
+		    c->now_ns >= p->stable_ns + SETTLED_NS)
+			deal(p, c, service, &candidates);
+	} else if (!adopt(p, c, s, k, &candidates)) {
+		balance(p, c, k, &candidates);
+	}
+	candidates_delete(&candidates);
+}
+
+void keyplan_work(struct keyplan *p, struct mesh_ctx *c,
+		  const struct session *s)
+{
+	const struct service *sv;
+
+	if (p->op || c->now_ns < p->next_ns)
+		return;
+	p->next_ns = c->now_ns + LOOK_NS;
+	if (!c->dir.manifest || !session_authority_ns(s))
+		return;
+	list_for_each_entry(sv, &c->dir.manifest->services, link)
+		if (sv->keyed && !p->op)
+			plan(p, c, s, sv->name);
+}
+
+uint64_t keyplan_next_ns(const struct keyplan *p)
+{
+	return p->op ? UINT64_MAX : p->next_ns;
+}
--- a/core/manifest.c
+++ b/core/manifest.c
@@ -2,6 +2,7 @@
 
 #include <stdlib.h>
 #include <string.h>
+#include <strings.h>
 
 #include "core/mem.h"
 
@@ -29,6 +30,7 @@
 	list_init(&m->routes);
 	list_init(&m->organisations);
 	list_init(&m->data_centres);
+	list_init(&m->services);
 	return m;
 }
 
@@ -37,6 +39,7 @@
 	struct route *r, *rt;
 	struct organisation *o, *ot;
 	struct data_centre *d, *dt;
+	struct service *s, *st;
 
 	if (!m)
 		return;
@@ -46,6 +49,8 @@
 		free(o);
 	list_for_each_entry_safe(d, dt, &m->data_centres, link)
 		free(d);
+	list_for_each_entry_safe(s, st, &m->services, link)
+		free(s);
 	free(m);
 }
 
@@ -73,6 +78,9 @@
 	copy_items(&c->routes, &m->routes, struct route);
 	copy_items(&c->organisations, &m->organisations, struct organisation);
 	copy_items(&c->data_centres, &m->data_centres, struct data_centre);
+	copy_items(&c->services, &m->services, struct service);
+	c->limits = m->limits;
+	c->version = m->version;
 	return c;
 }
 
@@ -107,6 +115,25 @@
 	return d;
 }
 
+struct service *manifest_add_service(struct manifest *m)
+{
+	struct service *s = mem_new(struct service);
+
+	list_push_back(&m->services, &s->link);
+	return s;
+}
+
+const struct service *manifest_service(const struct manifest *m,
+				       const char *name)
+{
+	const struct service *s;
+
+	list_for_each_entry(s, &m->services, link)
+		if (!strcmp(s->name, name))
+			return s;
+	return NULL;
+}
+
 const struct route *manifest_route(const struct manifest *m, const char *name)
 {
 	const struct route *r;
@@ -140,11 +167,19 @@
 }
 
 const struct route *manifest_match(const struct manifest *m, const char *path)
+{
+	return manifest_match_host(m, "", path);
+}
+
+const struct route *manifest_match_host(const struct manifest *m,
+					const char *host, const char *path)
 {
 	const struct route *best = NULL;
 	const struct route *r;
 
 	list_for_each_entry(r, &m->routes, link) {
+		if (r->host[0] && strcasecmp(r->host, host) != 0)
+			continue;
 		if (strncmp(r->path, path, strlen(r->path)) != 0)
 			continue;
 		if (!best || strlen(r->path) > strlen(best->path))
--- a/core/manifest.h
+++ b/core/manifest.h
@@ -22,7 +22,7 @@
 };
 
 /** Methods that a route may declare idempotent; the bits of a mask. */
-enum http_method {
+enum route_method {
 	METHOD_GET,
 	METHOD_HEAD,
 	METHOD_OPTIONS,
@@ -38,15 +38,28 @@
 	char names[8][JD_NAME_MAX];
 };
 
+#define ROUTE_SPLITS_MAX 8
+
+/** A service's share of a route's requests. */
+struct split {
+	char service[JD_NAME_MAX];
+	uint32_t weight;
+};
+
 struct route {
 	struct list link;
 	char name[JD_NAME_MAX];
 	char service[JD_NAME_MAX];
+	char host[128]; /* the Host a request must name; empty: any */
 	char path[128]; /* prefix a request's path must have */
+	uint32_t split_count; /* 0: all requests go to @service */
+	struct split splits[ROUTE_SPLITS_MAX];
+	uint32_t priority;     /* rank under overload; 0 is served first */
+	uint32_t max_attempts; /* upstreams that one request may reach; 0: 1 */
 	enum route_kind kind;
 	struct key_rule key;
 	uint32_t shards;
-	uint32_t idempotent;	 /* mask of 1 << enum http_method */
+	uint32_t idempotent;	 /* mask of 1 << enum route_method */
 	uint64_t timeout_ms;	 /* deadline of a request that names none */
 	uint64_t max_body_bytes; /* of a request */
 	struct region_set home_regions;
@@ -61,6 +74,24 @@
 	uint32_t weight; /* share of a contended upstream */
 };
 
+/** What is known of a service beside its routes. */
+struct service {
+	struct list link;
+	char name[JD_NAME_MAX];
+	bool keyed;	       /* each key is held by one upstream */
+	double cold_per_s;     /* requests a second that a cold upstream bears;
+				  0: no bound */
+	uint32_t max_connections; /* of one upstream; 0: not stated */
+};
+
+/** Bounds on what callers may send; 0: not stated. */
+struct caller_limits {
+	uint64_t header_bytes;
+	uint64_t body_bytes;
+	uint64_t header_timeout_ms;
+	uint64_t idle_timeout_ms;
+};
+
 enum dc_state { DC_IN, DC_LEAVING, DC_OUT };
 
 struct data_centre {
@@ -74,6 +105,9 @@
 	struct list routes;	   /* of struct route */
 	struct list organisations; /* of struct organisation */
 	struct list data_centres;  /* of struct data_centre */
+	struct list services;	   /* of struct service */
+	struct caller_limits limits;
+	uint64_t version; /* of the operators' own count; 0: they keep none */
 	char change_id[64];	   /* of the apply that wrote it */
 };
 
@@ -84,6 +118,7 @@
 struct route *manifest_add_route(struct manifest *m);
 struct organisation *manifest_add_organisation(struct manifest *m);
 struct data_centre *manifest_add_data_centre(struct manifest *m);
+struct service *manifest_add_service(struct manifest *m);
 
 /** NULL when there is none of that name. */
 const struct route *manifest_route(const struct manifest *m, const char *name);
@@ -92,10 +127,17 @@
 const struct data_centre *manifest_data_centre(const struct manifest *m,
 					       const char *name);
 
+const struct service *manifest_service(const struct manifest *m,
+				       const char *name);
+
+/** Among the routes of @host, the one with the longest prefix of @path. */
+const struct route *manifest_match_host(const struct manifest *m,
+					const char *host, const char *path);
+
 /** The route with the longest path prefix of @path; NULL for none. */
 const struct route *manifest_match(const struct manifest *m, const char *path);
 
-/** Names of enum http_method, closed by NULL. */
+/** Names of enum route_method, closed by NULL. */
 extern const char *const method_names[METHOD_COUNT + 1];
 
 /** True when a request of @method may run twice on this route. */
--- /dev/null
+++ b/core/mesh.c
@@ -0,0 +1,380 @@
+#include "core/mesh.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "core/mem.h"
+
+/* Between two load reports to a node of the own region; twice that beyond. */
+#define LOAD_NS		(200 * NS_PER_MS)
+/* A large fleet spreads its reports: that much for each node. */
+#define LOAD_EACH_NS	(6 * NS_PER_MS)
+/* The first reports name their sender in full, as its card may be late. */
+#define LOAD_NAMED	30
+/* A first card waits that long for the upstream's announcement. */
+#define FIRST_CARD_NS	(1200 * NS_PER_MS)
+/* Callers notice within that time that the node is not ready any more. */
+#define UNREADY_NS	(2300 * NS_PER_MS)
+/* Kept of a planned stop's time for the process to end. */
+#define STOP_MARGIN_NS	(500 * NS_PER_MS)
+/* And that much for requests that were taken last. */
+#define STOP_FINISH_NS	(1500 * NS_PER_MS)
+#define RELAYS_MAX	16
+
+struct mesh *mesh_new(const struct mesh_opts *o, uint64_t now_ns)
+{
+	struct mesh *m = mem_new(struct mesh);
+
+	m->opts = *o;
+	m->ctx.opts = &m->opts;
+	m->ctx.now_ns = now_ns;
+	directory_init(&m->ctx.dir);
+	rng_init(&m->ctx.rng, o->seed);
+	session_init(&m->session, &m->opts);
+	m->session.card_wait_ns = now_ns + FIRST_CARD_NS;
+	holder_init(&m->holder, &m->opts, now_ns);
+	keyplan_init(&m->keyplan, now_ns);
+	gatekeeper_init(&m->gate);
+	dispatch_init(&m->dispatch, &m->opts);
+	return m;
+}
+
+void mesh_delete(struct mesh *m)
+{
+	dispatch_done(&m->dispatch);
+	gatekeeper_done(&m->gate);
+	holder_done(&m->holder);
+	directory_done(&m->ctx.dir);
+	free(m);
+}
+
+bool mesh_ready(const struct mesh *m)
+{
+	return m->stop == MESH_RUNS && m->ctx.dir.loaded &&
+	       m->ctx.dir.manifest;
+}
+
+static struct gate_side side(struct mesh *m)
+{
+	return (struct gate_side){.gate = &m->gate, .holder = &m->holder};
+}
+
+static void send_answer(struct mesh *m, struct work_end *e)
+{
+	struct message *msg = message_new(MSG_ANSWER);
+
+	msg->u.answer = e->answer;
+	gatekeeper_load(&m->gate, &m->ctx, &m->holder, &msg->u.answer.load);
+	mesh_send(&m->ctx, e->from, e->reply_to, msg);
+}
+
+/* Ends of attempts go to their entries; our own may start the next one. */
+static void deliver(struct mesh *m)
+{
+	struct gate_side g = side(m);
+	struct work_end *e;
+
+	while ((e = gatekeeper_pop(&m->gate))) {
+		if (e->from != m->opts.boot) {
+			send_answer(m, e);
+		} else {
+			dispatch_on_answer(&m->dispatch, &m->ctx, &g, e->from,
+					   &e->answer);
+			http_answer_delete(e->answer.answer);
+		}
+		free(e);
+	}
+}
+
+static void relay_renewal(struct mesh *m, uint64_t from,
+			  const struct msg_renew *r)
+{
+	struct act_store_call *a;
+
+	for (int i = 0; i < RELAYS_MAX; i++) {
+		if (m->relay_op[i])
+			continue;
+		a = mesh_store_call(&m->ctx, CALL_LEASE_KEEP);
+		a->lease = r->lease;
+		m->relay_op[i] = a->op;
+		m->relays[i] = *r;
+		m->relay_to[i] = from;
+		return;
+	}
+}
+
+static bool relay_on_end(struct mesh *m, const struct ev_store_end *e)
+{
+	for (int i = 0; i < RELAYS_MAX; i++) {
+		struct message *msg;
+
+		if (!m->relay_op[i] || m->relay_op[i] != e->op)
+			continue;
+		m->relay_op[i] = 0;
+		if (e->end != STORE_DONE && e->end != STORE_NO_LEASE)
+			return true;
+		msg = message_new(MSG_RENEWED);
+		msg->u.renewed.lease = m->relays[i].lease;
+		msg->u.renewed.sent_ns = m->relays[i].sent_ns;
+		msg->u.renewed.ended = e->end == STORE_NO_LEASE;
+		mesh_send(&m->ctx, m->relay_to[i], m->relays[i].reply_to, msg);
+		return true;
+	}
+	return false;
+}
+
+static void on_message(struct mesh *m, struct message *msg)
+{
+	struct mesh_ctx *c = &m->ctx;
+	struct gate_side g = side(m);
+	struct dir_node *n;
+
+	if (msg->to != m->opts.boot && msg->kind != MSG_LOAD)
+		return;
+	switch (msg->kind) {
+	case MSG_FORWARD:
+		n = directory_by_boot(&c->dir, msg->from);
+		gatekeeper_offer(
+			&m->gate, c, &m->holder, &msg->u.forward, msg->from,
+			n ? peer_clock_delay_ns(&n->clock,
+						msg->u.forward.sent_ns,
+						c->now_ns)
+			  : 0);
+		break;
+	case MSG_ANSWER:
+		dispatch_on_answer(&m->dispatch, c, &g, msg->from,
+				   &msg->u.answer);
+		break;
+	case MSG_CANCEL:
+		gatekeeper_cancel(&m->gate, c, msg->from, &msg->u.cancel);
+		break;
+	case MSG_LOAD:
+		directory_on_load(&c->dir, msg->from, &msg->u.load, c->now_ns);
+		session_on_revision(&m->session, c, msg->u.load.revision);
+		break;
+	case MSG_RENEW:
+		relay_renewal(m, msg->from, &msg->u.renew);
+		break;
+	case MSG_RENEWED:
+		session_on_renewed(&m->session, c, &msg->u.renewed);
+		break;
+	default:
+		break;
+	}
+}
+
+static void on_store(struct mesh *m, struct ev_store_end *e)
+{
+	if (!session_on_end(&m->session, &m->ctx, e) &&
+	    !holder_on_end(&m->holder, &m->ctx, e) &&
+	    !keyplan_on_end(&m->keyplan, &m->ctx, e))
+		relay_on_end(m, e);
+	records_delete(&e->records);
+}
+
+static void on_beat(struct mesh *m, struct upstream_beat *b)
+{
+	struct node_card card = m->session.card;
+
+	holder_on_beat(&m->holder, &m->ctx, &m->session, b);
+	held_rows_delete(&b->held);
+	held_rows_delete(&b->released);
+	if (!m->holder.known)
+		return;
+	card.upstream = m->holder.id;
+	card.slots = m->holder.slots;
+	card.draining = m->holder.draining;
+	session_set_card(&m->session, &card);
+}
+
+static void on_upstream_end(struct mesh *m, struct ev_upstream_end *e)
+{
+	if (e->refused_connection)
+		holder_on_gone(&m->holder, &m->ctx);
+	gatekeeper_on_end(&m->gate, &m->ctx, e);
+	http_answer_delete(e->answer);
+}
+
+static void on_stop(struct mesh *m)
+{
+	if (m->stop != MESH_RUNS)
+		return;
+	m->stop = MESH_UNREADY;
+	m->dispatch.stopping = true;
+	m->close_ns = m->ctx.now_ns + UNREADY_NS;
+	m->end_ns = m->ctx.now_ns + m->opts.stop_ns - STOP_MARGIN_NS;
+	mesh_log(m->ctx.out, LOG_INFO, "event=stopping requests=%u",
+		 m->dispatch.count);
+}
+
+static void dispatch_event(struct mesh *m, struct mesh_event *ev)
+{
+	struct mesh_ctx *c = &m->ctx;
+	struct gate_side g = side(m);
+
+	switch (ev->kind) {
+	case ME_TICK:
+		break;
+	case ME_REQUEST:
+		dispatch_on_request(&m->dispatch, c, &g, &ev->u.request);
+		http_request_delete(ev->u.request.request);
+		break;
+	case ME_CALLER_GONE:
+		dispatch_on_caller_gone(&m->dispatch, c, &g, ev->u.caller);
+		break;
+	case ME_UPSTREAM_END:
+		on_upstream_end(m, &ev->u.upstream);
+		break;
+	case ME_UPSTREAM_GONE:
+		holder_on_gone(&m->holder, c);
+		break;
+	case ME_BEAT:
+		on_beat(m, &ev->u.beat);
+		break;
+	case ME_MESSAGE:
+		on_message(m, ev->u.message);
+		message_delete(ev->u.message);
+		break;
+	case ME_STORE:
+		on_store(m, &ev->u.store);
+		break;
+	case ME_STOP:
+		on_stop(m);
+		break;
+	}
+}
+
+static void send_load(struct mesh *m, const struct dir_node *n)
+{
+	struct message *msg = message_new(MSG_LOAD);
+	struct msg_load *l = &msg->u.load;
+
+	if (m->loads < LOAD_NAMED)
+		mem_copy_str(l->node, m->opts.node, sizeof(l->node));
+	l->sent_ns = m->ctx.now_ns;
+	l->revision = m->ctx.dir.revision;
+	l->leaving = m->stop >= MESH_CLOSED;
+	gatekeeper_load(&m->gate, &m->ctx, &m->holder, &l->load);
+	mesh_send(&m->ctx, n->boot, n->card.peer_addr, msg);
+}
+
+/* The node's own line in its directory, without a message. */
+static void note_own_load(struct mesh *m)
+{
+	struct dir_node *n = directory_node(&m->ctx.dir, m->opts.node);
+
+	if (!n)
+		return;
+	n->boot = m->opts.boot;
+	n->heard_ns = m->ctx.now_ns;
+	n->leaving = m->stop >= MESH_CLOSED;
+	n->sent = 0;
+	gatekeeper_load(&m->gate, &m->ctx, &m->holder, &n->load);
+	if (n->revision)
+		return;
+	/* Before its own card is in the store. */
+	n->card = m->session.card;
+}
+
+static void report_load(struct mesh *m)
+{
+	struct mesh_ctx *c = &m->ctx;
+	bool open = holder_open(&m->holder, c) && m->stop < MESH_CLOSED;
+	bool changed = open != m->was_open;
+	uint64_t each = LOAD_EACH_NS;
+	struct dir_node *n;
+	uint32_t count = 0;
+
+	note_own_load(m);
+	if (!c->dir.loaded || (!changed && c->now_ns < m->next_load_ns))
+		return;
+	m->was_open = open;
+	m->loads++;
+	list_for_each_entry(n, &c->dir.nodes, link) {
+		bool near = !strcmp(n->card.region, m->opts.region);
+
+		if (!strcmp(n->name, m->opts.node) || !n->card.peer_addr[0] ||
+		    (!n->revision && c->now_ns > n->heard_ns + 5 * NS_PER_S))
+			continue;
+		count++;
+		if (near || changed || m->loads % 2 == 0 ||
+		    m->loads < LOAD_NAMED)
+			send_load(m, n);
+	}
+	each *= count;
+	m->next_load_ns = c->now_ns + (each > LOAD_NS ? each : LOAD_NS);
+}
+
+static bool idle(const struct mesh *m)
+{
+	return !m->dispatch.count && !gatekeeper_busy(&m->gate);
+}
+
+static void stop_work(struct mesh *m)
+{
+	uint64_t now = m->ctx.now_ns;
+
+	if (m->stop == MESH_UNREADY && now >= m->close_ns) {
+		m->stop = MESH_CLOSED;
+		mesh_log(m->ctx.out, LOG_INFO, "event=closed requests=%u",
+			 m->dispatch.count);
+	}
+	if (m->stop == MESH_CLOSED && now + STOP_FINISH_NS >= m->end_ns)
+		m->dispatch.closed = true;
+	if (m->stop != MESH_CLOSED || (!idle(m) && now < m->end_ns))
+		return;
+	m->stop = MESH_ENDED;
+	if (m->holder.draining || m->holder.gone)
+		mesh_store_call(&m->ctx, CALL_LEASE_END)->lease =
+			m->session.lease;
+	mesh_actions_add(m->ctx.out, MA_EXIT);
+}
+
+static void work(struct mesh *m)
+{
+	struct mesh_ctx *c = &m->ctx;
+	struct gate_side g = side(m);
+
+	session_work(&m->session, c);
+	holder_work(&m->holder, c);
+	keyplan_work(&m->keyplan, c, &m->session);
+	deliver(m);
+	dispatch_work(&m->dispatch, c, &g);
+	gatekeeper_work(&m->gate, c, &m->holder);
+	deliver(m);
+	gatekeeper_work(&m->gate, c, &m->holder);
+	deliver(m);
+	report_load(m);
+	stop_work(m);
+}
+
+void mesh_handle(struct mesh *m, struct mesh_event *ev,
+		 struct mesh_actions *out)
+{
+	m->ctx.now_ns = ev->now_ns;
+	m->ctx.out = out;
+	dispatch_event(m, ev);
+	work(m);
+}
+
+static void earliest(uint64_t *next, uint64_t at)
+{
+	if (at < *next)
+		*next = at;
+}
+
+uint64_t mesh_next_ns(const struct mesh *m)
+{
+	uint64_t next = m->next_load_ns;
+
+	earliest(&next, session_next_ns(&m->session));
+	earliest(&next, keyplan_next_ns(&m->keyplan));
+	earliest(&next, gatekeeper_next_ns(&m->gate));
+	earliest(&next, dispatch_next_ns(&m->dispatch));
+	if (m->stop != MESH_RUNS)
+		earliest(&next, m->ctx.now_ns + 20 * NS_PER_MS);
+	/* A tick that is due already comes soon, but not at once. */
+	return next > m->ctx.now_ns + 2 * NS_PER_MS
+		       ? next
+		       : m->ctx.now_ns + 2 * NS_PER_MS;
+}
--- /dev/null
+++ b/core/mesh_ctx.c
@@ -0,0 +1,42 @@
+#include "core/mesh_ctx.h"
+
+#include "core/invariant.h"
+#include "core/mem.h"
+
+/* The store answers within milliseconds; slower, the call is given up. */
+#define STORE_CALL_NS (900 * NS_PER_MS)
+
+void mesh_send(struct mesh_ctx *c, uint64_t to, const char *addr,
+	       struct message *m)
+{
+	struct act_send *s = &mesh_actions_add(c->out, MA_SEND)->u.send;
+
+	m->from = c->opts->boot;
+	m->to = to;
+	mem_copy_str(s->addr, addr, sizeof(s->addr));
+	s->message = m;
+}
+
+struct act_store_call *mesh_store_call(struct mesh_ctx *c,
+				       enum store_call_kind kind)
+{
+	struct act_store_call *a =
+		&mesh_actions_add(c->out, MA_STORE)->u.store;
+
+	a->op = ++c->next_op;
+	a->kind = kind;
+	a->deadline_ns = c->now_ns + STORE_CALL_NS;
+	return a;
+}
+
+void mesh_expect(struct act_store_call *a, enum record_kind kind,
+		 const char *name, revision_t revision)
+{
+	struct store_expect *e = &a->expect[a->expect_count++];
+
+	JD_INVARIANT(a->expect_count <= STORE_EXPECT_MAX, "count=%u",
+		     a->expect_count);
+	e->kind = kind;
+	mem_copy_str(e->name, name, sizeof(e->name));
+	e->revision = revision;
+}
--- /dev/null
+++ b/core/mesh_io.c
@@ -0,0 +1,138 @@
+#include "core/mesh_io.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "core/mem.h"
+#include "core/text.h"
+
+#define LOG_LINE_MAX 1024
+
+struct record *record_new(enum record_kind kind, const char *name)
+{
+	struct record *r = mem_new(struct record);
+
+	r->kind = kind;
+	mem_copy_str(r->name, name, sizeof(r->name));
+	return r;
+}
+
+void record_delete(struct record *r)
+{
+	if (!r)
+		return;
+	switch (r->kind) {
+	case RECORD_MANIFEST:
+		manifest_delete(r->u.manifest);
+		break;
+	case RECORD_KEYMAP:
+		keymap_delete(r->u.keymap);
+		break;
+	case RECORD_EVACUATION:
+	case RECORD_CARD:
+		break;
+	}
+	free(r);
+}
+
+void records_delete(struct list *records)
+{
+	struct record *r, *tmp;
+
+	list_for_each_entry_safe(r, tmp, records, link) {
+		list_remove(&r->link);
+		record_delete(r);
+	}
+}
+
+void held_rows_delete(struct list *rows)
+{
+	struct held_row *r, *tmp;
+
+	list_for_each_entry_safe(r, tmp, rows, link) {
+		list_remove(&r->link);
+		free(r);
+	}
+}
+
+void mesh_actions_init(struct mesh_actions *a)
+{
+	list_init(&a->items);
+}
+
+struct mesh_action *mesh_actions_add(struct mesh_actions *a,
+				     enum mesh_action_kind kind)
+{
+	struct mesh_action *act = mem_new(struct mesh_action);
+
+	act->kind = kind;
+	if (kind == MA_STORE)
+		list_init(&act->u.store.puts);
+	if (kind == MA_BEAT_REPLY)
+		list_init(&act->u.beat.rows);
+	list_push_back(&a->items, &act->link);
+	return act;
+}
+
+struct mesh_action *mesh_actions_pop(struct mesh_actions *a)
+{
+	struct mesh_action *act;
+
+	if (list_empty(&a->items))
+		return NULL;
+	act = list_entry(a->items.next, struct mesh_action, link);
+	list_remove(&act->link);
+	return act;
+}
+
+void mesh_action_delete(struct mesh_action *a)
+{
+	switch (a->kind) {
+	case MA_SEND:
+		message_delete(a->u.send.message);
+		break;
+	case MA_STORE:
+		records_delete(&a->u.store.puts);
+		break;
+	case MA_REPLY:
+		http_answer_delete(a->u.reply.answer);
+		break;
+	case MA_CALL:
+		http_request_delete(a->u.call.request);
+		break;
+	case MA_BEAT_REPLY:
+		held_rows_delete(&a->u.beat.rows);
+		break;
+	case MA_LOG:
+		free(a->u.log.line);
+		break;
+	case MA_CANCEL:
+	case MA_PROBE_UPSTREAM:
+	case MA_LIMITS:
+	case MA_EXIT:
+		break;
+	}
+	free(a);
+}
+
+void mesh_actions_done(struct mesh_actions *a)
+{
+	struct mesh_action *act;
+
+	while ((act = mesh_actions_pop(a)))
+		mesh_action_delete(act);
+}
+
+void mesh_log(struct mesh_actions *a, enum log_level level, const char *fmt,
+	      ...)
+{
+	struct mesh_action *act = mesh_actions_add(a, MA_LOG);
+	char line[LOG_LINE_MAX];
+	va_list ap;
+
+	va_start(ap, fmt);
+	text_vformat(line, sizeof(line), fmt, ap);
+	va_end(ap);
+	act->u.log.level = level;
+	act->u.log.line = text_new("%s", line);
+}
--- a/core/message.c
+++ b/core/message.c
@@ -9,7 +9,8 @@
 	[MSG_ADOPT] = "adopt",	       [MSG_SYNC] = "sync",
 	[MSG_RELEASE] = "release",     [MSG_HOT_KEYS] = "hot_keys",
 	[MSG_FORWARD] = "forward",     [MSG_ANSWER] = "answer",
-	[MSG_CANCEL] = "cancel",
+	[MSG_CANCEL] = "cancel",       [MSG_LOAD] = "load",
+	[MSG_RENEW] = "renew",	       [MSG_RENEWED] = "renewed",
 };
 
 static const char *const outcome_names[OUTCOME_COUNT] = {
@@ -54,6 +55,9 @@
 	case MSG_ADOPT:
 	case MSG_CANCEL:
 	case MSG_HOT_KEYS:
+	case MSG_LOAD:
+	case MSG_RENEW:
+	case MSG_RENEWED:
 	case MSG_KIND_COUNT:
 		break;
 	}
--- a/core/message.h
+++ b/core/message.h
@@ -19,6 +19,9 @@
 	MSG_FORWARD,	   /* entry to owner: run this request */
 	MSG_ANSWER,	   /* owner to entry: what came of it */
 	MSG_CANCEL,	   /* entry to owner: nobody waits any more */
+	MSG_LOAD,	   /* a gate's load, to every entry */
+	MSG_RENEW,	   /* renew my lease with the store for me */
+	MSG_RENEWED,	   /* the end of that */
 	MSG_KIND_COUNT,
 };
 
@@ -77,15 +80,56 @@
 	char key[JD_KEY_MAX];
 	char organisation[JD_NAME_MAX];
 	bool idempotent;
+	/* Read only by gates of leased upstreams (core/gatekeeper.h): */
+	uint64_t sent_ns;	  /* sender's clock; see struct peer_clock */
+	uint64_t objective_ns;	  /* time left to the objective; 0: passed */
+	uint32_t priority;	  /* of the route; 0 is served first */
+	uint32_t shard;		  /* the key's number, when keyed */
+	bool keyed;
+	bool nested; /* an upstream's own call: its request waits for it */
+	char caller_id[JD_CALLER_ID_MAX]; /* the caller's own request id */
+	char caller_service[JD_NAME_MAX]; /* of the VM where it began */
 	struct http_request *request;
 };
 
+/** Load of one gate, as it travels with answers and on its own. */
+struct gate_load {
+	uint32_t running;
+	uint32_t waiting;
+	uint32_t limit;	      /* requests that may run at once */
+	uint64_t service_ns;  /* moving average of one request's time */
+	bool open;	      /* new requests are taken */
+	bool cold;
+};
+
+struct msg_load {
+	char node[JD_NODE_NAME_MAX];
+	uint64_t sent_ns; /* sender's clock */
+	revision_t revision; /* of the store, as far as the sender knows it */
+	bool leaving;	     /* the process ends soon */
+	struct gate_load load;
+};
+
+struct msg_renew {
+	uint64_t lease;
+	uint64_t sent_ns; /* sender's clock; echoed */
+	char reply_to[JD_ADDR_MAX];
+};
+
+struct msg_renewed {
+	uint64_t lease;
+	uint64_t sent_ns; /* echo */
+	bool ended;	  /* the store does not have it any more */
+};
+
 struct msg_answer {
 	struct request_id id;
 	uint32_t attempt;
 	enum outcome outcome;
 	revision_t revision;	    /* what the answering node knows */
 	enum refusal refusal;	    /* of a not_run or unknown */
+	uint64_t retry_after_ns;    /* of a not_run: when there may be room */
+	struct gate_load load;	    /* of a gate of a leased upstream */
 	struct http_answer *answer; /* NULL unless done */
 };
 
@@ -108,6 +152,9 @@
 		struct msg_forward forward;
 		struct msg_answer answer;
 		struct msg_cancel cancel;
+		struct msg_load load;
+		struct msg_renew renew;
+		struct msg_renewed renewed;
 	} u;
 };
 
--- a/core/node.c
+++ b/core/node.c
@@ -286,6 +286,12 @@
 	case MSG_CANCEL:
 		gate_on_cancel(&n->gate, c, &m->u.cancel);
 		break;
+	case MSG_LOAD:
+	case MSG_RENEW:
+	case MSG_RENEWED:
+		/* Of leased fleets; core/mesh.c reads them. */
+		n->refused_messages++;
+		break;
 	case MSG_KIND_COUNT:
 		break;
 	}
--- /dev/null
+++ b/core/session.c
@@ -0,0 +1,348 @@
+#include "core/session.h"
+
+#include <string.h>
+
+#include "core/mem.h"
+
+/* A waiting watch returns after as long even if nothing changed. */
+#define WATCH_WAIT_NS	(10 * NS_PER_S)
+#define WATCH_SLACK_NS	(1500 * NS_PER_MS)
+#define RETRY_NS	(250 * NS_PER_MS)
+#define READ_AGAIN_NS	(500 * NS_PER_MS)
+/* Others know more for as long: our watch may have gone silent. */
+#define BEHIND_NS	(300 * NS_PER_MS)
+/* Renewals in one lifetime of the lease. */
+#define KEEPS_A_LEASE	6
+
+void session_init(struct session *s, const struct mesh_opts *o)
+{
+	memset(s, 0, sizeof(*s));
+	s->want_read = true;
+	mem_copy_str(s->card.node, o->node, sizeof(s->card.node));
+	mem_copy_str(s->card.peer_addr, o->peer_addr,
+		     sizeof(s->card.peer_addr));
+	mem_copy_str(s->card.dc, o->dc, sizeof(s->card.dc));
+	mem_copy_str(s->card.region, o->region, sizeof(s->card.region));
+	mem_copy_str(s->card.service, o->service, sizeof(s->card.service));
+	s->card.boot = o->boot;
+}
+
+static struct act_store_call *start(struct session *s, struct mesh_ctx *c,
+				    struct session_call *call,
+				    enum store_call_kind kind)
+{
+	struct act_store_call *a = mesh_store_call(c, kind);
+
+	call->op = a->op;
+	call->sent_ns = c->now_ns;
+	s->calls[kind]++;
+	return a;
+}
+
+static void lose_lease(struct session *s, struct mesh_ctx *c, const char *why)
+{
+	if (s->registered)
+		mesh_log(c->out, LOG_WARN, "event=lease_lost lease=%lu why=%s",
+			 (unsigned long)s->lease, why);
+	s->lease = 0;
+	s->lease_deadline_ns = 0;
+	s->registered = false;
+	s->fresh = false;
+	s->lease_new.next_ns = c->now_ns;
+}
+
+static void on_read(struct session *s, struct mesh_ctx *c,
+		    struct ev_store_end *e)
+{
+	bool first = !c->dir.loaded;
+
+	if (e->end != STORE_DONE) {
+		s->read.next_ns = c->now_ns + RETRY_NS;
+		return;
+	}
+	s->want_read = false;
+	s->read.next_ns = c->now_ns + READ_AGAIN_NS;
+	directory_apply(&c->dir, &e->records, true, e->revision, c->now_ns,
+			c->out);
+	if (s->fresh_read && s->registered)
+		s->fresh = true;
+	else if (s->registered)
+		s->want_read = !s->fresh;
+	if (first)
+		mesh_log(c->out, LOG_INFO, "event=store_read revision=%lu",
+			 (unsigned long)e->revision);
+}
+
+static void on_watch(struct session *s, struct mesh_ctx *c,
+		     struct ev_store_end *e)
+{
+	switch (e->end) {
+	case STORE_DONE:
+		directory_apply(&c->dir, &e->records, false, e->revision,
+				c->now_ns, c->out);
+		break;
+	case STORE_NO_HISTORY:
+		mesh_log(c->out, LOG_INFO,
+			 "event=watch_restarted why=no_history revision=%lu",
+			 (unsigned long)c->dir.revision);
+		s->want_read = true;
+		s->watch.next_ns = c->now_ns;
+		break;
+	default:
+		/* A read costs one call and can't have been cut short. */
+		s->want_read = true;
+		s->watch.next_ns = c->now_ns + RETRY_NS;
+		break;
+	}
+}
+
+static void on_lease(struct session *s, struct mesh_ctx *c,
+		     const struct ev_store_end *e)
+{
+	if (e->end != STORE_DONE) {
+		s->lease_new.next_ns = c->now_ns + RETRY_NS;
+		return;
+	}
+	s->lease = e->lease;
+	s->lease_ttl_ns = e->ttl_ns;
+	s->lease_deadline_ns = s->lease_new.sent_ns + e->ttl_ns;
+	s->keep.next_ns = c->now_ns + e->ttl_ns / KEEPS_A_LEASE;
+	s->card_dirty = true;
+}
+
+static void renewed(struct session *s, uint64_t sent_ns)
+{
+	uint64_t until = sent_ns + s->lease_ttl_ns;
+
+	if (until > s->lease_deadline_ns)
+		s->lease_deadline_ns = until;
+}
+
+/* The store turned us away; it may still serve another node. */
+static void ask_peer(struct session *s, struct mesh_ctx *c)
+{
+	const struct dir_node *n;
+	const struct dir_node *best = NULL;
+	uint64_t rank = 0;
+	struct message *m;
+
+	list_for_each_entry(n, &c->dir.nodes, link) {
+		uint64_t r = rng_next(&c->rng);
+
+		if (!strcmp(n->name, c->opts->node) || n->leaving ||
+		    c->now_ns > n->heard_ns + DIR_SILENT_NS)
+			continue;
+		if (!best || r > rank) {
+			best = n;
+			rank = r;
+		}
+	}
+	if (!best || !s->lease)
+		return;
+	m = message_new(MSG_RENEW);
+	m->u.renew.lease = s->lease;
+	m->u.renew.sent_ns = c->now_ns;
+	mem_copy_str(m->u.renew.reply_to, c->opts->peer_addr,
+		     sizeof(m->u.renew.reply_to));
+	mesh_send(c, best->boot, best->card.peer_addr, m);
+}
+
+static void on_keep(struct session *s, struct mesh_ctx *c,
+		    const struct ev_store_end *e)
+{
+	switch (e->end) {
+	case STORE_DONE:
+		renewed(s, s->keep.sent_ns);
+		s->keep.next_ns =
+			c->now_ns + s->lease_ttl_ns / KEEPS_A_LEASE;
+		break;
+	case STORE_NO_LEASE:
+		lose_lease(s, c, "ended");
+		break;
+	default:
+		s->keep.next_ns = c->now_ns + RETRY_NS;
+		ask_peer(s, c);
+		break;
+	}
+}
+
+void session_on_renewed(struct session *s, struct mesh_ctx *c,
+			const struct msg_renewed *m)
+{
+	if (!s->lease || m->lease != s->lease)
+		return;
+	if (m->ended) {
+		lose_lease(s, c, "ended");
+		return;
+	}
+	renewed(s, m->sent_ns);
+}
+
+static void on_card(struct session *s, struct mesh_ctx *c,
+		    const struct ev_store_end *e)
+{
+	switch (e->end) {
+	case STORE_DONE:
+		s->card_revision = e->revision;
+		if (!s->registered) {
+			s->registered = true;
+			s->want_read = true;
+			s->read.next_ns = c->now_ns;
+			mesh_log(c->out, LOG_INFO,
+				 "event=registered lease=%lu revision=%lu",
+				 (unsigned long)s->lease,
+				 (unsigned long)e->revision);
+		}
+		break;
+	case STORE_NO_LEASE:
+		lose_lease(s, c, "ended");
+		break;
+	default:
+		/* Which card is there now must be known before the next try. */
+		s->card_dirty = true;
+		s->card_revision = 0;
+		s->want_read = true;
+		s->read.next_ns = c->now_ns;
+		break;
+	}
+}
+
+static void note_trouble(struct session *s, struct mesh_ctx *c,
+			 enum store_end end)
+{
+	if (end != STORE_REFUSED && end != STORE_LOST)
+		return;
+	if (c->now_ns > s->trouble_ns + NS_PER_S)
+		mesh_log(c->out, LOG_WARN, "event=store_trouble end=%s",
+			 end == STORE_LOST ? "no_answer" : "refused");
+	s->trouble_ns = c->now_ns;
+	s->failures++;
+}
+
+bool session_on_end(struct session *s, struct mesh_ctx *c,
+		    struct ev_store_end *e)
+{
+	struct session_call *call = NULL;
+
+	if (e->op == s->read.op)
+		call = &s->read;
+	else if (e->op == s->watch.op)
+		call = &s->watch;
+	else if (e->op == s->lease_new.op)
+		call = &s->lease_new;
+	else if (e->op == s->keep.op)
+		call = &s->keep;
+	else if (e->op == s->put.op)
+		call = &s->put;
+	if (!call)
+		return false;
+	call->op = 0;
+	note_trouble(s, c, e->end);
+	if (call == &s->read)
+		on_read(s, c, e);
+	else if (call == &s->watch)
+		on_watch(s, c, e);
+	else if (call == &s->lease_new)
+		on_lease(s, c, e);
+	else if (call == &s->keep)
+		on_keep(s, c, e);
+	else
+		on_card(s, c, e);
+	return true;
+}
+
+void session_on_revision(struct session *s, struct mesh_ctx *c,
+			 revision_t revision)
+{
+	if (revision <= c->dir.revision) {
+		s->behind_ns = 0;
+		return;
+	}
+	if (!s->behind_ns)
+		s->behind_ns = c->now_ns;
+	if (c->now_ns < s->behind_ns + BEHIND_NS)
+		return;
+	s->behind_ns = 0;
+	s->want_read = true;
+}
+
+void session_set_card(struct session *s, const struct node_card *card)
+{
+	if (holder_equal(&s->card.upstream, &card->upstream) &&
+	    s->card.draining == card->draining &&
+	    s->card.slots == card->slots)
+		return;
+	s->card.upstream = card->upstream;
+	s->card.draining = card->draining;
+	s->card.slots = card->slots;
+	s->card_dirty = true;
+}
+
+static bool due(const struct session_call *call, uint64_t now_ns)
+{
+	return !call->op && now_ns >= call->next_ns;
+}
+
+static void put_card(struct session *s, struct mesh_ctx *c)
+{
+	const struct dir_node *own = directory_node(&c->dir, c->opts->node);
+	revision_t known = own ? own->revision : 0;
+	struct act_store_call *a = start(s, c, &s->put, CALL_WRITE);
+	struct record *r = record_new(RECORD_CARD, c->opts->node);
+
+	if (s->card_revision > known)
+		known = s->card_revision;
+	r->u.card = s->card;
+	list_push_back(&a->puts, &r->link);
+	a->lease = s->lease;
+	mesh_expect(a, RECORD_CARD, c->opts->node, known);
+	s->card_dirty = false;
+}
+
+void session_work(struct session *s, struct mesh_ctx *c)
+{
+	if (s->want_read && due(&s->read, c->now_ns)) {
+		start(s, c, &s->read, CALL_READ_ALL);
+		s->fresh_read = s->registered;
+	}
+	if (!s->lease && due(&s->lease_new, c->now_ns))
+		start(s, c, &s->lease_new, CALL_LEASE_NEW)->ttl_ns =
+			c->opts->lease_ns;
+	if (s->lease && due(&s->keep, c->now_ns))
+		start(s, c, &s->keep, CALL_LEASE_KEEP)->lease = s->lease;
+	if (s->lease && c->dir.loaded && !s->want_read && s->card_dirty &&
+	    (s->card.upstream.instance[0] || c->now_ns >= s->card_wait_ns) &&
+	    due(&s->put, c->now_ns))
+		put_card(s, c);
+	if (c->dir.loaded && !s->want_read && due(&s->watch, c->now_ns)) {
+		struct act_store_call *a =
+			start(s, c, &s->watch, CALL_WATCH_ALL);
+
+		a->after = c->dir.revision;
+		a->wait_ns = WATCH_WAIT_NS;
+		a->deadline_ns = c->now_ns + WATCH_WAIT_NS + WATCH_SLACK_NS;
+	}
+}
+
+static void earlier(uint64_t *next, const struct session_call *call, bool wanted)
+{
+	if (wanted && !call->op && call->next_ns < *next)
+		*next = call->next_ns;
+}
+
+uint64_t session_next_ns(const struct session *s)
+{
+	uint64_t next = UINT64_MAX;
+
+	earlier(&next, &s->read, s->want_read);
+	earlier(&next, &s->lease_new, !s->lease);
+	earlier(&next, &s->keep, s->lease != 0);
+	earlier(&next, &s->put, s->lease && s->card_dirty && !s->want_read);
+	earlier(&next, &s->watch, !s->want_read);
+	return next;
+}
+
+uint64_t session_authority_ns(const struct session *s)
+{
+	return s->registered && s->fresh ? s->lease_deadline_ns : 0;
+}
--- /dev/null
+++ b/core/window_budget.h
@@ -0,0 +1,33 @@
+/**
+ * Extra attempts as a share of the requests of a sliding window, plus a
+ * share of the fleet's common slack.
+ */
+#ifndef JD_CORE_WINDOW_BUDGET_H
+#define JD_CORE_WINDOW_BUDGET_H
+
+#include "core/types.h"
+
+#define WINDOW_BUDGET_SLOTS 20
+
+struct window_budget {
+	uint64_t slot_ns; /* length of a slot */
+	uint64_t slot;	  /* number of the newest one */
+	uint32_t requests[WINDOW_BUDGET_SLOTS];
+	uint32_t extras[WINDOW_BUDGET_SLOTS];
+	uint64_t spent;
+	uint64_t denied;
+};
+
+void window_budget_init(struct window_budget *b, uint64_t window_ns);
+
+/** Counts a first attempt. */
+void window_budget_earn(struct window_budget *b, uint64_t now_ns);
+
+/**
+ * Takes one extra attempt if those of the window stay within @ratio of its
+ * requests plus @slack.
+ */
+bool window_budget_spend(struct window_budget *b, double ratio, double slack,
+			 uint64_t now_ns);
+
+#endif
--- a/daemon/jackdawd.c
+++ b/daemon/jackdawd.c
@@ -6,8 +6,10 @@
 
 #include "core/invariant.h"
 #include "io/driver.h"
+#include "io/findings_print.h"
 #include "io/log.h"
 #include "io/settings.h"
+#include "platform/site.h"
 
 enum exit_code { EXIT_RUN = 1, EXIT_SETTINGS = 2 };
 
@@ -62,21 +64,13 @@
 static int check(struct settings *s, const char *path)
 {
 	struct findings f;
-	const struct finding *it;
 	int count;
 
 	findings_init(&f);
 	settings_default(s);
 	if (path)
 		settings_read(s, path, &f);
-	findings_sort(&f);
-	list_for_each_entry(it, &f.items, link) {
-		char *line = finding_line(it);
-
-		fprintf(stderr, "%s\n", line);
-		free(line);
-	}
-	count = f.count;
+	count = findings_print(&f, stderr);
 	findings_done(&f);
 	return count;
 }
@@ -89,9 +83,12 @@
 		NULL, "check-settings", "print all findings, exit 2 on any");
 	struct arg_lit *keys = arg_lit0(
 		NULL, "make-keys", "print a key pair for the fleet's peers");
+	struct arg_lit *platform =
+		arg_lit0(NULL, "platform",
+			 "run on the platform, with its settings file");
 	struct arg_lit *help = arg_lit0("h", "help", "this text");
 	struct arg_end *end = arg_end(8);
-	void *table[] = {file, only_check, keys, help, end};
+	void *table[] = {file, only_check, keys, platform, help, end};
 	struct settings s;
 	int errors = arg_parse(argc, argv, table);
 	int code = EXIT_SETTINGS;
@@ -106,6 +103,8 @@
 		code = help->count ? EXIT_SUCCESS : EXIT_SETTINGS;
 	} else if (keys->count) {
 		code = make_keys();
+	} else if (platform->count) {
+		code = site_main();
 	} else if (!check(&s, file->count ? file->filename[0] : NULL)) {
 		log_init(s.log_level, s.name);
 		invariant_set_sink(log_invariant);
--- a/io/addr.c
+++ b/io/addr.c
@@ -1,8 +1,11 @@
 #include "io/addr.h"
 
+#include <arpa/inet.h>
 #include <stdlib.h>
 #include <string.h>
 
+#include "core/types.h"
+
 bool addr_split(const char *addr, char *ip, size_t cap, uint16_t *port)
 {
 	const char *colon = strrchr(addr, ':');
@@ -16,3 +19,16 @@
 	*port = (uint16_t)n;
 	return true;
 }
+
+bool addr_to_sockaddr(const char *addr, struct sockaddr_in *sin)
+{
+	char ip[JD_ADDR_MAX];
+	uint16_t port;
+
+	if (!addr_split(addr, ip, sizeof(ip), &port))
+		return false;
+	memset(sin, 0, sizeof(*sin));
+	sin->sin_family = AF_INET;
+	sin->sin_port = htons(port);
+	return inet_pton(AF_INET, ip, &sin->sin_addr) == 1;
+}
--- /dev/null
+++ b/io/http_client.c
@@ -0,0 +1,481 @@
+#include "io/http_client.h"
+
+#include <errno.h>
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <http_parser.h>
+#include <stdlib.h>
+#include <string.h>
+#include <strings.h>
+
+#include "core/mem.h"
+#include "core/text.h"
+#include "io/addr.h"
+#include "io/clock.h"
+#include "io/log.h"
+#include "io/socket_opts.h"
+
+#define CONNECT_MAX_NS	 (400 * NS_PER_MS)
+/* An idle connection is closed before the upstream closes it. */
+#define IDLE_DEFAULT_NS	 (4 * NS_PER_S)
+#define KEEP_ALIVE_SHARE 0.8
+/* Answers of earlier requests that may come first on a connection. */
+#define STALE_MAX	 4
+
+struct client_conn {
+	struct list link; /* in idle or busy */
+	struct http_client *client;
+	struct bufferevent *bev;
+	char addr[JD_ADDR_MAX];
+	bool connected;
+	bool wrote; /* bytes of the present request have left */
+	bool started; /* bytes of its answer have come */
+	bool reusable;
+	uint32_t stale;
+	uint64_t idle_deadline_ns;
+	uint64_t keep_ns;
+	struct event *timer;
+	struct client_call call; /* while busy */
+	http_parser parser;
+	struct http_answer *answer;
+	char *field;
+	char *value;
+	bool in_value;
+	bool complete;
+};
+
+struct http_client {
+	struct http_client_opts opts;
+	struct list idle;
+	struct list busy;
+	uint64_t connects;
+};
+
+static void answer_reset(struct client_conn *cn)
+{
+	http_answer_delete(cn->answer);
+	free(cn->field);
+	free(cn->value);
+	cn->answer = NULL;
+	cn->field = NULL;
+	cn->value = NULL;
+	cn->in_value = false;
+	cn->complete = false;
+}
+
+static void conn_delete(struct client_conn *cn)
+{
+	list_remove(&cn->link);
+	bufferevent_free(cn->bev);
+	event_free(cn->timer);
+	answer_reset(cn);
+	http_request_delete(cn->call.request);
+	free(cn);
+}
+
+struct http_client *http_client_new(const struct http_client_opts *o)
+{
+	struct http_client *c = mem_new(struct http_client);
+
+	c->opts = *o;
+	list_init(&c->idle);
+	list_init(&c->busy);
+	return c;
+}
+
+void http_client_delete(struct http_client *c)
+{
+	struct client_conn *cn, *tmp;
+
+	list_for_each_entry_safe(cn, tmp, &c->idle, link)
+		conn_delete(cn);
+	list_for_each_entry_safe(cn, tmp, &c->busy, link)
+		conn_delete(cn);
+	free(c);
+}
+
+uint64_t http_client_connects(const struct http_client *c)
+{
+	return c->connects;
+}
+
+/* Ends the present call; the connection is kept only if it is clean. */
+static void finish(struct client_conn *cn, enum client_end end, bool keep)
+{
+	struct http_client *c = cn->client;
+	struct client_result r = {.call = cn->call.call, .end = end};
+
+	if (end == CLIENT_ANSWERED) {
+		r.answer = cn->answer;
+		cn->answer = NULL;
+	}
+	answer_reset(cn);
+	http_request_delete(cn->call.request);
+	memset(&cn->call, 0, sizeof(cn->call));
+	if (keep) {
+		evtimer_del(cn->timer);
+		cn->idle_deadline_ns = clock_now_ns() + cn->keep_ns;
+		list_remove(&cn->link);
+		list_push_front(&c->idle, &cn->link);
+	} else {
+		conn_delete(cn);
+	}
+	c->opts.on_end(c->opts.arg, &r);
+	http_answer_delete(r.answer);
+}
+
+static void append(char **to, const char *at, size_t len)
+{
+	size_t have = *to ? strlen(*to) : 0;
+
+	*to = mem_realloc(*to, have + len + 1, 1);
+	memcpy(*to + have, at, len);
+	(*to)[have + len] = '\0';
+}
+
+static void flush_header(struct client_conn *cn)
+{
+	if (cn->field)
+		payload_add_header(&cn->answer->payload, cn->field,
+				   cn->value ? cn->value : "");
+	free(cn->field);
+	free(cn->value);
+	cn->field = NULL;
+	cn->value = NULL;
+	cn->in_value = false;
+}
+
+static int on_begin(http_parser *p)
+{
+	struct client_conn *cn = p->data;
+
+	answer_reset(cn);
+	cn->answer = http_answer_new(0);
+	return 0;
+}
+
+static int on_field(http_parser *p, const char *at, size_t len)
+{
+	struct client_conn *cn = p->data;
+
+	if (cn->in_value)
+		flush_header(cn);
+	append(&cn->field, at, len);
+	return 0;
+}
+
+static int on_value(http_parser *p, const char *at, size_t len)
+{
+	struct client_conn *cn = p->data;
+
+	cn->in_value = true;
+	append(&cn->value, at, len);
+	return 0;
+}
+
+/* 1 tells the parser that no body follows. */
+static int on_headers(http_parser *p)
+{
+	struct client_conn *cn = p->data;
+
+	flush_header(cn);
+	cn->answer->code = (int)p->status_code;
+	return !strcmp(cn->call.request->method, "HEAD");
+}
+
+static int on_body(http_parser *p, const char *at, size_t len)
+{
+	struct client_conn *cn = p->data;
+	struct payload *pl = &cn->answer->payload;
+
+	if (pl->body_len + len > HTTP_ANSWER_MAX_BYTES)
+		return 1;
+	pl->body = mem_realloc(pl->body, pl->body_len + len, 1);
+	memcpy(pl->body + pl->body_len, at, len);
+	pl->body_len += len;
+	return 0;
+}
+
+static int on_complete(http_parser *p)
+{
+	struct client_conn *cn = p->data;
+
+	cn->complete = true;
+	cn->reusable = http_should_keep_alive(p);
+	http_parser_pause(p, 1);
+	return 0;
+}
+
+static const http_parser_settings parser_settings = {
+	.on_message_begin = on_begin,
+	.on_header_field = on_field,
+	.on_header_value = on_value,
+	.on_headers_complete = on_headers,
+	.on_body = on_body,
+	.on_message_complete = on_complete,
+};
+
+static void parser_reset(struct client_conn *cn)
+{
+	http_parser_init(&cn->parser, HTTP_RESPONSE);
+	cn->parser.data = cn;
+}
+
+/* An answer that names another request, or none, is not ours. */
+static bool is_ours(const struct client_conn *cn)
+{
+	const char *header = cn->client->opts.echo_header;
+	const char *sent = payload_header(&cn->call.request->payload, header);
+	const char *got = payload_header(&cn->answer->payload, header);
+
+	return !sent || (got && !strcmp(sent, got));
+}
+
+/* Idle time that the upstream grants, from its Keep-Alive header. */
+static void learn_keep_alive(struct client_conn *cn)
+{
+	const char *v = payload_header(&cn->answer->payload, "Keep-Alive");
+	const char *t = v ? strstr(v, "timeout=") : NULL;
+	long s = t ? strtol(t + strlen("timeout="), NULL, 10) : 0;
+
+	if (s > 0 && s < 3600)
+		cn->keep_ns = (uint64_t)((double)s * KEEP_ALIVE_SHARE *
+					 (double)NS_PER_S);
+}
+
+/* One answer is whole. True when reading goes on, for our own. */
+static bool take_answer(struct client_conn *cn)
+{
+	size_t rest = evbuffer_get_length(bufferevent_get_input(cn->bev));
+
+	/* A provisional answer is followed by the one that counts. */
+	if (cn->answer->code / 100 == 1) {
+		answer_reset(cn);
+		parser_reset(cn);
+		return true;
+	}
+	if (!is_ours(cn)) {
+		log_event(LOG_WARN,
+			  "event=answer_dropped why=other_request addr=%s",
+			  cn->addr);
+		if (!cn->reusable || ++cn->stale > STALE_MAX) {
+			finish(cn, CLIENT_BROKEN, false);
+			return false;
+		}
+		answer_reset(cn);
+		parser_reset(cn);
+		return true;
+	}
+	learn_keep_alive(cn);
+	/* Bytes behind the answer belong to no request. */
+	finish(cn, CLIENT_ANSWERED, cn->reusable && !rest && !cn->stale);
+	return false;
+}
+
+static void on_read(struct bufferevent *bev, void *arg)
+{
+	struct client_conn *cn = arg;
+	struct evbuffer *in = bufferevent_get_input(bev);
+	size_t len;
+
+	if (!cn->call.request) {
+		conn_delete(cn);
+		return;
+	}
+	while ((len = evbuffer_get_contiguous_space(in)) > 0) {
+		const char *data =
+			(const char *)evbuffer_pullup(in, (ssize_t)len);
+		size_t used = http_parser_execute(&cn->parser,
+						  &parser_settings, data, len);
+		enum http_errno err = HTTP_PARSER_ERRNO(&cn->parser);
+
+		cn->started = true;
+		evbuffer_drain(in, used);
+		if (cn->complete) {
+			if (!take_answer(cn))
+				return;
+			continue;
+		}
+		if (err != HPE_OK || cn->parser.upgrade) {
+			finish(cn, CLIENT_BROKEN, false);
+			return;
+		}
+	}
+}
+
+/* An answer without a length ends with its connection, if that ends well. */
+static void on_eof(struct client_conn *cn)
+{
+	http_parser_execute(&cn->parser, &parser_settings, NULL, 0);
+	if (cn->complete && cn->answer && cn->answer->code / 100 != 1 &&
+	    is_ours(cn))
+		finish(cn, CLIENT_ANSWERED, false);
+	else
+		finish(cn, CLIENT_BROKEN, false);
+}
+
+static void write_request(struct client_conn *cn)
+{
+	const struct http_request *r = cn->call.request;
+	struct evbuffer *out = evbuffer_new();
+	const struct header *h;
+
+	evbuffer_add_printf(out, "%s %s HTTP/1.1\r\n", r->method, r->target);
+	list_for_each_entry(h, &r->payload.headers, link)
+		evbuffer_add_printf(out, "%s: %s\r\n", h->name, h->value);
+	if (r->payload.body_len || (strcmp(r->method, "GET") != 0 &&
+				    strcmp(r->method, "HEAD") != 0))
+		evbuffer_add_printf(out, "Content-Length: %zu\r\n",
+				    r->payload.body_len);
+	evbuffer_add(out, "\r\n", 2);
+	if (r->payload.body_len)
+		evbuffer_add(out, r->payload.body, r->payload.body_len);
+	cn->wrote = true;
+	cn->started = false;
+	cn->stale = 0;
+	parser_reset(cn);
+	answer_reset(cn);
+	bufferevent_write_buffer(cn->bev, out);
+	evbuffer_free(out);
+}
+
+static enum client_end lost(const struct client_conn *cn)
+{
+	return cn->wrote ? CLIENT_BROKEN : CLIENT_NOT_SENT;
+}
+
+static void arm(struct client_conn *cn, uint64_t at_ns)
+{
+	uint64_t now = clock_now_ns();
+	uint64_t left = at_ns > now ? at_ns - now : 0;
+	struct timeval tv = {
+		.tv_sec = (time_t)(left / NS_PER_S),
+		.tv_usec = (suseconds_t)(left % NS_PER_S / NS_PER_US)};
+
+	evtimer_add(cn->timer, &tv);
+}
+
+/* Writes the call's request, unless it may not be written any more. */
+static void send_call(struct client_conn *cn)
+{
+	uint64_t now = clock_now_ns();
+
+	if (now >= cn->call.write_before_ns || now >= cn->call.deadline_ns) {
+		finish(cn, CLIENT_NOT_SENT, true);
+		return;
+	}
+	arm(cn, cn->call.deadline_ns);
+	write_request(cn);
+}
+
+static void on_event(struct bufferevent *bev, short what, void *arg)
+{
+	struct client_conn *cn = arg;
+
+	if (what & BEV_EVENT_CONNECTED) {
+		cn->connected = true;
+		socket_set_opts(bufferevent_getfd(bev));
+		send_call(cn);
+		return;
+	}
+	if (!cn->call.request) {
+		conn_delete(cn);
+		return;
+	}
+	if (!cn->connected) {
+		bool refused = EVUTIL_SOCKET_ERROR() == ECONNREFUSED;
+
+		finish(cn, refused ? CLIENT_REFUSED : CLIENT_NOT_SENT, false);
+		return;
+	}
+	if (what & BEV_EVENT_EOF)
+		on_eof(cn);
+	else
+		finish(cn, lost(cn), false);
+}
+
+static void on_timer(evutil_socket_t fd, short what, void *arg)
+{
+	struct client_conn *cn = arg;
+
+	(void)fd;
+	(void)what;
+	if (!cn->call.request)
+		return;
+	finish(cn, cn->wrote ? CLIENT_LATE : CLIENT_NOT_SENT, false);
+}
+
+static struct client_conn *conn_new(struct http_client *c, const char *addr)
+{
+	struct client_conn *cn = mem_new(struct client_conn);
+
+	cn->client = c;
+	cn->keep_ns = IDLE_DEFAULT_NS;
+	mem_copy_str(cn->addr, addr, sizeof(cn->addr));
+	cn->bev = bufferevent_socket_new(c->opts.base, -1,
+					 BEV_OPT_CLOSE_ON_FREE |
+						 BEV_OPT_DEFER_CALLBACKS);
+	cn->timer = evtimer_new(c->opts.base, on_timer, cn);
+	bufferevent_setcb(cn->bev, on_read, NULL, on_event, cn);
+	bufferevent_enable(cn->bev, EV_READ | EV_WRITE);
+	list_init(&cn->link);
+	return cn;
+}
+
+/* An idle connection that has said nothing since; NULL for none. */
+static struct client_conn *conn_idle(struct http_client *c, const char *addr)
+{
+	uint64_t now = clock_now_ns();
+	struct client_conn *cn, *tmp;
+
+	list_for_each_entry_safe(cn, tmp, &c->idle, link) {
+		if (now < cn->idle_deadline_ns && !strcmp(cn->addr, addr) &&
+		    socket_is_quiet(bufferevent_getfd(cn->bev)))
+			return cn;
+		conn_delete(cn);
+	}
+	return NULL;
+}
+
+void http_client_call(struct http_client *c, const struct client_call *call)
+{
+	struct client_conn *cn = conn_idle(c, call->addr);
+	struct sockaddr_in sin;
+	bool kept = cn != NULL;
+
+	if (!kept)
+		cn = conn_new(c, call->addr);
+	list_remove(&cn->link);
+	list_push_back(&c->busy, &cn->link);
+	cn->call = *call;
+	cn->call.request = http_request_ref(call->request);
+	cn->wrote = false;
+	if (kept && clock_now_ns() < call->write_before_ns) {
+		arm(cn, call->deadline_ns);
+		write_request(cn);
+		return;
+	}
+	if (kept) {
+		/* Told by the timer, as the caller expects it later. */
+		arm(cn, 0);
+		return;
+	}
+	c->connects++;
+	arm(cn, clock_now_ns() + CONNECT_MAX_NS);
+	if (!addr_to_sockaddr(call->addr, &sin) ||
+	    bufferevent_socket_connect(cn->bev, (struct sockaddr *)&sin,
+				       sizeof(sin)) != 0)
+		arm(cn, 0);
+}
+
+void http_client_cancel(struct http_client *c, uint64_t call)
+{
+	struct client_conn *cn, *tmp;
+
+	list_for_each_entry_safe(cn, tmp, &c->busy, link) {
+		if (cn->call.call != call)
+			continue;
+		finish(cn, lost(cn), false);
+		return;
+	}
+}
--- /dev/null
+++ b/io/http_server.c
@@ -0,0 +1,554 @@
+#include "io/http_server.h"
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/listener.h>
+#include <http_parser.h>
+#include <stdlib.h>
+#include <string.h>
+#include <strings.h>
+
+#include "core/mem.h"
+#include "core/text.h"
+#include "io/addr.h"
+#include "io/clock.h"
+#include "io/socket_opts.h"
+
+#define EXCHANGE_BUCKETS   1024
+/* Requests of one connection that wait at once; more are left unread. */
+#define PIPELINE_MAX	   32
+#define LISTEN_BACKLOG	   512
+#define SWEEP_MS	   250
+#define HEADER_DEFAULT	   (32u << 10)
+#define BODY_DEFAULT	   (1u << 20)
+#define TIMEOUT_DEFAULT_MS 60000
+
+/* One request until its answer is in the connection's output. */
+struct exchange {
+	struct list link; /* in conn.exchanges, in their order */
+	struct list hash;
+	struct server_conn *conn;
+	uint64_t id;
+	bool handed; /* to the owner */
+	struct evbuffer *answer; /* NULL until it is there */
+	bool close;
+	bool head; /* no body goes with its answer */
+};
+
+struct server_conn {
+	struct list link;
+	struct http_server *server;
+	struct bufferevent *bev;
+	http_parser parser;
+	struct list exchanges;
+	uint32_t waiting;
+	uint64_t idle_deadline_ns;
+	uint64_t header_deadline_ns; /* 0: no request has begun */
+	bool last;    /* the caller sends nothing after what was read */
+	bool closing; /* nothing more is read */
+	/* The request being read. */
+	struct http_request *request;
+	char *url;
+	size_t url_len;
+	char *field;
+	char *value;
+	bool in_value;
+	size_t header_bytes;
+	unsigned char *body;
+	size_t body_len;
+	bool oversized;
+	int bad; /* status of a request that can't be taken; 0: none */
+};
+
+struct http_server {
+	struct http_server_opts opts;
+	struct evconnlistener *listener;
+	struct event *sweep;
+	struct list conns;
+	struct list hash[EXCHANGE_BUCKETS];
+	uint64_t next_id;
+	uint32_t pending;
+};
+
+static void exchange_delete(struct exchange *x)
+{
+	list_remove(&x->link);
+	list_remove(&x->hash);
+	x->conn->server->pending--;
+	if (x->answer)
+		evbuffer_free(x->answer);
+	free(x);
+}
+
+static void request_reset(struct server_conn *c)
+{
+	http_request_delete(c->request);
+	c->request = NULL;
+	free(c->url);
+	free(c->field);
+	free(c->value);
+	free(c->body);
+	c->url = NULL;
+	c->field = NULL;
+	c->value = NULL;
+	c->body = NULL;
+	c->url_len = 0;
+	c->body_len = 0;
+	c->header_bytes = 0;
+	c->in_value = false;
+	c->oversized = false;
+	c->bad = 0;
+	c->header_deadline_ns = 0;
+}
+
+static void conn_delete(struct server_conn *c)
+{
+	struct http_server *s = c->server;
+	struct exchange *x, *tmp;
+
+	list_remove(&c->link);
+	bufferevent_free(c->bev);
+	list_for_each_entry_safe(x, tmp, &c->exchanges, link) {
+		bool tell = x->handed && !x->answer;
+		uint64_t id = x->id;
+
+		exchange_delete(x);
+		if (tell)
+			s->opts.on_gone(s->opts.arg, id);
+	}
+	request_reset(c);
+	free(c);
+}
+
+static uint64_t ms_from_now(uint64_t ms)
+{
+	return clock_now_ns() + ms * NS_PER_MS;
+}
+
+static void append(char **to, const char *at, size_t len)
+{
+	size_t have = *to ? strlen(*to) : 0;
+
+	*to = mem_realloc(*to, have + len + 1, 1);
+	memcpy(*to + have, at, len);
+	(*to)[have + len] = '\0';
+}
+
+static void flush_header(struct server_conn *c)
+{
+	if (c->field && c->request)
+		payload_add_header(&c->request->payload, c->field,
+				   c->value ? c->value : "");
+	free(c->field);
+	free(c->value);
+	c->field = NULL;
+	c->value = NULL;
+	c->in_value = false;
+}
+
+static int on_begin(http_parser *p)
+{
+	struct server_conn *c = p->data;
+
+	request_reset(c);
+	c->header_deadline_ns =
+		ms_from_now(c->server->opts.limits.header_timeout_ms);
+	c->request = http_request_new("", "");
+	return 0;
+}
+
+static bool too_long(struct server_conn *c, size_t len)
+{
+	c->header_bytes += len;
+	if (c->header_bytes <= c->server->opts.limits.header_bytes)
+		return false;
+	c->bad = 431;
+	return true;
+}
+
+static int on_url(http_parser *p, const char *at, size_t len)
+{
+	struct server_conn *c = p->data;
+
+	if (too_long(c, len))
+		return 1;
+	append(&c->url, at, len);
+	return 0;
+}
+
+static int on_field(http_parser *p, const char *at, size_t len)
+{
+	struct server_conn *c = p->data;
+
+	if (too_long(c, len))
+		return 1;
+	if (c->in_value)
+		flush_header(c);
+	append(&c->field, at, len);
+	return 0;
+}
+
+static int on_value(http_parser *p, const char *at, size_t len)
+{
+	struct server_conn *c = p->data;
+
+	if (too_long(c, len))
+		return 1;
+	c->in_value = true;
+	append(&c->value, at, len);
+	return 0;
+}
+
+/* Waits only for a body that will be read. */
+static void answer_expect(struct server_conn *c)
+{
+	const char *v = payload_header(&c->request->payload, "Expect");
+
+	if (v && !strcasecmp(v, "100-continue") &&
+	    list_empty(&c->exchanges))
+		evbuffer_add_printf(bufferevent_get_output(c->bev),
+				    "HTTP/1.1 100 Continue\r\n\r\n");
+}
+
+static int on_headers(http_parser *p)
+{
+	struct server_conn *c = p->data;
+	const struct http_server_limits *l = &c->server->opts.limits;
+
+	flush_header(c);
+	if (p->content_length != UINT64_MAX &&
+	    p->content_length > l->body_bytes)
+		c->oversized = true;
+	answer_expect(c);
+	return 0;
+}
+
+static int on_body(http_parser *p, const char *at, size_t len)
+{
+	struct server_conn *c = p->data;
+
+	if (c->oversized)
+		return 0;
+	if (c->body_len + len > c->server->opts.limits.body_bytes) {
+		c->oversized = true;
+		free(c->body);
+		c->body = NULL;
+		c->body_len = 0;
+		return 0;
+	}
+	c->body = mem_realloc(c->body, c->body_len + len, 1);
+	memcpy(c->body + c->body_len, at, len);
+	c->body_len += len;
+	return 0;
+}
+
+static struct exchange *exchange_new(struct server_conn *c)
+{
+	struct http_server *s = c->server;
+	struct exchange *x = mem_new(struct exchange);
+
+	x->conn = c;
+	x->id = s->next_id++;
+	list_push_back(&c->exchanges, &x->link);
+	list_push_back(&s->hash[x->id % EXCHANGE_BUCKETS], &x->hash);
+	s->pending++;
+	c->waiting++;
+	return x;
+}
+
+static int on_complete(http_parser *p)
+{
+	struct server_conn *c = p->data;
+	struct http_request *r = c->request;
+	struct exchange *x = exchange_new(c);
+	bool oversized = c->oversized;
+	bool keep = http_should_keep_alive(p);
+
+	mem_copy_str(r->method, http_method_str(p->method),
+		     sizeof(r->method));
+	free(r->target);
+	r->target = c->url;
+	c->url = NULL;
+	if (c->body_len) {
+		r->payload.body = c->body;
+		r->payload.body_len = c->body_len;
+		c->body = NULL;
+	}
+	c->request = NULL;
+	request_reset(c);
+	x->head = p->method == HTTP_HEAD;
+	x->close = !keep;
+	c->last = !keep;
+	x->handed = true;
+	c->idle_deadline_ns =
+		ms_from_now(c->server->opts.limits.idle_timeout_ms);
+	c->server->opts.on_request(c->server->opts.arg, x->id, r, oversized);
+	if (c->waiting >= PIPELINE_MAX)
+		http_parser_pause(p, 1);
+	return 0;
+}
+
+static const http_parser_settings parser_settings = {
+	.on_message_begin = on_begin,
+	.on_url = on_url,
+	.on_header_field = on_field,
+	.on_header_value = on_value,
+	.on_headers_complete = on_headers,
+	.on_body = on_body,
+	.on_message_complete = on_complete,
+};
+
+static const char *reason_of(int code)
+{
+	switch (code) {
+#define REASON(num, name, string)                                              \
+	case num:                                                              \
+		return #string;
+		HTTP_STATUS_MAP(REASON)
+#undef REASON
+	}
+	return "Unknown";
+}
+
+static struct evbuffer *encode(const struct http_answer *a, bool head,
+			       bool close)
+{
+	struct evbuffer *out = evbuffer_new();
+	const struct header *h;
+
+	evbuffer_add_printf(out, "HTTP/1.1 %d %s\r\n", a->code,
+			    reason_of(a->code));
+	list_for_each_entry(h, &a->payload.headers, link)
+		evbuffer_add_printf(out, "%s: %s\r\n", h->name, h->value);
+	if (a->code != 204 && a->code != 304)
+		evbuffer_add_printf(out, "Content-Length: %zu\r\n",
+				    a->payload.body_len);
+	if (close)
+		evbuffer_add_printf(out, "Connection: close\r\n");
+	evbuffer_add(out, "\r\n", 2);
+	if (!head && a->payload.body_len)
+		evbuffer_add(out, a->payload.body, a->payload.body_len);
+	return out;
+}
+
+/* Writes the answers that are next in order. */
+static void flush_answers(struct server_conn *c)
+{
+	struct exchange *x, *tmp;
+
+	if (c->closing)
+		return;
+	list_for_each_entry_safe(x, tmp, &c->exchanges, link) {
+		if (!x->answer)
+			return;
+		bufferevent_write_buffer(c->bev, x->answer);
+		c->closing = x->close;
+		c->waiting--;
+		exchange_delete(x);
+		if (c->closing)
+			break;
+	}
+	if (c->closing)
+		bufferevent_disable(c->bev, EV_READ);
+}
+
+/* What can't be parsed is answered behind what came before it. */
+static void reject(struct server_conn *c)
+{
+	struct http_answer *a = http_answer_new(c->bad ? c->bad : 400);
+	struct exchange *x;
+
+	request_reset(c);
+	bufferevent_disable(c->bev, EV_READ);
+	x = exchange_new(c);
+	x->close = true;
+	x->answer = encode(a, false, true);
+	http_answer_delete(a);
+	flush_answers(c);
+}
+
+static void parse(struct server_conn *c)
+{
+	struct evbuffer *in = bufferevent_get_input(c->bev);
+	size_t len;
+
+	while (!c->closing && !c->last && c->waiting < PIPELINE_MAX &&
+	       (len = evbuffer_get_contiguous_space(in)) > 0) {
+		const char *data = (const char *)evbuffer_pullup(in,
+								 (ssize_t)len);
+		size_t used = http_parser_execute(&c->parser, &parser_settings,
+						  data, len);
+		enum http_errno err = HTTP_PARSER_ERRNO(&c->parser);
+
+		if (err == HPE_PAUSED) {
+			http_parser_pause(&c->parser, 0);
+			evbuffer_drain(in, used);
+			continue;
+		}
+		evbuffer_drain(in, used);
+		if (err != HPE_OK || c->parser.upgrade) {
+			reject(c);
+			return;
+		}
+	}
+}
+
+static void on_read(struct bufferevent *bev, void *arg)
+{
+	(void)bev;
+	parse(arg);
+}
+
+static void on_event(struct bufferevent *bev, short what, void *arg)
+{
+	(void)bev;
+	if (what & (BEV_EVENT_EOF | BEV_EVENT_ERROR | BEV_EVENT_TIMEOUT))
+		conn_delete(arg);
+}
+
+static void on_write(struct bufferevent *bev, void *arg)
+{
+	struct server_conn *c = arg;
+
+	if (c->closing && !evbuffer_get_length(bufferevent_get_output(bev)))
+		conn_delete(c);
+}
+
+static void on_accept(struct evconnlistener *l, evutil_socket_t fd,
+		      struct sockaddr *sa, int len, void *arg)
+{
+	struct http_server *s = arg;
+	struct server_conn *c = mem_new(struct server_conn);
+
+	(void)l;
+	(void)sa;
+	(void)len;
+	socket_set_opts(fd);
+	c->server = s;
+	c->bev = bufferevent_socket_new(s->opts.base, fd,
+					BEV_OPT_CLOSE_ON_FREE);
+	list_init(&c->exchanges);
+	list_push_back(&s->conns, &c->link);
+	http_parser_init(&c->parser, HTTP_REQUEST);
+	c->parser.data = c;
+	c->idle_deadline_ns = ms_from_now(s->opts.limits.idle_timeout_ms);
+	bufferevent_setcb(c->bev, on_read, on_write, on_event, c);
+	bufferevent_setwatermark(c->bev, EV_READ, 0, 256u << 10);
+	bufferevent_enable(c->bev, EV_READ | EV_WRITE);
+}
+
+/* Ends connections that are idle or slow for longer than is allowed. */
+static void on_sweep(evutil_socket_t fd, short what, void *arg)
+{
+	struct http_server *s = arg;
+	uint64_t now = clock_now_ns();
+	struct server_conn *c, *tmp;
+
+	(void)fd;
+	(void)what;
+	list_for_each_entry_safe(c, tmp, &s->conns, link) {
+		if (!list_empty(&c->exchanges))
+			continue;
+		if (c->header_deadline_ns && now > c->header_deadline_ns &&
+		    !c->closing) {
+			c->bad = 408;
+			reject(c);
+		} else if (now > c->idle_deadline_ns) {
+			conn_delete(c);
+		}
+	}
+}
+
+struct http_server *http_server_new(const struct http_server_opts *o,
+				    struct status *st)
+{
+	struct http_server *s = mem_new(struct http_server);
+	struct timeval tv = {.tv_usec = SWEEP_MS * 1000};
+	struct sockaddr_in sin;
+
+	s->opts = *o;
+	s->next_id = 1;
+	list_init(&s->conns);
+	for (int i = 0; i < EXCHANGE_BUCKETS; i++)
+		list_init(&s->hash[i]);
+	http_server_set_limits(s, &o->limits);
+	s->sweep = event_new(o->base, -1, EV_PERSIST, on_sweep, s);
+	event_add(s->sweep, &tv);
+	if (addr_to_sockaddr(o->addr, &sin))
+		s->listener = evconnlistener_new_bind(
+			o->base, on_accept, s,
+			LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE,
+			LISTEN_BACKLOG, (struct sockaddr *)&sin, sizeof(sin));
+	if (s->listener)
+		return s;
+	status_set(st, STATUS_IO, "%s can't be bound", o->addr);
+	http_server_delete(s);
+	return NULL;
+}
+
+void http_server_delete(struct http_server *s)
+{
+	struct server_conn *c, *tmp;
+
+	list_for_each_entry_safe(c, tmp, &s->conns, link)
+		conn_delete(c);
+	if (s->listener)
+		evconnlistener_free(s->listener);
+	event_free(s->sweep);
+	free(s);
+}
+
+void http_server_set_limits(struct http_server *s,
+			    const struct http_server_limits *l)
+{
+	struct http_server_limits *to = &s->opts.limits;
+
+	*to = *l;
+	if (!to->header_bytes)
+		to->header_bytes = HEADER_DEFAULT;
+	if (!to->body_bytes)
+		to->body_bytes = BODY_DEFAULT;
+	if (!to->header_timeout_ms)
+		to->header_timeout_ms = TIMEOUT_DEFAULT_MS;
+	if (!to->idle_timeout_ms)
+		to->idle_timeout_ms = TIMEOUT_DEFAULT_MS;
+}
+
+static struct exchange *exchange_find(struct http_server *s, uint64_t id)
+{
+	struct exchange *x;
+
+	list_for_each_entry(x, &s->hash[id % EXCHANGE_BUCKETS], hash)
+		if (x->id == id)
+			return x;
+	return NULL;
+}
+
+void http_server_reply(struct http_server *s, uint64_t caller,
+		       const struct http_answer *a, bool close)
+{
+	struct exchange *x = exchange_find(s, caller);
+	struct server_conn *c;
+
+	if (!x || x->answer)
+		return;
+	c = x->conn;
+	x->close |= close;
+	x->answer = encode(a, x->head, x->close);
+	c->idle_deadline_ns = ms_from_now(s->opts.limits.idle_timeout_ms);
+	flush_answers(c);
+	/* The parser is not entered again from inside one of its callbacks. */
+	if (!c->closing && evbuffer_get_length(bufferevent_get_input(c->bev)))
+		bufferevent_trigger(c->bev, EV_READ, BEV_TRIG_DEFER_CALLBACKS);
+}
+
+uint32_t http_server_pending(const struct http_server *s)
+{
+	const struct server_conn *c;
+	uint32_t writing = 0;
+
+	list_for_each_entry(c, &s->conns, link)
+		writing += evbuffer_get_length(
+				   bufferevent_get_output(c->bev)) > 0;
+	return s->pending + writing;
+}
--- a/io/log.c
+++ b/io/log.c
@@ -23,6 +23,13 @@
 static char log_name[JD_NAME_MAX] = "-";
 static struct log_limit log_limit;
 
+static FILE *log_out;
+
+void log_to(FILE *out)
+{
+	log_out = out;
+}
+
 void log_init(enum log_level min, const char *name)
 {
 	log_min = min;
@@ -58,8 +65,9 @@
 	clock_gettime(CLOCK_REALTIME, &ts);
 	gmtime_r(&ts.tv_sec, &tm);
 	strftime(when, sizeof(when), "%Y-%m-%dT%H:%M:%S", &tm);
-	fprintf(stderr, "time=%s.%03ldZ level=%s node=%s %s%s\n", when,
+	fprintf(log_out ? log_out : stderr, "time=%s.%03ldZ level=%s node=%s %s%s\n", when,
 		ts.tv_nsec / 1000000, level_names[level], log_name, text, note);
+	fflush(log_out ? log_out : stderr);
 }
 
 void log_event(enum log_level level, const char *fmt, ...)
--- a/io/log.h
+++ b/io/log.h
@@ -2,11 +2,16 @@
 #ifndef JD_IO_LOG_H
 #define JD_IO_LOG_H
 
+#include <stdio.h>
+
 #include "core/action.h"
 
 /** Lines below @min are left out; @name goes into each line. */
 void log_init(enum log_level min, const char *name);
 
+/** Lines go to @out from now on; standard error before. */
+void log_to(FILE *out);
+
 /**
  * Writes time, level and name before @line. Repeats of one event are
  * limited; suppressed=N says how many were left out.
--- /dev/null
+++ b/io/socket_opts.c
@@ -0,0 +1,42 @@
+#include "io/socket_opts.h"
+
+#include <errno.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <string.h>
+#include <sys/socket.h>
+
+#include "io/log.h"
+
+/* Sent bytes without an acknowledgement for as long end the connection. */
+#define UNACKED_MAX_MS	 2000
+#define KEEPALIVE_IDLE_S 1
+#define KEEPALIVE_EACH_S 1
+#define KEEPALIVE_COUNT	 2
+
+static void set(int fd, int level, int option, int value)
+{
+	if (setsockopt(fd, level, option, &value, sizeof(value)) != 0)
+		log_event(LOG_WARN,
+			  "event=socket_option_failed level=%d option=%d "
+			  "why=\"%s\"",
+			  level, option, strerror(errno));
+}
+
+void socket_set_opts(int fd)
+{
+	set(fd, IPPROTO_TCP, TCP_NODELAY, 1);
+	set(fd, SOL_SOCKET, SO_KEEPALIVE, 1);
+	set(fd, IPPROTO_TCP, TCP_KEEPIDLE, KEEPALIVE_IDLE_S);
+	set(fd, IPPROTO_TCP, TCP_KEEPINTVL, KEEPALIVE_EACH_S);
+	set(fd, IPPROTO_TCP, TCP_KEEPCNT, KEEPALIVE_COUNT);
+	set(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, UNACKED_MAX_MS);
+}
+
+bool socket_is_quiet(int fd)
+{
+	char byte;
+
+	return recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) < 0 &&
+	       (errno == EAGAIN || errno == EWOULDBLOCK);
+}
--- a/wire/codec.c
+++ b/wire/codec.c
@@ -66,8 +66,23 @@
 	PACK_STR_OF(struct msg_forward, key),
 	PACK_STR_OF(struct msg_forward, organisation),
 	PACK_BOOL_OF(struct msg_forward, idempotent),
+	PACK_U64_OF(struct msg_forward, sent_ns),
+	PACK_U64_OF(struct msg_forward, objective_ns),
+	PACK_U32_OF(struct msg_forward, priority),
+	PACK_U32_OF(struct msg_forward, shard),
+	PACK_BOOL_OF(struct msg_forward, keyed),
+	PACK_BOOL_OF(struct msg_forward, nested),
+	PACK_STR_OF(struct msg_forward, caller_id),
+	PACK_STR_OF(struct msg_forward, caller_service),
 };
 
+/* The members of a struct gate_load called load inside @type. */
+#define PACK_GATE_LOAD(type)                                                   \
+	PACK_U32_OF(type, load.running), PACK_U32_OF(type, load.waiting),      \
+		PACK_U32_OF(type, load.limit),                                 \
+		PACK_U64_OF(type, load.service_ns),                            \
+		PACK_BOOL_OF(type, load.open), PACK_BOOL_OF(type, load.cold)
+
 static const struct pack_field answer_fields[] = {
 	PACK_U64_OF(struct msg_answer, id.node),
 	PACK_U64_OF(struct msg_answer, id.counter),
@@ -75,6 +90,28 @@
 	PACK_ENUM_OF(struct msg_answer, outcome, OUTCOME_COUNT),
 	PACK_U64_OF(struct msg_answer, revision),
 	PACK_ENUM_OF(struct msg_answer, refusal, REFUSAL_COUNT),
+	PACK_U64_OF(struct msg_answer, retry_after_ns),
+	PACK_GATE_LOAD(struct msg_answer),
+};
+
+static const struct pack_field load_fields[] = {
+	PACK_STR_OF(struct msg_load, node),
+	PACK_U64_OF(struct msg_load, sent_ns),
+	PACK_U64_OF(struct msg_load, revision),
+	PACK_BOOL_OF(struct msg_load, leaving),
+	PACK_GATE_LOAD(struct msg_load),
+};
+
+static const struct pack_field renew_fields[] = {
+	PACK_U64_OF(struct msg_renew, lease),
+	PACK_U64_OF(struct msg_renew, sent_ns),
+	PACK_STR_OF(struct msg_renew, reply_to),
+};
+
+static const struct pack_field renewed_fields[] = {
+	PACK_U64_OF(struct msg_renewed, lease),
+	PACK_U64_OF(struct msg_renewed, sent_ns),
+	PACK_BOOL_OF(struct msg_renewed, ended),
 };
 
 static const struct pack_field cancel_fields[] = {
@@ -93,6 +130,9 @@
 	[MSG_FORWARD] = PACK_TABLE(forward_fields),
 	[MSG_ANSWER] = PACK_TABLE(answer_fields),
 	[MSG_CANCEL] = PACK_TABLE(cancel_fields),
+	[MSG_LOAD] = PACK_TABLE(load_fields),
+	[MSG_RENEW] = PACK_TABLE(renew_fields),
+	[MSG_RENEWED] = PACK_TABLE(renewed_fields),
 };
 
 static void pack_payload(msgpack_packer *pk, const struct payload *p)
@@ -293,6 +333,9 @@
 	case MSG_HEARTBEAT_ACK:
 	case MSG_ADOPT:
 	case MSG_CANCEL:
+	case MSG_LOAD:
+	case MSG_RENEW:
+	case MSG_RENEWED:
 	case MSG_KIND_COUNT:
 		msgpack_pack_nil(pk);
 		break;
@@ -317,6 +360,9 @@
 	case MSG_HEARTBEAT_ACK:
 	case MSG_ADOPT:
 	case MSG_CANCEL:
+	case MSG_LOAD:
+	case MSG_RENEW:
+	case MSG_RENEWED:
 	case MSG_KIND_COUNT:
 		break;
 	}
--- /dev/null
+++ b/wire/mesh_codec.c
@@ -0,0 +1,191 @@
+#include "wire/mesh_codec.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "core/mem.h"
+#include "wire/pack.h"
+
+/* Owners that one keymap may name. */
+#define HOLDERS_MAX 4096
+
+static const struct pack_field card_fields[] = {
+	PACK_STR_OF(struct node_card, node),
+	PACK_STR_OF(struct node_card, peer_addr),
+	PACK_STR_OF(struct node_card, dc),
+	PACK_STR_OF(struct node_card, region),
+	PACK_U64_OF(struct node_card, boot),
+	PACK_STR_OF(struct node_card, service),
+	PACK_STR_OF(struct node_card, upstream.node),
+	PACK_STR_OF(struct node_card, upstream.instance),
+	PACK_U64_OF(struct node_card, upstream.born),
+	PACK_U32_OF(struct node_card, slots),
+	PACK_BOOL_OF(struct node_card, draining),
+};
+static const struct pack_table card_table = PACK_TABLE(card_fields);
+
+static const struct pack_field holder_fields[] = {
+	PACK_STR_OF(struct holder_id, node),
+	PACK_STR_OF(struct holder_id, instance),
+	PACK_U64_OF(struct holder_id, born),
+};
+static const struct pack_table holder_table = PACK_TABLE(holder_fields);
+
+/* A row names its owner by its place in the list of owners. */
+struct packed_row {
+	uint32_t from;
+	uint32_t to;
+	uint64_t fence;
+	uint32_t owner;
+	char handover[KEYMAP_HANDOVER_MAX];
+	char target[JD_NODE_NAME_MAX];
+};
+
+static const struct pack_field row_fields[] = {
+	PACK_U32_OF(struct packed_row, from),
+	PACK_U32_OF(struct packed_row, to),
+	PACK_U64_OF(struct packed_row, fence),
+	PACK_U32_OF(struct packed_row, owner),
+	PACK_STR_OF(struct packed_row, handover),
+	PACK_STR_OF(struct packed_row, target),
+};
+static const struct pack_table row_table = PACK_TABLE(row_fields);
+
+static void take(msgpack_sbuffer *sb, struct wire_buf *out)
+{
+	out->len = sb->size;
+	out->data = (unsigned char *)msgpack_sbuffer_release(sb);
+}
+
+void mesh_encode_card(const struct node_card *card, struct wire_buf *out)
+{
+	msgpack_sbuffer sb;
+	msgpack_packer pk;
+
+	msgpack_sbuffer_init(&sb);
+	msgpack_packer_init(&pk, &sb, msgpack_sbuffer_write);
+	pack_struct(&pk, card, &card_table);
+	take(&sb, out);
+}
+
+bool mesh_decode_card(const void *data, size_t len, struct node_card *card)
+{
+	msgpack_unpacked u;
+	size_t off = 0;
+	bool ok;
+
+	msgpack_unpacked_init(&u);
+	ok = msgpack_unpack_next(&u, data, len, &off) ==
+		     MSGPACK_UNPACK_SUCCESS &&
+	     unpack_struct(&u.data, card, &card_table);
+	msgpack_unpacked_destroy(&u);
+	return ok;
+}
+
+/* Place of @id in @ids, where it is added if it is new. */
+static uint32_t holder_index(const struct holder_id **ids, uint32_t *count,
+			     const struct holder_id *id)
+{
+	for (uint32_t i = 0; i < *count; i++)
+		if (holder_equal(ids[i], id))
+			return i;
+	ids[*count] = id;
+	return (*count)++;
+}
+
+void mesh_encode_keymap(const struct keymap *map, struct wire_buf *out)
+{
+	const struct holder_id **ids;
+	const struct keyrow *r;
+	uint32_t count = 0;
+	size_t rows = 0;
+	msgpack_sbuffer sb;
+	msgpack_packer pk;
+
+	list_for_each_entry(r, &map->rows, link)
+		rows++;
+	ids = mem_zalloc(rows + 1, sizeof(struct holder_id *));
+	list_for_each_entry(r, &map->rows, link)
+		holder_index(ids, &count, &r->owner);
+	msgpack_sbuffer_init(&sb);
+	msgpack_packer_init(&pk, &sb, msgpack_sbuffer_write);
+	msgpack_pack_array(&pk, 3);
+	msgpack_pack_uint64(&pk, map->fence);
+	msgpack_pack_array(&pk, count);
+	for (uint32_t i = 0; i < count; i++)
+		pack_struct(&pk, ids[i], &holder_table);
+	msgpack_pack_array(&pk, rows);
+	list_for_each_entry(r, &map->rows, link) {
+		struct packed_row p = {.from = r->from,
+				       .to = r->to,
+				       .fence = r->fence};
+
+		p.owner = holder_index(ids, &count, &r->owner);
+		mem_copy_str(p.handover, r->handover, sizeof(p.handover));
+		mem_copy_str(p.target, r->target, sizeof(p.target));
+		pack_struct(&pk, &p, &row_table);
+	}
+	free(ids);
+	take(&sb, out);
+}
+
+static bool unpack_rows(const msgpack_object *o, const struct holder_id *ids,
+			uint32_t count, struct keymap *map)
+{
+	const msgpack_object *it;
+
+	for (size_t i = 0; (it = unpack_at(o, i)); i++) {
+		struct packed_row p;
+		struct keyrow *r;
+
+		if (!unpack_struct(it, &p, &row_table) || p.owner >= count)
+			return false;
+		r = keymap_add(map, p.from, p.to);
+		r->fence = p.fence;
+		r->owner = ids[p.owner];
+		mem_copy_str(r->handover, p.handover, sizeof(r->handover));
+		mem_copy_str(r->target, p.target, sizeof(r->target));
+	}
+	return keymap_valid(map);
+}
+
+static bool unpack_keymap(const msgpack_object *o, struct keymap *map)
+{
+	const msgpack_object *holders = unpack_at(o, 1);
+	struct holder_id *ids;
+	uint32_t count = 0;
+	bool ok;
+
+	if (!unpack_at(o, 0) || !unpack_u64(unpack_at(o, 0), &map->fence) ||
+	    !holders || holders->type != MSGPACK_OBJECT_ARRAY ||
+	    holders->via.array.size > HOLDERS_MAX || !unpack_at(o, 2))
+		return false;
+	ids = mem_zalloc(holders->via.array.size + 1, sizeof(*ids));
+	ok = true;
+	for (; ok && count < holders->via.array.size; count++)
+		ok = unpack_struct(unpack_at(holders, count), &ids[count],
+				   &holder_table);
+	ok = ok && unpack_rows(unpack_at(o, 2), ids, count, map);
+	free(ids);
+	return ok;
+}
+
+struct keymap *mesh_decode_keymap(const char *service, const void *data,
+				  size_t len)
+{
+	struct keymap *map = keymap_new(service);
+	msgpack_unpacked u;
+	size_t off = 0;
+	bool ok;
+
+	msgpack_unpacked_init(&u);
+	ok = len <= WIRE_MAX_BYTES &&
+	     msgpack_unpack_next(&u, data, len, &off) ==
+		     MSGPACK_UNPACK_SUCCESS &&
+	     unpack_keymap(&u.data, map);
+	msgpack_unpacked_destroy(&u);
+	if (ok)
+		return map;
+	keymap_delete(map);
+	return NULL;
+}
