--- a/core/dispatch.c
+++ b/core/dispatch.c
@@ -30,7 +30,7 @@
 #define RETRY_AFTER_LEAST_NS (100 * NS_PER_MS)
 #define RETRY_AFTER_OWNER_NS (400 * NS_PER_MS)
 
-void dispatch_init(struct dispatch *d, const struct mesh_opts *o)
+void dispatch_init(struct dispatch *d)
 {
 	memset(d, 0, sizeof(*d));
 	for (int i = 0; i < DISPATCH_BUCKETS; i++) {
@@ -39,7 +39,7 @@
 	}
 	list_init(&d->held);
 	d->next_id = 1;
-	window_budget_init(&d->budget, o->retry_window_ns);
+	list_init(&d->budgets);
 	histogram_init(&d->latency);
 	burn_init(&d->burn);
 }
@@ -58,15 +58,35 @@
 
 void dispatch_done(struct dispatch *d)
 {
+	struct service_budget *b, *bt;
+
 	for (int i = 0; i < DISPATCH_BUCKETS; i++) {
 		struct job *j, *tmp;
 
 		list_for_each_entry_safe(j, tmp, &d->jobs[i], link)
 			job_delete(d, j);
 	}
+	list_for_each_entry_safe(b, bt, &d->budgets, link)
+		free(b);
 	burn_done(&d->burn);
 }
 
+static struct window_budget *budget_of(struct dispatch *d,
+				       const struct mesh_ctx *c,
+				       const char *service)
+{
+	struct service_budget *b;
+
+	list_for_each_entry(b, &d->budgets, link)
+		if (!strcmp(b->service, service))
+			return &b->window;
+	b = mem_new(struct service_budget);
+	mem_copy_str(b->service, service, sizeof(b->service));
+	window_budget_init(&b->window, c->opts->retry_window_ns);
+	list_push_back(&d->budgets, &b->link);
+	return &b->window;
+}
+
 /* Answers a request that has no job yet. */
 static void refuse(struct dispatch *d, struct mesh_ctx *c,
 		   const struct caller_request *r, enum refusal why)
@@ -416,8 +436,8 @@
 		refuse(d, c, r, why);
 		return;
 	}
-	window_budget_earn(&d->budget, c->now_ns);
 	j = job_new(d, c, route, r);
+	window_budget_earn(budget_of(d, c, j->service), c->now_ns);
 	if (j->keyed && !r->keyed) {
 		fail(d, c, j, REFUSAL_NO_KEY);
 		return;
@@ -486,11 +506,16 @@
 		return false;
 	list_for_each_entry(n, &c->dir.nodes, link)
 		nodes += n->revision != 0;
-	return window_budget_spend(&d->budget,
-				   c->opts->retry_ratio * BUDGET_SHARE,
-				   c->opts->retry_slack * BUDGET_SHARE /
-					   (nodes ? nodes : 1),
-				   c->now_ns);
+	if (window_budget_spend(budget_of(d, c, j->service),
+				c->opts->retry_ratio * BUDGET_SHARE,
+				c->opts->retry_slack * BUDGET_SHARE /
+					(nodes ? nodes : 1),
+				c->now_ns)) {
+		d->repeats++;
+		return true;
+	}
+	d->repeats_denied++;
+	return false;
 }
 
 /* The attempt did not run; others may take it at no cost to upstreams. */
--- a/core/dispatch.h
+++ b/core/dispatch.h
@@ -58,6 +58,13 @@
 	struct http_request *request;
 };
 
+/** The fleet's budget of extra attempts counts each service apart. */
+struct service_budget {
+	struct list link;
+	char service[JD_NAME_MAX];
+	struct window_budget window;
+};
+
 struct dispatch {
 	struct list jobs[DISPATCH_BUCKETS];    /* of struct job */
 	struct list callers[DISPATCH_BUCKETS]; /* of struct job */
@@ -68,7 +75,9 @@
 	uint64_t next_expiry_ns;
 	bool stopping; /* callers are told to go elsewhere */
 	bool closed;   /* nothing new is taken */
-	struct window_budget budget;
+	struct list budgets; /* of struct service_budget */
+	uint64_t repeats;
+	uint64_t repeats_denied;
 	struct histogram latency;
 	uint64_t requests;
 	uint64_t outcomes[OUTCOME_COUNT];
@@ -76,7 +85,7 @@
 	struct burn burn;
 };
 
-void dispatch_init(struct dispatch *d, const struct mesh_opts *o);
+void dispatch_init(struct dispatch *d);
 void dispatch_done(struct dispatch *d);
 
 /** What the parts of one node need of each other here. */
--- a/core/mesh.c
+++ b/core/mesh.c
@@ -35,7 +35,7 @@
 	holder_init(&m->holder, &m->opts, now_ns);
 	keyplan_init(&m->keyplan, now_ns);
 	gatekeeper_init(&m->gate);
-	dispatch_init(&m->dispatch, &m->opts);
+	dispatch_init(&m->dispatch);
 	return m;
 }
 
--- a/core/window_budget.c
+++ b/core/window_budget.c
@@ -40,11 +40,8 @@
 		requests += b->requests[i];
 		extras += b->extras[i];
 	}
-	if (extras + 1 > ratio * requests + slack) {
-		b->denied++;
+	if (extras + 1 > ratio * requests + slack)
 		return false;
-	}
 	b->extras[b->slot % WINDOW_BUDGET_SLOTS]++;
-	b->spent++;
 	return true;
 }
--- a/core/window_budget.h
+++ b/core/window_budget.h
@@ -14,8 +14,6 @@
 	uint64_t slot;	  /* number of the newest one */
 	uint32_t requests[WINDOW_BUDGET_SLOTS];
 	uint32_t extras[WINDOW_BUDGET_SLOTS];
-	uint64_t spent;
-	uint64_t denied;
 };
 
 void window_budget_init(struct window_budget *b, uint64_t window_ns);
