A stopping node answers all that it has taken

Cause: at the end of its time a stopping process exited with requests of callers still waiting, and it took new ones until half a second before; a connection that went while it had several requests answered one of them through memory that was freed. Change: none is taken from 2.9 s after the signal; what waits for a gate then is refused, what is at one is cancelled at the very end; a closed connection tells of its requests only after all of them are gone.

--- a/core/dispatch.c
+++ b/core/dispatch.c
@@ -681,6 +681,22 @@
 			route_job(d, c, g, j);
 }
 
+void dispatch_end_all(struct dispatch *d, struct mesh_ctx *c,
+		      struct gate_side *g, bool sent)
+{
+	struct job *j, *tmp;
+
+	for (int i = 0; i < DISPATCH_BUCKETS; i++) {
+		list_for_each_entry_safe(j, tmp, &d->jobs[i], link) {
+			if (j->state == JOB_SENT && !sent)
+				continue;
+			cancel(c, g, j);
+			j->may_have_run |= j->state == JOB_SENT;
+			fail(d, c, j, REFUSAL_LEAVING);
+		}
+	}
+}
+
 uint64_t dispatch_next_ns(const struct dispatch *d)
 {
 	return d->count ? d->next_expiry_ns : UINT64_MAX;
--- a/core/dispatch.h
+++ b/core/dispatch.h
@@ -105,6 +105,12 @@
 /** Ends late requests, tries held ones, gives up on lost gates. */
 void dispatch_work(struct dispatch *d, struct mesh_ctx *c,
 		   struct gate_side *g);
+/**
+ * The process ends: answers all that is left. What waits for a gate has not
+ * run; what is at one is cancelled.
+ */
+void dispatch_end_all(struct dispatch *d, struct mesh_ctx *c,
+		      struct gate_side *g, bool sent);
 uint64_t dispatch_next_ns(const struct dispatch *d);
 
 #endif
--- a/core/mesh.c
+++ b/core/mesh.c
@@ -15,10 +15,10 @@
 #define FIRST_CARD_NS	(1200 * NS_PER_MS)
 /* Callers notice within that time that the node is not ready any more. */
 #define UNREADY_NS	(2300 * NS_PER_MS)
+/* Callers that have not noticed by then are refused. */
+#define REFUSE_NS	(2900 * NS_PER_MS)
 /* Kept of a planned stop's time for the process to end. */
-#define STOP_MARGIN_NS	(500 * NS_PER_MS)
-/* And that much for requests that were taken last. */
-#define STOP_FINISH_NS	(1500 * NS_PER_MS)
+#define STOP_MARGIN_NS	(400 * NS_PER_MS)
 #define RELAYS_MAX	16
 
 struct mesh *mesh_new(const struct mesh_opts *o, uint64_t now_ns)
@@ -202,6 +202,7 @@
 	m->stop = MESH_UNREADY;
 	m->dispatch.stopping = true;
 	m->close_ns = m->ctx.now_ns + UNREADY_NS;
+	m->refuse_ns = m->ctx.now_ns + REFUSE_NS;
 	m->end_ns = m->ctx.now_ns + m->opts.stop_ns - STOP_MARGIN_NS;
 	mesh_log(m->ctx.out, LOG_INFO, "event=stopping requests=%u",
 		 m->dispatch.count);
@@ -313,17 +314,21 @@
 static void stop_work(struct mesh *m)
 {
 	uint64_t now = m->ctx.now_ns;
+	struct gate_side g = side(m);
 
 	if (m->stop == MESH_UNREADY && now >= m->close_ns) {
 		m->stop = MESH_CLOSED;
 		mesh_log(m->ctx.out, LOG_INFO, "event=closed requests=%u",
 			 m->dispatch.count);
 	}
-	if (m->stop == MESH_CLOSED && now + STOP_FINISH_NS >= m->end_ns)
+	if (m->stop == MESH_CLOSED && now >= m->refuse_ns) {
 		m->dispatch.closed = true;
+		dispatch_end_all(&m->dispatch, &m->ctx, &g, now >= m->end_ns);
+	}
 	if (m->stop != MESH_CLOSED || (!idle(m) && now < m->end_ns))
 		return;
 	m->stop = MESH_ENDED;
+	m->dispatch.closed = true;
 	if (m->holder.draining || m->holder.gone)
 		mesh_store_call(&m->ctx, CALL_LEASE_END)->lease =
 			m->session.lease;
--- a/io/http_server.c
+++ b/io/http_server.c
@@ -104,20 +104,22 @@
 static void conn_delete(struct server_conn *c)
 {
 	struct http_server *s = c->server;
+	uint64_t gone[PIPELINE_MAX + 1];
 	struct exchange *x, *tmp;
+	int count = 0;
 
 	list_remove(&c->link);
 	bufferevent_free(c->bev);
+	/* The owner may answer one of them while it is told of another. */
 	list_for_each_entry_safe(x, tmp, &c->exchanges, link) {
-		bool tell = x->handed && !x->answer;
-		uint64_t id = x->id;
-
+		if (x->handed && !x->answer && count <= PIPELINE_MAX)
+			gone[count++] = x->id;
 		exchange_delete(x);
-		if (tell)
-			s->opts.on_gone(s->opts.arg, id);
 	}
 	request_reset(c);
 	free(c);
+	for (int i = 0; i < count; i++)
+		s->opts.on_gone(s->opts.arg, gone[i]);
 }
 
 static uint64_t ms_from_now(uint64_t ms)
