Repeats count against the services that their runs call

Change: a gate tells which routes only upstreams use, from where requests begin; those earn nothing, and a repeat needs room at each called service.

--- a/core/dispatch.c
+++ b/core/dispatch.c
@@ -40,6 +40,7 @@
 	list_init(&d->held);
 	d->next_id = 1;
 	list_init(&d->budgets);
+	list_init(&d->internal);
 	histogram_init(&d->latency);
 	burn_init(&d->burn);
 }
@@ -59,6 +60,7 @@
 void dispatch_done(struct dispatch *d)
 {
 	struct service_budget *b, *bt;
+	struct internal_route *r, *rt;
 
 	for (int i = 0; i < DISPATCH_BUCKETS; i++) {
 		struct job *j, *tmp;
@@ -68,23 +70,48 @@
 	}
 	list_for_each_entry_safe(b, bt, &d->budgets, link)
 		free(b);
+	list_for_each_entry_safe(r, rt, &d->internal, link)
+		free(r);
 	burn_done(&d->burn);
 }
 
-static struct window_budget *budget_of(struct dispatch *d,
-				       const struct mesh_ctx *c,
-				       const char *service)
+static struct service_budget *budget_of(struct dispatch *d,
+					const struct mesh_ctx *c,
+					const char *service)
 {
 	struct service_budget *b;
 
 	list_for_each_entry(b, &d->budgets, link)
 		if (!strcmp(b->service, service))
-			return &b->window;
+			return b;
 	b = mem_new(struct service_budget);
 	mem_copy_str(b->service, service, sizeof(b->service));
 	window_budget_init(&b->window, c->opts->retry_window_ns);
 	list_push_back(&d->budgets, &b->link);
-	return &b->window;
+	return b;
+}
+
+static bool route_is_internal(const struct dispatch *d, const char *route)
+{
+	const struct internal_route *r;
+
+	list_for_each_entry(r, &d->internal, link)
+		if (!strcmp(r->route, route))
+			return true;
+	return false;
+}
+
+static void learn_internal(struct dispatch *d, const struct mesh_ctx *c,
+			   const struct job *j)
+{
+	struct internal_route *r;
+
+	if (route_is_internal(d, j->route))
+		return;
+	r = mem_new(struct internal_route);
+	mem_copy_str(r->route, j->route, sizeof(r->route));
+	list_push_back(&d->internal, &r->link);
+	budget_of(d, c, j->service)->called = true;
 }
 
 /* Answers a request that has no job yet. */
@@ -437,7 +464,10 @@
 		return;
 	}
 	j = job_new(d, c, route, r);
-	window_budget_earn(budget_of(d, c, j->service), c->now_ns);
+	/* The budget is a share of what callers send, not upstreams. */
+	if (!route_is_internal(d, j->route))
+		window_budget_earn(&budget_of(d, c, j->service)->window,
+				   c->now_ns);
 	if (j->keyed && !r->keyed) {
 		fail(d, c, j, REFUSAL_NO_KEY);
 		return;
@@ -494,23 +524,43 @@
 	return NULL;
 }
 
+/*
+ * A repeat of a request repeats the calls that its run makes; so it counts
+ * against the services that are called, too.
+ */
+static bool spend(struct dispatch *d, const struct mesh_ctx *c,
+		  const char *service, double slack)
+{
+	double ratio = c->opts->retry_ratio * BUDGET_SHARE;
+	struct service_budget *own = budget_of(d, c, service);
+	struct service_budget *b;
+
+	list_for_each_entry(b, &d->budgets, link)
+		if ((b == own || b->called) &&
+		    !window_budget_has_room(&b->window, ratio, slack,
+					    c->now_ns))
+			return false;
+	list_for_each_entry(b, &d->budgets, link)
+		if (b == own || b->called)
+			window_budget_spend(&b->window, c->now_ns);
+	return true;
+}
+
 /* One more attempt that costs an upstream: rare enough, and useful? */
 static bool may_repeat(struct dispatch *d, const struct mesh_ctx *c,
 		       const struct job *j)
 {
 	const struct dir_node *n;
 	uint32_t nodes = 0;
+	double slack;
 
 	if (j->reached >= j->max_attempts ||
 	    c->now_ns + 2 * ANSWER_RESERVE_NS >= j->deadline_ns)
 		return false;
 	list_for_each_entry(n, &c->dir.nodes, link)
 		nodes += n->revision != 0;
-	if (window_budget_spend(budget_of(d, c, j->service),
-				c->opts->retry_ratio * BUDGET_SHARE,
-				c->opts->retry_slack * BUDGET_SHARE /
-					(nodes ? nodes : 1),
-				c->now_ns)) {
+	slack = c->opts->retry_slack * BUDGET_SHARE / (nodes ? nodes : 1);
+	if (spend(d, c, j->service, slack)) {
 		d->repeats++;
 		return true;
 	}
@@ -627,6 +677,8 @@
 	n = directory_node(&c->dir, j->node);
 	if (n && from != c->opts->boot)
 		n->load = a->load;
+	if (a->internal_route)
+		learn_internal(d, c, j);
 	switch (a->outcome) {
 	case OUTCOME_DONE:
 		on_done(d, c, g, j, a, n);
--- a/core/dispatch.h
+++ b/core/dispatch.h
@@ -63,6 +63,13 @@
 	struct list link;
 	char service[JD_NAME_MAX];
 	struct window_budget window;
+	bool called; /* by other services: their repeats repeat its calls */
+};
+
+/** A route that only upstreams use. */
+struct internal_route {
+	struct list link;
+	char route[JD_NAME_MAX];
 };
 
 struct dispatch {
@@ -76,6 +83,7 @@
 	bool stopping; /* callers are told to go elsewhere */
 	bool closed;   /* nothing new is taken */
 	struct list budgets; /* of struct service_budget */
+	struct list internal; /* of struct internal_route */
 	uint64_t repeats;
 	uint64_t repeats_denied;
 	struct histogram latency;
--- a/core/gatekeeper.c
+++ b/core/gatekeeper.c
@@ -16,6 +16,11 @@
 #define WAY_BACK_NS	(5 * NS_PER_MS)
 /* An attempt with less time left is not started. */
 #define LEAST_LEFT_NS	(10 * NS_PER_MS)
+/*
+ * Callers sit beside the upstreams of all services. So many requests of a
+ * route without one from a VM of our service come from other upstreams.
+ */
+#define INTERNAL_LEAST	40
 
 void gatekeeper_init(struct gatekeeper *g)
 {
@@ -23,7 +28,7 @@
 	list_init(&g->waiting);
 	list_init(&g->running);
 	list_init(&g->ends);
-	list_init(&g->times);
+	list_init(&g->routes);
 	g->next_call = 1;
 	g->mean_ns = TIME_FIRST_NS;
 	g->work_percent = 100;
@@ -39,14 +44,14 @@
 void gatekeeper_done(struct gatekeeper *g)
 {
 	struct work *w, *tmp;
-	struct route_time *t, *tt;
+	struct route_stats *t, *tt;
 	struct work_end *e;
 
 	list_for_each_entry_safe(w, tmp, &g->waiting, link)
 		work_delete(w);
 	list_for_each_entry_safe(w, tmp, &g->running, link)
 		work_delete(w);
-	list_for_each_entry_safe(t, tt, &g->times, link)
+	list_for_each_entry_safe(t, tt, &g->routes, link)
 		free(t);
 	while ((e = gatekeeper_pop(g))) {
 		http_answer_delete(e->answer.answer);
@@ -70,20 +75,37 @@
 	return g->running_count + g->waiting_count;
 }
 
-static struct route_time *time_of(struct gatekeeper *g, const char *route)
+static struct route_stats *stats_of(struct gatekeeper *g, const char *route)
 {
-	struct route_time *t;
+	struct route_stats *t;
 
-	list_for_each_entry(t, &g->times, link)
+	list_for_each_entry(t, &g->routes, link)
 		if (!strcmp(t->route, route))
 			return t;
-	t = mem_new(struct route_time);
+	t = mem_new(struct route_stats);
 	mem_copy_str(t->route, route, sizeof(t->route));
 	t->mean_ns = g->mean_ns;
-	list_push_back(&g->times, &t->link);
+	list_push_back(&g->routes, &t->link);
 	return t;
 }
 
+/* True for a route that only upstreams of other services use. */
+static bool is_internal(const struct route_stats *t)
+{
+	return !t->from_own && t->from_others >= INTERNAL_LEAST;
+}
+
+static void count_origin(struct gatekeeper *g, const struct mesh_ctx *c,
+			 const struct msg_forward *f)
+{
+	struct route_stats *t = stats_of(g, f->route);
+
+	if (!strcmp(f->caller_service, c->opts->service))
+		t->from_own++;
+	else
+		t->from_others++;
+}
+
 static void count_out(struct gatekeeper *g, const struct work *w)
 {
 	if (w->state == WORK_WAITING)
@@ -104,6 +126,7 @@
 	e->answer.attempt = w->attempt;
 	e->answer.outcome = outcome;
 	e->answer.refusal = refusal;
+	e->answer.internal_route = w->nested;
 	e->answer.answer = answer;
 	list_push_back(&g->ends, &e->link);
 	g->served += outcome == OUTCOME_DONE;
@@ -153,8 +176,9 @@
 	g->waiting_count++;
 }
 
-static struct work *work_new(const struct mesh_ctx *c, struct msg_forward *f,
-			     uint64_t from, uint64_t delay_ns)
+static struct work *work_new(struct gatekeeper *g, const struct mesh_ctx *c,
+			     struct msg_forward *f, uint64_t from,
+			     uint64_t delay_ns)
 {
 	struct work *w = mem_new(struct work);
 	uint64_t left = f->time_left_ns > delay_ns
@@ -173,7 +197,7 @@
 	w->deadline_ns = c->now_ns + left;
 	w->objective_ns = c->now_ns + objective;
 	w->priority = f->priority;
-	w->nested = f->nested;
+	w->nested = is_internal(stats_of(g, f->route));
 	w->keyed = f->keyed;
 	w->shard = f->shard;
 	mem_copy_str(w->route, f->route, sizeof(w->route));
@@ -204,7 +228,7 @@
 		     const struct holder *h, const struct work *w)
 {
 	uint64_t ready = c->now_ns + wait_ns(g, h, w->priority) +
-			 (uint64_t)time_of(g, w->route)->mean_ns;
+			 (uint64_t)stats_of(g, w->route)->mean_ns;
 
 	if (g->running_count < limit_of(h))
 		return false;
@@ -215,9 +239,10 @@
 		      const struct holder *h, struct msg_forward *f,
 		      uint64_t from, uint64_t delay_ns)
 {
-	struct work *w = work_new(c, f, from, delay_ns);
+	struct work *w = work_new(g, c, f, from, delay_ns);
 	enum refusal why = check(c, h, w);
 
+	count_origin(g, c, f);
 	if (why == REFUSAL_NONE && too_late(g, c, h, w))
 		why = REFUSAL_QUEUE_FULL;
 	queue(g, w);
@@ -257,7 +282,7 @@
 		       const struct work *w)
 {
 	double took = (double)(c->now_ns - w->started_ns);
-	struct route_time *t = time_of(g, w->route);
+	struct route_stats *t = stats_of(g, w->route);
 
 	t->mean_ns += TIME_WEIGHT * (took - t->mean_ns);
 	g->mean_ns += TIME_WEIGHT * (took - g->mean_ns);
@@ -355,7 +380,7 @@
 		enum refusal why = check(c, h, w);
 
 		if (why == REFUSAL_NONE &&
-		    c->now_ns + (uint64_t)time_of(g, w->route)->mean_ns / 2 >
+		    c->now_ns + (uint64_t)stats_of(g, w->route)->mean_ns / 2 >
 			    w->deadline_ns)
 			why = REFUSAL_DEADLINE;
 		if (why != REFUSAL_NONE)
--- a/core/gatekeeper.h
+++ b/core/gatekeeper.h
@@ -44,18 +44,21 @@
 	struct msg_answer answer; /* the message takes answer.answer */
 };
 
-/** Time that the upstream takes for a route's requests. */
-struct route_time {
+/** What the gate has learned of a route. */
+struct route_stats {
 	struct list link;
 	char route[JD_NAME_MAX];
-	double mean_ns; /* moving average */
+	double mean_ns; /* time of a request at the upstream, moving average */
+	/* Requests by where they began: VMs of this service, and others. */
+	uint32_t from_own;
+	uint32_t from_others;
 };
 
 struct gatekeeper {
 	struct list waiting; /* of struct work, in the order to run them */
 	struct list running; /* of struct work */
 	struct list ends;    /* of struct work_end */
-	struct list times;   /* of struct route_time */
+	struct list routes;  /* of struct route_stats */
 	uint32_t running_count;
 	uint32_t waiting_count;
 	uint64_t next_call;
--- a/core/message.h
+++ b/core/message.h
@@ -86,7 +86,6 @@
 	uint32_t priority;	  /* of the route; 0 is served first */
 	uint32_t shard;		  /* the key's number, when keyed */
 	bool keyed;
-	bool nested; /* an upstream's own call: its request waits for it */
 	char caller_id[JD_CALLER_ID_MAX]; /* the caller's own request id */
 	char caller_service[JD_NAME_MAX]; /* of the VM where it began */
 	struct http_request *request;
@@ -130,6 +129,7 @@
 	enum refusal refusal;	    /* of a not_run or unknown */
 	uint64_t retry_after_ns;    /* of a not_run: when there may be room */
 	struct gate_load load;	    /* of a gate of a leased upstream */
+	bool internal_route; /* only upstreams use it, for their own calls */
 	struct http_answer *answer; /* NULL unless done */
 };
 
--- a/core/window_budget.c
+++ b/core/window_budget.c
@@ -29,8 +29,8 @@
 	b->requests[b->slot % WINDOW_BUDGET_SLOTS]++;
 }
 
-bool window_budget_spend(struct window_budget *b, double ratio, double slack,
-			 uint64_t now_ns)
+bool window_budget_has_room(struct window_budget *b, double ratio, double slack,
+			    uint64_t now_ns)
 {
 	uint32_t requests = 0;
 	uint32_t extras = 0;
@@ -40,8 +40,11 @@
 		requests += b->requests[i];
 		extras += b->extras[i];
 	}
-	if (extras + 1 > ratio * requests + slack)
-		return false;
+	return extras + 1 <= ratio * requests + slack;
+}
+
+void window_budget_spend(struct window_budget *b, uint64_t now_ns)
+{
+	advance(b, now_ns);
 	b->extras[b->slot % WINDOW_BUDGET_SLOTS]++;
-	return true;
 }
--- a/core/window_budget.h
+++ b/core/window_budget.h
@@ -22,10 +22,13 @@
 void window_budget_earn(struct window_budget *b, uint64_t now_ns);
 
 /**
- * Takes one extra attempt if those of the window stay within @ratio of its
+ * True if one more extra attempt stays within @ratio of the window's
  * requests plus @slack.
  */
-bool window_budget_spend(struct window_budget *b, double ratio, double slack,
-			 uint64_t now_ns);
+bool window_budget_has_room(struct window_budget *b, double ratio, double slack,
+			    uint64_t now_ns);
+
+/** Counts an extra attempt. */
+void window_budget_spend(struct window_budget *b, uint64_t now_ns);
 
 #endif
--- a/wire/codec.c
+++ b/wire/codec.c
@@ -71,7 +71,6 @@
 	PACK_U32_OF(struct msg_forward, priority),
 	PACK_U32_OF(struct msg_forward, shard),
 	PACK_BOOL_OF(struct msg_forward, keyed),
-	PACK_BOOL_OF(struct msg_forward, nested),
 	PACK_STR_OF(struct msg_forward, caller_id),
 	PACK_STR_OF(struct msg_forward, caller_service),
 };
@@ -92,6 +91,7 @@
 	PACK_ENUM_OF(struct msg_answer, refusal, REFUSAL_COUNT),
 	PACK_U64_OF(struct msg_answer, retry_after_ns),
 	PACK_GATE_LOAD(struct msg_answer),
+	PACK_BOOL_OF(struct msg_answer, internal_route),
 };
 
 static const struct pack_field load_fields[] = {
