An upstream's own calls may wait to the end of their time

A node that has just started knew no loads and refused what it could send. Change: calls of upstreams count their deadline, not their objective; gates not heard yet are used by their cards.

--- a/core/directory.c
+++ b/core/directory.c
@@ -5,6 +5,8 @@
 
 #include "core/mem.h"
 
+/* Assumed of a gate that has not reported yet. */
+#define SERVICE_FIRST_NS (200 * NS_PER_MS)
 /* Clocks drift apart by some microseconds a second; so the estimate ages. */
 #define CLOCK_WINDOW_NS (10 * NS_PER_S)
 /* A node that has no record and is not heard for as long is forgotten. */
@@ -178,8 +180,11 @@
 	}
 	n->revision = r->revision;
 	n->card = r->u.card;
-	if (!n->boot)
+	if (!n->heard_ns) {
 		n->boot = n->card.boot;
+		n->load.limit = n->card.slots;
+		n->load.service_ns = SERVICE_FIRST_NS;
+	}
 }
 
 static void apply_keymap(struct directory *d, struct record *r)
@@ -304,10 +309,14 @@
 bool directory_usable(const struct directory *d, const struct dir_node *n,
 		      uint64_t now_ns)
 {
-	return n->heard_ns && now_ns < n->heard_ns + DIR_SILENT_NS &&
-	       n->load.open && !n->leaving && now_ns >= n->avoid_ns &&
-	       n->card.upstream.instance[0] &&
-	       !directory_evacuated(d, n->card.dc);
+	if (!n->card.upstream.instance[0] || now_ns < n->avoid_ns ||
+	    directory_evacuated(d, n->card.dc))
+		return false;
+	/* Not heard yet by a node that has just started: by its card. */
+	if (!n->heard_ns)
+		return n->revision && !n->card.draining;
+	return now_ns < n->heard_ns + DIR_SILENT_NS && n->load.open &&
+	       !n->leaving;
 }
 
 void directory_candidates(const struct directory *d, const char *service,
--- a/core/dispatch.c
+++ b/core/dispatch.c
@@ -17,6 +17,8 @@
 #define ANSWER_RESERVE_NS  (30 * NS_PER_MS)
 /* Share of the objective for which a request may wait for a gate. */
 #define HOLD_KEYED	   0.5
+/* Share of its whole time for an upstream's call, which a request needs. */
+#define HOLD_INTERNAL	   0.7
 #define HOLD_ANY	   0.125
 /* Shares of the objective that a longer way counts as, for its price. */
 #define OTHER_REGION_COST  0.45
@@ -324,6 +326,7 @@
 
 	list_remove(&j->held);
 	j->state = JOB_SENT;
+	j->sent_ns = c->now_ns;
 	j->attempt++;
 	j->at = n->boot;
 	mem_copy_str(j->node, n->name, sizeof(j->node));
@@ -389,6 +392,18 @@
 	return r->splits[0].service;
 }
 
+/* How long a request may wait for a gate that takes it. */
+static uint64_t hold_ns(const struct dispatch *d, const struct mesh_ctx *c,
+			const struct job *j)
+{
+	double objective = (double)(j->objective_at_ns - c->now_ns);
+
+	if (route_is_internal(d, j->route))
+		return (uint64_t)((double)(j->deadline_ns - c->now_ns) *
+				  HOLD_INTERNAL);
+	return (uint64_t)(objective * (j->keyed ? HOLD_KEYED : HOLD_ANY));
+}
+
 static struct job *job_new(struct dispatch *d, struct mesh_ctx *c,
 			   const struct route *route, struct caller_request *r)
 {
@@ -416,9 +431,7 @@
 				 ? r->deadline_ns
 				 : timeout;
 	j->objective_at_ns = c->now_ns + objective;
-	j->give_up_ns =
-		c->now_ns + (uint64_t)((double)objective *
-				       (j->keyed ? HOLD_KEYED : HOLD_ANY));
+	j->give_up_ns = c->now_ns + hold_ns(d, c, j);
 	j->bytes = sizeof(*j) + r->request->payload.body_len;
 	j->request = r->request;
 	r->request = NULL;
@@ -697,11 +710,12 @@
 static bool gate_lost(const struct mesh_ctx *c, const struct job *j)
 {
 	const struct dir_node *n = directory_node(&c->dir, j->node);
+	uint64_t since = n && n->heard_ns > j->sent_ns ? n->heard_ns
+						       : j->sent_ns;
 
 	if (j->state != JOB_SENT || j->at == c->opts->boot)
 		return false;
-	return !n || n->boot != j->at ||
-	       c->now_ns > n->heard_ns + DIR_SILENT_NS;
+	return !n || n->boot != j->at || c->now_ns > since + DIR_SILENT_NS;
 }
 
 static void look_at(struct dispatch *d, struct mesh_ctx *c,
--- a/core/dispatch.h
+++ b/core/dispatch.h
@@ -44,6 +44,7 @@
 	uint64_t deadline_ns;
 	uint64_t give_up_ns; /* held no longer than that */
 	uint64_t retry_ns;   /* held: not before */
+	uint64_t sent_ns; /* the present attempt */
 	uint32_t attempt;
 	uint32_t reached; /* attempts that may have reached an upstream */
 	bool may_have_run;
--- a/core/gatekeeper.c
+++ b/core/gatekeeper.c
@@ -140,21 +140,6 @@
 	return h->slots ? h->slots : 1;
 }
 
-/* Expected time until a request that comes now would start. */
-static uint64_t wait_ns(const struct gatekeeper *g, const struct holder *h,
-			uint32_t priority)
-{
-	const struct work *w;
-	uint32_t before = 0;
-	uint32_t limit = limit_of(h);
-
-	if (g->running_count < limit)
-		return 0;
-	list_for_each_entry(w, &g->waiting, link)
-		before += w->priority <= priority;
-	return (uint64_t)((before + 1) * g->mean_ns / limit);
-}
-
 /* Nested calls first, as a started request waits for them; then by rank. */
 static bool runs_before(const struct work *a, const struct work *b)
 {
@@ -165,6 +150,21 @@
 	return a->objective_ns < b->objective_ns;
 }
 
+/* Expected time until @w would start, were it queued now. */
+static uint64_t wait_ns(const struct gatekeeper *g, const struct holder *h,
+			const struct work *w)
+{
+	const struct work *it;
+	uint32_t before = 0;
+	uint32_t limit = limit_of(h);
+
+	if (g->running_count < limit)
+		return 0;
+	list_for_each_entry(it, &g->waiting, link)
+		before += !runs_before(w, it);
+	return (uint64_t)((before + 1) * g->mean_ns / limit);
+}
+
 static void queue(struct gatekeeper *g, struct work *w)
 {
 	struct work *it;
@@ -223,16 +223,19 @@
 	return REFUSAL_NONE;
 }
 
-/* A request that could not be answered in time is refused at once. */
+/*
+ * A request that could not be answered in time is refused at once. An
+ * upstream's own call is worth its request, which waits for it to the end.
+ */
 static bool too_late(struct gatekeeper *g, const struct mesh_ctx *c,
 		     const struct holder *h, const struct work *w)
 {
-	uint64_t ready = c->now_ns + wait_ns(g, h, w->priority) +
+	uint64_t ready = c->now_ns + wait_ns(g, h, w) +
 			 (uint64_t)stats_of(g, w->route)->mean_ns;
 
 	if (g->running_count < limit_of(h))
 		return false;
-	return ready > w->objective_ns;
+	return ready > (w->nested ? w->deadline_ns : w->objective_ns);
 }
 
 void gatekeeper_offer(struct gatekeeper *g, struct mesh_ctx *c,
