--- a/io/peers.c
+++ b/io/peers.c
@@ -8,6 +8,7 @@
 #include "core/text.h"
 #include "io/clock.h"
 #include "wire/codec.h"
+#include "wire/squeeze.h"
 
 /* Queue to or from one node; the bytes are bounded by what entries keep. */
 #define QUEUE_MAX_MESSAGES 1000
@@ -276,6 +277,7 @@
 	struct wire_buf b;
 
 	wire_encode_message(m, &b);
+	wire_squeeze(&b);
 	zmq_msg_init_data(msg, b.data, b.len, free_bytes, NULL);
 }
 
@@ -297,9 +299,22 @@
 	return ok;
 }
 
-static bool read_one(struct peers *p)
+/* NULL for bytes that are no message. */
+static struct message *decode(zmq_msg_t *msg)
 {
+	struct message *m = NULL;
+	struct wire_buf b;
 	struct status st;
+
+	if (wire_expand(zmq_msg_data(msg), zmq_msg_size(msg), &b))
+		m = wire_decode_message(b.data, b.len, &st);
+	if (b.data != zmq_msg_data(msg))
+		free(b.data);
+	return m;
+}
+
+static bool read_one(struct peers *p)
+{
 	struct message *m;
 	zmq_msg_t msg;
 
@@ -310,7 +325,7 @@
 	}
 	p->stats.received++;
 	p->stats.received_bytes += zmq_msg_size(&msg);
-	m = wire_decode_message(zmq_msg_data(&msg), zmq_msg_size(&msg), &st);
+	m = decode(&msg);
 	zmq_msg_close(&msg);
 	if (m)
 		p->opts.fn(p->opts.arg, m);
