A leased fleet in virtual time as a test; a gone upstream gets no keys

Cause: a node whose upstream was gone still counted it among those that may get keys, and kept part of them (found by the test: 20480 keys unheld 4 s after a crash). Change: only upstreams whose gate is open are candidates. tests/mesh_world.hpp models the store (leases, lost answers, writes that run seconds late), slow clocks of upstreams, kills, freezes, cuts, drains and lost VMs.

--- a/core/directory.c
+++ b/core/directory.c
@@ -330,7 +330,7 @@
 		if (!n->revision || n->card.draining ||
 		    !n->card.upstream.instance[0] ||
 		    strcmp(n->card.service, service) != 0 ||
-		    directory_evacuated(d, n->card.dc) ||
+		    directory_evacuated(d, n->card.dc) || !n->load.open ||
 		    now_ns > n->heard_ns + DIR_SILENT_NS)
 			continue;
 		c = mem_new(struct keymap_candidate);
--- /dev/null
+++ b/tests/mesh_world.hpp
@@ -0,0 +1,974 @@
+/* A leased fleet in virtual time: shipped cores, a model of the platform's
+ * store and upstreams that enforce their own grants. Faults come at random;
+ * what must always hold is checked at each step. */
+#pragma once
+
+#include <algorithm>
+#include <functional>
+#include <map>
+#include <memory>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+extern "C" {
+#include "core/mem.h"
+#include "core/mesh.h"
+#include "core/text.h"
+}
+
+static const uint64_t W_MS = NS_PER_MS;
+static const uint64_t W_BEAT_NS = 870 * NS_PER_MS;
+static const uint64_t W_HOLD_MAX_NS = 10 * NS_PER_S;
+
+/* What an event on its way owns, also if it never arrives. */
+struct OwnedMessage {
+	struct message *m;
+	~OwnedMessage()
+	{
+		message_delete(m);
+	}
+};
+
+struct OwnedRecords {
+	std::vector<struct record *> list;
+	~OwnedRecords()
+	{
+		for (auto *r : list)
+			record_delete(r);
+	}
+	void move_to(struct list *to)
+	{
+		for (auto *r : list)
+			list_push_back(to, &r->link);
+		list.clear();
+	}
+	void take(struct list *from)
+	{
+		struct record *r, *tmp;
+
+		list_for_each_entry_safe(r, tmp, from, link) {
+			list_remove(&r->link);
+			list.push_back(r);
+		}
+	}
+};
+
+struct WorldOpts {
+	int nodes = 6; /* the odd ones serve the keyed service */
+	uint64_t seed = 1;
+	uint64_t lease_ns = 6 * NS_PER_S;
+	double slow_clock = 0.02; /* of upstreams, at most */
+	double lost_call = 0;	  /* share of store calls without an answer */
+	double late_write = 0;	  /* share of writes that run seconds later */
+};
+
+struct Upstream {
+	std::string instance;
+	uint64_t born = 0;
+	uint64_t sequence = 0;
+	bool up = false;
+	bool draining = false;
+	bool keyed = false;
+	double clock = 1; /* its seconds are that long */
+	uint64_t held_until = 0;
+	/* from -> (to, fence, handover) */
+	struct Row {
+		uint32_t to;
+		uint64_t fence;
+		std::string handover;
+	};
+	std::map<uint32_t, Row> holds;
+	std::vector<std::pair<std::pair<uint32_t, uint32_t>, std::string>>
+		released;
+	std::set<std::string> running;
+};
+
+struct World {
+	struct Item {
+		struct record *record;
+		uint64_t revision;
+		uint64_t lease;
+	};
+	struct Process {
+		struct mesh *mesh = nullptr;
+		uint64_t boot = 0;
+		uint64_t frozen_until = 0;
+		uint64_t cut_until = 0; /* from the store */
+		uint64_t tick_at = UINT64_MAX;
+		std::map<uint64_t, uint64_t> calls; /* call -> run number */
+	};
+	struct Watch {
+		int node;
+		uint64_t boot;
+		uint64_t op;
+		uint64_t after;
+	};
+
+	WorldOpts o;
+	uint64_t now = NS_PER_S;
+	std::mt19937_64 rnd;
+	std::multimap<uint64_t, std::function<void()>> queue;
+	std::vector<Process> procs;
+	std::vector<Upstream> ups;
+	std::map<std::string, Item> items;
+	std::map<uint64_t, uint64_t> leases; /* lease -> until */
+	std::map<uint64_t, uint64_t> lease_ttl;
+	std::vector<std::pair<uint64_t, std::string>> removals;
+	std::vector<Watch> watches;
+	uint64_t revision = 1;
+	uint64_t next_id = 1;
+	bool store_down = false;
+	/* What callers saw: caller -> replies; id -> runs, its kind. */
+	std::map<uint64_t, int> replies;
+	std::map<uint64_t, int> codes;
+	std::map<std::string, int> runs;
+	std::map<std::string, bool> repeatable;
+	std::map<uint64_t, std::string> caller_ids;
+	std::set<std::string> refused; /* answered as not run */
+	std::vector<std::string> broken;
+	uint64_t next_caller = 1;
+	uint64_t next_check = 0;
+	int served = 0;
+
+	explicit World(const WorldOpts &opts) : o(opts), rnd(opts.seed)
+	{
+		procs.resize(o.nodes);
+		ups.resize(o.nodes);
+		put_config(1);
+		for (int i = 0; i < o.nodes; i++) {
+			ups[i].keyed = i % 2;
+			ups[i].clock = 1 + o.slow_clock * chance();
+			start_upstream(i);
+			start_process(i);
+			at(now + W_BEAT_NS / 4 + below(W_BEAT_NS),
+			   [this, i] { beat_loop(i); });
+		}
+		at(now + W_MS, [this] { lapse_loop(); });
+	}
+	~World()
+	{
+		for (auto &p : procs)
+			if (p.mesh)
+				mesh_delete(p.mesh);
+		for (auto &it : items)
+			record_delete(it.second.record);
+	}
+
+	double chance()
+	{
+		return (double)(rnd() >> 11) / 9007199254740992.0;
+	}
+	uint64_t below(uint64_t n)
+	{
+		return n ? rnd() % n : 0;
+	}
+	void at(uint64_t when, std::function<void()> fn)
+	{
+		queue.emplace(when, std::move(fn));
+	}
+	void fail(const std::string &what)
+	{
+		broken.push_back("at " + std::to_string(now / W_MS) +
+				 " ms: " + what);
+	}
+
+	std::string name(int i) const
+	{
+		return "node-" + std::to_string(i);
+	}
+
+	void run_for(uint64_t ns)
+	{
+		uint64_t end = now + ns;
+
+		while (!queue.empty() && queue.begin()->first <= end &&
+		       broken.empty()) {
+			auto it = queue.begin();
+			auto fn = std::move(it->second);
+
+			now = std::max(now, it->first);
+			queue.erase(it);
+			fn();
+			if (now >= next_check) {
+				next_check = now + 2 * W_MS;
+				check_holders();
+			}
+		}
+		now = end;
+	}
+
+	/* ---- the operators ---- */
+
+	void put(const std::string &key, struct record *r, uint64_t lease)
+	{
+		auto it = items.find(key);
+
+		if (it != items.end())
+			record_delete(it->second.record);
+		r->revision = ++revision;
+		items[key] = {r, revision, lease};
+		wake_watches();
+	}
+
+	void put_config(uint64_t version)
+	{
+		struct record *r = record_new(RECORD_MANIFEST, "");
+		struct manifest *m = manifest_new();
+		struct service *s;
+		const char *const names[] = {"pay", "read", "keys", "keyset"};
+
+		m->version = version;
+		s = manifest_add_service(m);
+		mem_copy_str(s->name, "plain", sizeof(s->name));
+		s->cold_per_s = 16;
+		s = manifest_add_service(m);
+		mem_copy_str(s->name, "keyed", sizeof(s->name));
+		s->keyed = true;
+		s->cold_per_s = 16;
+		for (int i = 0; i < 4; i++) {
+			struct route *rt = manifest_add_route(m);
+
+			mem_copy_str(rt->name, names[i], sizeof(rt->name));
+			mem_copy_str(rt->host, "h", sizeof(rt->host));
+			text_format(rt->path, sizeof(rt->path), "/%s/",
+				    names[i]);
+			mem_copy_str(rt->service, i < 2 ? "plain" : "keyed",
+				     sizeof(rt->service));
+			rt->idempotent = i % 2 ? UINT32_MAX : 0;
+			rt->max_attempts = 2;
+			rt->objective_ms = 600;
+			rt->timeout_ms = 2000;
+		}
+		r->u.manifest = m;
+		put(std::to_string(RECORD_MANIFEST) + "/", r, 0);
+	}
+
+	void evacuate(const std::string &dc, bool out)
+	{
+		std::string key = std::to_string(RECORD_EVACUATION) + "/" + dc;
+
+		if (out)
+			put(key, record_new(RECORD_EVACUATION, dc.c_str()), 0);
+		else
+			remove(key);
+	}
+
+	/* ---- the store ---- */
+
+	void remove(const std::string &key)
+	{
+		auto it = items.find(key);
+
+		if (it == items.end())
+			return;
+		record_delete(it->second.record);
+		items.erase(it);
+		removals.emplace_back(++revision, key);
+		wake_watches();
+	}
+
+	static std::string key_of(enum record_kind kind, const char *name)
+	{
+		return std::to_string(kind) + "/" + name;
+	}
+
+	static struct record *copy(const struct record *r)
+	{
+		struct record *c = record_new(r->kind, r->name);
+
+		c->revision = r->revision;
+		switch (r->kind) {
+		case RECORD_MANIFEST:
+			c->u.manifest = manifest_copy(r->u.manifest);
+			break;
+		case RECORD_KEYMAP:
+			c->u.keymap = keymap_copy(r->u.keymap);
+			break;
+		case RECORD_CARD:
+			c->u.card = r->u.card;
+			break;
+		case RECORD_EVACUATION:
+			break;
+		}
+		return c;
+	}
+
+	void lapse_loop()
+	{
+		std::vector<std::string> gone;
+
+		for (auto &l : leases)
+			if (l.second && now >= l.second && !store_down)
+				for (auto &it : items)
+					if (it.second.lease == l.first)
+						gone.push_back(it.first);
+		for (auto it = leases.begin(); it != leases.end();)
+			it = now >= it->second && !store_down ? leases.erase(it)
+							      : std::next(it);
+		for (auto &k : gone)
+			remove(k);
+		at(now + 50 * W_MS, [this] { lapse_loop(); });
+	}
+
+	void fill(struct ev_store_end *e, uint64_t after, bool whole)
+	{
+		list_init(&e->records);
+		for (auto &it : items) {
+			if (!whole && it.second.revision <= after)
+				continue;
+			list_push_back(&e->records,
+				       &copy(it.second.record)->link);
+		}
+		if (!whole)
+			for (auto &r : removals) {
+				if (r.first <= after)
+					continue;
+				if (items.count(r.second))
+					continue;
+				size_t slash = r.second.find('/');
+				struct record *rec = record_new(
+					(enum record_kind)std::stoi(
+						r.second.substr(0, slash)),
+					r.second.substr(slash + 1).c_str());
+
+				rec->removed = true;
+				rec->revision = r.first;
+				list_push_back(&e->records, &rec->link);
+			}
+		e->revision = revision;
+	}
+
+	void answer(int node, uint64_t boot, struct ev_store_end &e,
+		    uint64_t delay)
+	{
+		auto owned = std::make_shared<OwnedRecords>();
+
+		owned->take(&e.records);
+		at(now + delay, [this, node, boot, e, owned] {
+			struct mesh_event ev = {};
+
+			ev.kind = ME_STORE;
+			ev.u.store = e;
+			list_init(&ev.u.store.records);
+			if (procs[node].boot != boot || !procs[node].mesh)
+				return;
+			owned->move_to(&ev.u.store.records);
+			handle(node, ev);
+		});
+	}
+
+	void wake_watches()
+	{
+		std::vector<Watch> ready;
+
+		ready.swap(watches);
+		for (auto &w : ready) {
+			struct ev_store_end e = {};
+
+			if (procs[w.node].cut_until > now || store_down) {
+				watches.push_back(w);
+				continue;
+			}
+			e.op = w.op;
+			e.end = STORE_DONE;
+			fill(&e, w.after, false);
+			answer(w.node, w.boot, e, 4 * W_MS);
+		}
+	}
+
+	enum store_end write(const struct act_store_call &a,
+			     std::vector<struct record *> &puts)
+	{
+		if (a.lease && !leases.count(a.lease))
+			return STORE_NO_LEASE;
+		for (uint32_t i = 0; i < a.expect_count; i++) {
+			auto it = items.find(
+				key_of(a.expect[i].kind, a.expect[i].name));
+			uint64_t have =
+				it == items.end() ? 0 : it->second.revision;
+
+			if (have != a.expect[i].revision)
+				return STORE_CONFLICT;
+		}
+		for (auto *r : puts)
+			put(key_of(r->kind, r->name), copy(r), a.lease);
+		return STORE_DONE;
+	}
+
+	void store_call(int node, struct act_store_call *a)
+	{
+		auto puts = std::make_shared<OwnedRecords>();
+		struct ev_store_end e = {};
+		uint64_t boot = procs[node].boot;
+		uint64_t deadline =
+			a->deadline_ns > now ? a->deadline_ns - now : 0;
+		struct act_store_call call = *a;
+		bool lost = chance() < o.lost_call;
+
+		list_init(&e.records);
+		puts->take(&a->puts);
+		e.op = a->op;
+		e.end = STORE_LOST;
+		if (store_down || procs[node].cut_until > now) {
+			answer(node, boot, e, deadline);
+		} else if (a->kind == CALL_WRITE && chance() < o.late_write) {
+			at(now + below(6 * NS_PER_S), [this, call, puts] {
+				if (!store_down)
+					write(call, puts->list);
+			});
+			answer(node, boot, e, deadline);
+			return;
+		} else if (a->kind == CALL_WATCH_ALL && a->after >= revision) {
+			watches.push_back({node, boot, a->op, a->after});
+			at(a->deadline_ns, [this, node, boot, call] {
+				for (size_t i = 0; i < watches.size(); i++) {
+					struct ev_store_end end = {};
+
+					if (watches[i].op != call.op ||
+					    watches[i].boot != boot)
+						continue;
+					watches.erase(watches.begin() +
+						      (long)i);
+					end.op = call.op;
+					end.end = STORE_LOST;
+					list_init(&end.records);
+					answer(node, boot, end, 0);
+					return;
+				}
+			});
+		} else {
+			e.end = execute(call, puts->list, &e);
+			if (lost) {
+				records_delete(&e.records);
+				e.end = STORE_LOST;
+			}
+			answer(node, boot, e,
+			       lost ? deadline : (4 + below(8)) * W_MS);
+		}
+	}
+
+	enum store_end execute(const struct act_store_call &a,
+			       std::vector<struct record *> &puts,
+			       struct ev_store_end *e)
+	{
+		switch (a.kind) {
+		case CALL_READ_ALL:
+			fill(e, 0, true);
+			return STORE_DONE;
+		case CALL_WATCH_ALL:
+			fill(e, a.after, false);
+			return STORE_DONE;
+		case CALL_WRITE: {
+			enum store_end end = write(a, puts);
+
+			e->revision = revision;
+			return end;
+		}
+		case CALL_LEASE_NEW:
+			e->lease = next_id++;
+			e->ttl_ns = a.ttl_ns;
+			leases[e->lease] = now + a.ttl_ns;
+			lease_ttl[e->lease] = a.ttl_ns;
+			return STORE_DONE;
+		case CALL_LEASE_KEEP:
+			if (!leases.count(a.lease))
+				return STORE_NO_LEASE;
+			leases[a.lease] = now + lease_ttl[a.lease];
+			return STORE_DONE;
+		case CALL_LEASE_END:
+			leases[a.lease] = now;
+			return STORE_DONE;
+		}
+		return STORE_LOST;
+	}
+
+	/* ---- processes ---- */
+
+	void start_process(int i)
+	{
+		struct mesh_opts mo = {};
+
+		mem_copy_str(mo.node, name(i).c_str(), sizeof(mo.node));
+		text_format(mo.dc, sizeof(mo.dc), "dc-%d", i % 3);
+		mem_copy_str(mo.region, "r", sizeof(mo.region));
+		mem_copy_str(mo.peer_addr, name(i).c_str(),
+			     sizeof(mo.peer_addr));
+		mem_copy_str(mo.service, ups[i].keyed ? "keyed" : "plain",
+			     sizeof(mo.service));
+		mo.boot = ++next_id * 1000 + (uint64_t)i;
+		mo.seed = rnd();
+		mo.lease_ns = o.lease_ns;
+		mo.hold_max_ns = W_HOLD_MAX_NS;
+		mo.announce_ns = W_BEAT_NS;
+		mo.stop_ns = 6 * NS_PER_S;
+		mo.drain_ns = 2 * NS_PER_S;
+		mo.retry_ratio = 0.2;
+		mo.retry_window_ns = 10 * NS_PER_S;
+		mo.retry_slack = 64;
+		procs[i] = Process();
+		procs[i].boot = mo.boot;
+		procs[i].mesh = mesh_new(&mo, now);
+		tick(i);
+	}
+
+	void kill_process(int i)
+	{
+		if (!procs[i].mesh)
+			return;
+		mesh_delete(procs[i].mesh);
+		procs[i] = Process();
+	}
+
+	void stop_process(int i)
+	{
+		struct mesh_event ev = {};
+
+		ev.kind = ME_STOP;
+		if (procs[i].mesh)
+			handle(i, ev);
+	}
+
+	void tick(int i)
+	{
+		struct mesh_event ev = {};
+
+		ev.kind = ME_TICK;
+		handle(i, ev);
+	}
+
+	/* By reference: the lists in it must not move. */
+	void handle(int i, struct mesh_event &ev)
+	{
+		uint64_t boot = procs[i].boot;
+
+		if (procs[i].frozen_until > now) {
+			/* It comes when the process wakes. */
+			auto later = std::make_shared<LaterEvent>(ev);
+
+			at(procs[i].frozen_until, [this, i, boot, later] {
+				later->resume();
+				deliver(i, boot, later->ev);
+			});
+			return;
+		}
+		deliver(i, boot, ev);
+	}
+
+	/* An event that waits for its process to wake. */
+	struct LaterEvent {
+		struct mesh_event ev;
+		OwnedRecords records;
+		bool done = false;
+
+		explicit LaterEvent(struct mesh_event &from) : ev(from)
+		{
+			if (ev.kind == ME_STORE)
+				records.take(&from.u.store.records);
+			if (ev.kind == ME_BEAT) {
+				/* The upstream does not wait for it. */
+				held_rows_delete(&from.u.beat.held);
+				held_rows_delete(&from.u.beat.released);
+				ev.kind = ME_TICK;
+			}
+		}
+		void resume()
+		{
+			done = true;
+			if (ev.kind != ME_STORE)
+				return;
+			list_init(&ev.u.store.records);
+			records.move_to(&ev.u.store.records);
+		}
+		~LaterEvent()
+		{
+			if (done)
+				return;
+			if (ev.kind == ME_STORE)
+				list_init(&ev.u.store.records);
+			drop(&ev);
+		}
+	};
+
+	static void drop(struct mesh_event *ev)
+	{
+		if (ev->kind == ME_MESSAGE)
+			message_delete(ev->u.message);
+		if (ev->kind == ME_STORE)
+			records_delete(&ev->u.store.records);
+		if (ev->kind == ME_REQUEST)
+			http_request_delete(ev->u.request.request);
+		if (ev->kind == ME_UPSTREAM_END)
+			http_answer_delete(ev->u.upstream.answer);
+		if (ev->kind == ME_BEAT) {
+			held_rows_delete(&ev->u.beat.held);
+			held_rows_delete(&ev->u.beat.released);
+		}
+	}
+
+	void deliver(int i, uint64_t boot, struct mesh_event &ev)
+	{
+		struct mesh_actions out;
+		struct mesh_action *a;
+
+		if (!procs[i].mesh || procs[i].boot != boot) {
+			drop(&ev);
+			return;
+		}
+		mesh_actions_init(&out);
+		ev.now_ns = now;
+		mesh_handle(procs[i].mesh, &ev, &out);
+		while ((a = mesh_actions_pop(&out))) {
+			act(i, a);
+			mesh_action_delete(a);
+		}
+		if (!procs[i].mesh || procs[i].boot != boot)
+			return;
+		uint64_t next = mesh_next_ns(procs[i].mesh);
+
+		if (next == procs[i].tick_at)
+			return;
+		procs[i].tick_at = next;
+		at(next, [this, i, boot, next] {
+			if (procs[i].boot == boot && procs[i].tick_at == next) {
+				procs[i].tick_at = UINT64_MAX;
+				tick(i);
+			}
+		});
+	}
+
+	void act(int i, struct mesh_action *a)
+	{
+		switch (a->kind) {
+		case MA_SEND: {
+			auto owned = std::make_shared<OwnedMessage>();
+			std::string to = a->u.send.addr;
+
+			owned->m = a->u.send.message;
+			a->u.send.message = nullptr;
+			at(now + (1 + below(12)) * W_MS, [this, owned, to] {
+				struct message *m = owned->m;
+
+				owned->m = nullptr;
+				send(m, to);
+			});
+			break;
+		}
+		case MA_STORE:
+			store_call(i, &a->u.store);
+			break;
+		case MA_REPLY:
+			on_reply(&a->u.reply);
+			break;
+		case MA_CALL:
+			call(i, &a->u.call);
+			break;
+		case MA_BEAT_REPLY:
+			beat_reply(i, &a->u.beat);
+			break;
+		case MA_PROBE_UPSTREAM:
+			probe(i);
+			break;
+		case MA_EXIT: {
+			uint64_t boot = procs[i].boot;
+
+			at(now, [this, i, boot] {
+				if (procs[i].boot == boot)
+					kill_process(i);
+			});
+			break;
+		}
+		case MA_CANCEL:
+		case MA_LIMITS:
+		case MA_LOG:
+			if (getenv("JD_WORLD_LOG") && a->kind == MA_LOG)
+				printf("%8lu %s %s\n",
+				       (unsigned long)(now / W_MS),
+				       name(i).c_str(), a->u.log.line);
+			break;
+		}
+	}
+
+	void send(struct message *m, const std::string &to)
+	{
+		struct mesh_event ev = {};
+
+		for (int i = 0; i < o.nodes; i++) {
+			if (name(i) != to || !procs[i].mesh)
+				continue;
+			ev.kind = ME_MESSAGE;
+			ev.u.message = m;
+			handle(i, ev);
+			return;
+		}
+		message_delete(m);
+	}
+
+	/* ---- upstreams ---- */
+
+	void start_upstream(int i)
+	{
+		Upstream &u = ups[i];
+
+		u.instance = "i-" + std::to_string(i);
+		u.born = now / W_MS;
+		u.sequence = 0;
+		u.up = true;
+		u.draining = false;
+		u.holds.clear();
+		u.released.clear();
+		u.running.clear();
+		u.held_until = 0;
+	}
+
+	void crash_upstream(int i)
+	{
+		ups[i].up = false;
+		ups[i].holds.clear();
+		ups[i].running.clear();
+	}
+
+	void expire(Upstream &u)
+	{
+		if (u.held_until && now >= u.held_until)
+			u.holds.clear();
+	}
+
+	void beat_loop(int i)
+	{
+		if (ups[i].up)
+			beat(i);
+		at(now + W_BEAT_NS, [this, i] { beat_loop(i); });
+	}
+
+	uint64_t beat_sent[64] = {};
+
+	void beat(int i)
+	{
+		Upstream &u = ups[i];
+		struct mesh_event ev = {};
+		struct upstream_beat *b = &ev.u.beat;
+
+		expire(u);
+		if (!procs[i].mesh)
+			return;
+		ev.kind = ME_BEAT;
+		list_init(&b->held);
+		list_init(&b->released);
+		mem_copy_str(b->instance, u.instance.c_str(),
+			     sizeof(b->instance));
+		b->born = u.born;
+		b->sequence = ++u.sequence;
+		mem_copy_str(b->addr, name(i).c_str(), sizeof(b->addr));
+		mem_copy_str(b->service, u.keyed ? "keyed" : "plain",
+			     sizeof(b->service));
+		b->slots = 8;
+		b->draining = u.draining;
+		b->lists_keys = u.keyed;
+		for (auto &h : u.holds) {
+			struct held_row *r = mem_new(struct held_row);
+
+			r->from = h.first;
+			r->to = h.second.to;
+			r->fence = h.second.fence;
+			list_push_back(&b->held, &r->link);
+		}
+		for (auto &rel : u.released) {
+			struct held_row *r = mem_new(struct held_row);
+
+			r->from = rel.first.first;
+			r->to = rel.first.second;
+			mem_copy_str(r->handover, rel.second.c_str(),
+				     sizeof(r->handover));
+			list_push_back(&b->released, &r->link);
+		}
+		beat_sent[i] = now;
+		handle(i, ev);
+	}
+
+	void beat_reply(int i, const struct act_beat_reply *a)
+	{
+		Upstream &u = ups[i];
+		std::map<uint32_t, Upstream::Row> before = u.holds;
+		const struct held_row *r;
+		bool gave_up = false;
+
+		u.released.clear();
+		if (!a->grants || !u.up)
+			return;
+		u.holds.clear();
+		list_for_each_entry(r, &a->rows, link)
+			u.holds[r->from] = {r->to, r->fence, r->handover};
+		u.held_until =
+			beat_sent[i] + (uint64_t)((double)a->hold_ns * u.clock);
+		for (auto &h : before) {
+			if (u.holds.count(h.first))
+				continue;
+			u.released.push_back(
+				{{h.first, h.second.to},
+				 "token-" + std::to_string(h.second.fence)});
+			gave_up = true;
+		}
+		if (gave_up)
+			at(now + 80 * W_MS, [this, i] {
+				if (ups[i].up)
+					beat(i);
+			});
+	}
+
+	bool holds_key(Upstream &u, uint32_t key)
+	{
+		expire(u);
+		for (auto &h : u.holds)
+			if (key >= h.first && key <= h.second.to)
+				return true;
+		return false;
+	}
+
+	void probe(int i)
+	{
+		struct mesh_event ev = {};
+
+		ev.kind = ME_UPSTREAM_GONE;
+		if (!ups[i].up)
+			at(now + W_MS, [this, i, ev]() mutable {
+				if (!ups[i].up && procs[i].mesh)
+					handle(i, ev);
+			});
+	}
+
+	void call(int i, const struct act_call *a)
+	{
+		struct ev_upstream_end e = {};
+		Upstream &u = ups[i];
+		std::string id = a->caller_id;
+		uint64_t boot = procs[i].boot;
+		uint64_t took = (5 + below(200)) * W_MS;
+		const char *shard =
+			payload_header(&a->request->payload, "shard");
+
+		e.call = a->call;
+		e.report.work_percent = 100;
+		if (!u.up) {
+			e.outcome = OUTCOME_NOT_RUN;
+			e.refusal = REFUSAL_UPSTREAM_DOWN;
+			e.refused_connection = true;
+			took = W_MS;
+		} else if (u.instance != a->instance ||
+			   (u.keyed && shard &&
+			    !holds_key(u, (uint32_t)atoi(shard)))) {
+			e.outcome = OUTCOME_NOT_RUN;
+			e.refusal = REFUSAL_NOT_OWNER;
+			took = W_MS;
+		} else {
+			if (runs[id]++ && !repeatable[id])
+				fail("ran twice: " + id);
+			if (refused.count(id))
+				fail("ran after a refusal: " + id);
+			e.outcome = OUTCOME_DONE;
+		}
+		uint64_t born = u.born;
+
+		at(now + took, [this, i, boot, e, born]() mutable {
+			struct mesh_event ev = {};
+
+			if (e.outcome == OUTCOME_DONE &&
+			    (!ups[i].up || ups[i].born != born)) {
+				e.outcome = OUTCOME_UNKNOWN;
+				e.refusal = REFUSAL_CONNECTION_LOST;
+			}
+			if (e.outcome == OUTCOME_DONE)
+				e.answer = http_answer_new(200);
+			ev.kind = ME_UPSTREAM_END;
+			ev.u.upstream = e;
+			if (!procs[i].mesh || procs[i].boot != boot)
+				drop(&ev);
+			else
+				handle(i, ev);
+		});
+	}
+
+	/* ---- callers ---- */
+
+	uint64_t ask(int i, const char *route, uint32_t key)
+	{
+		struct mesh_event ev = {};
+		struct caller_request *r = &ev.u.request;
+		char text[32];
+
+		if (!procs[i].mesh)
+			return 0;
+		ev.kind = ME_REQUEST;
+		r->caller = next_caller++;
+		text_format(r->id, sizeof(r->id), "q-%lu",
+			    (unsigned long)r->caller);
+		mem_copy_str(r->host, "h", sizeof(r->host));
+		text_format(text, sizeof(text), "/%s/x", route);
+		r->request = http_request_new("GET", text);
+		r->keyed = route[0] == 'k';
+		r->shard = key;
+		text_format(text, sizeof(text), "%u", key);
+		payload_add_header(&r->request->payload, "shard", text);
+		r->deadline_ns = now + 2 * NS_PER_S;
+		repeatable[r->id] =
+			!strcmp(route, "read") || !strcmp(route, "keyset");
+		caller_ids[r->caller] = r->id;
+		uint64_t caller = r->caller;
+
+		handle(i, ev);
+		return caller;
+	}
+
+	void on_reply(const struct act_caller_reply *a)
+	{
+		std::string id = caller_ids[a->caller];
+
+		if (++replies[a->caller] > 1)
+			fail("two replies to " + id);
+		codes[a->caller] = a->code;
+		served += a->code == 200;
+		if (!a->answer && (a->code == 503 || a->code == 429)) {
+			refused.insert(id);
+			if (runs[id])
+				fail("refused as not run, but it ran: " + id);
+		}
+	}
+
+	void check_holders()
+	{
+		for (int i = 0; i < o.nodes; i++) {
+			expire(ups[i]);
+			for (int j = 0; j < i; j++)
+				check_pair(i, j);
+		}
+	}
+
+	void check_pair(int i, int j)
+	{
+		if (!ups[i].up || !ups[j].up)
+			return;
+		for (auto &a : ups[i].holds)
+			for (auto &b : ups[j].holds)
+				if (a.first <= b.second.to &&
+				    b.first <= a.second.to) {
+					fail("two holders of key " +
+					     std::to_string(a.first) + ": " +
+					     name(i) + " and " + name(j));
+					return;
+				}
+	}
+
+	uint32_t unheld()
+	{
+		uint32_t held = 0;
+
+		for (auto &u : ups) {
+			expire(u);
+			if (u.up)
+				for (auto &h : u.holds)
+					held += h.second.to - h.first + 1;
+		}
+		return KEYMAP_KEYS - held;
+	}
+};
