--- /dev/null
+++ b/tests/directory_test.cpp
@@ -0,0 +1,168 @@
+#include "jd_test.hpp"
+
+extern "C" {
+#include "core/directory.h"
+#include "core/mem.h"
+}
+
+struct DirectoryTest : public ::testing::Test {
+	struct directory d;
+	struct mesh_actions out;
+	struct list records;
+
+	DirectoryTest()
+	{
+		directory_init(&d);
+		mesh_actions_init(&out);
+		list_init(&records);
+	}
+	~DirectoryTest() override
+	{
+		directory_done(&d);
+		mesh_actions_done(&out);
+		records_delete(&records);
+	}
+	struct record *add(enum record_kind kind, const char *name,
+			   uint64_t revision)
+	{
+		struct record *r = record_new(kind, name);
+
+		r->revision = revision;
+		list_push_back(&records, &r->link);
+		return r;
+	}
+	void add_card(const char *name, uint64_t revision)
+	{
+		struct node_card *c = &add(RECORD_CARD, name, revision)->u.card;
+
+		mem_copy_str(c->node, name, sizeof(c->node));
+		mem_copy_str(c->dc, "dc", sizeof(c->dc));
+		mem_copy_str(c->service, "s", sizeof(c->service));
+		mem_copy_str(c->upstream.instance, "i",
+			     sizeof(c->upstream.instance));
+		c->boot = revision;
+		c->slots = 4;
+	}
+	void add_config(uint64_t version, uint64_t revision)
+	{
+		struct manifest *m = manifest_new();
+
+		m->version = version;
+		add(RECORD_MANIFEST, "", revision)->u.manifest = m;
+	}
+	void apply(bool whole, uint64_t revision)
+	{
+		directory_apply(&d, &records, whole, revision, NS_PER_S, &out);
+		records_delete(&records);
+	}
+};
+
+TEST_F(DirectoryTest, ANewerConfigurationStays)
+{
+	add_config(7, 10);
+	apply(true, 10);
+	add_config(6, 11);
+	apply(false, 11);
+	EXPECT_EQ(d.manifest->version, 7u);
+	add_config(8, 12);
+	apply(false, 12);
+	EXPECT_EQ(d.manifest->version, 8u);
+}
+
+TEST_F(DirectoryTest, ABrokenRecordChangesNothing)
+{
+	add_config(7, 10);
+	apply(true, 10);
+	add(RECORD_MANIFEST, "", 11)->broken = true;
+	apply(false, 11);
+	EXPECT_EQ(d.manifest->version, 7u);
+}
+
+TEST_F(DirectoryTest, WhatAWholeReadLacksIsGone)
+{
+	add_card("a", 3);
+	add_card("b", 4);
+	add(RECORD_EVACUATION, "dc", 5);
+	apply(true, 5);
+	EXPECT_TRUE(directory_evacuated(&d, "dc"));
+	add_card("b", 4);
+	apply(true, 9);
+	EXPECT_EQ(directory_node(&d, "a")->revision, 0u);
+	EXPECT_EQ(directory_node(&d, "b")->revision, 4u);
+	EXPECT_FALSE(directory_evacuated(&d, "dc"));
+}
+
+TEST_F(DirectoryTest, AnOlderWholeReadChangesNothing)
+{
+	add_card("a", 3);
+	apply(true, 9);
+	apply(true, 8);
+	EXPECT_EQ(directory_node(&d, "a")->revision, 3u);
+}
+
+TEST_F(DirectoryTest, ASilentGateTakesNoRequests)
+{
+	struct msg_load l = {};
+	struct dir_node *n;
+
+	add_card("a", 3);
+	apply(true, 3);
+	mem_copy_str(l.node, "a", sizeof(l.node));
+	l.load.open = true;
+	n = directory_on_load(&d, 77, &l, 2 * NS_PER_S);
+	ASSERT_NE(n, nullptr);
+	EXPECT_EQ(directory_by_boot(&d, 77), n);
+	EXPECT_TRUE(directory_usable(&d, n, 2 * NS_PER_S));
+	EXPECT_FALSE(directory_usable(&d, n, 2 * NS_PER_S + DIR_SILENT_NS));
+}
+
+TEST_F(DirectoryTest, AGateNotHeardYetIsUsedByItsCard)
+{
+	add_card("a", 3);
+	apply(true, 3);
+	EXPECT_TRUE(directory_usable(&d, directory_node(&d, "a"), NS_PER_S));
+}
+
+TEST_F(DirectoryTest, OnlyOpenGatesMayGetKeys)
+{
+	struct msg_load l = {};
+	struct list candidates;
+
+	list_init(&candidates);
+	add_card("a", 3);
+	add_card("b", 4);
+	apply(true, 4);
+	mem_copy_str(l.node, "a", sizeof(l.node));
+	directory_on_load(&d, 77, &l, NS_PER_S);
+	l.load.open = true;
+	mem_copy_str(l.node, "b", sizeof(l.node));
+	directory_on_load(&d, 78, &l, NS_PER_S);
+	directory_candidates(&d, "s", NS_PER_S, &candidates);
+	ASSERT_FALSE(list_empty(&candidates));
+	EXPECT_EQ(candidates.next, candidates.prev);
+	candidates_delete(&candidates);
+}
+
+TEST(PeerClock, TellsTheDelayBeyondTheFastestMessage)
+{
+	struct peer_clock pc = {};
+	const uint64_t offset = 1000 * NS_PER_S;
+	uint64_t now = 5000 * NS_PER_S;
+
+	/* The sender's clock is behind by a lot; the way takes 1 ms. */
+	for (int i = 0; i < 10; i++) {
+		now += 100 * NS_PER_MS;
+		EXPECT_EQ(peer_clock_delay_ns(&pc, now - offset - NS_PER_MS,
+					      now),
+			  0u);
+	}
+	EXPECT_EQ(peer_clock_delay_ns(&pc, now - offset - 301 * NS_PER_MS, now),
+		  300 * NS_PER_MS);
+	/* A step of a clock is forgotten after two windows. */
+	for (int i = 0; i < 250; i++) {
+		now += 100 * NS_PER_MS;
+		peer_clock_delay_ns(&pc, now - offset - 51 * NS_PER_MS, now);
+	}
+	EXPECT_EQ(peer_clock_delay_ns(&pc, now - offset - 51 * NS_PER_MS, now),
+		  0u);
+}
--- /dev/null
+++ b/tests/keymap_test.cpp
@@ -0,0 +1,133 @@
+#include "jd_test.hpp"
+
+#include <rapidcheck/gtest.h>
+
+extern "C" {
+#include "core/directory.h"
+#include "core/keymap.h"
+#include "core/mem.h"
+}
+
+struct KeymapTest : public ::testing::Test {
+	struct list candidates;
+	struct keymap *map = keymap_new("s");
+
+	KeymapTest()
+	{
+		list_init(&candidates);
+	}
+	~KeymapTest() override
+	{
+		keymap_delete(map);
+		candidates_delete(&candidates);
+	}
+	struct keymap_candidate *add(const std::string &name)
+	{
+		struct keymap_candidate *c = mem_new(struct keymap_candidate);
+
+		mem_copy_str(c->id.node, name.c_str(), sizeof(c->id.node));
+		c->id.born = 1;
+		c->weight = 1;
+		c->keys = keymap_keys_of(map, &c->id);
+		list_push_back(&candidates, &c->link);
+		return c;
+	}
+};
+
+TEST_F(KeymapTest, DealsAllKeysEvenlyInSpreadRows)
+{
+	for (int i = 0; i < 6; i++)
+		add("n" + std::to_string(i));
+	keymap_deal(map, &candidates);
+	EXPECT_TRUE(keymap_valid(map));
+	struct keymap_candidate *c;
+
+	list_for_each_entry(c, &candidates, link) {
+		EXPECT_NEAR(keymap_keys_of(map, &c->id), KEYMAP_KEYS / 6.0,
+			    KEYMAP_KEYS / 6.0 / KEYMAP_ROWS_EACH);
+		EXPECT_EQ(keymap_rows_of(map, &c->id), KEYMAP_ROWS_EACH);
+	}
+}
+
+TEST_F(KeymapTest, AMoveTakesAHigherFenceThanAll)
+{
+	struct keymap_candidate *a = add("a");
+	struct keymap_candidate *b = add("b");
+
+	keymap_deal(map, &candidates);
+	struct keyrow *row = keymap_find(map, 0);
+	uint64_t before = map->fence;
+
+	keymap_move(map, row,
+		    holder_equal(&row->owner, &a->id) ? &b->id : &a->id,
+		    "proof");
+	EXPECT_GT(row->fence, before);
+	EXPECT_STREQ(row->handover, "proof");
+	EXPECT_TRUE(keymap_valid(map));
+}
+
+TEST_F(KeymapTest, JoinKeepsRowsShortEnoughToEvenOut)
+{
+	add("a");
+	keymap_deal(map, &candidates);
+	keymap_join(map);
+	add("b");
+	EXPECT_TRUE(keymap_valid(map));
+	EXPECT_TRUE(keymap_balance(map, &candidates));
+	uint32_t targeted = 0;
+	struct keyrow *r;
+
+	list_for_each_entry(r, &map->rows, link)
+		if (!strcmp(r->target, "b"))
+			targeted += r->to - r->from + 1;
+	EXPECT_GT(targeted, KEYMAP_KEYS / 3);
+	EXPECT_LT(targeted, KEYMAP_KEYS * 2 / 3);
+}
+
+TEST_F(KeymapTest, ABalancedMapIsLeftAlone)
+{
+	add("a");
+	add("b");
+	add("c");
+	keymap_deal(map, &candidates);
+	EXPECT_FALSE(keymap_balance(map, &candidates));
+}
+
+TEST_F(KeymapTest, SplitKeepsAllKeys)
+{
+	add("a");
+	keymap_deal(map, &candidates);
+	keymap_split(keymap_find(map, 100), 50);
+	EXPECT_TRUE(keymap_valid(map));
+	EXPECT_EQ(keymap_find(map, 49)->to, 49u);
+}
+
+RC_GTEST_PROP(Keymap, EveryKeyHasOneRowAfterAnyMoves, ())
+{
+	struct keymap *map = keymap_new("s");
+	struct list candidates;
+	const auto count = *rc::gen::inRange(1, 9);
+	const auto moves = *rc::gen::container<std::vector<int>>(
+		rc::gen::inRange(0, (int)KEYMAP_KEYS));
+
+	list_init(&candidates);
+	for (int i = 0; i < count; i++) {
+		struct keymap_candidate *c = mem_new(struct keymap_candidate);
+
+		c->id.born = (uint64_t)i + 1;
+		c->weight = 1;
+		list_push_back(&candidates, &c->link);
+	}
+	keymap_deal(map, &candidates);
+	for (int key : moves) {
+		struct keyrow *r = keymap_find(map, (uint32_t)key);
+
+		if ((uint32_t)key > r->from)
+			r = keymap_split(r, (uint32_t)key);
+		keymap_move(map, r, &keymap_emptiest(&candidates)->id, "");
+		keymap_join(map);
+		RC_ASSERT(keymap_valid(map));
+	}
+	keymap_delete(map);
+	candidates_delete(&candidates);
+}
--- /dev/null
+++ b/tests/records_test.cpp
@@ -0,0 +1,129 @@
+#include "jd_test.hpp"
+
+#include <rapidcheck/gtest.h>
+
+extern "C" {
+#include "core/mem.h"
+#include "io/base64.h"
+#include "platform/records.h"
+}
+
+static const char config[] =
+	"{\"version\":\"0000000c\",\"routes\":["
+	"{\"name\":\"r1\",\"host\":\"a.example\",\"pathPrefix\":\"/x/\","
+	"\"type\":\"idempotent\",\"timeoutS\":1.5,\"targetLatencyS\":0.6,"
+	"\"priority\":2,\"trafficSplit\":[{\"service\":\"s1\",\"weight\":90},"
+	"{\"service\":\"s2\",\"weight\":10}],\"maxAttempts\":2,"
+	"\"allowedRegions\":[]},"
+	"{\"name\":\"r2\",\"host\":\"a.example\",\"pathPrefix\":\"/x/y/\","
+	"\"type\":\"non_idempotent\",\"timeoutS\":1,\"targetLatencyS\":0.8,"
+	"\"priority\":1,\"service\":\"s1\",\"maxAttempts\":2,"
+	"\"allowedRegions\":[\"north\"]}],"
+	"\"services\":[{\"name\":\"s1\",\"warmupPerS\":16.0},"
+	"{\"name\":\"s2\",\"sharded\":true}],"
+	"\"limits\":{\"maxHeaderBytes\":16384,\"maxBodyBytes\":1000,"
+	"\"headerTimeoutS\":3,\"idleTimeoutS\":15}}";
+
+TEST(Records, TheOperatorsConfigurationBecomesAManifest)
+{
+	struct manifest *m = config_decode(config, strlen(config));
+	const struct route *r;
+
+	ASSERT_NE(m, nullptr);
+	EXPECT_EQ(m->version, 12u);
+	EXPECT_EQ(m->limits.idle_timeout_ms, 15000u);
+	r = manifest_match_host(m, "a.example", "/x/z");
+	ASSERT_NE(r, nullptr);
+	EXPECT_STREQ(r->name, "r1");
+	EXPECT_EQ(r->split_count, 2u);
+	EXPECT_EQ(r->splits[0].weight, 90u);
+	EXPECT_EQ(r->timeout_ms, 1500u);
+	EXPECT_NE(r->idempotent, 0u);
+	r = manifest_match_host(m, "a.example", "/x/y/1");
+	EXPECT_STREQ(r->name, "r2");
+	EXPECT_EQ(r->idempotent, 0u);
+	EXPECT_TRUE(region_set_allows(&r->home_regions, "north"));
+	EXPECT_FALSE(region_set_allows(&r->home_regions, "south"));
+	EXPECT_EQ(manifest_match_host(m, "b.example", "/x/z"), nullptr);
+	EXPECT_EQ(manifest_match_host(m, "a.example", "/z"), nullptr);
+	EXPECT_TRUE(manifest_service(m, "s2")->keyed);
+	manifest_delete(m);
+}
+
+TEST(Records, ABrokenConfigurationIsNone)
+{
+	std::string cut = config;
+
+	cut.resize(cut.size() / 2);
+	EXPECT_EQ(config_decode(cut.data(), cut.size()), nullptr);
+	EXPECT_EQ(config_decode("{}", 2), nullptr);
+	std::string no_version = config;
+
+	no_version.replace(no_version.find("0000000c"), 8, "xyz");
+	EXPECT_EQ(config_decode(no_version.data(), no_version.size()), nullptr);
+}
+
+RC_GTEST_PROP(Records, AnyBytesAreRefusedOrTaken, (const std::string &bytes))
+{
+	manifest_delete(config_decode(bytes.data(), bytes.size()));
+}
+
+TEST(Records, KeysOfOthersMeanNothing)
+{
+	json_t *o = json_pack("{s:s,s:i}", "key", "servers/i-1", "revision", 3);
+
+	EXPECT_EQ(record_from_item(o), nullptr);
+	json_decref(o);
+}
+
+TEST(Records, ARemovedEvacuationIsARecord)
+{
+	json_t *o = json_pack("{s:s,s:i,s:b}", "key", "op/evacuate/z1",
+			      "revision", 9, "removed", 1);
+	struct record *r = record_from_item(o);
+
+	ASSERT_NE(r, nullptr);
+	EXPECT_EQ(r->kind, RECORD_EVACUATION);
+	EXPECT_STREQ(r->name, "z1");
+	EXPECT_TRUE(r->removed);
+	record_delete(r);
+	json_decref(o);
+}
+
+TEST(Records, OurOwnValuesComeBack)
+{
+	struct record *r = record_new(RECORD_CARD, "n1");
+	struct record *back;
+	char key[128];
+	char *value;
+	json_t *o;
+
+	mem_copy_str(r->u.card.node, "n1", sizeof(r->u.card.node));
+	r->u.card.boot = 44;
+	value = record_value(r);
+	record_key(r->kind, r->name, key, sizeof(key));
+	o = json_pack("{s:s,s:i,s:s}", "key", key, "revision", 5, "value",
+		      value);
+	back = record_from_item(o);
+	ASSERT_NE(back, nullptr);
+	EXPECT_FALSE(back->broken);
+	EXPECT_EQ(back->u.card.boot, 44u);
+	record_delete(back);
+	record_delete(r);
+	free(value);
+	json_decref(o);
+}
+
+TEST(Records, BytesThatAreNoCardAreMarkedBroken)
+{
+	char *value = base64_encode("junk", 4);
+	json_t *o = json_pack("{s:s,s:i,s:s}", "key", "own/node/n1", "revision",
+			      5, "value", value);
+	struct record *r = record_from_item(o);
+
+	ASSERT_NE(r, nullptr);
+	EXPECT_TRUE(r->broken);
+	record_delete(r);
+	json_decref(o);
+	free(value);
+}
