--- /dev/null
+++ b/fakes/kv_server.c
@@ -0,0 +1,507 @@
+#include "fakes/kv_server.h"
+
+#include <event2/buffer.h>
+#include <event2/http.h>
+#include <event2/keyvalq_struct.h>
+#include <jansson.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "core/list.h"
+#include "core/mem.h"
+#include "core/types.h"
+#include "io/addr.h"
+#include "io/base64.h"
+#include "io/clock.h"
+
+#define KEY_MAX	    201
+#define LAPSE_MS    50
+#define HTTP_GONE   410
+#define HTTP_FAILED 412
+#define HTTP_MANY   429
+
+struct kv_item {
+	struct list link; /* by key */
+	char key[KEY_MAX];
+	char *value; /* base64; NULL: removed */
+	uint64_t revision;
+	uint64_t created;
+	uint64_t lease;
+};
+
+struct kv_lease {
+	struct list link;
+	uint64_t id;
+	uint64_t ttl_ns;
+	uint64_t until_ns;
+};
+
+struct kv_watch {
+	struct list link;
+	struct kv_server *server;
+	struct evhttp_request *req;
+	struct event *timer;
+	char prefix[KEY_MAX];
+	uint64_t after;
+};
+
+struct kv_server {
+	struct kv_server_opts opts;
+	struct evhttp *http;
+	struct event *lapse;
+	struct list items;   /* of struct kv_item, removed ones too */
+	struct list leases;  /* of struct kv_lease */
+	struct list watches; /* of struct kv_watch */
+	enum kv_mood mood;
+	uint64_t revision;
+	uint64_t compacted; /* what changed up to here is forgotten */
+	uint64_t next_lease;
+	uint64_t calls;
+};
+
+static void answer(struct evhttp_request *req, int code, json_t *o)
+{
+	struct evbuffer *b = evbuffer_new();
+	char *text = o ? json_dumps(o, JSON_COMPACT) : NULL;
+
+	if (text)
+		evbuffer_add(b, text, strlen(text));
+	free(text);
+	json_decref(o);
+	evhttp_send_reply(req, code, NULL, b);
+	evbuffer_free(b);
+}
+
+static struct kv_item *find(const struct kv_server *s, const char *key)
+{
+	struct kv_item *it;
+
+	list_for_each_entry(it, &s->items, link)
+		if (!strcmp(it->key, key))
+			return it;
+	return NULL;
+}
+
+static struct kv_item *get(struct kv_server *s, const char *key)
+{
+	struct kv_item *it = find(s, key);
+	struct kv_item *pos;
+
+	if (it)
+		return it;
+	it = mem_new(struct kv_item);
+	mem_copy_str(it->key, key, sizeof(it->key));
+	list_for_each_entry(pos, &s->items, link)
+		if (strcmp(pos->key, key) > 0)
+			break;
+	list_insert_before(&pos->link, &it->link);
+	return it;
+}
+
+static json_t *item_json(const struct kv_item *it)
+{
+	if (!it->value)
+		return json_pack("{s:s,s:I,s:b}", "key", it->key, "revision",
+				 (json_int_t)it->revision, "removed", 1);
+	return json_pack("{s:s,s:s,s:I,s:I,s:I}", "key", it->key, "value",
+			 it->value, "revision", (json_int_t)it->revision,
+			 "created", (json_int_t)it->created, "lease",
+			 (json_int_t)it->lease);
+}
+
+static json_t *events_after(const struct kv_server *s, const char *prefix,
+			    uint64_t after)
+{
+	json_t *list = json_array();
+	const struct kv_item *it;
+
+	list_for_each_entry(it, &s->items, link)
+		if (it->revision > after &&
+		    !strncmp(it->key, prefix, strlen(prefix)))
+			json_array_append_new(list, item_json(it));
+	return list;
+}
+
+static void watch_delete(struct kv_watch *w)
+{
+	list_remove(&w->link);
+	event_free(w->timer);
+	free(w);
+}
+
+static void watch_end(struct kv_watch *w, json_t *events)
+{
+	answer(w->req, HTTP_OK,
+	       json_pack("{s:o,s:I}", "events", events, "asOf",
+			 (json_int_t)w->server->revision));
+	watch_delete(w);
+}
+
+static void wake(struct kv_server *s)
+{
+	struct kv_watch *w, *tmp;
+
+	list_for_each_entry_safe(w, tmp, &s->watches, link) {
+		json_t *events = events_after(s, w->prefix, w->after);
+
+		if (json_array_size(events))
+			watch_end(w, events);
+		else
+			json_decref(events);
+	}
+}
+
+static void put(struct kv_server *s, const char *key, const char *value,
+		uint64_t lease)
+{
+	struct kv_item *it = get(s, key);
+
+	if (!it->value)
+		it->created = s->revision;
+	free(it->value);
+	it->value = value ? mem_dup(value, strlen(value)) : NULL;
+	it->revision = s->revision;
+	it->lease = lease;
+}
+
+void kv_server_put(struct kv_server *s, const char *key, const char *value)
+{
+	char *text = base64_encode(value, strlen(value));
+
+	s->revision++;
+	put(s, key, text, 0);
+	free(text);
+	wake(s);
+}
+
+void kv_server_remove(struct kv_server *s, const char *key)
+{
+	s->revision++;
+	put(s, key, NULL, 0);
+	wake(s);
+}
+
+bool kv_server_has(const struct kv_server *s, const char *key)
+{
+	const struct kv_item *it = find(s, key);
+
+	return it && it->value;
+}
+
+static struct kv_lease *lease_find(struct kv_server *s, uint64_t id)
+{
+	struct kv_lease *l;
+
+	list_for_each_entry(l, &s->leases, link)
+		if (l->id == id)
+			return l;
+	return NULL;
+}
+
+static void lease_end(struct kv_server *s, struct kv_lease *l)
+{
+	struct kv_item *it;
+
+	list_for_each_entry(it, &s->items, link) {
+		if (!it->value || it->lease != l->id)
+			continue;
+		s->revision++;
+		put(s, it->key, NULL, 0);
+	}
+	list_remove(&l->link);
+	free(l);
+	wake(s);
+}
+
+static void on_lapse(evutil_socket_t fd, short what, void *arg)
+{
+	struct kv_server *s = arg;
+	uint64_t now = clock_now_ns();
+	struct kv_lease *l, *tmp;
+
+	(void)fd;
+	(void)what;
+	list_for_each_entry_safe(l, tmp, &s->leases, link)
+		if (now >= l->until_ns)
+			lease_end(s, l);
+}
+
+static void do_range(struct kv_server *s, struct evhttp_request *req,
+		     const struct evkeyvalq *q)
+{
+	const char *prefix = evhttp_find_header(q, "pathPrefix");
+	const char *after = evhttp_find_header(q, "after");
+	json_t *items = json_array();
+	const struct kv_item *it;
+	bool more = false;
+
+	list_for_each_entry(it, &s->items, link) {
+		if (!it->value || !prefix ||
+		    strncmp(it->key, prefix, strlen(prefix)) != 0 ||
+		    (after && strcmp(it->key, after) <= 0))
+			continue;
+		if (json_array_size(items) == s->opts.page) {
+			more = true;
+			break;
+		}
+		json_array_append_new(items, item_json(it));
+	}
+	answer(req, HTTP_OK,
+	       json_pack("{s:o,s:b,s:I}", "items", items, "truncated", more,
+			 "asOf", (json_int_t)s->revision));
+}
+
+static void on_watch_end(evutil_socket_t fd, short what, void *arg)
+{
+	(void)fd;
+	(void)what;
+	watch_end(arg, json_array());
+}
+
+static uint64_t query_u64(const struct evkeyvalq *q, const char *name)
+{
+	const char *v = evhttp_find_header(q, name);
+
+	return v ? strtoull(v, NULL, 10) : 0;
+}
+
+static void do_watch(struct kv_server *s, struct evhttp_request *req,
+		     const struct evkeyvalq *q)
+{
+	const char *prefix = evhttp_find_header(q, "pathPrefix");
+	uint64_t after = query_u64(q, "after");
+	uint64_t wait = query_u64(q, "waitMs");
+	struct timeval tv = {.tv_sec = (time_t)(wait / 1000),
+			     .tv_usec = (suseconds_t)(wait % 1000) * 1000};
+	struct kv_watch *w;
+
+	if (after < s->compacted) {
+		answer(req, HTTP_GONE, NULL);
+		return;
+	}
+	w = mem_new(struct kv_watch);
+	w->server = s;
+	w->req = req;
+	w->after = after;
+	mem_copy_str(w->prefix, prefix ? prefix : "", sizeof(w->prefix));
+	w->timer = evtimer_new(s->opts.base, on_watch_end, w);
+	evtimer_add(w->timer, &tv);
+	list_push_back(&s->watches, &w->link);
+	wake(s);
+}
+
+static bool holds(const struct kv_server *s, const json_t *expected)
+{
+	const json_t *row;
+	size_t i;
+
+	json_array_foreach(expected, i, row)
+	{
+		const char *key =
+			json_string_value(json_object_get(row, "key"));
+		const struct kv_item *it = key ? find(s, key) : NULL;
+		uint64_t have = it && it->value ? it->revision : 0;
+
+		if (have != (uint64_t)json_integer_value(
+				    json_object_get(row, "revision")))
+			return false;
+	}
+	return true;
+}
+
+static bool leases_exist(struct kv_server *s, const json_t *puts)
+{
+	const json_t *row;
+	size_t i;
+
+	json_array_foreach(puts, i, row)
+	{
+		uint64_t lease = (uint64_t)json_integer_value(
+			json_object_get(row, "lease"));
+
+		if (lease && !lease_find(s, lease))
+			return false;
+	}
+	return true;
+}
+
+static int do_txn(struct kv_server *s, const json_t *o, json_t **out)
+{
+	const json_t *puts = json_object_get(o, "puts");
+	const json_t *row;
+	size_t i;
+
+	if (!leases_exist(s, puts))
+		return HTTP_NOTFOUND;
+	if (!holds(s, json_object_get(o, "expected")))
+		return HTTP_FAILED;
+	s->revision++;
+	json_array_foreach(puts, i, row) put(
+		s, json_string_value(json_object_get(row, "key")),
+		json_string_value(json_object_get(row, "value")),
+		(uint64_t)json_integer_value(json_object_get(row, "lease")));
+	json_array_foreach(json_object_get(o, "remove"), i, row)
+		put(s, json_string_value(row), NULL, 0);
+	*out = json_pack("{s:I}", "revision", (json_int_t)s->revision);
+	wake(s);
+	return HTTP_OK;
+}
+
+static int do_lease(struct kv_server *s, const json_t *o, json_t **out)
+{
+	struct kv_lease *l = mem_new(struct kv_lease);
+	double ttl = json_number_value(json_object_get(o, "ttlS"));
+
+	l->id = s->next_lease++;
+	l->ttl_ns = (uint64_t)(ttl * (double)NS_PER_S);
+	l->until_ns = clock_now_ns() + l->ttl_ns;
+	list_push_back(&s->leases, &l->link);
+	*out = json_pack("{s:I,s:f}", "lease", (json_int_t)l->id, "ttlS", ttl);
+	return HTTP_OK;
+}
+
+static int do_keep(struct kv_server *s, uint64_t id, json_t **out)
+{
+	struct kv_lease *l = lease_find(s, id);
+
+	if (!l)
+		return HTTP_NOTFOUND;
+	l->until_ns = clock_now_ns() + l->ttl_ns;
+	*out = json_pack("{s:f}", "ttlS", (double)l->ttl_ns / (double)NS_PER_S);
+	return HTTP_OK;
+}
+
+static int do_post(struct kv_server *s, const char *path, const json_t *o,
+		   json_t **out)
+{
+	static const char keep[] = "/jackdawpaddle/kv-keep/";
+	static const char end[] = "/jackdawpaddle/kv-lease-end/";
+	struct kv_lease *l;
+
+	if (!strcmp(path, "/jackdawpaddle/kv-txn"))
+		return do_txn(s, o, out);
+	if (!strcmp(path, "/jackdawpaddle/kv-lease"))
+		return do_lease(s, o, out);
+	if (!strncmp(path, keep, strlen(keep)))
+		return do_keep(s, strtoull(path + strlen(keep), NULL, 10), out);
+	if (strncmp(path, end, strlen(end)) != 0)
+		return HTTP_BADREQUEST;
+	l = lease_find(s, strtoull(path + strlen(end), NULL, 10));
+	if (l)
+		lease_end(s, l);
+	return l ? HTTP_OK : HTTP_NOTFOUND;
+}
+
+/* True when the mood has dealt with the request. */
+static bool refused(const struct kv_server *s, struct evhttp_request *req)
+{
+	switch (s->mood) {
+	case KV_BUSY:
+		answer(req, HTTP_SERVUNAVAIL, NULL);
+		return true;
+	case KV_MANY:
+		answer(req, HTTP_MANY, NULL);
+		return true;
+	case KV_SILENT:
+		return true;
+	case KV_SERVES:
+	case KV_LOSES:
+		break;
+	}
+	return false;
+}
+
+static void on_http(struct evhttp_request *req, void *arg)
+{
+	struct kv_server *s = arg;
+	struct evbuffer *in = evhttp_request_get_input_buffer(req);
+	size_t len = evbuffer_get_length(in);
+	const struct evhttp_uri *uri = evhttp_request_get_evhttp_uri(req);
+	const char *path = evhttp_uri_get_path(uri);
+	const char *query = evhttp_uri_get_query(uri);
+	struct evkeyvalq q;
+	json_t *out = NULL;
+	json_t *o;
+	int code;
+
+	s->calls++;
+	if (refused(s, req))
+		return;
+	evhttp_parse_query_str(query ? query : "", &q);
+	if (!strcmp(path, "/jackdawpaddle/kv-range")) {
+		do_range(s, req, &q);
+	} else if (!strcmp(path, "/jackdawpaddle/kv-watch")) {
+		do_watch(s, req, &q);
+	} else {
+		o = len ? json_loadb((char *)evbuffer_pullup(in, -1), len, 0,
+				     NULL)
+			: NULL;
+		code = do_post(s, path, o, &out);
+		json_decref(o);
+		if (s->mood == KV_LOSES)
+			json_decref(out);
+		else
+			answer(req, code, out);
+	}
+	evhttp_clear_headers(&q);
+}
+
+struct kv_server *kv_server_new(const struct kv_server_opts *o)
+{
+	struct kv_server *s = mem_new(struct kv_server);
+	struct timeval tv = {.tv_usec = LAPSE_MS * 1000};
+	char ip[JD_ADDR_MAX];
+	uint16_t port;
+
+	s->opts = *o;
+	if (!s->opts.page)
+		s->opts.page = 500;
+	list_init(&s->items);
+	list_init(&s->leases);
+	list_init(&s->watches);
+	s->revision = 1;
+	s->next_lease = 1;
+	s->lapse = event_new(o->base, -1, EV_PERSIST, on_lapse, s);
+	event_add(s->lapse, &tv);
+	s->http = evhttp_new(o->base);
+	evhttp_set_gencb(s->http, on_http, s);
+	if (addr_split(o->addr, ip, sizeof(ip), &port) &&
+	    evhttp_bind_socket(s->http, ip, port) == 0)
+		return s;
+	kv_server_delete(s);
+	return NULL;
+}
+
+void kv_server_delete(struct kv_server *s)
+{
+	struct kv_watch *w, *wt;
+	struct kv_lease *l, *lt;
+	struct kv_item *it, *itt;
+
+	list_for_each_entry_safe(w, wt, &s->watches, link)
+		watch_delete(w);
+	evhttp_free(s->http);
+	event_free(s->lapse);
+	list_for_each_entry_safe(l, lt, &s->leases, link)
+		free(l);
+	list_for_each_entry_safe(it, itt, &s->items, link) {
+		free(it->value);
+		free(it);
+	}
+	free(s);
+}
+
+void kv_server_set_mood(struct kv_server *s, enum kv_mood mood)
+{
+	s->mood = mood;
+}
+
+void kv_server_compact(struct kv_server *s)
+{
+	s->compacted = s->revision;
+}
+
+uint64_t kv_server_calls(const struct kv_server *s)
+{
+	return s->calls;
+}
--- /dev/null
+++ b/fakes/kv_server.h
@@ -0,0 +1,45 @@
+/**
+ * Stand-in of the platform's metadata store: items with revisions, leases
+ * and watches over HTTP, with the faults that its pages allow.
+ */
+#ifndef JD_FAKES_KV_SERVER_H
+#define JD_FAKES_KV_SERVER_H
+
+#include <event2/event.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+struct kv_server;
+
+/** How it treats the next calls. */
+enum kv_mood {
+	KV_SERVES,
+	KV_BUSY,   /* 503: nothing was done */
+	KV_MANY,   /* 429 */
+	KV_SILENT, /* no answer, nothing is done */
+	KV_LOSES,  /* writes are done, their answers are lost */
+};
+
+struct kv_server_opts {
+	struct event_base *base;
+	const char *addr;
+	uint32_t page; /* items of one page of a range */
+};
+
+/** NULL when the address can't be bound. */
+struct kv_server *kv_server_new(const struct kv_server_opts *o);
+void kv_server_delete(struct kv_server *s);
+
+void kv_server_set_mood(struct kv_server *s, enum kv_mood mood);
+/** Forgets what changed: watches from before end with 410. */
+void kv_server_compact(struct kv_server *s);
+
+/** Writes as the operator does; @value is plain text. */
+void kv_server_put(struct kv_server *s, const char *key, const char *value);
+void kv_server_remove(struct kv_server *s, const char *key);
+
+/** Calls answered or refused so far. */
+uint64_t kv_server_calls(const struct kv_server *s);
+bool kv_server_has(const struct kv_server *s, const char *key);
+
+#endif
--- /dev/null
+++ b/tests/gatekeeper_test.cpp
@@ -0,0 +1,269 @@
+#include "jd_test.hpp"
+
+#include <vector>
+
+extern "C" {
+#include "core/gatekeeper.h"
+#include "core/mem.h"
+}
+
+/* A gate with an upstream of four slots, driven by hand. */
+struct GatekeeperTest : public ::testing::Test {
+	struct mesh_opts opts = {};
+	struct mesh_ctx c = {};
+	struct mesh_actions out;
+	struct holder h;
+	struct gatekeeper g;
+	uint64_t counter = 0;
+
+	GatekeeperTest()
+	{
+		mem_copy_str(opts.node, "n", sizeof(opts.node));
+		mem_copy_str(opts.dc, "dc", sizeof(opts.dc));
+		mem_copy_str(opts.service, "s", sizeof(opts.service));
+		opts.announce_ns = NS_PER_S;
+		opts.hold_max_ns = 10 * NS_PER_S;
+		c.opts = &opts;
+		c.now_ns = 100 * NS_PER_S;
+		mesh_actions_init(&out);
+		c.out = &out;
+		directory_init(&c.dir);
+		holder_init(&h, &opts, c.now_ns);
+		h.known = true;
+		h.slots = 4;
+		gatekeeper_init(&g);
+	}
+	~GatekeeperTest() override
+	{
+		gatekeeper_done(&g);
+		holder_done(&h);
+		directory_done(&c.dir);
+		mesh_actions_done(&out);
+	}
+
+	uint64_t offer(const char *route, uint32_t priority,
+		       uint64_t objective_ms = 600,
+		       const char *from_service = "s", bool keyed = false,
+		       uint32_t shard = 0)
+	{
+		struct msg_forward f = {};
+
+		f.id.node = 7;
+		f.id.counter = ++counter;
+		f.attempt = 1;
+		f.time_left_ns = 2 * NS_PER_S;
+		f.objective_ns = objective_ms * NS_PER_MS;
+		f.priority = priority;
+		f.keyed = keyed;
+		f.shard = shard;
+		mem_copy_str(f.route, route, sizeof(f.route));
+		mem_copy_str(f.caller_service, from_service,
+			     sizeof(f.caller_service));
+		f.request = http_request_new("GET", "/");
+		gatekeeper_offer(&g, &c, &h, &f, 7, 0);
+		return counter;
+	}
+	/* Calls that were started since the last time. */
+	std::vector<uint64_t> started()
+	{
+		std::vector<uint64_t> calls;
+		struct mesh_action *a;
+
+		h.heard_ns = c.now_ns;
+		gatekeeper_work(&g, &c, &h);
+		while ((a = mesh_actions_pop(&out))) {
+			if (a->kind == MA_CALL)
+				calls.push_back(a->u.call.call);
+			mesh_action_delete(a);
+		}
+		return calls;
+	}
+	void finish(uint64_t call)
+	{
+		struct ev_upstream_end e = {};
+
+		e.call = call;
+		e.outcome = OUTCOME_DONE;
+		e.answer = http_answer_new(200);
+		gatekeeper_on_end(&g, &c, &e);
+	}
+	/* The next end: its request and why it was refused. */
+	bool next_end(uint64_t *id, enum refusal *why)
+	{
+		struct work_end *e = gatekeeper_pop(&g);
+
+		if (!e)
+			return false;
+		*id = e->answer.id.counter;
+		*why = e->answer.refusal;
+		http_answer_delete(e->answer.answer);
+		free(e);
+		return true;
+	}
+};
+
+TEST_F(GatekeeperTest, NeverMoreThanTheSlots)
+{
+	for (int i = 0; i < 6; i++)
+		offer("r", 1);
+	EXPECT_EQ(started().size(), 4u);
+	EXPECT_EQ(g.waiting_count, 2u);
+	finish(1);
+	EXPECT_EQ(started().size(), 1u);
+}
+
+TEST_F(GatekeeperTest, AHigherRankRunsFirst)
+{
+	uint64_t id;
+	enum refusal why;
+
+	for (int i = 0; i < 4; i++)
+		offer("r", 1);
+	started();
+	offer("low", 2);
+	uint64_t high = offer("high", 1);
+
+	finish(1);
+	EXPECT_EQ(started().size(), 1u);
+	ASSERT_TRUE(next_end(&id, &why));
+	/* The one that still waits is the low one. */
+	struct work *w = list_entry(g.waiting.next, struct work, link);
+
+	EXPECT_NE(w->id.counter, high);
+}
+
+TEST_F(GatekeeperTest, WhatCannotMeetItsObjectiveIsRefusedAtOnce)
+{
+	uint64_t id, last = 0;
+	enum refusal why = REFUSAL_NONE;
+
+	for (int i = 0; i < 40; i++) {
+		last = offer("r", 1);
+		started();
+	}
+	ASSERT_TRUE(next_end(&id, &why));
+	EXPECT_EQ(why, REFUSAL_QUEUE_FULL);
+	while (next_end(&id, &why))
+		;
+	EXPECT_EQ(id, last);
+	EXPECT_LT(g.waiting_count, 20u);
+}
+
+TEST_F(GatekeeperTest, AnUpstreamsOwnCallWaitsToItsDeadline)
+{
+	uint64_t id;
+	enum refusal why;
+
+	/* Only VMs of another service send these. */
+	for (int i = 0; i < 60; i++) {
+		offer("inner", 1, 600, "other");
+		for (uint64_t call : started()) {
+			c.now_ns += 50 * NS_PER_MS;
+			finish(call);
+		}
+	}
+	while (next_end(&id, &why))
+		EXPECT_EQ(why, REFUSAL_NONE);
+	for (int i = 0; i < 8; i++) {
+		offer("inner", 1, 1, "other");
+		started();
+	}
+	EXPECT_FALSE(next_end(&id, &why));
+	/* The same objective of a caller is out of reach. */
+	offer("outer", 1, 1);
+	ASSERT_TRUE(next_end(&id, &why));
+	EXPECT_EQ(why, REFUSAL_QUEUE_FULL);
+}
+
+TEST_F(GatekeeperTest, AColdUpstreamGetsItsRateAndNoMore)
+{
+	struct manifest *m = manifest_new();
+	struct service *s = manifest_add_service(m);
+	size_t most = 0;
+	std::vector<uint64_t> starts;
+
+	mem_copy_str(s->name, "s", sizeof(s->name));
+	s->cold_per_s = 16;
+	c.dir.manifest = m;
+	h.slots = 100;
+	h.cold_until_ns = c.now_ns + 10 * NS_PER_S;
+	for (int ms = 0; ms < 3000; ms += 5) {
+		c.now_ns += 5 * NS_PER_MS;
+		offer("r", 1, 5000);
+		for (uint64_t call : started()) {
+			starts.push_back(c.now_ns);
+			finish(call);
+		}
+	}
+	for (size_t i = 0; i < starts.size(); i++) {
+		size_t n = 0;
+
+		for (size_t j = i;
+		     j < starts.size() && starts[j] < starts[i] + NS_PER_S; j++)
+			n++;
+		most = std::max(most, n);
+	}
+	EXPECT_LE(most, 16u + 5u);
+	EXPECT_GE(starts.size(), 40u);
+}
+
+TEST_F(GatekeeperTest, KeysThatAreNotHeldHereAreMoving)
+{
+	uint64_t id;
+	enum refusal why;
+
+	offer("r", 1, 600, "s", true, 9);
+	ASSERT_TRUE(next_end(&id, &why));
+	EXPECT_EQ(why, REFUSAL_MOVING);
+}
+
+TEST_F(GatekeeperTest, ALeavingUpstreamGetsNothingNew)
+{
+	uint64_t id;
+	enum refusal why;
+
+	for (int i = 0; i < 5; i++)
+		offer("r", 1);
+	EXPECT_EQ(started().size(), 4u);
+	h.draining = true;
+	EXPECT_TRUE(started().empty());
+	ASSERT_TRUE(next_end(&id, &why));
+	EXPECT_EQ(why, REFUSAL_LEAVING);
+	EXPECT_EQ(g.running_count, 4u);
+}
+
+TEST_F(GatekeeperTest, ACancelledRequestIsEndedAtTheUpstream)
+{
+	struct msg_cancel m = {};
+	struct mesh_action *a;
+	uint64_t id;
+	enum refusal why;
+
+	m.id.node = 7;
+	m.id.counter = offer("r", 1);
+	m.attempt = 1;
+	started();
+	gatekeeper_cancel(&g, &c, 7, &m);
+	a = mesh_actions_pop(&out);
+	ASSERT_NE(a, nullptr);
+	EXPECT_EQ(a->kind, MA_CANCEL);
+	mesh_action_delete(a);
+	m.id.counter = offer("r", 1);
+	gatekeeper_cancel(&g, &c, 7, &m);
+	ASSERT_TRUE(next_end(&id, &why));
+	EXPECT_EQ(id, m.id.counter);
+}
+
+TEST_F(GatekeeperTest, TimeOnTheWayCountsAgainstTheDeadline)
+{
+	struct msg_forward f = {};
+	uint64_t id;
+	enum refusal why;
+
+	f.id.counter = 1;
+	f.time_left_ns = 500 * NS_PER_MS;
+	f.request = http_request_new("GET", "/");
+	gatekeeper_offer(&g, &c, &h, &f, 7, 600 * NS_PER_MS);
+	ASSERT_TRUE(next_end(&id, &why));
+	EXPECT_EQ(why, REFUSAL_DEADLINE);
+}
--- /dev/null
+++ b/tests/kv_client_test.cpp
@@ -0,0 +1,257 @@
+#include "jd_test.hpp"
+
+#include <functional>
+#include <map>
+#include <vector>
+
+#include "free_port.hpp"
+
+extern "C" {
+#include <event2/event.h>
+
+#include "core/mem.h"
+#include "fakes/kv_server.h"
+#include "io/clock.h"
+#include "platform/kv_client.h"
+}
+
+struct KvClientTest : public ::testing::Test {
+	struct event_base *base = event_base_new();
+	std::string addr = free_addr();
+	struct kv_server *server;
+	struct kv_client *k;
+	struct End {
+		enum store_end end;
+		uint64_t revision, lease, ttl_ns;
+		std::vector<std::string> names;
+		std::vector<bool> removed;
+	};
+	std::map<uint64_t, End> ends;
+	uint64_t next_op = 1;
+
+	KvClientTest()
+	{
+		struct kv_server_opts o = {};
+
+		o.base = base;
+		o.addr = addr.c_str();
+		o.page = 3;
+		server = kv_server_new(&o);
+		EXPECT_NE(server, nullptr);
+		k = kv_client_new(base, addr.c_str(), on_end, this);
+	}
+	~KvClientTest() override
+	{
+		kv_client_delete(k);
+		kv_server_delete(server);
+		event_base_free(base);
+	}
+	static void on_end(void *arg, struct ev_store_end *e)
+	{
+		End &end = ((KvClientTest *)arg)->ends[e->op];
+		const struct record *r;
+
+		end.end = e->end;
+		end.revision = e->revision;
+		end.lease = e->lease;
+		end.ttl_ns = e->ttl_ns;
+		list_for_each_entry(r, &e->records, link) {
+			end.names.push_back(r->name);
+			end.removed.push_back(r->removed);
+		}
+	}
+	void turn(int ms)
+	{
+		struct timeval tv = {ms / 1000, ms % 1000 * 1000};
+
+		event_base_loopexit(base, &tv);
+		event_base_dispatch(base);
+	}
+	uint64_t start(enum store_call_kind kind,
+		       const std::function<void(struct act_store_call &)> &set)
+	{
+		struct act_store_call a = {};
+
+		a.op = next_op++;
+		a.kind = kind;
+		a.deadline_ns = clock_now_ns() + 200 * NS_PER_MS;
+		list_init(&a.puts);
+		set(a);
+		kv_client_call(k, &a);
+		return a.op;
+	}
+	const End &call(enum store_call_kind kind,
+			const std::function<void(struct act_store_call &)> &set)
+	{
+		uint64_t op = start(kind, set);
+
+		for (int i = 0; i < 60 && !ends.count(op); i++)
+			turn(10);
+		EXPECT_TRUE(ends.count(op));
+		return ends[op];
+	}
+	const End &call(enum store_call_kind kind)
+	{
+		return call(kind, [](struct act_store_call &) {});
+	}
+	static void add_card(struct act_store_call &a, const char *name,
+			     uint64_t expected)
+	{
+		struct record *r = record_new(RECORD_CARD, name);
+
+		list_push_back(&a.puts, &r->link);
+		a.expect[0].kind = RECORD_CARD;
+		mem_copy_str(a.expect[0].name, name, sizeof(a.expect[0].name));
+		a.expect[0].revision = expected;
+		a.expect_count = 1;
+	}
+};
+
+TEST_F(KvClientTest, ReadsAllPages)
+{
+	for (int i = 0; i < 8; i++)
+		kv_server_put(server,
+			      ("op/evacuate/z" + std::to_string(i)).c_str(),
+			      "{}");
+	kv_server_put(server, "servers/x", "{}");
+	const End &e = call(CALL_READ_ALL);
+
+	EXPECT_EQ(e.end, STORE_DONE);
+	EXPECT_EQ(e.names.size(), 8u);
+	EXPECT_EQ(kv_client_calls(k), 3u);
+}
+
+TEST_F(KvClientTest, AWatchTellsOfChangesAndRemovals)
+{
+	kv_server_put(server, "op/evacuate/z1", "{}");
+	uint64_t known = call(CALL_READ_ALL).revision;
+	uint64_t op = start(CALL_WATCH_ALL, [&](struct act_store_call &a) {
+		a.after = known;
+		a.wait_ns = 5 * NS_PER_S;
+		a.deadline_ns = clock_now_ns() + 5 * NS_PER_S;
+	});
+
+	turn(50);
+	EXPECT_EQ(ends.count(op), 0u);
+	kv_server_remove(server, "op/evacuate/z1");
+	turn(50);
+	ASSERT_EQ(ends.count(op), 1u);
+	ASSERT_EQ(ends[op].names.size(), 1u);
+	EXPECT_TRUE(ends[op].removed[0]);
+	EXPECT_GT(ends[op].revision, known);
+}
+
+TEST_F(KvClientTest, AForgottenHistoryIsTold)
+{
+	kv_server_put(server, "op/evacuate/z1", "{}");
+	kv_server_compact(server);
+	EXPECT_EQ(call(CALL_WATCH_ALL,
+		       [](struct act_store_call &a) {
+			       a.after = 1;
+		       }).end,
+		  STORE_NO_HISTORY);
+}
+
+TEST_F(KvClientTest, AWriteHoldsOnlyUnderItsConditions)
+{
+	const End &first = call(CALL_WRITE, [](struct act_store_call &a) {
+		add_card(a, "n", 0);
+	});
+
+	EXPECT_EQ(first.end, STORE_DONE);
+	EXPECT_EQ(call(CALL_WRITE,
+		       [](struct act_store_call &a) {
+			       add_card(a, "n", 0);
+		       }).end,
+		  STORE_CONFLICT);
+	uint64_t revision = first.revision;
+
+	EXPECT_EQ(call(CALL_WRITE,
+		       [&](struct act_store_call &a) {
+			       add_card(a, "n", revision);
+		       }).end,
+		  STORE_DONE);
+}
+
+TEST_F(KvClientTest, KeysGoWithTheirLease)
+{
+	const End lease = call(CALL_LEASE_NEW, [](struct act_store_call &a) {
+		a.ttl_ns = NS_PER_S;
+	});
+
+	ASSERT_EQ(lease.end, STORE_DONE);
+	EXPECT_EQ(lease.ttl_ns, NS_PER_S);
+	call(CALL_WRITE, [&](struct act_store_call &a) {
+		add_card(a, "n", 0);
+		a.lease = lease.lease;
+	});
+	EXPECT_TRUE(kv_server_has(server, "own/node/n"));
+	turn(700);
+	EXPECT_EQ(call(CALL_LEASE_KEEP,
+		       [&](struct act_store_call &a) {
+			       a.lease = lease.lease;
+		       }).end,
+		  STORE_DONE);
+	turn(700);
+	EXPECT_TRUE(kv_server_has(server, "own/node/n"));
+	turn(600);
+	EXPECT_FALSE(kv_server_has(server, "own/node/n"));
+	EXPECT_EQ(call(CALL_LEASE_KEEP,
+		       [&](struct act_store_call &a) {
+			       a.lease = lease.lease;
+		       }).end,
+		  STORE_NO_LEASE);
+	EXPECT_EQ(call(CALL_WRITE,
+		       [&](struct act_store_call &a) {
+			       add_card(a, "m", 0);
+			       a.lease = lease.lease;
+		       }).end,
+		  STORE_NO_LEASE);
+}
+
+TEST_F(KvClientTest, ARefusalIsNotALoss)
+{
+	kv_server_set_mood(server, KV_BUSY);
+	EXPECT_EQ(call(CALL_READ_ALL).end, STORE_REFUSED);
+	kv_server_set_mood(server, KV_MANY);
+	EXPECT_EQ(call(CALL_READ_ALL).end, STORE_REFUSED);
+	kv_server_set_mood(server, KV_SILENT);
+	EXPECT_EQ(call(CALL_READ_ALL).end, STORE_LOST);
+	kv_server_set_mood(server, KV_SERVES);
+	EXPECT_EQ(call(CALL_READ_ALL).end, STORE_DONE);
+}
+
+TEST_F(KvClientTest, ALostAnswerMayStandForADoneWrite)
+{
+	kv_server_set_mood(server, KV_LOSES);
+	EXPECT_EQ(call(CALL_WRITE,
+		       [](struct act_store_call &a) {
+			       add_card(a, "n", 0);
+		       }).end,
+		  STORE_LOST);
+	EXPECT_TRUE(kv_server_has(server, "own/node/n"));
+	kv_server_set_mood(server, KV_SERVES);
+	EXPECT_EQ(call(CALL_READ_ALL).names.size(), 1u);
+}
+
+TEST(KvClient, NobodyListeningIsALoss)
+{
+	struct event_base *base = event_base_new();
+	static enum store_end got;
+	struct kv_client *k = kv_client_new(
+		base, free_addr().c_str(),
+		[](void *, struct ev_store_end *e) { got = e->end; }, NULL);
+	struct act_store_call a = {};
+	struct timeval tv = {0, 300000};
+
+	got = STORE_DONE;
+	a.kind = CALL_READ_ALL;
+	a.deadline_ns = clock_now_ns() + 200 * NS_PER_MS;
+	list_init(&a.puts);
+	kv_client_call(k, &a);
+	event_base_loopexit(base, &tv);
+	event_base_dispatch(base);
+	EXPECT_EQ(got, STORE_LOST);
+	kv_client_delete(k);
+	event_base_free(base);
+}
--- /dev/null
+++ b/tests/requests_test.cpp
@@ -0,0 +1,163 @@
+#include "jd_test.hpp"
+
+extern "C" {
+#include "core/mem.h"
+#include "platform/requests.h"
+}
+
+static const char ID[] = "Jackdawpaddle-Request-Id";
+static const char DEADLINE[] = "Jackdawpaddle-Request-Deadline";
+static const char CALLER[] = "Jackdawpaddle-Caller-Service";
+static const char INSTANCE[] = "Jackdawpaddle-Expected-Instance";
+static const char SHARD[] = "Jackdawpaddle-Shard-Key";
+static const char SIGNATURE[] = "Jackdawpaddle-Response-Signature";
+static const char NOT_RUN[] = "Jackdawpaddle-Not-Executed";
+
+static struct http_request *
+request(std::initializer_list<std::pair<const char *, const char *>> headers)
+{
+	struct http_request *r = http_request_new("GET", "/a/b?c");
+
+	for (auto &h : headers)
+		payload_add_header(&r->payload, h.first, h.second);
+	return r;
+}
+
+TEST(Requests, DecodesWhatTheRouterNeeds)
+{
+	struct caller_request out;
+
+	request_decode(request({{"Host", "a.example"},
+				{ID, "77"},
+				{DEADLINE, "1500"},
+				{SHARD, "65535"},
+				{CALLER, "forged"},
+				{INSTANCE, "forged"},
+				{"Connection", "close, X-Hop"},
+				{"X-Hop", "1"},
+				{"X-Other", "2"}}),
+		       5, false, NS_PER_S, &out);
+	EXPECT_EQ(out.caller, 5u);
+	EXPECT_STREQ(out.id, "77");
+	EXPECT_STREQ(out.host, "a.example");
+	EXPECT_EQ(out.deadline_ns, NS_PER_S + 1500 * NS_PER_MS);
+	EXPECT_TRUE(out.keyed);
+	EXPECT_EQ(out.shard, 65535u);
+	const struct payload *p = &out.request->payload;
+
+	EXPECT_EQ(payload_header(p, CALLER), nullptr);
+	EXPECT_EQ(payload_header(p, INSTANCE), nullptr);
+	EXPECT_EQ(payload_header(p, "X-Hop"), nullptr);
+	EXPECT_EQ(payload_header(p, "Connection"), nullptr);
+	EXPECT_STREQ(payload_header(p, "X-Other"), "2");
+	EXPECT_STREQ(payload_header(p, SHARD), "65535");
+	http_request_delete(out.request);
+}
+
+TEST(Requests, NumbersOutOfRangeAreNone)
+{
+	struct caller_request out;
+
+	for (const char *bad : {"65536", "-1", "1x", "", " 1"}) {
+		request_decode(request({{SHARD, bad}, {DEADLINE, "soon"}}), 1,
+			       false, 0, &out);
+		EXPECT_FALSE(out.keyed) << bad;
+		EXPECT_TRUE(out.bad_deadline);
+		http_request_delete(out.request);
+	}
+}
+
+TEST(Requests, TheUpstreamGetsTheRoutersHeaders)
+{
+	struct act_call a = {};
+	struct http_request *r;
+
+	a.request = request({{"Host", "a.example"}, {"X-Other", "2"}});
+	a.deadline_ns = 2 * NS_PER_S;
+	mem_copy_str(a.instance, "i-1", sizeof(a.instance));
+	mem_copy_str(a.caller_id, "77", sizeof(a.caller_id));
+	mem_copy_str(a.caller_service, "mine", sizeof(a.caller_service));
+	r = request_for_upstream(&a, NS_PER_S);
+	EXPECT_STREQ(payload_header(&r->payload, DEADLINE), "1000");
+	EXPECT_STREQ(payload_header(&r->payload, INSTANCE), "i-1");
+	EXPECT_STREQ(payload_header(&r->payload, CALLER), "mine");
+	EXPECT_STREQ(payload_header(&r->payload, ID), "77");
+	EXPECT_STREQ(payload_header(&r->payload, "X-Other"), "2");
+	EXPECT_STREQ(r->target, "/a/b?c");
+	http_request_delete(r);
+	http_request_delete(a.request);
+}
+
+struct Answer {
+	int code;
+	std::initializer_list<std::pair<const char *, const char *>> headers;
+	enum outcome outcome;
+};
+
+TEST(Requests, OnlyTheUpstreamsOwnWordIsBelieved)
+{
+	const Answer cases[] = {
+		{200, {{SIGNATURE, "s"}}, OUTCOME_DONE},
+		{200, {}, OUTCOME_UNKNOWN},
+		{200,
+		 {{SIGNATURE, "s"}, {"Content-Encoding", "gzip"}},
+		 OUTCOME_UNKNOWN},
+		{500, {{SIGNATURE, "s"}}, OUTCOME_DONE},
+		{503, {{NOT_RUN, "1"}}, OUTCOME_NOT_RUN},
+		{503, {}, OUTCOME_UNKNOWN},
+		{429, {{SIGNATURE, "s"}}, OUTCOME_UNKNOWN},
+		{421, {}, OUTCOME_NOT_RUN},
+		{408, {}, OUTCOME_UNKNOWN},
+	};
+
+	for (auto &c : cases) {
+		struct client_result r = {};
+		struct ev_upstream_end e;
+
+		r.end = CLIENT_ANSWERED;
+		r.answer = http_answer_new(c.code);
+		for (auto &h : c.headers)
+			payload_add_header(&r.answer->payload, h.first,
+					   h.second);
+		result_decode(&r, &e);
+		EXPECT_EQ(e.outcome, c.outcome) << c.code;
+		EXPECT_EQ(e.answer != NULL, c.outcome == OUTCOME_DONE);
+		http_answer_delete(e.answer);
+		http_answer_delete(r.answer);
+	}
+}
+
+TEST(Requests, ABrokenConnectionIsNeverNotRun)
+{
+	const std::pair<enum client_end, enum outcome> cases[] = {
+		{CLIENT_REFUSED, OUTCOME_NOT_RUN},
+		{CLIENT_NOT_SENT, OUTCOME_NOT_RUN},
+		{CLIENT_BROKEN, OUTCOME_UNKNOWN},
+		{CLIENT_LATE, OUTCOME_UNKNOWN},
+	};
+
+	for (auto &c : cases) {
+		struct client_result r = {};
+		struct ev_upstream_end e;
+
+		r.end = c.first;
+		result_decode(&r, &e);
+		EXPECT_EQ(e.outcome, c.second);
+		EXPECT_EQ(e.refused_connection, c.first == CLIENT_REFUSED);
+	}
+}
+
+TEST(Requests, ARefusalSaysWhenToComeBack)
+{
+	struct act_caller_reply a = {};
+	struct http_answer *out;
+
+	a.code = 503;
+	a.refusal = REFUSAL_NO_OWNER;
+	a.retry_after_ns = 250 * NS_PER_MS;
+	mem_copy_str(a.id, "77", sizeof(a.id));
+	out = reply_encode(&a);
+	EXPECT_STREQ(payload_header(&out->payload, "Retry-After"), "0.250");
+	EXPECT_STREQ(payload_header(&out->payload, ID), "77");
+	http_answer_delete(out);
+}
--- /dev/null
+++ b/tests/site_settings_test.cpp
@@ -0,0 +1,82 @@
+#include "jd_test.hpp"
+
+#include <cstdio>
+#include <unistd.h>
+
+extern "C" {
+#include "platform/site_settings.h"
+}
+
+static const char whole[] =
+	"node=n1\nrole=x\n\nzone=z1\nregion=r1\nip=10.1.0.38\n"
+	"listen.inbound=10.1.0.38:1\nlisten.outbound=10.1.0.38:2\n"
+	"listen.readinessAddress=10.1.0.38:3\nlisten.control=10.1.0.38:4\n"
+	"internalPorts=7380,7395\nseeds=\nheartbeatS=0.87\n"
+	"bounds=graceS=6,drainS=2,maxHoldS=10,retryBudgetRatio=0.2,"
+	"budgetWindowS=10,retryBudgetSlack=64,unknown=1\n"
+	"appAddr=10.1.0.38:5\nservice=s1\nplatform.address=10.2.0.1:6\n"
+	"platform.minTtlS=1\nnew.field=7";
+
+static int read(const std::string &text, struct site_settings *s,
+		std::string *findings)
+{
+	char path[] = "/tmp/site-settings-XXXXXX";
+	int fd = mkstemp(path);
+	struct findings f;
+	const struct finding *it;
+	int count;
+
+	EXPECT_EQ(write(fd, text.data(), text.size()), (ssize_t)text.size());
+	close(fd);
+	findings_init(&f);
+	site_settings_read(s, path, &f);
+	list_for_each_entry(it, &f.items, link)
+		*findings += std::string(it->field) + " ";
+	count = f.count;
+	findings_done(&f);
+	unlink(path);
+	return count;
+}
+
+TEST(SiteSettings, ReadsWhatItNeedsAndPassesOverTheRest)
+{
+	struct site_settings s;
+	std::string findings;
+	struct mesh_opts o;
+
+	EXPECT_EQ(read(whole, &s, &findings), 0) << findings;
+	EXPECT_STREQ(s.front_addr, "10.1.0.38:2");
+	EXPECT_STREQ(s.peer_addr, "10.1.0.38:7380");
+	EXPECT_DOUBLE_EQ(s.announce_s, 0.87);
+	EXPECT_DOUBLE_EQ(s.hold_max_s, 10);
+	site_settings_opts(&s, 9, 8, &o);
+	EXPECT_EQ(o.stop_ns, 6 * NS_PER_S);
+	EXPECT_EQ(o.boot, 9u);
+	EXPECT_STREQ(o.dc, "z1");
+}
+
+TEST(SiteSettings, AllFindingsAreReportedTogether)
+{
+	struct site_settings s;
+	std::string findings;
+	std::string bad = whole;
+
+	bad.replace(bad.find("heartbeatS=0.87"), 15, "heartbeatS=soon");
+	bad.replace(bad.find("appAddr=10.1.0.38:5"), 19, "appAddr=10.1.0.38");
+	bad.replace(bad.find("service=s1"), 10, "sorvice=s1");
+	EXPECT_EQ(read(bad, &s, &findings), 3) << findings;
+	EXPECT_NE(findings.find("heartbeatS"), std::string::npos);
+	EXPECT_NE(findings.find("appAddr"), std::string::npos);
+	EXPECT_NE(findings.find("service"), std::string::npos);
+}
+
+TEST(SiteSettings, AMissingFileIsAFinding)
+{
+	struct site_settings s;
+	struct findings f;
+
+	findings_init(&f);
+	site_settings_read(&s, "/nonexistent/settings", &f);
+	EXPECT_EQ(f.count, 1);
+	findings_done(&f);
+}
