--- a/core/directory.c
+++ b/core/directory.c
@@ -8,9 +8,9 @@
 /* Assumed of a gate that has not reported yet. */
 #define SERVICE_FIRST_NS (200 * NS_PER_MS)
 /* Clocks drift apart by some microseconds a second; so the estimate ages. */
-#define CLOCK_WINDOW_NS (10 * NS_PER_S)
+#define CLOCK_WINDOW_NS	 (10 * NS_PER_S)
 /* A node that has no record and is not heard for as long is forgotten. */
-#define FORGET_NS	(30 * NS_PER_S)
+#define FORGET_NS	 (30 * NS_PER_S)
 
 uint64_t peer_clock_delay_ns(struct peer_clock *pc, uint64_t sent_ns,
 			     uint64_t now_ns)
@@ -128,7 +128,8 @@
 	manifest_delete(d->manifest);
 	d->manifest = r->u.manifest;
 	r->u.manifest = NULL;
-	mesh_log(out, LOG_INFO, "event=config_in_force version=%lu revision=%lu",
+	mesh_log(out, LOG_INFO,
+		 "event=config_in_force version=%lu revision=%lu",
 		 (unsigned long)d->manifest->version,
 		 (unsigned long)r->revision);
 	mesh_actions_add(out, MA_LIMITS)->u.limits = d->manifest->limits;
--- a/core/directory.h
+++ b/core/directory.h
@@ -35,8 +35,8 @@
 	bool leaving;	       /* that process ends soon */
 	struct peer_clock clock;
 	struct gate_load load;
-	uint32_t sent;	  /* requests of ours since its last report */
-	double failures;  /* share of requests that it failed, moving average */
+	uint32_t sent;	 /* requests of ours since its last report */
+	double failures; /* share of requests that it failed, moving average */
 	uint64_t avoid_ns; /* refused one of ours: not before */
 };
 
--- a/core/dispatch.c
+++ b/core/dispatch.c
@@ -6,29 +6,29 @@
 #include "core/mem.h"
 
 /* How often held and late requests are looked at. */
-#define LOOK_NS		   (10 * NS_PER_MS)
+#define LOOK_NS		     (10 * NS_PER_MS)
 /* A held request is tried again that often, and when the directory changes. */
-#define HELD_RETRY_NS	   (25 * NS_PER_MS)
+#define HELD_RETRY_NS	     (25 * NS_PER_MS)
 /* A gate that refused a request for its queue is left alone for so long. */
-#define AVOID_FULL_NS	   (40 * NS_PER_MS)
+#define AVOID_FULL_NS	     (40 * NS_PER_MS)
 /* The same for one that can't serve at all; its load report ends it. */
-#define AVOID_DOWN_NS	   (300 * NS_PER_MS)
+#define AVOID_DOWN_NS	     (300 * NS_PER_MS)
 /* An answer from a gate needs that long to come back, with the network's. */
-#define ANSWER_RESERVE_NS  (30 * NS_PER_MS)
+#define ANSWER_RESERVE_NS    (30 * NS_PER_MS)
 /* Share of the objective for which a request may wait for a gate. */
-#define HOLD_KEYED	   0.5
+#define HOLD_KEYED	     0.5
 /* Share of its whole time for an upstream's call, which a request needs. */
-#define HOLD_INTERNAL	   0.7
-#define HOLD_ANY	   0.125
+#define HOLD_INTERNAL	     0.7
+#define HOLD_ANY	     0.125
 /* Shares of the objective that a longer way counts as, for its price. */
-#define OTHER_REGION_COST  0.45
-#define OTHER_DC_COST	   0.04
+#define OTHER_REGION_COST    0.45
+#define OTHER_DC_COST	     0.04
 /* Extra attempts kept back, as several nodes spend the same budget. */
-#define BUDGET_SHARE	   0.7
+#define BUDGET_SHARE	     0.7
 /* Weight of the newest outcome in a gate's share of failures. */
-#define FAILURE_WEIGHT	   0.1
+#define FAILURE_WEIGHT	     0.1
 /* Time that a gate which fails half its requests is taken to need more. */
-#define FAILURE_COST	   2.0
+#define FAILURE_COST	     2.0
 #define RETRY_AFTER_LEAST_NS (100 * NS_PER_MS)
 #define RETRY_AFTER_OWNER_NS (400 * NS_PER_MS)
 
@@ -77,9 +77,8 @@
 	burn_done(&d->burn);
 }
 
-static struct service_budget *budget_of(struct dispatch *d,
-					const struct mesh_ctx *c,
-					const char *service)
+static struct service_budget *
+budget_of(struct dispatch *d, const struct mesh_ctx *c, const char *service)
 {
 	struct service_budget *b;
 
@@ -283,11 +282,10 @@
 {
 	const struct dir_keymap *k = directory_keymap(&c->dir, j->service);
 	const struct keyrow *row = k ? keymap_find(k->map, j->shard) : NULL;
-	struct dir_node *n = row ? directory_node(&c->dir, row->owner.node)
-				 : NULL;
+	struct dir_node *n =
+		row ? directory_node(&c->dir, row->owner.node) : NULL;
 
-	if (!n || !may_serve(j, n) ||
-	    !directory_usable(&c->dir, n, c->now_ns))
+	if (!n || !may_serve(j, n) || !directory_usable(&c->dir, n, c->now_ns))
 		return NULL;
 	return n;
 }
@@ -361,8 +359,8 @@
 		return;
 	}
 	if (j->refusal == REFUSAL_NONE)
-		j->refusal = j->keyed ? REFUSAL_NO_OWNER
-				      : REFUSAL_UPSTREAM_DOWN;
+		j->refusal =
+			j->keyed ? REFUSAL_NO_OWNER : REFUSAL_UPSTREAM_DOWN;
 	if (c->now_ns >= j->give_up_ns) {
 		if (j->keyed && j->retry_after_ns < RETRY_AFTER_OWNER_NS)
 			j->retry_after_ns = RETRY_AFTER_OWNER_NS;
@@ -654,9 +652,8 @@
 		route_job(d, c, g, j);
 }
 
-static void on_done(struct dispatch *d, struct mesh_ctx *c,
-		    struct gate_side *g, struct job *j, struct msg_answer *a,
-		    struct dir_node *n)
+static void on_done(struct dispatch *d, struct mesh_ctx *c, struct gate_side *g,
+		    struct job *j, struct msg_answer *a, struct dir_node *n)
 {
 	bool failed = a->answer->code >= 500;
 	struct http_answer *answer = a->answer;
@@ -710,16 +707,16 @@
 static bool gate_lost(const struct mesh_ctx *c, const struct job *j)
 {
 	const struct dir_node *n = directory_node(&c->dir, j->node);
-	uint64_t since = n && n->heard_ns > j->sent_ns ? n->heard_ns
-						       : j->sent_ns;
+	uint64_t since =
+		n && n->heard_ns > j->sent_ns ? n->heard_ns : j->sent_ns;
 
 	if (j->state != JOB_SENT || j->at == c->opts->boot)
 		return false;
 	return !n || n->boot != j->at || c->now_ns > since + DIR_SILENT_NS;
 }
 
-static void look_at(struct dispatch *d, struct mesh_ctx *c,
-		    struct gate_side *g, struct job *j)
+static void look_at(struct dispatch *d, struct mesh_ctx *c, struct gate_side *g,
+		    struct job *j)
 {
 	if (c->now_ns >= j->deadline_ns) {
 		cancel(c, g, j);
--- a/core/dispatch.h
+++ b/core/dispatch.h
@@ -44,16 +44,16 @@
 	uint64_t deadline_ns;
 	uint64_t give_up_ns; /* held no longer than that */
 	uint64_t retry_ns;   /* held: not before */
-	uint64_t sent_ns; /* the present attempt */
+	uint64_t sent_ns;    /* the present attempt */
 	uint32_t attempt;
 	uint32_t reached; /* attempts that may have reached an upstream */
 	bool may_have_run;
-	uint64_t at;	      /* boot of the gate that has it */
+	uint64_t at;		     /* boot of the gate that has it */
 	char node[JD_NODE_NAME_MAX]; /* of that gate */
 	char tried[DISPATCH_TRIED_MAX][JD_NODE_NAME_MAX];
 	uint32_t tried_count;
-	enum refusal refusal;	 /* of the last attempt */
-	uint64_t retry_after_ns; /* as the last gate said */
+	enum refusal refusal;	     /* of the last attempt */
+	uint64_t retry_after_ns;     /* as the last gate said */
 	struct http_answer *failure; /* an upstream's own failed answer */
 	size_t bytes;
 	struct http_request *request;
@@ -81,9 +81,9 @@
 	uint32_t count;
 	uint64_t bytes;
 	uint64_t next_expiry_ns;
-	bool stopping; /* callers are told to go elsewhere */
-	bool closed;   /* nothing new is taken */
-	struct list budgets; /* of struct service_budget */
+	bool stopping;	      /* callers are told to go elsewhere */
+	bool closed;	      /* nothing new is taken */
+	struct list budgets;  /* of struct service_budget */
 	struct list internal; /* of struct internal_route */
 	uint64_t repeats;
 	uint64_t repeats_denied;
@@ -112,8 +112,7 @@
 			struct gate_side *g, uint64_t from,
 			struct msg_answer *a);
 /** Ends late requests, tries held ones, gives up on lost gates. */
-void dispatch_work(struct dispatch *d, struct mesh_ctx *c,
-		   struct gate_side *g);
+void dispatch_work(struct dispatch *d, struct mesh_ctx *c, struct gate_side *g);
 /**
  * The process ends: answers all that is left. What waits for a gate has not
  * run; what is at one is cancelled.
--- a/core/gatekeeper.c
+++ b/core/gatekeeper.c
@@ -6,21 +6,21 @@
 #include "core/mem.h"
 
 /* Weight of the newest time in a moving average. */
-#define TIME_WEIGHT	0.05
+#define TIME_WEIGHT	   0.05
 /* Of a route that has not been seen yet. */
-#define TIME_FIRST_NS	(200.0 * NS_PER_MS)
+#define TIME_FIRST_NS	   (200.0 * NS_PER_MS)
 /* Requests at once that a cold upstream's allowance may save up. */
-#define COLD_BURST	4.0
+#define COLD_BURST	   4.0
 #define COLD_DEFAULT_PER_S 10.0
 /* Time that the answer needs on its way back to the entry. */
-#define WAY_BACK_NS	(5 * NS_PER_MS)
+#define WAY_BACK_NS	   (5 * NS_PER_MS)
 /* An attempt with less time left is not started. */
-#define LEAST_LEFT_NS	(10 * NS_PER_MS)
+#define LEAST_LEFT_NS	   (10 * NS_PER_MS)
 /*
  * Callers sit beside the upstreams of all services. So many requests of a
  * route without one from a VM of our service come from other upstreams.
  */
-#define INTERNAL_LEAST	40
+#define INTERNAL_LEAST	   40
 
 void gatekeeper_init(struct gatekeeper *g)
 {
@@ -150,19 +150,34 @@
 	return a->objective_ns < b->objective_ns;
 }
 
+static double cold_per_s(const struct mesh_ctx *c)
+{
+	const struct service *sv =
+		c->dir.manifest
+			? manifest_service(c->dir.manifest, c->opts->service)
+			: NULL;
+
+	return sv && sv->cold_per_s > 0 ? sv->cold_per_s : COLD_DEFAULT_PER_S;
+}
+
 /* Expected time until @w would start, were it queued now. */
-static uint64_t wait_ns(const struct gatekeeper *g, const struct holder *h,
-			const struct work *w)
+static uint64_t wait_ns(const struct gatekeeper *g, const struct mesh_ctx *c,
+			const struct holder *h, const struct work *w)
 {
 	const struct work *it;
 	uint32_t before = 0;
 	uint32_t limit = limit_of(h);
+	double wait = 0;
 
-	if (g->running_count < limit)
-		return 0;
 	list_for_each_entry(it, &g->waiting, link)
 		before += !runs_before(w, it);
-	return (uint64_t)((before + 1) * g->mean_ns / limit);
+	if (g->running_count >= limit)
+		wait = (before + 1) * g->mean_ns / limit;
+	/* A cold upstream's slots may be free, its allowance is not. */
+	if (c->now_ns < h->cold_until_ns &&
+	    before * (double)NS_PER_S / cold_per_s(c) > wait)
+		wait = before * (double)NS_PER_S / cold_per_s(c);
+	return (uint64_t)wait;
 }
 
 static void queue(struct gatekeeper *g, struct work *w)
@@ -181,12 +196,10 @@
 			     uint64_t delay_ns)
 {
 	struct work *w = mem_new(struct work);
-	uint64_t left = f->time_left_ns > delay_ns
-				? f->time_left_ns - delay_ns
-				: 0;
-	uint64_t objective = f->objective_ns > delay_ns
-				     ? f->objective_ns - delay_ns
-				     : 0;
+	uint64_t left =
+		f->time_left_ns > delay_ns ? f->time_left_ns - delay_ns : 0;
+	uint64_t objective =
+		f->objective_ns > delay_ns ? f->objective_ns - delay_ns : 0;
 
 	list_init(&w->link);
 	w->from = from;
@@ -230,12 +243,11 @@
 static bool too_late(struct gatekeeper *g, const struct mesh_ctx *c,
 		     const struct holder *h, const struct work *w)
 {
-	uint64_t ready = c->now_ns + wait_ns(g, h, w) +
-			 (uint64_t)stats_of(g, w->route)->mean_ns;
+	uint64_t wait = wait_ns(g, c, h, w);
+	uint64_t ready =
+		c->now_ns + wait + (uint64_t)stats_of(g, w->route)->mean_ns;
 
-	if (g->running_count < limit_of(h))
-		return false;
-	return ready > (w->nested ? w->deadline_ns : w->objective_ns);
+	return wait && ready > (w->nested ? w->deadline_ns : w->objective_ns);
 }
 
 void gatekeeper_offer(struct gatekeeper *g, struct mesh_ctx *c,
@@ -309,16 +321,6 @@
 	}
 }
 
-static double cold_per_s(const struct mesh_ctx *c)
-{
-	const struct service *sv =
-		c->dir.manifest ? manifest_service(c->dir.manifest,
-						   c->opts->service)
-				: NULL;
-
-	return sv && sv->cold_per_s > 0 ? sv->cold_per_s : COLD_DEFAULT_PER_S;
-}
-
 /* Allowance of a cold upstream; a warm one has no such bound. */
 static bool take_token(struct gatekeeper *g, const struct mesh_ctx *c,
 		       const struct holder *h)
@@ -338,10 +340,10 @@
 		g->tokens = COLD_BURST;
 	g->tokens_ns = c->now_ns;
 	if (g->tokens < 1) {
-		g->next_wake_ns = c->now_ns +
-				  (uint64_t)((1 - g->tokens) / per_s *
-					     (double)NS_PER_S) +
-				  NS_PER_MS;
+		g->next_wake_ns =
+			c->now_ns +
+			(uint64_t)((1 - g->tokens) / per_s * (double)NS_PER_S) +
+			NS_PER_MS;
 		return false;
 	}
 	g->tokens -= 1;
@@ -420,4 +422,12 @@
 	load->service_ns = (uint64_t)g->mean_ns;
 	load->open = holder_open(h, c);
 	load->cold = c->now_ns < h->cold_until_ns;
+	/* At its rate so many run at once, by Little's law. */
+	if (load->cold) {
+		double at_once = cold_per_s(c) * g->mean_ns / (double)NS_PER_S;
+
+		load->limit = at_once < 1	      ? 1
+			      : at_once < load->limit ? (uint32_t)at_once
+						      : load->limit;
+	}
 }
--- a/core/gatekeeper.h
+++ b/core/gatekeeper.h
@@ -62,9 +62,9 @@
 	uint32_t running_count;
 	uint32_t waiting_count;
 	uint64_t next_call;
-	double mean_ns;	 /* moving average over all routes */
-	double tokens;	 /* requests that a cold upstream may get now */
-	uint64_t tokens_ns; /* when they were counted */
+	double mean_ns;	       /* moving average over all routes */
+	double tokens;	       /* requests that a cold upstream may get now */
+	uint64_t tokens_ns;    /* when they were counted */
 	uint32_t work_percent; /* as the upstream last reported */
 	uint64_t next_wake_ns;
 	uint64_t served;
--- a/core/holder.c
+++ b/core/holder.c
@@ -6,18 +6,18 @@
 #include "core/mem.h"
 
 /* Left of the authority for an answer that is on its way. */
-#define GRANT_MARGIN_NS	 (50 * NS_PER_MS)
+#define GRANT_MARGIN_NS (50 * NS_PER_MS)
 /* A shorter lease would end before the next announcement renews it. */
-#define GRANT_LEAST_NS	 (150 * NS_PER_MS)
+#define GRANT_LEAST_NS	(150 * NS_PER_MS)
 /* The announcement was sent that much before it came, at most as a rule. */
-#define BEAT_TRANSIT_NS	 (100 * NS_PER_MS)
-#define WRITE_AGAIN_NS	 (150 * NS_PER_MS)
-#define LOOK_AGAIN_NS	 (20 * NS_PER_MS)
-#define PROBE_AGAIN_NS	 (300 * NS_PER_MS)
+#define BEAT_TRANSIT_NS (100 * NS_PER_MS)
+#define WRITE_AGAIN_NS	(150 * NS_PER_MS)
+#define LOOK_AGAIN_NS	(20 * NS_PER_MS)
+#define PROBE_AGAIN_NS	(300 * NS_PER_MS)
 /* Announcements missed before the upstream's address is probed. */
-#define MISSED_BEATS	 2
+#define MISSED_BEATS	2
 /* Missed before no new requests go to it. */
-#define SILENT_BEATS	 4
+#define SILENT_BEATS	4
 
 static uint64_t drifted(uint64_t hold_ns)
 {
@@ -104,10 +104,10 @@
 	h->cold_until_ns = 0;
 	/* What a process before this one granted, it lists itself. */
 	h->unknown_until_ns = 0;
-	h->granted_until_ns = list_empty(&b->held)
-				      ? 0
-				      : c->now_ns +
-						drifted(c->opts->hold_max_ns);
+	h->granted_until_ns =
+		list_empty(&b->held)
+			? 0
+			: c->now_ns + drifted(c->opts->hold_max_ns);
 }
 
 /* One lifetime follows another at the same VM; a later one began later. */
@@ -405,8 +405,7 @@
 static bool wants_probe(const struct holder *h, const struct mesh_ctx *c)
 {
 	return !h->gone && c->now_ns >= h->next_probe_ns &&
-	       c->now_ns >
-		       h->heard_ns + MISSED_BEATS * c->opts->announce_ns;
+	       c->now_ns > h->heard_ns + MISSED_BEATS * c->opts->announce_ns;
 }
 
 void holder_work(struct holder *h, struct mesh_ctx *c)
--- a/core/holder.h
+++ b/core/holder.h
@@ -26,25 +26,26 @@
 	struct holder_id id;
 	char addr[JD_ADDR_MAX];
 	uint32_t slots;
-	uint64_t sequence;	/* of its last announcement */
-	uint64_t heard_ns;	/* that one came */
-	uint64_t cold_until_ns; /* by its own word */
-	bool draining;		/* it said that it leaves */
-	bool gone;		/* nothing listens at its address */
-	uint64_t gone_ns;	/* since then */
+	uint64_t sequence;	   /* of its last announcement */
+	uint64_t heard_ns;	   /* that one came */
+	uint64_t cold_until_ns;	   /* by its own word */
+	bool draining;		   /* it said that it leaves */
+	bool gone;		   /* nothing listens at its address */
+	uint64_t gone_ns;	   /* since then */
 	uint64_t granted_until_ns; /* by then it holds nothing */
 	uint64_t usable_until_ns;  /* its grants last at least so long */
-	uint64_t unknown_until_ns; /* an earlier process may have granted keys */
-	struct list granted;	   /* of struct held_row, as last answered */
-	struct list held;	   /* of struct held_row, as it last said */
-	struct list released;	   /* of struct released_row */
+	uint64_t
+		unknown_until_ns; /* an earlier process may have granted keys */
+	struct list granted;	  /* of struct held_row, as last answered */
+	struct list held;	  /* of struct held_row, as it last said */
+	struct list released;	  /* of struct released_row */
 	struct list granted_before; /* of struct held_row, the answer before */
 	struct list moving; /* of struct held_row, in writes that may take
 			       effect: granted to nobody here */
-	uint64_t write_op;	   /* a keymap's write is under way; 0: none */
+	uint64_t write_op;  /* a keymap's write is under way; 0: none */
 	uint64_t next_write_ns;
 	uint64_t next_probe_ns;
-	uint64_t write_wait_ns; /* the watch is to show a write until then */
+	uint64_t write_wait_ns;	   /* the watch is to show a write until then */
 	revision_t write_revision; /* of the keymap it was made from */
 	bool write_unsure; /* one may take effect until the keymap changes */
 	uint64_t moved_keys;
--- a/core/keymap.c
+++ b/core/keymap.c
@@ -168,8 +168,8 @@
 	rows = n * KEYMAP_ROWS_EACH;
 	m->fence++;
 	for (uint32_t i = 0; i < rows; i++) {
-		uint32_t end = (uint32_t)((uint64_t)KEYMAP_KEYS * (i + 1) /
-					  rows);
+		uint32_t end =
+			(uint32_t)((uint64_t)KEYMAP_KEYS * (i + 1) / rows);
 		struct keymap_candidate *to = keymap_emptiest(candidates);
 		struct keyrow *r = keymap_add(m, from, end - 1);
 
--- a/core/keyplan.c
+++ b/core/keyplan.c
@@ -5,21 +5,21 @@
 #include "core/mem.h"
 
 /* Nodes that start together register within that time. */
-#define FIRST_DEAL_NS	(1500 * NS_PER_MS)
+#define FIRST_DEAL_NS  (1500 * NS_PER_MS)
 /* And no further one has for as long. */
-#define SETTLED_NS	(500 * NS_PER_MS)
-#define LOOK_NS		(100 * NS_PER_MS)
-#define AGAIN_NS	(300 * NS_PER_MS)
+#define SETTLED_NS     (500 * NS_PER_MS)
+#define LOOK_NS	       (100 * NS_PER_MS)
+#define AGAIN_NS       (300 * NS_PER_MS)
 /* A node behind the first one in line waits as long for each before it. */
-#define RANK_NS		(250 * NS_PER_MS)
+#define RANK_NS	       (250 * NS_PER_MS)
 /* Cards that lapsed while the store was away return within that time. */
-#define LAPSE_GRACE_NS	(2200 * NS_PER_MS)
+#define LAPSE_GRACE_NS (2200 * NS_PER_MS)
 /* Trouble with the store is remembered for so long. */
-#define TROUBLE_NS	(10 * NS_PER_S)
+#define TROUBLE_NS     (10 * NS_PER_S)
 /* The same upstreams for as long, before keys are evened out. */
-#define STABLE_NS	(1500 * NS_PER_MS)
+#define STABLE_NS      (1500 * NS_PER_MS)
 /* Nodes whose keys one write moves: it has a condition for each. */
-#define ORPHANS_MAX	(STORE_EXPECT_MAX - 1)
+#define ORPHANS_MAX    (STORE_EXPECT_MAX - 1)
 
 void keyplan_init(struct keyplan *p, uint64_t now_ns)
 {
@@ -176,8 +176,9 @@
 	mesh_expect(a, RECORD_KEYMAP, map->service, k->revision);
 	write_map(p, c, map, a);
 	p->balance_moves++;
-	mesh_log(c->out, LOG_INFO, "event=keys_balanced service=%s revision=%lu",
-		 map->service, (unsigned long)k->revision);
+	mesh_log(c->out, LOG_INFO,
+		 "event=keys_balanced service=%s revision=%lu", map->service,
+		 (unsigned long)k->revision);
 }
 
 /* A number that changes with the set of candidates. */
@@ -191,8 +192,8 @@
 	return sum;
 }
 
-static void plan(struct keyplan *p, struct mesh_ctx *c,
-		 const struct session *s, const char *service)
+static void plan(struct keyplan *p, struct mesh_ctx *c, const struct session *s,
+		 const char *service)
 {
 	const struct dir_keymap *k = directory_keymap(&c->dir, service);
 	struct list candidates;
--- a/core/manifest.h
+++ b/core/manifest.h
@@ -50,8 +50,8 @@
 	struct list link;
 	char name[JD_NAME_MAX];
 	char service[JD_NAME_MAX];
-	char host[128]; /* the Host a request must name; empty: any */
-	char path[128]; /* prefix a request's path must have */
+	char host[128];	      /* the Host a request must name; empty: any */
+	char path[128];	      /* prefix a request's path must have */
 	uint32_t split_count; /* 0: all requests go to @service */
 	struct split splits[ROUTE_SPLITS_MAX];
 	uint32_t priority;     /* rank under overload; 0 is served first */
@@ -78,9 +78,9 @@
 struct service {
 	struct list link;
 	char name[JD_NAME_MAX];
-	bool keyed;	       /* each key is held by one upstream */
-	double cold_per_s;     /* requests a second that a cold upstream bears;
-				  0: no bound */
+	bool keyed;	   /* each key is held by one upstream */
+	double cold_per_s; /* requests a second that a cold upstream bears;
+			      0: no bound */
 	uint32_t max_connections; /* of one upstream; 0: not stated */
 };
 
@@ -107,8 +107,8 @@
 	struct list data_centres;  /* of struct data_centre */
 	struct list services;	   /* of struct service */
 	struct caller_limits limits;
-	uint64_t version; /* of the operators' own count; 0: they keep none */
-	char change_id[64];	   /* of the apply that wrote it */
+	uint64_t version;   /* of the operators' own count; 0: they keep none */
+	char change_id[64]; /* of the apply that wrote it */
 };
 
 struct manifest *manifest_new(void);
--- a/core/mesh.c
+++ b/core/mesh.c
@@ -6,20 +6,20 @@
 #include "core/mem.h"
 
 /* Between two load reports to a node of the own region; twice that beyond. */
-#define LOAD_NS		(200 * NS_PER_MS)
+#define LOAD_NS	       (200 * NS_PER_MS)
 /* A large fleet spreads its reports: that much for each node. */
-#define LOAD_EACH_NS	(6 * NS_PER_MS)
+#define LOAD_EACH_NS   (6 * NS_PER_MS)
 /* The first reports name their sender in full, as its card may be late. */
-#define LOAD_NAMED	30
+#define LOAD_NAMED     30
 /* A first card waits that long for the upstream's announcement. */
-#define FIRST_CARD_NS	(1200 * NS_PER_MS)
+#define FIRST_CARD_NS  (1200 * NS_PER_MS)
 /* Callers notice within that time that the node is not ready any more. */
-#define UNREADY_NS	(2300 * NS_PER_MS)
+#define UNREADY_NS     (2300 * NS_PER_MS)
 /* Callers that have not noticed by then are refused. */
-#define REFUSE_NS	(2900 * NS_PER_MS)
+#define REFUSE_NS      (2900 * NS_PER_MS)
 /* Kept of a planned stop's time for the process to end. */
-#define STOP_MARGIN_NS	(400 * NS_PER_MS)
-#define RELAYS_MAX	16
+#define STOP_MARGIN_NS (400 * NS_PER_MS)
+#define RELAYS_MAX     16
 
 struct mesh *mesh_new(const struct mesh_opts *o, uint64_t now_ns)
 {
@@ -50,8 +50,7 @@
 
 bool mesh_ready(const struct mesh *m)
 {
-	return m->stop == MESH_RUNS && m->ctx.dir.loaded &&
-	       m->ctx.dir.manifest;
+	return m->stop == MESH_RUNS && m->ctx.dir.loaded && m->ctx.dir.manifest;
 }
 
 static struct gate_side side(struct mesh *m)
@@ -134,12 +133,12 @@
 	switch (msg->kind) {
 	case MSG_FORWARD:
 		n = directory_by_boot(&c->dir, msg->from);
-		gatekeeper_offer(
-			&m->gate, c, &m->holder, &msg->u.forward, msg->from,
-			n ? peer_clock_delay_ns(&n->clock,
-						msg->u.forward.sent_ns,
-						c->now_ns)
-			  : 0);
+		gatekeeper_offer(&m->gate, c, &m->holder, &msg->u.forward,
+				 msg->from,
+				 n ? peer_clock_delay_ns(&n->clock,
+							 msg->u.forward.sent_ns,
+							 c->now_ns)
+				   : 0);
 		break;
 	case MSG_ANSWER:
 		dispatch_on_answer(&m->dispatch, c, &g, msg->from,
--- a/core/mesh.h
+++ b/core/mesh.h
@@ -25,9 +25,9 @@
 	struct gatekeeper gate;
 	struct dispatch dispatch;
 	enum mesh_stop stop;
-	uint64_t close_ns; /* while unready: nothing new from then on */
+	uint64_t close_ns;  /* while unready: nothing new from then on */
 	uint64_t refuse_ns; /* no request is taken from then on */
-	uint64_t end_ns;   /* the process ends by then */
+	uint64_t end_ns;    /* the process ends by then */
 	uint64_t next_load_ns;
 	uint64_t loads;	       /* reports sent */
 	bool was_open;	       /* as last reported */
--- a/core/mesh_ctx.c
+++ b/core/mesh_ctx.c
@@ -20,8 +20,7 @@
 struct act_store_call *mesh_store_call(struct mesh_ctx *c,
 				       enum store_call_kind kind)
 {
-	struct act_store_call *a =
-		&mesh_actions_add(c->out, MA_STORE)->u.store;
+	struct act_store_call *a = &mesh_actions_add(c->out, MA_STORE)->u.store;
 
 	a->op = ++c->next_op;
 	a->kind = kind;
--- a/core/mesh_io.h
+++ b/core/mesh_io.h
@@ -28,7 +28,7 @@
 };
 
 enum record_kind {
-	RECORD_MANIFEST, /* the operators' configuration; one */
+	RECORD_MANIFEST,   /* the operators' configuration; one */
 	RECORD_EVACUATION, /* a data centre that is to get no work; by name */
 	RECORD_CARD,	   /* by the node's name */
 	RECORD_KEYMAP,	   /* by the service's name */
@@ -75,10 +75,10 @@
 	uint64_t op;
 	enum store_call_kind kind;
 	uint64_t deadline_ns;
-	uint64_t wait_ns;     /* of a watch */
-	revision_t after;     /* of a watch */
-	uint64_t lease;	      /* of a write, 0 for none; of keep and end */
-	uint64_t ttl_ns;      /* of a new lease */
+	uint64_t wait_ns; /* of a watch */
+	revision_t after; /* of a watch */
+	uint64_t lease;	  /* of a write, 0 for none; of keep and end */
+	uint64_t ttl_ns;  /* of a new lease */
 	uint32_t expect_count;
 	struct store_expect expect[STORE_EXPECT_MAX];
 	struct list puts; /* of struct record; removed ones are deleted */
@@ -86,8 +86,8 @@
 
 enum store_end {
 	STORE_DONE,
-	STORE_CONFLICT, /* a write's expectation did not hold */
-	STORE_NO_LEASE, /* it has ended */
+	STORE_CONFLICT,	  /* a write's expectation did not hold */
+	STORE_NO_LEASE,	  /* it has ended */
 	STORE_NO_HISTORY, /* the watch can't go on from there */
 	STORE_REFUSED,	  /* nothing was done */
 	STORE_LOST,	  /* no answer: it may have been done, or will be */
@@ -143,8 +143,8 @@
 
 struct act_beat_reply {
 	uint64_t handle;
-	bool refuse;   /* it is not acknowledged */
-	bool grants;   /* @rows and @hold_ns count; else nothing is renewed */
+	bool refuse; /* it is not acknowledged */
+	bool grants; /* @rows and @hold_ns count; else nothing is renewed */
 	uint64_t hold_ns; /* from when the announcement was sent */
 	struct list rows; /* of struct held_row */
 };
--- a/core/message.h
+++ b/core/message.h
@@ -81,10 +81,10 @@
 	char organisation[JD_NAME_MAX];
 	bool idempotent;
 	/* Read only by gates of leased upstreams (core/gatekeeper.h): */
-	uint64_t sent_ns;	  /* sender's clock; see struct peer_clock */
-	uint64_t objective_ns;	  /* time left to the objective; 0: passed */
-	uint32_t priority;	  /* of the route; 0 is served first */
-	uint32_t shard;		  /* the key's number, when keyed */
+	uint64_t sent_ns;      /* sender's clock; see struct peer_clock */
+	uint64_t objective_ns; /* time left to the objective; 0: passed */
+	uint32_t priority;     /* of the route; 0 is served first */
+	uint32_t shard;	       /* the key's number, when keyed */
 	bool keyed;
 	char caller_id[JD_CALLER_ID_MAX]; /* the caller's own request id */
 	char caller_service[JD_NAME_MAX]; /* of the VM where it began */
@@ -95,15 +95,15 @@
 struct gate_load {
 	uint32_t running;
 	uint32_t waiting;
-	uint32_t limit;	      /* requests that may run at once */
-	uint64_t service_ns;  /* moving average of one request's time */
-	bool open;	      /* new requests are taken */
+	uint32_t limit;	     /* requests that may run at once */
+	uint64_t service_ns; /* moving average of one request's time */
+	bool open;	     /* new requests are taken */
 	bool cold;
 };
 
 struct msg_load {
 	char node[JD_NODE_NAME_MAX];
-	uint64_t sent_ns; /* sender's clock */
+	uint64_t sent_ns;    /* sender's clock */
 	revision_t revision; /* of the store, as far as the sender knows it */
 	bool leaving;	     /* the process ends soon */
 	struct gate_load load;
@@ -125,10 +125,10 @@
 	struct request_id id;
 	uint32_t attempt;
 	enum outcome outcome;
-	revision_t revision;	    /* what the answering node knows */
-	enum refusal refusal;	    /* of a not_run or unknown */
-	uint64_t retry_after_ns;    /* of a not_run: when there may be room */
-	struct gate_load load;	    /* of a gate of a leased upstream */
+	revision_t revision;	 /* what the answering node knows */
+	enum refusal refusal;	 /* of a not_run or unknown */
+	uint64_t retry_after_ns; /* of a not_run: when there may be room */
+	struct gate_load load;	 /* of a gate of a leased upstream */
 	bool internal_route; /* only upstreams use it, for their own calls */
 	struct http_answer *answer; /* NULL unless done */
 };
--- a/core/session.c
+++ b/core/session.c
@@ -5,14 +5,14 @@
 #include "core/mem.h"
 
 /* A waiting watch returns after as long even if nothing changed. */
-#define WATCH_WAIT_NS	(10 * NS_PER_S)
-#define WATCH_SLACK_NS	(1500 * NS_PER_MS)
-#define RETRY_NS	(250 * NS_PER_MS)
-#define READ_AGAIN_NS	(500 * NS_PER_MS)
+#define WATCH_WAIT_NS  (10 * NS_PER_S)
+#define WATCH_SLACK_NS (1500 * NS_PER_MS)
+#define RETRY_NS       (250 * NS_PER_MS)
+#define READ_AGAIN_NS  (500 * NS_PER_MS)
 /* Others know more for as long: our watch may have gone silent. */
-#define BEHIND_NS	(300 * NS_PER_MS)
+#define BEHIND_NS      (300 * NS_PER_MS)
 /* Renewals in one lifetime of the lease. */
-#define KEEPS_A_LEASE	6
+#define KEEPS_A_LEASE  6
 
 void session_init(struct session *s, const struct mesh_opts *o)
 {
@@ -153,8 +153,7 @@
 	switch (e->end) {
 	case STORE_DONE:
 		renewed(s, s->keep.sent_ns);
-		s->keep.next_ns =
-			c->now_ns + s->lease_ttl_ns / KEEPS_A_LEASE;
+		s->keep.next_ns = c->now_ns + s->lease_ttl_ns / KEEPS_A_LEASE;
 		break;
 	case STORE_NO_LEASE:
 		lose_lease(s, c, "ended");
@@ -269,8 +268,7 @@
 void session_set_card(struct session *s, const struct node_card *card)
 {
 	if (holder_equal(&s->card.upstream, &card->upstream) &&
-	    s->card.draining == card->draining &&
-	    s->card.slots == card->slots)
+	    s->card.draining == card->draining && s->card.slots == card->slots)
 		return;
 	s->card.upstream = card->upstream;
 	s->card.draining = card->draining;
@@ -324,7 +322,8 @@
 	}
 }
 
-static void earlier(uint64_t *next, const struct session_call *call, bool wanted)
+static void earlier(uint64_t *next, const struct session_call *call,
+		    bool wanted)
 {
 	if (wanted && !call->op && call->next_ns < *next)
 		*next = call->next_ns;
--- a/core/session.h
+++ b/core/session.h
@@ -24,19 +24,19 @@
 	struct session_call lease_new;
 	struct session_call keep;
 	struct session_call put;
-	bool want_read;	     /* the directory may lack something */
-	uint64_t lease;	     /* 0: none */
+	bool want_read; /* the directory may lack something */
+	uint64_t lease; /* 0: none */
 	uint64_t lease_ttl_ns;
 	uint64_t lease_deadline_ns; /* counted from the renewal's send */
 	bool registered;	    /* the card is there under the lease */
 	revision_t card_revision;
-	bool fresh; /* the directory was read after registering */
-	bool fresh_read; /* the read under way began after registering */
+	bool fresh;	       /* the directory was read after registering */
+	bool fresh_read;       /* the read under way began after registering */
 	struct node_card card; /* as it should be */
 	bool card_dirty;
 	uint64_t card_wait_ns; /* a card without an upstream waits until then */
-	uint64_t trouble_ns; /* last time that the store failed a call */
-	uint64_t behind_ns;  /* others know more since then; 0: no */
+	uint64_t trouble_ns;   /* last time that the store failed a call */
+	uint64_t behind_ns;    /* others know more since then; 0: no */
 	uint64_t calls[CALL_LEASE_END + 1];
 	uint64_t failures;
 };
--- a/core/types.h
+++ b/core/types.h
@@ -6,12 +6,12 @@
 #include <stddef.h>
 #include <stdint.h>
 
-#define JD_NAME_MAX 32	/* bytes, with the closing NUL */
-#define JD_ADDR_MAX 48	/* bytes, "ip:port" with the closing NUL */
-#define JD_KEY_MAX  256 /* bytes of a request's key */
-#define JD_NODE_NAME_MAX 64 /* bytes, a node's name in a leased fleet */
-#define JD_CALLER_ID_MAX 64 /* bytes, a caller's own id of a request */
-#define JD_INSTANCE_MAX	 64 /* bytes, an upstream's name of its lifetime */
+#define JD_NAME_MAX	 32  /* bytes, with the closing NUL */
+#define JD_ADDR_MAX	 48  /* bytes, "ip:port" with the closing NUL */
+#define JD_KEY_MAX	 256 /* bytes of a request's key */
+#define JD_NODE_NAME_MAX 64  /* bytes, a node's name in a leased fleet */
+#define JD_CALLER_ID_MAX 64  /* bytes, a caller's own id of a request */
+#define JD_INSTANCE_MAX	 64  /* bytes, an upstream's name of its lifetime */
 
 #define NS_PER_US UINT64_C(1000)
 #define NS_PER_MS UINT64_C(1000000)
--- a/io/http_client.c
+++ b/io/http_client.c
@@ -28,7 +28,7 @@
 	struct bufferevent *bev;
 	char addr[JD_ADDR_MAX];
 	bool connected;
-	bool wrote; /* bytes of the present request have left */
+	bool wrote;   /* bytes of the present request have left */
 	bool started; /* bytes of its answer have come */
 	bool reusable;
 	uint32_t stale;
@@ -285,8 +285,8 @@
 	while ((len = evbuffer_get_contiguous_space(in)) > 0) {
 		const char *data =
 			(const char *)evbuffer_pullup(in, (ssize_t)len);
-		size_t used = http_parser_execute(&cn->parser,
-						  &parser_settings, data, len);
+		size_t used = http_parser_execute(&cn->parser, &parser_settings,
+						  data, len);
 		enum http_errno err = HTTP_PARSER_ERRNO(&cn->parser);
 
 		cn->started = true;
@@ -323,8 +323,8 @@
 	evbuffer_add_printf(out, "%s %s HTTP/1.1\r\n", r->method, r->target);
 	list_for_each_entry(h, &r->payload.headers, link)
 		evbuffer_add_printf(out, "%s: %s\r\n", h->name, h->value);
-	if (r->payload.body_len || (strcmp(r->method, "GET") != 0 &&
-				    strcmp(r->method, "HEAD") != 0))
+	if (r->payload.body_len ||
+	    (strcmp(r->method, "GET") != 0 && strcmp(r->method, "HEAD") != 0))
 		evbuffer_add_printf(out, "Content-Length: %zu\r\n",
 				    r->payload.body_len);
 	evbuffer_add(out, "\r\n", 2);
--- a/io/http_client.h
+++ b/io/http_client.h
@@ -42,7 +42,7 @@
 	uint64_t call;
 	const char *addr;
 	uint64_t deadline_ns;
-	uint64_t write_before_ns; /* no byte is written at or after it */
+	uint64_t write_before_ns;     /* no byte is written at or after it */
 	struct http_request *request; /* with all headers; a reference */
 };
 
--- a/io/http_server.c
+++ b/io/http_server.c
@@ -29,7 +29,7 @@
 	struct list hash;
 	struct server_conn *conn;
 	uint64_t id;
-	bool handed; /* to the owner */
+	bool handed;		 /* to the owner */
 	struct evbuffer *answer; /* NULL until it is there */
 	bool close;
 	bool head; /* no body goes with its answer */
@@ -206,8 +206,7 @@
 {
 	const char *v = payload_header(&c->request->payload, "Expect");
 
-	if (v && !strcasecmp(v, "100-continue") &&
-	    list_empty(&c->exchanges))
+	if (v && !strcasecmp(v, "100-continue") && list_empty(&c->exchanges))
 		evbuffer_add_printf(bufferevent_get_output(c->bev),
 				    "HTTP/1.1 100 Continue\r\n\r\n");
 }
@@ -266,8 +265,7 @@
 	bool oversized = c->oversized;
 	bool keep = http_should_keep_alive(p);
 
-	mem_copy_str(r->method, http_method_str(p->method),
-		     sizeof(r->method));
+	mem_copy_str(r->method, http_method_str(p->method), sizeof(r->method));
 	free(r->target);
 	r->target = c->url;
 	c->url = NULL;
@@ -376,8 +374,8 @@
 
 	while (!c->closing && !c->last && c->waiting < PIPELINE_MAX &&
 	       (len = evbuffer_get_contiguous_space(in)) > 0) {
-		const char *data = (const char *)evbuffer_pullup(in,
-								 (ssize_t)len);
+		const char *data =
+			(const char *)evbuffer_pullup(in, (ssize_t)len);
 		size_t used = http_parser_execute(&c->parser, &parser_settings,
 						  data, len);
 		enum http_errno err = HTTP_PARSER_ERRNO(&c->parser);
@@ -427,8 +425,8 @@
 	(void)len;
 	socket_set_opts(fd);
 	c->server = s;
-	c->bev = bufferevent_socket_new(s->opts.base, fd,
-					BEV_OPT_CLOSE_ON_FREE);
+	c->bev =
+		bufferevent_socket_new(s->opts.base, fd, BEV_OPT_CLOSE_ON_FREE);
 	list_init(&c->exchanges);
 	list_push_back(&s->conns, &c->link);
 	http_parser_init(&c->parser, HTTP_REQUEST);
@@ -550,7 +548,7 @@
 	uint32_t writing = 0;
 
 	list_for_each_entry(c, &s->conns, link)
-		writing += evbuffer_get_length(
-				   bufferevent_get_output(c->bev)) > 0;
+		writing +=
+			evbuffer_get_length(bufferevent_get_output(c->bev)) > 0;
 	return s->pending + writing;
 }
--- a/io/log.c
+++ b/io/log.c
@@ -65,7 +65,8 @@
 	clock_gettime(CLOCK_REALTIME, &ts);
 	gmtime_r(&ts.tv_sec, &tm);
 	strftime(when, sizeof(when), "%Y-%m-%dT%H:%M:%S", &tm);
-	fprintf(log_out ? log_out : stderr, "time=%s.%03ldZ level=%s node=%s %s%s\n", when,
+	fprintf(log_out ? log_out : stderr,
+		"time=%s.%03ldZ level=%s node=%s %s%s\n", when,
 		ts.tv_nsec / 1000000, level_names[level], log_name, text, note);
 	fflush(log_out ? log_out : stderr);
 }
--- a/tests/gatekeeper_test.cpp
+++ b/tests/gatekeeper_test.cpp
@@ -207,6 +207,24 @@
 	EXPECT_GE(starts.size(), 40u);
 }
 
+TEST_F(GatekeeperTest, AColdUpstreamsQueueIsRefusedEarly)
+{
+	uint64_t id;
+	enum refusal why = REFUSAL_NONE;
+
+	/* Its slots are free, but its rate is 10 a second. */
+	h.slots = 100;
+	h.cold_until_ns = c.now_ns + 3 * NS_PER_S;
+	for (int i = 0; i < 30; i++) {
+		offer("r", 1);
+		started();
+	}
+	ASSERT_TRUE(next_end(&id, &why));
+	EXPECT_EQ(why, REFUSAL_QUEUE_FULL);
+	/* An objective of 600 ms leaves room for a handful. */
+	EXPECT_LE(g.waiting_count, 6u);
+}
+
 TEST_F(GatekeeperTest, KeysThatAreNotHeldHereAreMoving)
 {
 	uint64_t id;
--- a/wire/mesh_codec.c
+++ b/wire/mesh_codec.c
@@ -116,9 +116,8 @@
 		pack_struct(&pk, ids[i], &holder_table);
 	msgpack_pack_array(&pk, rows);
 	list_for_each_entry(r, &map->rows, link) {
-		struct packed_row p = {.from = r->from,
-				       .to = r->to,
-				       .fence = r->fence};
+		struct packed_row p = {
+			.from = r->from, .to = r->to, .fence = r->fence};
 
 		p.owner = holder_index(ids, &count, &r->owner);
 		mem_copy_str(p.handover, r->handover, sizeof(p.handover));
