--- a/core/gatekeeper.c
+++ b/core/gatekeeper.c
@@ -9,6 +9,8 @@
 #define TIME_WEIGHT	   0.05
 /* Of a route that has not been seen yet. */
 #define TIME_FIRST_NS	   (200.0 * NS_PER_MS)
+/* Mean times that a request may take, as all but a few do. */
+#define END_MEANS	   5.0
 /* Requests at once that a cold upstream's allowance may save up. */
 #define COLD_BURST	   4.0
 #define COLD_DEFAULT_PER_S 10.0
@@ -222,12 +224,21 @@
 	return w;
 }
 
-static enum refusal check(const struct mesh_ctx *c, const struct holder *h,
-			  const struct work *w)
+/* A process that ends soon starts only what will surely be done by then. */
+static bool ends_before(struct gatekeeper *g, const struct mesh_ctx *c,
+			const struct work *w)
+{
+	return g->end_ns &&
+	       (double)c->now_ns + END_MEANS * stats_of(g, w->route)->mean_ns >
+		       (double)g->end_ns;
+}
+
+static enum refusal check(struct gatekeeper *g, const struct mesh_ctx *c,
+			  const struct holder *h, const struct work *w)
 {
 	if (!h->known || h->gone)
 		return REFUSAL_UPSTREAM_DOWN;
-	if (!holder_open(h, c))
+	if (!holder_open(h, c) || ends_before(g, c, w))
 		return REFUSAL_LEAVING;
 	if (w->keyed && !holder_has(h, w->shard, c->now_ns))
 		return REFUSAL_MOVING;
@@ -255,7 +266,7 @@
 		      uint64_t from, uint64_t delay_ns)
 {
 	struct work *w = work_new(g, c, f, from, delay_ns);
-	enum refusal why = check(c, h, w);
+	enum refusal why = check(g, c, h, w);
 
 	count_origin(g, c, f);
 	if (why == REFUSAL_NONE && too_late(g, c, h, w))
@@ -382,7 +393,7 @@
 	struct work *w, *tmp;
 
 	list_for_each_entry_safe(w, tmp, &g->waiting, link) {
-		enum refusal why = check(c, h, w);
+		enum refusal why = check(g, c, h, w);
 
 		if (why == REFUSAL_NONE &&
 		    c->now_ns + (uint64_t)stats_of(g, w->route)->mean_ns / 2 >
--- a/core/mesh.c
+++ b/core/mesh.c
@@ -317,6 +317,7 @@
 
 	if (m->stop == MESH_UNREADY && now >= m->close_ns) {
 		m->stop = MESH_CLOSED;
+		m->gate.end_ns = m->end_ns;
 		mesh_log(m->ctx.out, LOG_INFO, "event=closed requests=%u",
 			 m->dispatch.count);
 	}
--- a/tests/gatekeeper_test.cpp
+++ b/tests/gatekeeper_test.cpp
@@ -250,6 +250,23 @@
 	EXPECT_EQ(g.running_count, 4u);
 }
 
+TEST_F(GatekeeperTest, AProcessThatEndsSoonStartsNothingLong)
+{
+	uint64_t id;
+	enum refusal why;
+
+	for (int i = 0; i < 5; i++)
+		offer("r", 1);
+	EXPECT_EQ(started().size(), 4u);
+	g.end_ns = c.now_ns + 300 * NS_PER_MS;
+	finish(1);
+	EXPECT_TRUE(started().empty());
+	ASSERT_TRUE(next_end(&id, &why));
+	ASSERT_TRUE(next_end(&id, &why));
+	EXPECT_EQ(why, REFUSAL_LEAVING);
+	EXPECT_EQ(g.running_count, 3u);
+}
+
 TEST_F(GatekeeperTest, ACancelledRequestIsEndedAtTheUpstream)
 {
 	struct msg_cancel m = {};
