Bytes that no request waits for end a connection; a planned stop always ends

Cause: a kept connection to the upstream was used again with unread bytes on it (a body after HEAD): the POST behind it ended in connection_lost. A drain without store and upstream waited for somebody to take the keys. Change: a connection is used again only if nothing has come on it; the stand-in sends no body after HEAD; a stop is cut short after 9 s, with a line.

--- a/core/gatekeeper.h
+++ b/core/gatekeeper.h
@@ -66,7 +66,7 @@
 	double tokens;	       /* requests that a cold upstream may get now */
 	uint64_t tokens_ns;    /* when they were counted */
 	uint32_t work_percent; /* as the upstream last reported */
-	uint64_t end_ns; /* the process ends then; 0: it goes on */
+	uint64_t end_ns;       /* the process ends then; 0: it goes on */
 	uint64_t next_wake_ns;
 	uint64_t served;
 	uint64_t refused;
--- a/fakes/upstream_server.c
+++ b/fakes/upstream_server.c
@@ -129,6 +129,9 @@
 			    evhttp_request_get_uri(req),
 			    in_header(req, "X-Fence"));
 	evbuffer_add_buffer(b, in);
+	/* evhttp would send a body after HEAD, which HTTP forbids. */
+	if (evhttp_request_get_command(req) == EVHTTP_REQ_HEAD)
+		evbuffer_drain(b, evbuffer_get_length(b));
 	evhttp_send_reply(req, 200, "OK", b);
 	evbuffer_free(b);
 }
--- a/io/driver.c
+++ b/io/driver.c
@@ -13,6 +13,8 @@
 #include "io/store_client.h"
 #include "io/upstream_client.h"
 
+/* A planned stop ends within, also if nobody takes its keys over. */
+#define STOP_MAX_S   9
 /* The last answers may take as long to leave. */
 #define EXIT_MAX_NS  (5 * NS_PER_S)
 #define EXIT_LOOK_MS 5
@@ -26,6 +28,7 @@
 	struct upstream_client *upstream;
 	struct event *timer;
 	struct event *exit_timer;
+	struct event *stop_timer;
 	uint64_t exit_deadline_ns; /* 0: goes on */
 	struct actions out;
 	bool running; /* inside node_handle's actions */
@@ -186,10 +189,24 @@
 	return status_page(d->node, peers_count(d->peers), path);
 }
 
+static void on_stop_timer(evutil_socket_t fd, short what, void *arg)
+{
+	struct driver *d = arg;
+
+	(void)fd;
+	(void)what;
+	log_event(LOG_WARN, "event=stop_cut_short requests=%u",
+		  front_waiting(d->front));
+	event_base_loopexit(d->base, NULL);
+}
+
 void driver_drain(struct driver *d)
 {
 	struct event ev = {.kind = EV_DRAIN, .now_ns = clock_now_ns()};
+	struct timeval limit = {.tv_sec = STOP_MAX_S};
 
+	if (!evtimer_pending(d->stop_timer, NULL))
+		evtimer_add(d->stop_timer, &limit);
 	front_drain(d->front);
 	handle(d, &ev);
 }
@@ -221,6 +238,7 @@
 	d->node = node_new(&opts);
 	d->timer = evtimer_new(base, on_timer, d);
 	d->exit_timer = evtimer_new(base, on_exit_timer, d);
+	d->stop_timer = evtimer_new(base, on_stop_timer, d);
 	d->store = store_client_new(base, s->store_addr, on_store, d);
 	d->upstream = upstream_client_new(base, on_upstream, d);
 	d->peers = peers_new(&peers, st);
@@ -244,6 +262,7 @@
 	store_client_delete(d->store);
 	event_free(d->timer);
 	event_free(d->exit_timer);
+	event_free(d->stop_timer);
 	actions_done(&d->out);
 	node_delete(d->node);
 	free(d);
--- a/io/upstream_client.c
+++ b/io/upstream_client.c
@@ -15,6 +15,7 @@
 #include "io/addr.h"
 #include "io/clock.h"
 #include "io/http_convert.h"
+#include "io/socket_opts.h"
 
 /* An upstream says so when it did not run a request that it refuses. */
 #define HEADER_NOT_RUN "X-Not-Run"
@@ -119,24 +120,33 @@
 	return cn;
 }
 
+static struct bufferevent *conn_bev(const struct conn *cn)
+{
+	return evhttp_connection_get_bufferevent(cn->http);
+}
+
+/* False when bytes have come that no request waits for. */
+static bool is_clean(const struct conn *cn)
+{
+	int fd = bufferevent_getfd(conn_bev(cn));
+
+	return !evbuffer_get_length(bufferevent_get_input(conn_bev(cn))) &&
+	       (fd < 0 || socket_is_quiet(fd));
+}
+
 /* The one used last, if there is one; those of an old address go. */
 static struct conn *conn_get(struct upstream_client *u, const char *addr)
 {
 	struct conn *cn, *tmp;
 
 	list_for_each_entry_safe(cn, tmp, &u->idle, link) {
-		if (!strcmp(cn->addr, addr))
+		if (!strcmp(cn->addr, addr) && is_clean(cn))
 			return cn;
 		conn_delete(cn);
 	}
 	return conn_new(u, addr);
 }
 
-static struct bufferevent *conn_bev(const struct conn *cn)
-{
-	return evhttp_connection_get_bufferevent(cn->http);
-}
-
 /* Ends the call; evhttp connects anew when the connection was closed. */
 static void finish(struct conn *cn, struct ev_upstream_answer *a)
 {
--- a/tests/process.hpp
+++ b/tests/process.hpp
@@ -86,8 +86,8 @@
 		argv.push_back(nullptr);
 		pid = fork();
 		if (pid == 0) {
-			int fd = open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND,
-				      0644);
+			int fd = open(log.c_str(),
+				      O_WRONLY | O_CREAT | O_APPEND, 0644);
 
 			dup2(fd, 1);
 			dup2(fd, 2);
@@ -97,7 +97,10 @@
 	}
 	Process(const Process &) = delete;
 	Process &operator=(const Process &) = delete;
-	~Process() { stop(SIGKILL); }
+	~Process()
+	{
+		stop(SIGKILL);
+	}
 
 	void stop(int sig)
 	{
@@ -108,6 +111,20 @@
 		pid = 0;
 	}
 
+	// True when it has ended by itself within @ms after the signal.
+	bool stop_within(int sig, int ms)
+	{
+		kill(pid, sig);
+		for (int i = 0; i < ms / 20; i++) {
+			if (waitpid(pid, nullptr, WNOHANG) == pid) {
+				pid = 0;
+				return true;
+			}
+			sleep_ms(20);
+		}
+		return false;
+	}
+
 	pid_t pid;
 };
 
@@ -137,9 +154,9 @@
 public:
 	Node(const std::string &called, const std::string &dc,
 	     const std::string &region, const std::string &store)
-		: name(called), http(free_port()), peer(free_port()),
-		  upstream(free_port()),
-		  path(binary("node." + std::to_string(getpid()) + "." + called))
+	    : name(called), http(free_port()), peer(free_port()),
+	      upstream(free_port()),
+	      path(binary("node." + std::to_string(getpid()) + "." + called))
 	{
 		FILE *f = fopen((path + ".toml").c_str(), "w");
 
@@ -222,14 +239,17 @@
 {
 public:
 	Store()
-		: port(free_port()),
-		  process({binary("fake-store"), "--addr", loopback(port)})
+	    : port(free_port()),
+	      process({binary("fake-store"), "--addr", loopback(port)})
 	{
 		while (!answers(port))
 			sleep_ms(5);
 	}
 
-	std::string addr() const { return loopback(port); }
+	std::string addr() const
+	{
+		return loopback(port);
+	}
 
 	void fault(const std::string &json) const
 	{
--- a/tests/upstream_client_test.cpp
+++ b/tests/upstream_client_test.cpp
@@ -38,7 +38,7 @@
 	{
 		struct sockaddr_in a = {};
 
-		fd = socket(AF_INET, SOCK_STREAM, 0);
+		fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
 		a.sin_family = AF_INET;
 		a.sin_port = htons((uint16_t)port);
 		a.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
@@ -163,6 +163,46 @@
 	}
 }
 
+/* A body after HEAD is bytes that no request waits for. */
+TEST(UpstreamClient, APostBehindAHeadIsServed)
+{
+	Listener raw;
+	Side s;
+	char buf[1024];
+	const char head_answer[] =
+		"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello";
+	const char post_answer[] =
+		"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+	struct act_upstream_call head;
+	int first, second;
+
+	s.addr = raw.addr;
+	head = s.call(1);
+	http_request_delete(head.request);
+	head.request = http_request_new("HEAD", "/archive/x");
+	s.send(head);
+	s.run_until([&] {
+		first = accept4(raw.fd, NULL, NULL, SOCK_NONBLOCK);
+		return first >= 0;
+	});
+	s.run_until([&] { return recv(first, buf, sizeof(buf), 0) > 0; });
+	EXPECT_GT(write(first, head_answer, strlen(head_answer)), 0);
+	s.run_answers(1);
+	EXPECT_EQ(s.answers[0].outcome, OUTCOME_DONE);
+	s.send(s.call(2));
+	s.run_until([&] {
+		second = accept4(raw.fd, NULL, NULL, SOCK_NONBLOCK);
+		return second >= 0 || s.answers.size() > 1;
+	});
+	ASSERT_GE(second, 0);
+	s.run_until([&] { return recv(second, buf, sizeof(buf), 0) > 0; });
+	EXPECT_GT(write(second, post_answer, strlen(post_answer)), 0);
+	s.run_answers(2);
+	EXPECT_EQ(s.answers[1].outcome, OUTCOME_DONE);
+	close(first);
+	close(second);
+}
+
 TEST(UpstreamClient, NothingLeavesAfterTheLeaseOrTheDeadline)
 {
 	Side s;
