A watch is begun anew only after a pause

Change: a pause of 4 ms a node, 300 ms at most, before the next watch; nodes that others are ahead of read again after 700 ms.

--- a/core/session.c
+++ b/core/session.c
@@ -7,10 +7,17 @@
 /* A waiting watch returns after as long even if nothing changed. */
 #define WATCH_WAIT_NS  (10 * NS_PER_S)
 #define WATCH_SLACK_NS (1500 * NS_PER_MS)
+/*
+ * Changes come in bursts, as when many nodes start; each watch that ends is
+ * a call. So a watch is begun anew only after a pause, longer in a large
+ * fleet.
+ */
+#define PAUSE_EACH_NS  (4 * NS_PER_MS)
+#define PAUSE_MAX_NS   (300 * NS_PER_MS)
 #define RETRY_NS       (250 * NS_PER_MS)
 #define READ_AGAIN_NS  (500 * NS_PER_MS)
 /* Others know more for as long: our watch may have gone silent. */
-#define BEHIND_NS      (300 * NS_PER_MS)
+#define BEHIND_NS      (700 * NS_PER_MS)
 /* Renewals in one lifetime of the lease. */
 #define KEEPS_A_LEASE  6
 
@@ -73,6 +80,16 @@
 			 (unsigned long)e->revision);
 }
 
+static uint64_t watch_pause_ns(const struct mesh_ctx *c)
+{
+	const struct dir_node *n;
+	uint64_t pause = 0;
+
+	list_for_each_entry(n, &c->dir.nodes, link)
+		pause += PAUSE_EACH_NS;
+	return pause < PAUSE_MAX_NS ? pause : PAUSE_MAX_NS;
+}
+
 static void on_watch(struct session *s, struct mesh_ctx *c,
 		     struct ev_store_end *e)
 {
@@ -80,6 +97,7 @@
 	case STORE_DONE:
 		directory_apply(&c->dir, &e->records, false, e->revision,
 				c->now_ns, c->out);
+		s->watch.next_ns = c->now_ns + watch_pause_ns(c);
 		break;
 	case STORE_NO_HISTORY:
 		mesh_log(c->out, LOG_INFO,
--- a/tests/mesh_test.cpp
+++ b/tests/mesh_test.cpp
@@ -36,6 +36,22 @@
 		EXPECT_TRUE(mesh_ready(w.procs[i].mesh));
 }
 
+TEST(Mesh, ABurstOfChangesTakesFewCalls)
+{
+	World w({});
+	uint64_t before;
+
+	w.run_for(6 * NS_PER_S);
+	before = w.procs[0].mesh->session.calls[CALL_WATCH_ALL];
+	for (uint64_t v = 2; v < 42; v++) {
+		w.put_config(v);
+		w.run_for(2 * W_MS);
+	}
+	w.run_for(200 * W_MS);
+	EXPECT_EQ(w.procs[0].mesh->ctx.dir.manifest->version, 41u);
+	EXPECT_LE(w.procs[0].mesh->session.calls[CALL_WATCH_ALL] - before, 8u);
+}
+
 TEST(Mesh, ServesAllOnACalmDay)
 {
 	World w({});
