Silence is counted in reports where a fleet is large

Cause: with 64 nodes a gate in another region reports every 0.77 s, and it was taken to be lost after 1.2 s; with 300 nodes all were. Nothing changes up to 50 nodes.

--- a/core/directory.c
+++ b/core/directory.c
@@ -307,6 +307,13 @@
 	return n;
 }
 
+uint64_t directory_silent_ns(const struct directory *d)
+{
+	uint64_t reports = DIR_SILENT_REPORTS * d->report_ns;
+
+	return reports > DIR_SILENT_NS ? reports : DIR_SILENT_NS;
+}
+
 bool directory_usable(const struct directory *d, const struct dir_node *n,
 		      uint64_t now_ns)
 {
@@ -316,7 +323,7 @@
 	/* Not heard yet by a node that has just started: by its card. */
 	if (!n->heard_ns)
 		return n->revision && !n->card.draining;
-	return now_ns < n->heard_ns + DIR_SILENT_NS && n->load.open &&
+	return now_ns < n->heard_ns + directory_silent_ns(d) && n->load.open &&
 	       !n->leaving;
 }
 
@@ -332,7 +339,7 @@
 		    !n->card.upstream.instance[0] ||
 		    strcmp(n->card.service, service) != 0 ||
 		    directory_evacuated(d, n->card.dc) || !n->load.open ||
-		    now_ns > n->heard_ns + DIR_SILENT_NS)
+		    now_ns > n->heard_ns + directory_silent_ns(d))
 			continue;
 		c = mem_new(struct keymap_candidate);
 		c->id = n->card.upstream;
--- a/core/directory.h
+++ b/core/directory.h
@@ -7,8 +7,10 @@
 
 #include "core/mesh_io.h"
 
-/* A gate that has said nothing for as long takes no requests. */
-#define DIR_SILENT_NS (1200 * NS_PER_MS)
+/* A gate that has said nothing for as long takes no requests, at least. */
+#define DIR_SILENT_NS	   (1200 * NS_PER_MS)
+/* And for so many times the span between two reports. */
+#define DIR_SILENT_REPORTS 5
 
 /**
  * Estimates how long a message was on its way: two clocks differ by a
@@ -59,6 +61,7 @@
 	struct list nodes;     /* of struct dir_node */
 	struct list keymaps;   /* of struct dir_keymap */
 	struct list evacuated; /* of struct dir_zone */
+	uint64_t report_ns;    /* span between two load reports in this fleet */
 	uint64_t changes;      /* rises with each change of any record */
 };
 
@@ -83,6 +86,9 @@
 struct dir_node *directory_on_load(struct directory *d, uint64_t from,
 				   const struct msg_load *l, uint64_t now_ns);
 
+/** Silence after which a node is taken to be lost. */
+uint64_t directory_silent_ns(const struct directory *d);
+
 /** True when its gate was heard lately and takes requests. */
 bool directory_usable(const struct directory *d, const struct dir_node *n,
 		      uint64_t now_ns);
--- a/core/dispatch.c
+++ b/core/dispatch.c
@@ -712,7 +712,8 @@
 
 	if (j->state != JOB_SENT || j->at == c->opts->boot)
 		return false;
-	return !n || n->boot != j->at || c->now_ns > since + DIR_SILENT_NS;
+	return !n || n->boot != j->at ||
+	       c->now_ns > since + directory_silent_ns(&c->dir);
 }
 
 static void look_at(struct dispatch *d, struct mesh_ctx *c, struct gate_side *g,
--- a/core/keyplan.c
+++ b/core/keyplan.c
@@ -41,7 +41,7 @@
 static bool alive(const struct mesh_ctx *c, const struct dir_node *n)
 {
 	return n->revision && !n->leaving &&
-	       c->now_ns < n->heard_ns + DIR_SILENT_NS;
+	       c->now_ns < n->heard_ns + directory_silent_ns(&c->dir);
 }
 
 /* Place in line: how many live nodes have a lower name. */
--- a/core/mesh.c
+++ b/core/mesh.c
@@ -302,7 +302,8 @@
 			send_load(m, n);
 	}
 	each *= count;
-	m->next_load_ns = c->now_ns + (each > LOAD_NS ? each : LOAD_NS);
+	c->dir.report_ns = each > LOAD_NS ? each : LOAD_NS;
+	m->next_load_ns = c->now_ns + c->dir.report_ns;
 }
 
 static bool idle(const struct mesh *m)
--- a/core/session.c
+++ b/core/session.c
@@ -148,7 +148,7 @@
 		uint64_t r = rng_next(&c->rng);
 
 		if (!strcmp(n->name, c->opts->node) || n->leaving ||
-		    c->now_ns > n->heard_ns + DIR_SILENT_NS)
+		    c->now_ns > n->heard_ns + directory_silent_ns(&c->dir))
 			continue;
 		if (!best || r > rank) {
 			best = n;
--- a/tests/directory_test.cpp
+++ b/tests/directory_test.cpp
@@ -116,6 +116,21 @@
 	EXPECT_FALSE(directory_usable(&d, n, 2 * NS_PER_S + DIR_SILENT_NS));
 }
 
+TEST_F(DirectoryTest, InALargeFleetSilenceIsCountedInReports)
+{
+	struct msg_load l = {};
+	struct dir_node *n;
+
+	add_card("a", 3);
+	apply(true, 3);
+	mem_copy_str(l.node, "a", sizeof(l.node));
+	l.load.open = true;
+	n = directory_on_load(&d, 77, &l, 2 * NS_PER_S);
+	d.report_ns = NS_PER_S;
+	EXPECT_TRUE(directory_usable(&d, n, 6 * NS_PER_S));
+	EXPECT_FALSE(directory_usable(&d, n, 8 * NS_PER_S));
+}
+
 TEST_F(DirectoryTest, AGateNotHeardYetIsUsedByItsCard)
 {
 	add_card("a", 3);
