--- a/core/gatekeeper.c
+++ b/core/gatekeeper.c
@@ -208,7 +208,6 @@
 	mem_copy_str(w->reply_to, f->reply_to, sizeof(w->reply_to));
 	w->id = f->id;
 	w->attempt = f->attempt;
-	w->taken_ns = c->now_ns;
 	w->deadline_ns = c->now_ns + left;
 	w->objective_ns = c->now_ns + objective;
 	w->priority = f->priority;
--- a/core/gatekeeper.h
+++ b/core/gatekeeper.h
@@ -22,7 +22,6 @@
 	char reply_to[JD_ADDR_MAX];
 	struct request_id id;
 	uint32_t attempt;
-	uint64_t taken_ns;
 	uint64_t started_ns;
 	uint64_t deadline_ns;
 	uint64_t objective_ns; /* worth more before than after it */
--- a/core/holder.c
+++ b/core/holder.c
@@ -270,7 +270,6 @@
 	mesh_log(c->out, LOG_WARN, "event=upstream_gone instance=%s",
 		 h->id.instance);
 	h->gone = true;
-	h->gone_ns = c->now_ns;
 	h->granted_until_ns = 0;
 	h->usable_until_ns = 0;
 	h->unknown_until_ns = 0;
--- a/core/holder.h
+++ b/core/holder.h
@@ -31,7 +31,6 @@
 	uint64_t cold_until_ns;	   /* by its own word */
 	bool draining;		   /* it said that it leaves */
 	bool gone;		   /* nothing listens at its address */
-	uint64_t gone_ns;	   /* since then */
 	uint64_t granted_until_ns; /* by then it holds nothing */
 	uint64_t usable_until_ns;  /* its grants last at least so long */
 	uint64_t
--- a/core/keymap.h
+++ b/core/keymap.h
@@ -12,8 +12,6 @@
 #define KEYMAP_HANDOVER_MAX 64
 /* Rows of one upstream: they are spread, as busy keys lie together. */
 #define KEYMAP_ROWS_EACH    16u
-/* More rows would not fit the answer to an announcement. */
-#define KEYMAP_ROWS_LIMIT   56u
 
 /** One lifetime of an upstream and the node beside it. */
 struct holder_id {
--- a/core/keyplan.c
+++ b/core/keyplan.c
@@ -202,8 +202,8 @@
 	list_init(&candidates);
 	directory_candidates(&c->dir, service, c->now_ns, &candidates);
 	set = set_of(&candidates);
-	if (set != p->last_count) {
-		p->last_count = set;
+	if (set != p->last_set) {
+		p->last_set = set;
 		p->stable_ns = c->now_ns;
 	}
 	if (list_empty(&candidates)) {
--- a/core/mesh_io.h
+++ b/core/mesh_io.h
@@ -136,7 +136,6 @@
 	uint32_t slots;
 	bool draining;
 	uint64_t cold_left_ns;
-	bool lists_keys;      /* @held and @released were in it */
 	struct list held;     /* of struct held_row */
 	struct list released; /* of struct held_row */
 };
--- a/tests/mesh_world.hpp
+++ b/tests/mesh_world.hpp
@@ -765,7 +765,6 @@
 			     sizeof(b->service));
 		b->slots = 8;
 		b->draining = u.draining;
-		b->lists_keys = u.keyed;
 		for (auto &h : u.holds) {
 			struct held_row *r = mem_new(struct held_row);
 
