What chaos runs start ends with its runner, on addresses of its own

Cause: the runner of real processes used fixed ports of 127.0.0.1 and left its children behind when it was killed; the next run talked to them (overlap=1211). Ruled out: nothing else was needed to explain it; two runs side by side share no address now and report no overlap. Change: a loopback address by the runner's process id; children ask for SIGKILL at their parent's death.

--- a/chaos/cluster.c
+++ b/chaos/cluster.c
@@ -5,6 +5,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/prctl.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -23,11 +24,16 @@
 		   const char *program, const char *const *args)
 {
 	char path[CLUSTER_PATH_MAX], log_path[CLUSTER_PATH_MAX];
+	pid_t runner = getpid();
 	pid_t pid = fork();
 	int fd;
 
 	if (pid)
 		return pid > 0 ? pid : 0;
+	/* Ends with the runner, also when that is killed before this line. */
+	prctl(PR_SET_PDEATHSIG, SIGKILL);
+	if (getppid() != runner)
+		_exit(127);
 	text_format(path, sizeof(path), "%s/%s", c->opts.bin, program);
 	text_format(log_path, sizeof(log_path), "%s/%s.log", c->opts.dir, log);
 	fd = open(log_path, O_WRONLY | O_CREAT | O_APPEND, 0644);
@@ -53,6 +59,15 @@
 	reap(pid);
 }
 
+/* A loopback address of this runner: another one beside it has its own. */
+static void address(char *addr, unsigned port)
+{
+	unsigned pid = (unsigned)getpid();
+
+	text_format(addr, JD_ADDR_MAX, "127.%u.%u.%u:%u", 1 + (pid >> 16) % 200,
+		    pid >> 8 & 255, pid & 255, port);
+}
+
 static void name_node(struct cluster *c, uint32_t i)
 {
 	struct cluster_node *n = &c->nodes[i];
@@ -60,11 +75,9 @@
 
 	text_format(n->name, sizeof(n->name), "n%u", i);
 	text_format(n->dc, sizeof(n->dc), "dc-%u", i % c->opts.dcs);
-	text_format(n->http_addr, sizeof(n->http_addr), "127.0.0.1:%u", port);
-	text_format(n->peer_addr, sizeof(n->peer_addr), "127.0.0.1:%u",
-		    port + 1);
-	text_format(n->upstream_addr, sizeof(n->upstream_addr), "127.0.0.1:%u",
-		    port + 2);
+	address(n->http_addr, port);
+	address(n->peer_addr, port + 1);
+	address(n->upstream_addr, port + 2);
 }
 
 static bool write_settings(const struct cluster *c, uint32_t i,
@@ -219,8 +232,7 @@
 
 	memset(c, 0, sizeof(*c));
 	c->opts = *o;
-	text_format(c->store_addr, sizeof(c->store_addr), "127.0.0.1:%u",
-		    o->port);
+	address(c->store_addr, o->port);
 	c->store = spawn(c, "store", args[0], args);
 	if (!cluster_apply(c, c->opts.manifest))
 		return false;
--- a/chaos/cluster.h
+++ b/chaos/cluster.h
@@ -27,7 +27,7 @@
 	const char *dir;      /* folder for settings, logs and records */
 	const char *manifest; /* file to apply */
 	const char *service;
-	uint16_t port; /* the first of a free range */
+	uint16_t port; /* the first, on a loopback address of the runner */
 	uint32_t nodes;
 	uint32_t dcs;	  /* data centres, all of one region */
 	uint32_t work_ms; /* of the upstreams */
@@ -42,7 +42,10 @@
 	struct cluster_node nodes[CLUSTER_NODES_MAX];
 };
 
-/** Starts the store, applies the manifest, starts all nodes. */
+/**
+ * Starts the store, applies the manifest, starts all nodes. All end with the
+ * process that started them, however it ends.
+ */
 bool cluster_start(struct cluster *c, const struct cluster_opts *o);
 
 /** Puts @manifest in force; false when the store refuses it. */
