--- /dev/null
+++ b/chaos/proxy.c
@@ -0,0 +1,277 @@
+#include "chaos/proxy.h"
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/listener.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+
+#include "core/list.h"
+#include "core/mem.h"
+#include "core/types.h"
+#include "io/addr.h"
+#include "io/clock.h"
+
+#define LISTEN_BACKLOG 256
+
+/** Bytes on their way through. */
+struct chunk {
+	struct list link;
+	uint64_t due_ns;
+	struct evbuffer *bytes;
+};
+
+/** One direction of a connection. */
+struct way {
+	struct list chunks; /* of struct chunk, in order */
+	struct bufferevent *to;
+	bool back; /* from the target */
+};
+
+struct pipe_conn {
+	struct list link;
+	struct proxy *proxy;
+	struct bufferevent *caller;
+	struct bufferevent *target;
+	struct way there;
+	struct way back;
+	struct event *timer;
+	bool ended; /* one side has closed; what is held goes first */
+};
+
+struct proxy {
+	struct proxy_opts opts;
+	char target[JD_ADDR_MAX];
+	struct evconnlistener *listener;
+	struct list conns; /* of struct pipe_conn */
+	enum proxy_mood mood;
+	uint32_t delay_ms;
+};
+
+static void chunks_delete(struct list *chunks)
+{
+	struct chunk *c, *tmp;
+
+	list_for_each_entry_safe(c, tmp, chunks, link) {
+		list_remove(&c->link);
+		evbuffer_free(c->bytes);
+		free(c);
+	}
+}
+
+static void conn_delete(struct pipe_conn *c)
+{
+	list_remove(&c->link);
+	bufferevent_free(c->caller);
+	bufferevent_free(c->target);
+	event_free(c->timer);
+	chunks_delete(&c->there.chunks);
+	chunks_delete(&c->back.chunks);
+	free(c);
+}
+
+static bool muted(const struct proxy *p, const struct way *w)
+{
+	return p->mood == PROXY_MUTES_ALL ||
+	       (p->mood == PROXY_MUTES_BACK && w->back);
+}
+
+/* Passes on what is due; returns when the next chunk is, or 0. */
+static uint64_t pass_on(const struct proxy *p, struct way *w, uint64_t now)
+{
+	struct chunk *c, *tmp;
+
+	if (muted(p, w))
+		return 0;
+	list_for_each_entry_safe(c, tmp, &w->chunks, link) {
+		if (now < c->due_ns)
+			return c->due_ns;
+		bufferevent_write_buffer(w->to, c->bytes);
+		list_remove(&c->link);
+		evbuffer_free(c->bytes);
+		free(c);
+	}
+	return 0;
+}
+
+static bool unsent(const struct pipe_conn *c)
+{
+	return evbuffer_get_length(bufferevent_get_output(c->caller)) ||
+	       evbuffer_get_length(bufferevent_get_output(c->target));
+}
+
+/* Frees the connection when both its ends are done with. */
+static void work(struct pipe_conn *c)
+{
+	uint64_t now = clock_now_ns();
+	uint64_t there = pass_on(c->proxy, &c->there, now);
+	uint64_t back = pass_on(c->proxy, &c->back, now);
+	uint64_t next = there && (!back || there < back) ? there : back;
+
+	if (c->ended && list_empty(&c->there.chunks) &&
+	    list_empty(&c->back.chunks) && !unsent(c)) {
+		conn_delete(c);
+		return;
+	}
+	if (next) {
+		struct timeval tv = {
+			.tv_usec = (suseconds_t)((next - now) / NS_PER_US) + 1};
+
+		tv.tv_sec = tv.tv_usec / 1000000;
+		tv.tv_usec %= 1000000;
+		evtimer_add(c->timer, &tv);
+	}
+}
+
+static void on_timer(evutil_socket_t fd, short what, void *arg)
+{
+	(void)fd;
+	(void)what;
+	work(arg);
+}
+
+static void on_read(struct bufferevent *bev, void *arg)
+{
+	struct pipe_conn *c = arg;
+	struct way *w = bev == c->target ? &c->back : &c->there;
+	struct chunk *n = mem_new(struct chunk);
+
+	n->bytes = evbuffer_new();
+	bufferevent_read_buffer(bev, n->bytes);
+	n->due_ns = clock_now_ns();
+	if (c->proxy->mood == PROXY_DELAYS)
+		n->due_ns += c->proxy->delay_ms * NS_PER_MS;
+	list_push_back(&w->chunks, &n->link);
+	work(c);
+}
+
+static void on_write(struct bufferevent *bev, void *arg)
+{
+	struct pipe_conn *c = arg;
+
+	(void)bev;
+	if (c->ended)
+		work(c);
+}
+
+static void on_event(struct bufferevent *bev, short what, void *arg)
+{
+	struct pipe_conn *c = arg;
+
+	if (what & BEV_EVENT_ERROR) {
+		/* Nothing more can be written there. */
+		struct evbuffer *out = bufferevent_get_output(bev);
+
+		evbuffer_drain(out, evbuffer_get_length(out));
+		chunks_delete(bev == c->caller ? &c->back.chunks
+					       : &c->there.chunks);
+	}
+	if (!(what & (BEV_EVENT_EOF | BEV_EVENT_ERROR)))
+		return;
+	c->ended = true;
+	work(c);
+}
+
+static void on_accept(struct evconnlistener *l, evutil_socket_t fd,
+		      struct sockaddr *sa, int len, void *arg)
+{
+	struct proxy *p = arg;
+	struct pipe_conn *c = mem_new(struct pipe_conn);
+	struct sockaddr_in sin;
+
+	(void)l;
+	(void)sa;
+	(void)len;
+	c->proxy = p;
+	list_init(&c->there.chunks);
+	list_init(&c->back.chunks);
+	list_push_back(&p->conns, &c->link);
+	c->caller =
+		bufferevent_socket_new(p->opts.base, fd, BEV_OPT_CLOSE_ON_FREE);
+	c->target =
+		bufferevent_socket_new(p->opts.base, -1, BEV_OPT_CLOSE_ON_FREE);
+	c->timer = evtimer_new(p->opts.base, on_timer, c);
+	c->there.to = c->target;
+	c->back.to = c->caller;
+	c->back.back = true;
+	bufferevent_setcb(c->caller, on_read, on_write, on_event, c);
+	bufferevent_setcb(c->target, on_read, on_write, on_event, c);
+	bufferevent_enable(c->caller, EV_READ | EV_WRITE);
+	bufferevent_enable(c->target, EV_READ | EV_WRITE);
+	if (!addr_to_sockaddr(p->target, &sin) ||
+	    bufferevent_socket_connect(c->target, (struct sockaddr *)&sin,
+				       sizeof(sin)) != 0)
+		conn_delete(c);
+}
+
+struct proxy *proxy_new(const struct proxy_opts *o)
+{
+	struct proxy *p = mem_new(struct proxy);
+	struct sockaddr_in sin;
+
+	p->opts = *o;
+	mem_copy_str(p->target, o->target, sizeof(p->target));
+	list_init(&p->conns);
+	if (addr_to_sockaddr(o->addr, &sin))
+		p->listener = evconnlistener_new_bind(
+			o->base, on_accept, p,
+			LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE,
+			LISTEN_BACKLOG, (struct sockaddr *)&sin, sizeof(sin));
+	if (p->listener)
+		return p;
+	free(p);
+	return NULL;
+}
+
+void proxy_delete(struct proxy *p)
+{
+	struct pipe_conn *c, *tmp;
+
+	list_for_each_entry_safe(c, tmp, &p->conns, link)
+		conn_delete(c);
+	evconnlistener_free(p->listener);
+	free(p);
+}
+
+void proxy_set_mood(struct proxy *p, enum proxy_mood mood, uint32_t delay_ms)
+{
+	struct pipe_conn *c, *tmp;
+
+	p->mood = mood;
+	p->delay_ms = delay_ms;
+	list_for_each_entry_safe(c, tmp, &p->conns, link)
+		work(c);
+}
+
+void proxy_reset(struct proxy *p)
+{
+	struct linger now = {.l_onoff = 1};
+	struct pipe_conn *c, *tmp;
+
+	list_for_each_entry_safe(c, tmp, &p->conns, link) {
+		setsockopt(bufferevent_getfd(c->caller), SOL_SOCKET, SO_LINGER,
+			   &now, sizeof(now));
+		if (bufferevent_getfd(c->target) >= 0)
+			setsockopt(bufferevent_getfd(c->target), SOL_SOCKET,
+				   SO_LINGER, &now, sizeof(now));
+		conn_delete(c);
+	}
+}
+
+const char *proxy_mood_name(enum proxy_mood mood)
+{
+	switch (mood) {
+	case PROXY_PASSES:
+		return "passes";
+	case PROXY_DELAYS:
+		return "delays";
+	case PROXY_MUTES_BACK:
+		return "mutes_back";
+	case PROXY_MUTES_ALL:
+		return "mutes_all";
+	case PROXY_MOOD_COUNT:
+		break;
+	}
+	return "?";
+}
--- a/core/message.c
+++ b/core/message.c
@@ -11,6 +11,7 @@
 	[MSG_FORWARD] = "forward",     [MSG_ANSWER] = "answer",
 	[MSG_CANCEL] = "cancel",       [MSG_LOAD] = "load",
 	[MSG_RENEW] = "renew",	       [MSG_RENEWED] = "renewed",
+	[MSG_CHANGES] = "changes",
 };
 
 static const char *const outcome_names[OUTCOME_COUNT] = {
@@ -24,10 +25,13 @@
 	struct message *m = mem_new(struct message);
 
 	m->kind = kind;
+	list_init(&m->link);
 	if (kind == MSG_SYNC) {
 		list_init(&m->u.sync.docs);
 		list_init(&m->u.sync.deltas);
 	}
+	if (kind == MSG_CHANGES)
+		list_init(&m->u.changes.records);
 	return m;
 }
 
@@ -50,6 +54,9 @@
 	case MSG_ANSWER:
 		http_answer_delete(m->u.answer.answer);
 		break;
+	case MSG_CHANGES:
+		records_delete(&m->u.changes.records);
+		break;
 	case MSG_HEARTBEAT:
 	case MSG_HEARTBEAT_ACK:
 	case MSG_ADOPT:
@@ -64,6 +71,47 @@
 	free(m);
 }
 
+static bool cancels(const struct message *cancel, const struct message *m)
+{
+	return m->kind == MSG_FORWARD && m->from == cancel->from &&
+	       m->u.forward.attempt == cancel->u.cancel.attempt &&
+	       request_id_equal(m->u.forward.id, cancel->u.cancel.id);
+}
+
+static struct message *find_cancelled(const struct list *batch,
+				      const struct message *cancel)
+{
+	struct message *m;
+
+	list_for_each_entry(m, batch, link) {
+		if (m == cancel)
+			return NULL;
+		if (cancels(cancel, m))
+			return m;
+	}
+	return NULL;
+}
+
+uint32_t messages_drop_cancelled(struct list *batch)
+{
+	struct message *m, *tmp;
+	uint32_t dropped = 0;
+
+	list_for_each_entry_safe(m, tmp, batch, link) {
+		struct message *forward =
+			m->kind == MSG_CANCEL ? find_cancelled(batch, m) : NULL;
+
+		if (!forward)
+			continue;
+		list_remove(&forward->link);
+		message_delete(forward);
+		list_remove(&m->link);
+		message_delete(m);
+		dropped++;
+	}
+	return dropped;
+}
+
 const char *message_name(enum message_kind kind)
 {
 	return kind < MSG_KIND_COUNT ? message_names[kind] : "?";
--- a/core/message.h
+++ b/core/message.h
@@ -6,6 +6,7 @@
 #include "core/doc_delta.h"
 #include "core/hot_keys.h"
 #include "core/http.h"
+#include "core/record.h"
 #include "core/refusal.h"
 #include "core/types.h"
 
@@ -22,6 +23,7 @@
 	MSG_LOAD,	   /* a gate's load, to every entry */
 	MSG_RENEW,	   /* renew my lease with the store for me */
 	MSG_RENEWED,	   /* the end of that */
+	MSG_CHANGES,	   /* records of the store that have changed */
 	MSG_KIND_COUNT,
 };
 
@@ -106,6 +108,8 @@
 	uint64_t sent_ns;    /* sender's clock */
 	revision_t revision; /* of the store, as far as the sender knows it */
 	bool leaving;	     /* the process ends soon */
+	bool watches;	     /* the sender follows the store for its region */
+	bool asks;	     /* it wants a report in return */
 	struct gate_load load;
 };
 
@@ -121,6 +125,13 @@
 	bool ended;	  /* the store does not have it any more */
 };
 
+/** What a watch brought, for nodes that have none of their own. */
+struct msg_changes {
+	revision_t from; /* complete for a reader that knows up to here */
+	revision_t to;
+	struct list records; /* of struct record; a manifest has no content */
+};
+
 struct msg_answer {
 	struct request_id id;
 	uint32_t attempt;
@@ -139,6 +150,7 @@
 };
 
 struct message {
+	struct list link; /* in the batch that was read with it */
 	enum message_kind kind;
 	incarnation_t from;
 	incarnation_t to; /* the addressee; others drop it */
@@ -155,6 +167,7 @@
 		struct msg_load load;
 		struct msg_renew renew;
 		struct msg_renewed renewed;
+		struct msg_changes changes;
 	} u;
 };
 
@@ -162,6 +175,12 @@
 /** Frees the message with all that it owns. */
 void message_delete(struct message *m);
 
+/**
+ * Deletes the forwards in @batch, a list of struct message in their order,
+ * whose cancellation stands behind them, with that. Returns how many.
+ */
+uint32_t messages_drop_cancelled(struct list *batch);
+
 const char *message_name(enum message_kind kind);
 const char *outcome_name(enum outcome o);
 
--- a/io/http_server.c
+++ b/io/http_server.c
@@ -279,9 +279,14 @@
 	x->head = p->method == HTTP_HEAD;
 	x->close = !keep;
 	c->last = !keep;
-	x->handed = true;
 	c->idle_deadline_ns =
 		ms_from_now(c->server->opts.limits.idle_timeout_ms);
+	/* The end of the connection is told soon; nobody waits any more. */
+	if (socket_is_closed(bufferevent_getfd(c->bev))) {
+		http_request_delete(r);
+		return 0;
+	}
+	x->handed = true;
 	c->server->opts.on_request(c->server->opts.arg, x->id, r, oversized);
 	if (c->waiting >= PIPELINE_MAX)
 		http_parser_pause(p, 1);
--- a/io/peers.c
+++ b/io/peers.c
@@ -313,7 +313,8 @@
 	return m;
 }
 
-static bool read_one(struct peers *p)
+/* Appends a message to @batch; false when there is none. */
+static bool read_one(struct peers *p, struct list *batch)
 {
 	struct message *m;
 	zmq_msg_t msg;
@@ -328,12 +329,23 @@
 	m = decode(&msg);
 	zmq_msg_close(&msg);
 	if (m)
-		p->opts.fn(p->opts.arg, m);
+		list_push_back(batch, &m->link);
 	else
 		p->stats.broken++;
 	return true;
 }
 
+static void deliver(struct peers *p, struct list *batch)
+{
+	struct message *m, *tmp;
+
+	p->stats.cancelled += messages_drop_cancelled(batch);
+	list_for_each_entry_safe(m, tmp, batch, link) {
+		list_remove(&m->link);
+		p->opts.fn(p->opts.arg, m);
+	}
+}
+
 /*
  * The descriptor is edge-triggered: it tells only of a change, so reading
  * goes on until nothing is left.
@@ -341,12 +353,16 @@
 void peers_read(struct peers *p)
 {
 	struct timeval now = {0, 0};
+	struct list batch;
+	int count = 0;
 
+	list_init(&batch);
 	peer_auth_read(p->auth);
-	for (int i = 0; i < READ_BATCH; i++)
-		if (!read_one(p))
-			return;
-	evtimer_add(p->again, &now);
+	while (count < READ_BATCH && read_one(p, &batch))
+		count++;
+	deliver(p, &batch);
+	if (count == READ_BATCH)
+		evtimer_add(p->again, &now);
 }
 
 const struct peers_stats *peers_count(struct peers *p)
--- a/io/peers.h
+++ b/io/peers.h
@@ -29,10 +29,12 @@
 	uint64_t sent_bytes;
 	uint64_t received;
 	uint64_t received_bytes;
-	uint64_t broken;  /* received, but no message */
-	uint64_t dropped; /* not sent: no connection or a full queue */
-	uint64_t refused; /* connections of strangers */
-	uint32_t open;	  /* other nodes with a socket */
+	uint64_t broken;    /* received, but no message */
+	uint64_t cancelled; /* forwards that were cancelled before they were
+			       read */
+	uint64_t dropped;   /* not sent: no connection or a full queue */
+	uint64_t refused;   /* connections of strangers */
+	uint32_t open;	    /* other nodes with a socket */
 };
 
 /** NULL with a status when the address can't be bound. */
--- a/io/socket_opts.c
+++ b/io/socket_opts.c
@@ -33,6 +33,13 @@
 	set(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, UNACKED_MAX_MS);
 }
 
+bool socket_is_closed(int fd)
+{
+	char byte;
+
+	return recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) == 0;
+}
+
 bool socket_is_quiet(int fd)
 {
 	char byte;
--- a/tests/http_server_test.cpp
+++ b/tests/http_server_test.cpp
@@ -180,6 +180,19 @@
 	EXPECT_EQ(gone[0], got[0].caller);
 }
 
+/* A process that reads late must not pass on what nobody waits for. */
+TEST_F(HttpServerTest, ARequestWhoseCallerHasLeftAlreadyIsNotHandedOver)
+{
+	ASSERT_EQ(write(fd, GET_A, sizeof(GET_A) - 1),
+		  (ssize_t)sizeof(GET_A) - 1);
+	close(fd);
+	fd = -1;
+	turn(50);
+	EXPECT_TRUE(got.empty());
+	EXPECT_TRUE(gone.empty());
+	EXPECT_EQ(http_server_pending(s), 0u);
+}
+
 TEST_F(HttpServerTest, AnAnswerWhileTheConnectionGoesIsHarmless)
 {
 	say(std::string(GET_A) + GET_B);
--- /dev/null
+++ b/tests/message_test.cpp
@@ -0,0 +1,71 @@
+#include "jd_test.hpp"
+
+extern "C" {
+#include "core/message.h"
+}
+
+struct MessageTest : public ::testing::Test {
+	struct list batch;
+
+	MessageTest()
+	{
+		list_init(&batch);
+	}
+	~MessageTest() override
+	{
+		struct message *m, *tmp;
+
+		list_for_each_entry_safe(m, tmp, &batch, link)
+			message_delete(m);
+	}
+	void add(enum message_kind kind, uint64_t from, uint64_t id,
+		 uint32_t attempt)
+	{
+		struct message *m = message_new(kind);
+
+		m->from = from;
+		if (kind == MSG_FORWARD) {
+			m->u.forward.id.node = from;
+			m->u.forward.id.counter = id;
+			m->u.forward.attempt = attempt;
+		} else if (kind == MSG_CANCEL) {
+			m->u.cancel.id.node = from;
+			m->u.cancel.id.counter = id;
+			m->u.cancel.attempt = attempt;
+		}
+		list_push_back(&batch, &m->link);
+	}
+	size_t left()
+	{
+		struct message *m;
+		size_t n = 0;
+
+		list_for_each_entry(m, &batch, link)
+			n++;
+		return n;
+	}
+};
+
+/* A slow reader finds both: the caller has left before the request began. */
+TEST_F(MessageTest, AForwardWithItsCancelBehindItIsDropped)
+{
+	add(MSG_FORWARD, 1, 7, 1);
+	add(MSG_FORWARD, 1, 8, 1);
+	add(MSG_LOAD, 1, 0, 0);
+	add(MSG_CANCEL, 1, 7, 1);
+	EXPECT_EQ(messages_drop_cancelled(&batch), 1u);
+	EXPECT_EQ(left(), 2u);
+	EXPECT_EQ(list_entry(batch.next, struct message, link)
+			  ->u.forward.id.counter,
+		  8u);
+}
+
+TEST_F(MessageTest, ACancelOfAnythingElseStays)
+{
+	add(MSG_CANCEL, 1, 7, 1); /* before it: of an earlier life */
+	add(MSG_FORWARD, 1, 7, 1);
+	add(MSG_CANCEL, 1, 7, 2); /* another attempt */
+	add(MSG_CANCEL, 2, 7, 1); /* another entry */
+	EXPECT_EQ(messages_drop_cancelled(&batch), 0u);
+	EXPECT_EQ(left(), 4u);
+}
