Fewer load reports, two watches a region, no calls to a store that is away

Cause: with 64 nodes, load reports to every node were a third of the processor time and of the bytes between regions; each change of a record ended a watch on every node; while the store was away every kind of call was repeated. Change: an answer counts as a report, other regions are told more rarely, a gate that owes an answer and is silent is asked; in a region of 8 or more two nodes watch and tell the others (core/relay); a fleet that starts watches with pauses; after a failed call only renewals go out until one is answered.

--- a/core/directory.c
+++ b/core/directory.c
@@ -34,9 +34,11 @@
 	return (uint64_t)(diff - pc->least);
 }
 
-void directory_init(struct directory *d)
+void directory_init(struct directory *d, const char *region)
 {
 	memset(d, 0, sizeof(*d));
+	mem_copy_str(d->region, region, sizeof(d->region));
+	d->far_rounds = 1;
 	list_init(&d->nodes);
 	list_init(&d->keymaps);
 	list_init(&d->evacuated);
@@ -227,6 +229,8 @@
 	case RECORD_KEYMAP:
 		apply_keymap(d, r);
 		break;
+	case RECORD_KIND_COUNT:
+		break;
 	}
 }
 
@@ -274,8 +278,13 @@
 {
 	struct record *r;
 
-	if (whole && revision < d->revision)
+	/* Overtaken by what others told; a manifest is told by reads only. */
+	if (whole && revision < d->revision) {
+		list_for_each_entry(r, records, link)
+			if (r->kind == RECORD_MANIFEST && !r->broken)
+				apply_manifest(d, r, out);
 		return;
+	}
 	if (whole)
 		drop_unlisted(d, records, now_ns);
 	list_for_each_entry(r, records, link)
@@ -302,18 +311,37 @@
 	peer_clock_delay_ns(&n->clock, l->sent_ns, now_ns);
 	n->heard_ns = now_ns;
 	n->leaving = l->leaving;
+	n->watches = l->watches;
+	n->asks_us |= l->asks;
 	n->load = l->load;
 	n->sent = 0;
 	return n;
 }
 
-uint64_t directory_silent_ns(const struct directory *d)
+bool directory_near(const struct directory *d, const struct dir_node *n)
+{
+	return !strcmp(n->card.region, d->region);
+}
+
+uint64_t directory_silent_ns(const struct directory *d,
+			     const struct dir_node *n)
 {
-	uint64_t reports = DIR_SILENT_REPORTS * d->report_ns;
+	uint64_t reports =
+		directory_near(d, n)
+			? DIR_SILENT_REPORTS * d->report_ns
+			: DIR_SILENT_FAR * d->far_rounds * d->report_ns;
 
 	return reports > DIR_SILENT_NS ? reports : DIR_SILENT_NS;
 }
 
+bool directory_heard(const struct directory *d, const struct dir_node *n,
+		     uint64_t now_ns)
+{
+	if (n->asked_ns > n->heard_ns && now_ns > n->asked_ns + DIR_ASKED_NS)
+		return false;
+	return now_ns < n->heard_ns + directory_silent_ns(d, n);
+}
+
 bool directory_usable(const struct directory *d, const struct dir_node *n,
 		      uint64_t now_ns)
 {
@@ -323,8 +351,7 @@
 	/* Not heard yet by a node that has just started: by its card. */
 	if (!n->heard_ns)
 		return n->revision && !n->card.draining;
-	return now_ns < n->heard_ns + directory_silent_ns(d) && n->load.open &&
-	       !n->leaving;
+	return directory_heard(d, n, now_ns) && n->load.open && !n->leaving;
 }
 
 void directory_candidates(const struct directory *d, const char *service,
@@ -339,7 +366,7 @@
 		    !n->card.upstream.instance[0] ||
 		    strcmp(n->card.service, service) != 0 ||
 		    directory_evacuated(d, n->card.dc) || !n->load.open ||
-		    now_ns > n->heard_ns + directory_silent_ns(d))
+		    !directory_heard(d, n, now_ns))
 			continue;
 		c = mem_new(struct keymap_candidate);
 		c->id = n->card.upstream;
--- a/core/directory.h
+++ b/core/directory.h
@@ -11,6 +11,10 @@
 #define DIR_SILENT_NS	   (1200 * NS_PER_MS)
 /* And for so many times the span between two reports. */
 #define DIR_SILENT_REPORTS 5
+/* The same for other regions, in spans of the rounds that they get. */
+#define DIR_SILENT_FAR	   3
+/* One that was asked and has not answered within that time is lost. */
+#define DIR_ASKED_NS	   (900 * NS_PER_MS)
 
 /**
  * Estimates how long a message was on its way: two clocks differ by a
@@ -32,12 +36,17 @@
 	struct node_card card; /* the newest known */
 	revision_t revision;   /* of the card; 0: the store has none */
 	uint64_t absent_ns;    /* since then, when it has none */
-	uint64_t heard_ns;     /* its last load report; 0: none yet */
+	uint64_t heard_ns;     /* its last report or answer; 0: none yet */
+	uint64_t told_ns;      /* it got our load, by report or answer */
+	uint64_t asked_ns;     /* it was asked for a report; 0: never */
+	bool to_ask;	       /* it owes an answer and is silent */
+	bool asks_us;	       /* it wants a report at once */
+	bool watches;	       /* it follows the store and tells others */
 	uint64_t boot;	       /* of the process that was heard */
 	bool leaving;	       /* that process ends soon */
 	struct peer_clock clock;
 	struct gate_load load;
-	uint32_t sent;	 /* requests of ours since its last report */
+	uint32_t sent;	 /* requests of ours since it last told its load */
 	double failures; /* share of requests that it failed, moving average */
 	uint64_t avoid_ns; /* refused one of ours: not before */
 };
@@ -58,14 +67,16 @@
 	revision_t revision; /* every record up to here is known */
 	struct manifest *manifest;
 	revision_t manifest_revision;
-	struct list nodes;     /* of struct dir_node */
-	struct list keymaps;   /* of struct dir_keymap */
-	struct list evacuated; /* of struct dir_zone */
-	uint64_t report_ns;    /* span between two load reports in this fleet */
-	uint64_t changes;      /* rises with each change of any record */
+	struct list nodes;	  /* of struct dir_node */
+	struct list keymaps;	  /* of struct dir_keymap */
+	struct list evacuated;	  /* of struct dir_zone */
+	char region[JD_NAME_MAX]; /* of this node */
+	uint64_t report_ns;	  /* span between two rounds of load reports */
+	uint32_t far_rounds; /* other regions are told each so many rounds */
+	uint64_t changes;    /* rises with each change of any record */
 };
 
-void directory_init(struct directory *d);
+void directory_init(struct directory *d, const char *region);
 void directory_done(struct directory *d);
 
 /**
@@ -86,8 +97,16 @@
 struct dir_node *directory_on_load(struct directory *d, uint64_t from,
 				   const struct msg_load *l, uint64_t now_ns);
 
-/** Silence after which a node is taken to be lost. */
-uint64_t directory_silent_ns(const struct directory *d);
+/** True for a node of this node's region. */
+bool directory_near(const struct directory *d, const struct dir_node *n);
+
+/** Silence after which a node is taken to be lost, when nobody asks it. */
+uint64_t directory_silent_ns(const struct directory *d,
+			     const struct dir_node *n);
+
+/** True when it was heard lately, and answered when it was asked. */
+bool directory_heard(const struct directory *d, const struct dir_node *n,
+		     uint64_t now_ns);
 
 /** True when its gate was heard lately and takes requests. */
 bool directory_usable(const struct directory *d, const struct dir_node *n,
--- a/core/dispatch.c
+++ b/core/dispatch.c
@@ -7,6 +7,8 @@
 
 /* How often held and late requests are looked at. */
 #define LOOK_NS		     (10 * NS_PER_MS)
+/* A gate is asked for a report after as much silence. */
+#define ASK_AFTER_NS	     (500 * NS_PER_MS)
 /* A held request is tried again that often, and when the directory changes. */
 #define HELD_RETRY_NS	     (25 * NS_PER_MS)
 /* A gate that refused a request for its queue is left alone for so long. */
@@ -685,8 +687,11 @@
 	    j->at != from)
 		return;
 	n = directory_node(&c->dir, j->node);
-	if (n && from != c->opts->boot)
+	if (n && from != c->opts->boot) {
 		n->load = a->load;
+		n->sent = 0;
+		n->heard_ns = c->now_ns;
+	}
 	if (a->internal_route)
 		learn_internal(d, c, j);
 	switch (a->outcome) {
@@ -712,8 +717,26 @@
 
 	if (j->state != JOB_SENT || j->at == c->opts->boot)
 		return false;
-	return !n || n->boot != j->at ||
-	       c->now_ns > since + directory_silent_ns(&c->dir);
+	if (!n || n->boot != j->at)
+		return true;
+	/* It was asked for a sign of life and gave none. */
+	if (n->asked_ns > n->heard_ns && c->now_ns > n->asked_ns + DIR_ASKED_NS)
+		return true;
+	return c->now_ns > since + directory_silent_ns(&c->dir, n);
+}
+
+/* A gate that owes an answer and says nothing else either is asked. */
+static void ask_silent(struct mesh_ctx *c, const struct job *j)
+{
+	struct dir_node *n;
+
+	if (j->state != JOB_SENT || j->at == c->opts->boot ||
+	    c->now_ns < j->sent_ns + ASK_AFTER_NS)
+		return;
+	n = directory_node(&c->dir, j->node);
+	if (n && n->boot == j->at && c->now_ns > n->heard_ns + ASK_AFTER_NS &&
+	    n->asked_ns <= n->heard_ns)
+		n->to_ask = true;
 }
 
 static void look_at(struct dispatch *d, struct mesh_ctx *c, struct gate_side *g,
@@ -726,6 +749,7 @@
 		     j->may_have_run ? REFUSAL_NO_ANSWER : REFUSAL_DEADLINE);
 		return;
 	}
+	ask_silent(c, j);
 	if (gate_lost(c, j))
 		on_unknown(d, c, g, j, REFUSAL_CONNECTION_LOST);
 }
--- a/core/holder.c
+++ b/core/holder.c
@@ -415,7 +415,7 @@
 		h->next_probe_ns = c->now_ns + PROBE_AGAIN_NS;
 		mesh_actions_add(c->out, MA_PROBE_UPSTREAM);
 	}
-	if (!k || h->write_op || c->now_ns < h->next_write_ns)
+	if (!k || c->store_down || h->write_op || c->now_ns < h->next_write_ns)
 		return;
 	if (h->write_unsure && k->revision > h->write_revision) {
 		h->write_unsure = false;
--- a/core/keyplan.c
+++ b/core/keyplan.c
@@ -41,7 +41,7 @@
 static bool alive(const struct mesh_ctx *c, const struct dir_node *n)
 {
 	return n->revision && !n->leaving &&
-	       c->now_ns < n->heard_ns + directory_silent_ns(&c->dir);
+	       directory_heard(&c->dir, n, c->now_ns);
 }
 
 /* Place in line: how many live nodes have a lower name. */
@@ -226,7 +226,7 @@
 	if (p->op || c->now_ns < p->next_ns)
 		return;
 	p->next_ns = c->now_ns + LOOK_NS;
-	if (!c->dir.manifest || !session_authority_ns(s))
+	if (c->store_down || !c->dir.manifest || !session_authority_ns(s))
 		return;
 	list_for_each_entry(sv, &c->dir.manifest->services, link)
 		if (sv->keyed && !p->op)
--- a/core/mesh.c
+++ b/core/mesh.c
@@ -5,21 +5,18 @@
 
 #include "core/mem.h"
 
-/* Between two load reports to a node of the own region; twice that beyond. */
-#define LOAD_NS	       (200 * NS_PER_MS)
-/* A large fleet spreads its reports: that much for each node. */
-#define LOAD_EACH_NS   (6 * NS_PER_MS)
-/* The first reports name their sender in full, as its card may be late. */
-#define LOAD_NAMED     30
-/* A first card waits that long for the upstream's announcement. */
-#define FIRST_CARD_NS  (1200 * NS_PER_MS)
+/* A first card waits for some of the upstream's announcements, and that. */
+#define FIRST_CARD_BEATS 3
+#define FIRST_CARD_NS	 (500 * NS_PER_MS)
+/* A fleet that starts has told all of its cards as long after that. */
+#define SETTLING_NS	 (2 * NS_PER_S)
 /* Callers notice within that time that the node is not ready any more. */
-#define UNREADY_NS     (2300 * NS_PER_MS)
+#define UNREADY_NS	 (2300 * NS_PER_MS)
 /* Callers that have not noticed by then are refused. */
-#define REFUSE_NS      (2900 * NS_PER_MS)
+#define REFUSE_NS	 (2900 * NS_PER_MS)
 /* Kept of a planned stop's time for the process to end. */
-#define STOP_MARGIN_NS (400 * NS_PER_MS)
-#define RELAYS_MAX     16
+#define STOP_MARGIN_NS	 (400 * NS_PER_MS)
+#define RELAYS_MAX	 16
 
 struct mesh *mesh_new(const struct mesh_opts *o, uint64_t now_ns)
 {
@@ -28,10 +25,12 @@
 	m->opts = *o;
 	m->ctx.opts = &m->opts;
 	m->ctx.now_ns = now_ns;
-	directory_init(&m->ctx.dir);
+	directory_init(&m->ctx.dir, o->region);
 	rng_init(&m->ctx.rng, o->seed);
 	session_init(&m->session, &m->opts);
-	m->session.card_wait_ns = now_ns + FIRST_CARD_NS;
+	m->session.card_wait_ns =
+		now_ns + FIRST_CARD_BEATS * o->announce_ns + FIRST_CARD_NS;
+	m->session.settled_ns = m->session.card_wait_ns + SETTLING_NS;
 	holder_init(&m->holder, &m->opts, now_ns);
 	keyplan_init(&m->keyplan, now_ns);
 	gatekeeper_init(&m->gate);
@@ -63,7 +62,11 @@
 	struct message *msg = message_new(MSG_ANSWER);
 
 	msg->u.answer = e->answer;
+	struct dir_node *n = directory_by_boot(&m->ctx.dir, e->from);
+
 	gatekeeper_load(&m->gate, &m->ctx, &m->holder, &msg->u.answer.load);
+	if (n)
+		n->told_ns = m->ctx.now_ns;
 	mesh_send(&m->ctx, e->from, e->reply_to, msg);
 }
 
@@ -157,6 +160,9 @@
 	case MSG_RENEWED:
 		session_on_renewed(&m->session, c, &msg->u.renewed);
 		break;
+	case MSG_CHANGES:
+		session_on_changes(&m->session, c, &msg->u.changes);
+		break;
 	default:
 		break;
 	}
@@ -164,6 +170,7 @@
 
 static void on_store(struct mesh *m, struct ev_store_end *e)
 {
+	session_note_end(&m->session, &m->ctx, e->end);
 	if (!session_on_end(&m->session, &m->ctx, e) &&
 	    !holder_on_end(&m->holder, &m->ctx, e) &&
 	    !keyplan_on_end(&m->keyplan, &m->ctx, e))
@@ -244,20 +251,6 @@
 	}
 }
 
-static void send_load(struct mesh *m, const struct dir_node *n)
-{
-	struct message *msg = message_new(MSG_LOAD);
-	struct msg_load *l = &msg->u.load;
-
-	if (m->loads < LOAD_NAMED)
-		mem_copy_str(l->node, m->opts.node, sizeof(l->node));
-	l->sent_ns = m->ctx.now_ns;
-	l->revision = m->ctx.dir.revision;
-	l->leaving = m->stop >= MESH_CLOSED;
-	gatekeeper_load(&m->gate, &m->ctx, &m->holder, &l->load);
-	mesh_send(&m->ctx, n->boot, n->card.peer_addr, msg);
-}
-
 /* The node's own line in its directory, without a message. */
 static void note_own_load(struct mesh *m)
 {
@@ -278,32 +271,15 @@
 
 static void report_load(struct mesh *m)
 {
-	struct mesh_ctx *c = &m->ctx;
-	bool open = holder_open(&m->holder, c) && m->stop < MESH_CLOSED;
-	bool changed = open != m->was_open;
-	uint64_t each = LOAD_EACH_NS;
-	struct dir_node *n;
-	uint32_t count = 0;
+	struct report_state state = {
+		.gate = &m->gate,
+		.holder = &m->holder,
+		.leaving = m->stop >= MESH_CLOSED,
+		.watches = session_watches(&m->session, &m->ctx),
+	};
 
 	note_own_load(m);
-	if (!c->dir.loaded || (!changed && c->now_ns < m->next_load_ns))
-		return;
-	m->was_open = open;
-	m->loads++;
-	list_for_each_entry(n, &c->dir.nodes, link) {
-		bool near = !strcmp(n->card.region, m->opts.region);
-
-		if (!strcmp(n->name, m->opts.node) || !n->card.peer_addr[0] ||
-		    (!n->revision && c->now_ns > n->heard_ns + 5 * NS_PER_S))
-			continue;
-		count++;
-		if (near || changed || m->loads % 2 == 0 ||
-		    m->loads < LOAD_NAMED)
-			send_load(m, n);
-	}
-	each *= count;
-	c->dir.report_ns = each > LOAD_NS ? each : LOAD_NS;
-	m->next_load_ns = c->now_ns + c->dir.report_ns;
+	reports_work(&m->reports, &m->ctx, &state);
 }
 
 static bool idle(const struct mesh *m)
@@ -371,9 +347,9 @@
 
 uint64_t mesh_next_ns(const struct mesh *m)
 {
-	uint64_t next = m->next_load_ns;
+	uint64_t next = m->reports.next_ns;
 
-	earliest(&next, session_next_ns(&m->session));
+	earliest(&next, session_next_ns(&m->session, &m->ctx));
 	earliest(&next, keyplan_next_ns(&m->keyplan));
 	earliest(&next, gatekeeper_next_ns(&m->gate));
 	earliest(&next, dispatch_next_ns(&m->dispatch));
--- a/core/mesh.h
+++ b/core/mesh.h
@@ -8,6 +8,7 @@
 
 #include "core/dispatch.h"
 #include "core/keyplan.h"
+#include "core/reports.h"
 
 enum mesh_stop {
 	MESH_RUNS,
@@ -28,9 +29,7 @@
 	uint64_t close_ns;  /* while unready: nothing new from then on */
 	uint64_t refuse_ns; /* no request is taken from then on */
 	uint64_t end_ns;    /* the process ends by then */
-	uint64_t next_load_ns;
-	uint64_t loads;	       /* reports sent */
-	bool was_open;	       /* as last reported */
+	struct reports reports;
 	uint64_t relay_op[16]; /* renewals under way for others; 0: free */
 	struct msg_renew relays[16];
 	uint64_t relay_to[16];
--- a/core/mesh_ctx.h
+++ b/core/mesh_ctx.h
@@ -29,6 +29,9 @@
 	struct directory dir;
 	struct rng rng;
 	uint64_t next_op;
+	/* The last call to the store failed: until one is answered again, only
+	 * the session's renewals go out. */
+	bool store_down;
 	/* For the event being handled only: */
 	uint64_t now_ns;
 	struct mesh_actions *out;
--- a/core/mesh_io.c
+++ b/core/mesh_io.c
@@ -8,43 +8,6 @@
 
 #define LOG_LINE_MAX 1024
 
-struct record *record_new(enum record_kind kind, const char *name)
-{
-	struct record *r = mem_new(struct record);
-
-	r->kind = kind;
-	mem_copy_str(r->name, name, sizeof(r->name));
-	return r;
-}
-
-void record_delete(struct record *r)
-{
-	if (!r)
-		return;
-	switch (r->kind) {
-	case RECORD_MANIFEST:
-		manifest_delete(r->u.manifest);
-		break;
-	case RECORD_KEYMAP:
-		keymap_delete(r->u.keymap);
-		break;
-	case RECORD_EVACUATION:
-	case RECORD_CARD:
-		break;
-	}
-	free(r);
-}
-
-void records_delete(struct list *records)
-{
-	struct record *r, *tmp;
-
-	list_for_each_entry_safe(r, tmp, records, link) {
-		list_remove(&r->link);
-		record_delete(r);
-	}
-}
-
 void held_rows_delete(struct list *rows)
 {
 	struct held_row *r, *tmp;
--- a/core/mesh_io.h
+++ b/core/mesh_io.h
@@ -10,49 +10,10 @@
 #include "core/keymap.h"
 #include "core/manifest.h"
 #include "core/message.h"
+#include "core/record.h"
 #include "core/refusal.h"
 #include "core/types.h"
 
-/** What a node says of itself in the store, under its lease. */
-struct node_card {
-	char node[JD_NODE_NAME_MAX];
-	char peer_addr[JD_ADDR_MAX];
-	char dc[JD_NAME_MAX];
-	char region[JD_NAME_MAX];
-	uint64_t boot; /* random, new at each start of the process */
-	/* The upstream beside it; instance empty: none is known. */
-	char service[JD_NAME_MAX];
-	struct holder_id upstream;
-	uint32_t slots;
-	bool draining;
-};
-
-enum record_kind {
-	RECORD_MANIFEST,   /* the operators' configuration; one */
-	RECORD_EVACUATION, /* a data centre that is to get no work; by name */
-	RECORD_CARD,	   /* by the node's name */
-	RECORD_KEYMAP,	   /* by the service's name */
-};
-
-/** One item of the store, decoded. */
-struct record {
-	struct list link;
-	enum record_kind kind;
-	char name[JD_NODE_NAME_MAX];
-	revision_t revision;
-	bool removed;
-	bool broken; /* its bytes are none of ours; it changes nothing */
-	union {
-		struct manifest *manifest;
-		struct node_card card;
-		struct keymap *keymap;
-	} u;
-};
-
-struct record *record_new(enum record_kind kind, const char *name);
-void record_delete(struct record *r);
-void records_delete(struct list *records);
-
 enum store_call_kind {
 	CALL_READ_ALL,	/* all records */
 	CALL_WATCH_ALL, /* what changed after a revision; waits */
--- a/core/node.c
+++ b/core/node.c
@@ -289,6 +289,7 @@
 	case MSG_LOAD:
 	case MSG_RENEW:
 	case MSG_RENEWED:
+	case MSG_CHANGES:
 		/* Of leased fleets; core/mesh.c reads them. */
 		n->refused_messages++;
 		break;
--- /dev/null
+++ b/core/relay.c
@@ -0,0 +1,51 @@
+#include "core/relay.h"
+
+#include <string.h>
+
+/* Nodes of a region that watch: one may be lost without a gap. */
+#define WATCHERS 2
+/* In a region of fewer nodes all watch: the calls that it saves are few. */
+#define LEAST	 8
+
+bool relay_is_watcher(const struct mesh_ctx *c)
+{
+	const struct dir_node *n;
+	uint32_t near = 0;
+	uint32_t before = 0;
+
+	list_for_each_entry(n, &c->dir.nodes, link) {
+		if (!directory_near(&c->dir, n) || n->leaving ||
+		    !directory_heard(&c->dir, n, c->now_ns))
+			continue;
+		near++;
+		before += n->watches && strcmp(n->name, c->opts->node) < 0;
+	}
+	return near < LEAST || before < WATCHERS;
+}
+
+static void tell(struct mesh_ctx *c, const struct dir_node *n, revision_t from,
+		 const struct ev_store_end *e)
+{
+	struct message *m = message_new(MSG_CHANGES);
+	const struct record *r;
+
+	m->u.changes.from = from;
+	m->u.changes.to = e->revision;
+	list_for_each_entry(r, &e->records, link)
+		list_push_back(&m->u.changes.records, &record_copy(r)->link);
+	mesh_send(c, n->boot, n->card.peer_addr, m);
+}
+
+void relay_tell(struct mesh_ctx *c, revision_t from,
+		const struct ev_store_end *e)
+{
+	const struct dir_node *n;
+
+	if (list_empty(&e->records))
+		return;
+	list_for_each_entry(n, &c->dir.nodes, link)
+		if (directory_near(&c->dir, n) && !n->watches &&
+		    strcmp(n->name, c->opts->node) != 0 &&
+		    directory_heard(&c->dir, n, c->now_ns))
+			tell(c, n, from, e);
+}
--- a/core/session.c
+++ b/core/session.c
@@ -3,23 +3,30 @@
 #include <string.h>
 
 #include "core/mem.h"
+#include "core/relay.h"
 
 /* A waiting watch returns after as long even if nothing changed. */
-#define WATCH_WAIT_NS  (10 * NS_PER_S)
-#define WATCH_SLACK_NS (1500 * NS_PER_MS)
+#define WATCH_WAIT_NS	(10 * NS_PER_S)
+#define WATCH_SLACK_NS	(1500 * NS_PER_MS)
 /*
  * Changes come in bursts, as when many nodes start; each watch that ends is
  * a call. So a watch is begun anew only after a pause, longer in a large
  * fleet.
  */
-#define PAUSE_EACH_NS  (4 * NS_PER_MS)
-#define PAUSE_MAX_NS   (300 * NS_PER_MS)
-#define RETRY_NS       (250 * NS_PER_MS)
-#define READ_AGAIN_NS  (500 * NS_PER_MS)
+#define PAUSE_EACH_NS	(4 * NS_PER_MS)
+#define PAUSE_MAX_NS	(300 * NS_PER_MS)
+#define RETRY_NS	(250 * NS_PER_MS)
+/* A lease that can't be had is asked for more and more rarely. */
+#define RETRY_MAX_NS	(1000 * NS_PER_MS)
+#define READ_AGAIN_NS	(500 * NS_PER_MS)
 /* Others know more for as long: our watch may have gone silent. */
-#define BEHIND_NS      (700 * NS_PER_MS)
+#define BEHIND_NS	(700 * NS_PER_MS)
+/* How often a node without a watch looks whether it is to have one. */
+#define WATCHER_LOOK_NS (200 * NS_PER_MS)
+/* A node whose store failed it lately is no one to rely on. */
+#define WATCHER_WELL_NS (3 * NS_PER_S)
 /* Renewals in one lifetime of the lease. */
-#define KEEPS_A_LEASE  6
+#define KEEPS_A_LEASE	6
 
 void session_init(struct session *s, const struct mesh_opts *o)
 {
@@ -67,24 +74,27 @@
 		s->read.next_ns = c->now_ns + RETRY_NS;
 		return;
 	}
-	s->want_read = false;
 	s->read.next_ns = c->now_ns + READ_AGAIN_NS;
 	directory_apply(&c->dir, &e->records, true, e->revision, c->now_ns,
 			c->out);
 	if (s->fresh_read && s->registered)
 		s->fresh = true;
-	else if (s->registered)
-		s->want_read = !s->fresh;
+	s->want_read = (s->registered && !s->fresh) ||
+		       c->dir.manifest_revision < s->manifest_due;
 	if (first)
 		mesh_log(c->out, LOG_INFO, "event=store_read revision=%lu",
 			 (unsigned long)e->revision);
 }
 
-static uint64_t watch_pause_ns(const struct mesh_ctx *c)
+static uint64_t watch_pause_ns(const struct session *s,
+			       const struct mesh_ctx *c)
 {
 	const struct dir_node *n;
 	uint64_t pause = 0;
 
+	/* Its size is not known yet. */
+	if (c->now_ns < s->settled_ns)
+		return PAUSE_MAX_NS;
 	list_for_each_entry(n, &c->dir.nodes, link)
 		pause += PAUSE_EACH_NS;
 	return pause < PAUSE_MAX_NS ? pause : PAUSE_MAX_NS;
@@ -95,9 +105,10 @@
 {
 	switch (e->end) {
 	case STORE_DONE:
+		relay_tell(c, c->dir.revision, e);
 		directory_apply(&c->dir, &e->records, false, e->revision,
 				c->now_ns, c->out);
-		s->watch.next_ns = c->now_ns + watch_pause_ns(c);
+		s->watch.next_ns = c->now_ns + watch_pause_ns(s, c);
 		break;
 	case STORE_NO_HISTORY:
 		mesh_log(c->out, LOG_INFO,
@@ -118,9 +129,13 @@
 		     const struct ev_store_end *e)
 {
 	if (e->end != STORE_DONE) {
-		s->lease_new.next_ns = c->now_ns + RETRY_NS;
+		s->lease_retry_ns = 2 * s->lease_retry_ns + RETRY_NS;
+		if (s->lease_retry_ns > RETRY_MAX_NS)
+			s->lease_retry_ns = RETRY_MAX_NS;
+		s->lease_new.next_ns = c->now_ns + s->lease_retry_ns;
 		return;
 	}
+	s->lease_retry_ns = 0;
 	s->lease = e->lease;
 	s->lease_ttl_ns = e->ttl_ns;
 	s->lease_deadline_ns = s->lease_new.sent_ns + e->ttl_ns;
@@ -148,7 +163,7 @@
 		uint64_t r = rng_next(&c->rng);
 
 		if (!strcmp(n->name, c->opts->node) || n->leaving ||
-		    c->now_ns > n->heard_ns + directory_silent_ns(&c->dir))
+		    !directory_heard(&c->dir, n, c->now_ns))
 			continue;
 		if (!best || r > rank) {
 			best = n;
@@ -224,16 +239,18 @@
 	}
 }
 
-static void note_trouble(struct session *s, struct mesh_ctx *c,
-			 enum store_end end)
+void session_note_end(struct session *s, struct mesh_ctx *c, enum store_end end)
 {
-	if (end != STORE_REFUSED && end != STORE_LOST)
+	c->store_down = end == STORE_REFUSED || end == STORE_LOST;
+	if (!c->store_down)
 		return;
 	if (c->now_ns > s->trouble_ns + NS_PER_S)
 		mesh_log(c->out, LOG_WARN, "event=store_trouble end=%s",
 			 end == STORE_LOST ? "no_answer" : "refused");
 	s->trouble_ns = c->now_ns;
 	s->failures++;
+	if (s->keep.next_ns > c->now_ns + RETRY_NS)
+		s->keep.next_ns = c->now_ns + RETRY_NS;
 }
 
 bool session_on_end(struct session *s, struct mesh_ctx *c,
@@ -254,7 +271,6 @@
 	if (!call)
 		return false;
 	call->op = 0;
-	note_trouble(s, c, e->end);
 	if (call == &s->read)
 		on_read(s, c, e);
 	else if (call == &s->watch)
@@ -271,7 +287,9 @@
 void session_on_revision(struct session *s, struct mesh_ctx *c,
 			 revision_t revision)
 {
-	if (revision <= c->dir.revision) {
+	if (revision > s->heard_revision)
+		s->heard_revision = revision;
+	if (s->heard_revision <= c->dir.revision) {
 		s->behind_ns = 0;
 		return;
 	}
@@ -283,6 +301,39 @@
 	s->want_read = true;
 }
 
+/* A manifest's content does not travel between nodes. */
+static void drop_manifests(struct session *s, struct list *records)
+{
+	struct record *r, *tmp;
+
+	list_for_each_entry_safe(r, tmp, records, link) {
+		if (r->kind != RECORD_MANIFEST)
+			continue;
+		if (!r->removed && !r->broken && r->revision > s->manifest_due)
+			s->manifest_due = r->revision;
+		list_remove(&r->link);
+		record_delete(r);
+	}
+}
+
+void session_on_changes(struct session *s, struct mesh_ctx *c,
+			struct msg_changes *m)
+{
+	/* After a gap the next load report shows that others know more. */
+	if (!c->dir.loaded || m->to <= c->dir.revision ||
+	    m->from > c->dir.revision)
+		return;
+	drop_manifests(s, &m->records);
+	directory_apply(&c->dir, &m->records, false, m->to, c->now_ns, c->out);
+	s->want_read |= c->dir.manifest_revision < s->manifest_due;
+}
+
+bool session_watches(const struct session *s, const struct mesh_ctx *c)
+{
+	return s->registered && c->dir.loaded && relay_is_watcher(c) &&
+	       (!s->trouble_ns || c->now_ns > s->trouble_ns + WATCHER_WELL_NS);
+}
+
 void session_set_card(struct session *s, const struct node_card *card)
 {
 	if (holder_equal(&s->card.upstream, &card->upstream) &&
@@ -317,7 +368,7 @@
 
 void session_work(struct session *s, struct mesh_ctx *c)
 {
-	if (s->want_read && due(&s->read, c->now_ns)) {
+	if (s->want_read && !c->store_down && due(&s->read, c->now_ns)) {
 		start(s, c, &s->read, CALL_READ_ALL);
 		s->fresh_read = s->registered;
 	}
@@ -326,13 +377,20 @@
 			c->opts->lease_ns;
 	if (s->lease && due(&s->keep, c->now_ns))
 		start(s, c, &s->keep, CALL_LEASE_KEEP)->lease = s->lease;
+	if (c->store_down)
+		return;
 	if (s->lease && c->dir.loaded && !s->want_read && s->card_dirty &&
 	    (s->card.upstream.instance[0] || c->now_ns >= s->card_wait_ns) &&
 	    due(&s->put, c->now_ns))
 		put_card(s, c);
 	if (c->dir.loaded && !s->want_read && due(&s->watch, c->now_ns)) {
-		struct act_store_call *a =
-			start(s, c, &s->watch, CALL_WATCH_ALL);
+		struct act_store_call *a;
+
+		if (!relay_is_watcher(c)) {
+			s->watch.next_ns = c->now_ns + WATCHER_LOOK_NS;
+			return;
+		}
+		a = start(s, c, &s->watch, CALL_WATCH_ALL);
 
 		a->after = c->dir.revision;
 		a->wait_ns = WATCH_WAIT_NS;
@@ -347,13 +405,15 @@
 		*next = call->next_ns;
 }
 
-uint64_t session_next_ns(const struct session *s)
+uint64_t session_next_ns(const struct session *s, const struct mesh_ctx *c)
 {
 	uint64_t next = UINT64_MAX;
 
-	earlier(&next, &s->read, s->want_read);
 	earlier(&next, &s->lease_new, !s->lease);
 	earlier(&next, &s->keep, s->lease != 0);
+	if (c->store_down)
+		return next;
+	earlier(&next, &s->read, s->want_read);
 	earlier(&next, &s->put, s->lease && s->card_dirty && !s->want_read);
 	earlier(&next, &s->watch, !s->want_read);
 	return next;
--- a/tests/directory_test.cpp
+++ b/tests/directory_test.cpp
@@ -12,7 +12,7 @@
 
 	DirectoryTest()
 	{
-		directory_init(&d);
+		directory_init(&d, "r1");
 		mesh_actions_init(&out);
 		list_init(&records);
 	}
@@ -37,6 +37,7 @@
 
 		mem_copy_str(c->node, name, sizeof(c->node));
 		mem_copy_str(c->dc, "dc", sizeof(c->dc));
+		mem_copy_str(c->region, "r1", sizeof(c->region));
 		mem_copy_str(c->service, "s", sizeof(c->service));
 		mem_copy_str(c->upstream.instance, "i",
 			     sizeof(c->upstream.instance));
@@ -131,6 +132,37 @@
 	EXPECT_FALSE(directory_usable(&d, n, 8 * NS_PER_S));
 }
 
+TEST_F(DirectoryTest, AGateThatWasAskedAndIsSilentIsLost)
+{
+	struct msg_load l = {};
+	struct dir_node *n;
+
+	add_card("a", 3);
+	apply(true, 3);
+	mem_copy_str(l.node, "a", sizeof(l.node));
+	l.load.open = true;
+	n = directory_on_load(&d, 77, &l, 2 * NS_PER_S);
+	d.report_ns = 4 * NS_PER_S;
+	n->asked_ns = 3 * NS_PER_S;
+	EXPECT_TRUE(directory_usable(&d, n, 3 * NS_PER_S + DIR_ASKED_NS));
+	EXPECT_FALSE(directory_usable(&d, n, 3 * NS_PER_S + DIR_ASKED_NS + 1));
+	directory_on_load(&d, 77, &l, 4 * NS_PER_S);
+	EXPECT_TRUE(directory_usable(&d, n, 6 * NS_PER_S));
+}
+
+TEST_F(DirectoryTest, AnOvertakenReadStillTellsTheConfiguration)
+{
+	add_card("a", 3);
+	apply(true, 9);
+	add_config(4, 8);
+	apply(true, 8);
+	ASSERT_NE(d.manifest, nullptr);
+	EXPECT_EQ(d.manifest->version, 4u);
+	/* Nothing else of it counts: what it lacks may have come since. */
+	EXPECT_NE(directory_node(&d, "a")->revision, 0u);
+	EXPECT_EQ(d.revision, 9u);
+}
+
 TEST_F(DirectoryTest, AGateNotHeardYetIsUsedByItsCard)
 {
 	add_card("a", 3);
--- a/tests/gatekeeper_test.cpp
+++ b/tests/gatekeeper_test.cpp
@@ -27,7 +27,7 @@
 		c.now_ns = 100 * NS_PER_S;
 		mesh_actions_init(&out);
 		c.out = &out;
-		directory_init(&c.dir);
+		directory_init(&c.dir, "r1");
 		holder_init(&h, &opts, c.now_ns);
 		h.known = true;
 		h.slots = 4;
--- a/tests/mesh_codec_test.cpp
+++ b/tests/mesh_codec_test.cpp
@@ -82,3 +82,51 @@
 	mesh_decode_card(bytes.data(), bytes.size(), &c);
 	keymap_delete(m);
 }
+
+TEST(MeshCodec, ChangedRecordsTravelToOtherNodes)
+{
+	struct message *m = message_new(MSG_CHANGES);
+	struct record *card = record_new(RECORD_CARD, "n1");
+	struct record *map = record_new(RECORD_KEYMAP, "archive");
+	struct record *gone = record_new(RECORD_EVACUATION, "dc1");
+	struct record *config = record_new(RECORD_MANIFEST, "");
+	struct wire_buf b;
+	struct status st;
+	struct message *back;
+	struct record *r;
+
+	m->u.changes.from = 4;
+	m->u.changes.to = 9;
+	mem_copy_str(card->u.card.peer_addr, "10.0.0.1:7",
+		     sizeof(card->u.card.peer_addr));
+	map->u.keymap = keymap_new("archive");
+	map->u.keymap->fence = 12;
+	keymap_add(map->u.keymap, 0, KEYMAP_KEYS - 1)->fence = 12;
+	gone->removed = true;
+	config->u.manifest = manifest_new();
+	for (struct record *it : {card, map, gone, config}) {
+		it->revision = 8;
+		list_push_back(&m->u.changes.records, &it->link);
+	}
+	wire_encode_message(m, &b);
+	back = wire_decode_message(b.data, b.len, &st);
+	ASSERT_NE(back, nullptr);
+	EXPECT_EQ(back->u.changes.from, 4u);
+	EXPECT_EQ(back->u.changes.to, 9u);
+	r = list_entry(back->u.changes.records.next, struct record, link);
+	EXPECT_STREQ(r->u.card.peer_addr, "10.0.0.1:7");
+	EXPECT_EQ(r->revision, 8u);
+	r = list_entry(r->link.next, struct record, link);
+	EXPECT_EQ(keymap_find(r->u.keymap, 99)->fence, 12u);
+	r = list_entry(r->link.next, struct record, link);
+	EXPECT_TRUE(r->removed);
+	r = list_entry(r->link.next, struct record, link);
+	EXPECT_EQ(r->kind, RECORD_MANIFEST);
+	EXPECT_EQ(r->u.manifest, nullptr);
+	message_delete(back);
+	/* Any cut of it is no message. */
+	for (size_t len = 0; len < b.len; len++)
+		message_delete(wire_decode_message(b.data, len, &st));
+	free(b.data);
+	message_delete(m);
+}
--- a/tests/mesh_world.hpp
+++ b/tests/mesh_world.hpp
@@ -290,6 +290,7 @@
 			c->u.card = r->u.card;
 			break;
 		case RECORD_EVACUATION:
+		case RECORD_KIND_COUNT:
 			break;
 		}
 		return c;
--- /dev/null
+++ b/tests/relay_test.cpp
@@ -0,0 +1,235 @@
+#include "jd_test.hpp"
+
+#include <string>
+
+extern "C" {
+#include "core/mem.h"
+#include "core/mesh.h"
+#include "core/relay.h"
+}
+
+/* A region as node @own sees it; all others are heard and watch. */
+struct RelayTest : public ::testing::Test {
+	struct mesh_opts opts = {};
+	struct mesh_ctx c = {};
+	struct mesh_actions out;
+	struct session session;
+
+	RelayTest()
+	{
+		mesh_actions_init(&out);
+		c.opts = &opts;
+		c.out = &out;
+		c.now_ns = 100 * NS_PER_S;
+		directory_init(&c.dir, "r0");
+		c.dir.loaded = true;
+		c.dir.revision = 50;
+	}
+	~RelayTest() override
+	{
+		directory_done(&c.dir);
+		mesh_actions_done(&out);
+	}
+	static std::string name(int i)
+	{
+		return "n" + std::to_string(10 + i);
+	}
+	void fleet(int nodes, int own)
+	{
+		mem_copy_str(opts.node, name(own).c_str(), sizeof(opts.node));
+		opts.boot = static_cast<uint64_t>(own) + 1;
+		session_init(&session, &opts);
+		for (int i = 0; i < nodes; i++) {
+			struct list records;
+			struct record *r =
+				record_new(RECORD_CARD, name(i).c_str());
+
+			list_init(&records);
+			list_push_back(&records, &r->link);
+			r->revision = static_cast<uint64_t>(i) + 1;
+			mem_copy_str(r->u.card.region, "r0",
+				     sizeof(r->u.card.region));
+			r->u.card.boot = static_cast<uint64_t>(i) + 1;
+			directory_apply(&c.dir, &records, false, 0, c.now_ns,
+					&out);
+			records_delete(&records);
+			node(i)->heard_ns = c.now_ns;
+		}
+	}
+	struct dir_node *node(int i)
+	{
+		return directory_node(&c.dir, name(i).c_str());
+	}
+	struct message *changes(revision_t from, revision_t to)
+	{
+		struct message *m = message_new(MSG_CHANGES);
+
+		m->u.changes.from = from;
+		m->u.changes.to = to;
+		return m;
+	}
+};
+
+TEST_F(RelayTest, InASmallRegionAllWatch)
+{
+	fleet(5, 4);
+	node(0)->watches = node(1)->watches = node(2)->watches = true;
+	EXPECT_TRUE(relay_is_watcher(&c));
+}
+
+TEST_F(RelayTest, InALargeRegionTwoWatchAndTheNextTakesOver)
+{
+	fleet(20, 7);
+	EXPECT_TRUE(relay_is_watcher(&c)) << "nobody else does";
+	node(0)->watches = true;
+	EXPECT_TRUE(relay_is_watcher(&c));
+	node(3)->watches = true;
+	EXPECT_FALSE(relay_is_watcher(&c));
+	/* A watcher that is lost, leaves, or whose store fails it. */
+	node(3)->leaving = true;
+	EXPECT_TRUE(relay_is_watcher(&c));
+	node(3)->leaving = false;
+	node(3)->asked_ns = node(3)->heard_ns + 1;
+	c.now_ns += DIR_ASKED_NS + 2;
+	EXPECT_TRUE(relay_is_watcher(&c));
+	node(3)->asked_ns = 0;
+	EXPECT_FALSE(relay_is_watcher(&c));
+	node(0)->watches = false;
+	EXPECT_TRUE(relay_is_watcher(&c));
+	/* One behind it in line does not count. */
+	node(9)->watches = true;
+	EXPECT_TRUE(relay_is_watcher(&c));
+}
+
+TEST_F(RelayTest, AChangeReachesThoseWithoutAWatch)
+{
+	struct ev_store_end e = {};
+	struct record *r = record_new(RECORD_EVACUATION, "dc1");
+	struct mesh_action *a;
+	int told = 0;
+
+	fleet(20, 0);
+	node(1)->watches = true;
+	list_init(&e.records);
+	list_push_back(&e.records, &r->link);
+	e.revision = 51;
+	relay_tell(&c, 50, &e);
+	while ((a = mesh_actions_pop(&out))) {
+		told += a->kind == MA_SEND &&
+			a->u.send.message->kind == MSG_CHANGES;
+		mesh_action_delete(a);
+	}
+	EXPECT_EQ(told, 18);
+	records_delete(&e.records);
+}
+
+TEST_F(RelayTest, ChangesAreTakenOnlyWithoutAGap)
+{
+	struct message *m = changes(60, 70);
+	struct record *r = record_new(RECORD_EVACUATION, "dc1");
+
+	fleet(20, 7);
+	list_push_back(&m->u.changes.records, &r->link);
+	session_on_changes(&session, &c, &m->u.changes);
+	EXPECT_EQ(c.dir.revision, 50u);
+	EXPECT_FALSE(directory_evacuated(&c.dir, "dc1"));
+	m->u.changes.from = 40;
+	session_on_changes(&session, &c, &m->u.changes);
+	EXPECT_EQ(c.dir.revision, 70u);
+	EXPECT_TRUE(directory_evacuated(&c.dir, "dc1"));
+	message_delete(m);
+}
+
+/* Nodes that lag behind as well are no proof that there is nothing new. */
+TEST_F(RelayTest, OneThatLagsReadsThoughOthersLagToo)
+{
+	fleet(20, 7);
+	session.want_read = false;
+	for (int i = 0; i < 20; i++) {
+		session_on_revision(&session, &c, i % 5 ? 50 : 51);
+		c.now_ns += 100 * NS_PER_MS;
+	}
+	EXPECT_TRUE(session.want_read);
+	session.want_read = false;
+	c.dir.revision = 51;
+	for (int i = 0; i < 20; i++) {
+		session_on_revision(&session, &c, i % 5 ? 50 : 51);
+		c.now_ns += 100 * NS_PER_MS;
+	}
+	EXPECT_FALSE(session.want_read);
+}
+
+/* Refused calls are paid for: an outage costs renewals, not reads. */
+TEST_F(RelayTest, WhileTheStoreIsAwayOnlyRenewalsGoOut)
+{
+	const uint64_t away_s = 8;
+	int calls[CALL_LEASE_END + 1] = {};
+
+	fleet(20, 0);
+	session.lease = 7;
+	session.lease_ttl_ns = 6 * NS_PER_S;
+	session.registered = session.fresh = true;
+	session.card_dirty = true;
+	for (uint64_t t = 0; t < away_s * 1000; t += 10) {
+		struct mesh_action *a;
+
+		c.now_ns += 10 * NS_PER_MS;
+		session_work(&session, &c);
+		while ((a = mesh_actions_pop(&out))) {
+			struct ev_store_end e = {};
+
+			if (a->kind == MA_STORE) {
+				calls[a->u.store.kind]++;
+				list_init(&e.records);
+				e.op = a->u.store.op;
+				e.end = STORE_REFUSED;
+				session_note_end(&session, &c, e.end);
+				session_on_end(&session, &c, &e);
+			}
+			mesh_action_delete(a);
+		}
+	}
+	EXPECT_LE(calls[CALL_READ_ALL] + calls[CALL_WATCH_ALL] +
+			  calls[CALL_WRITE],
+		  3);
+	EXPECT_GE(calls[CALL_LEASE_KEEP], static_cast<int>(2 * away_s));
+}
+
+/* Its content is read, also when a read is overtaken by further changes. */
+TEST_F(RelayTest, AChangedConfigurationIsReadUntilItIsKnown)
+{
+	struct message *m = changes(50, 70);
+	struct record *r = record_new(RECORD_MANIFEST, "");
+	struct ev_store_end e = {};
+	struct record *content;
+
+	fleet(20, 7);
+	session.want_read = false;
+	r->revision = 66;
+	list_push_back(&m->u.changes.records, &r->link);
+	session_on_changes(&session, &c, &m->u.changes);
+	EXPECT_TRUE(session.want_read);
+	session_work(&session, &c);
+	ASSERT_NE(session.read.op, 0u);
+	list_init(&e.records);
+	e.op = session.read.op;
+	e.end = STORE_DONE;
+	e.revision = 65;
+	session_on_end(&session, &c, &e);
+	EXPECT_TRUE(session.want_read) << "that read was from before";
+	c.now_ns += NS_PER_S;
+	session_work(&session, &c);
+	content = record_new(RECORD_MANIFEST, "");
+	content->revision = 66;
+	content->u.manifest = manifest_new();
+	content->u.manifest->version = 3;
+	list_push_back(&e.records, &content->link);
+	e.op = session.read.op;
+	e.revision = 68;
+	session_on_end(&session, &c, &e);
+	EXPECT_FALSE(session.want_read);
+	ASSERT_NE(c.dir.manifest, nullptr);
+	EXPECT_EQ(c.dir.manifest->version, 3u);
+	records_delete(&e.records);
+	message_delete(m);
+}
--- a/wire/codec.c
+++ b/wire/codec.c
@@ -6,6 +6,7 @@
 #include "core/mem.h"
 #include "wire/delta_codec.h"
 #include "wire/doc_codec.h"
+#include "wire/mesh_codec.h"
 #include "wire/pack.h"
 
 static const struct pack_field envelope_fields[] = {
@@ -99,6 +100,8 @@
 	PACK_U64_OF(struct msg_load, sent_ns),
 	PACK_U64_OF(struct msg_load, revision),
 	PACK_BOOL_OF(struct msg_load, leaving),
+	PACK_BOOL_OF(struct msg_load, watches),
+	PACK_BOOL_OF(struct msg_load, asks),
 	PACK_GATE_LOAD(struct msg_load),
 };
 
@@ -114,6 +117,11 @@
 	PACK_BOOL_OF(struct msg_renewed, ended),
 };
 
+static const struct pack_field changes_fields[] = {
+	PACK_U64_OF(struct msg_changes, from),
+	PACK_U64_OF(struct msg_changes, to),
+};
+
 static const struct pack_field cancel_fields[] = {
 	PACK_U64_OF(struct msg_cancel, id.node),
 	PACK_U64_OF(struct msg_cancel, id.counter),
@@ -133,6 +141,7 @@
 	[MSG_LOAD] = PACK_TABLE(load_fields),
 	[MSG_RENEW] = PACK_TABLE(renew_fields),
 	[MSG_RENEWED] = PACK_TABLE(renewed_fields),
+	[MSG_CHANGES] = PACK_TABLE(changes_fields),
 };
 
 static void pack_payload(msgpack_packer *pk, const struct payload *p)
@@ -329,6 +338,9 @@
 	case MSG_ANSWER:
 		pack_answer(pk, m->u.answer.answer);
 		break;
+	case MSG_CHANGES:
+		mesh_pack_records(pk, &m->u.changes.records);
+		break;
 	case MSG_HEARTBEAT:
 	case MSG_HEARTBEAT_ACK:
 	case MSG_ADOPT:
@@ -356,6 +368,8 @@
 		return m->u.forward.request != NULL;
 	case MSG_ANSWER:
 		return unpack_answer(o, &m->u.answer.answer);
+	case MSG_CHANGES:
+		return mesh_unpack_records(o, &m->u.changes.records);
 	case MSG_HEARTBEAT:
 	case MSG_HEARTBEAT_ACK:
 	case MSG_ADOPT:
--- a/wire/mesh_codec.c
+++ b/wire/mesh_codec.c
@@ -188,3 +188,86 @@
 	keymap_delete(map);
 	return NULL;
 }
+
+static const struct pack_field record_fields[] = {
+	PACK_ENUM_OF(struct record, kind, RECORD_KIND_COUNT),
+	PACK_STR_OF(struct record, name),
+	PACK_U64_OF(struct record, revision),
+	PACK_BOOL_OF(struct record, removed),
+	PACK_BOOL_OF(struct record, broken),
+};
+static const struct pack_table record_table = PACK_TABLE(record_fields);
+
+static bool has_content(const struct record *r)
+{
+	return !r->removed && !r->broken &&
+	       (r->kind == RECORD_CARD || r->kind == RECORD_KEYMAP);
+}
+
+static void pack_record(msgpack_packer *pk, const struct record *r)
+{
+	struct wire_buf b;
+
+	msgpack_pack_array(pk, 2);
+	pack_struct(pk, r, &record_table);
+	if (!has_content(r)) {
+		msgpack_pack_nil(pk);
+		return;
+	}
+	if (r->kind == RECORD_CARD)
+		mesh_encode_card(&r->u.card, &b);
+	else
+		mesh_encode_keymap(r->u.keymap, &b);
+	pack_bin(pk, b.data, b.len);
+	free(b.data);
+}
+
+void mesh_pack_records(msgpack_packer *pk, const struct list *records)
+{
+	const struct record *r;
+	size_t count = 0;
+
+	list_for_each_entry(r, records, link)
+		count++;
+	msgpack_pack_array(pk, count);
+	list_for_each_entry(r, records, link)
+		pack_record(pk, r);
+}
+
+static bool unpack_content(const msgpack_object *o, struct record *r)
+{
+	if (!has_content(r))
+		return true;
+	if (!o || o->type != MSGPACK_OBJECT_BIN)
+		return false;
+	if (r->kind == RECORD_CARD)
+		return mesh_decode_card(o->via.bin.ptr, o->via.bin.size,
+					&r->u.card);
+	r->u.keymap =
+		mesh_decode_keymap(r->name, o->via.bin.ptr, o->via.bin.size);
+	return r->u.keymap != NULL;
+}
+
+bool mesh_unpack_records(const msgpack_object *o, struct list *records)
+{
+	const msgpack_object *it;
+
+	if (!o || o->type != MSGPACK_OBJECT_ARRAY)
+		return false;
+	for (size_t i = 0; (it = unpack_at(o, i)); i++) {
+		struct record head = {0};
+		struct record *r;
+
+		if (!unpack_at(it, 0) ||
+		    !unpack_struct(unpack_at(it, 0), &head, &record_table))
+			return false;
+		r = record_new(head.kind, head.name);
+		r->revision = head.revision;
+		r->removed = head.removed;
+		r->broken = head.broken;
+		list_push_back(records, &r->link);
+		if (!unpack_content(unpack_at(it, 1), r))
+			return false;
+	}
+	return true;
+}
