--- a/core/action.h
+++ b/core/action.h
@@ -21,6 +21,7 @@
 
 struct act_send {
 	char addr[JD_ADDR_MAX];
+	bool near; /* bytes are cheap on the way, so they go as they are */
 	struct message *message;
 };
 
--- a/core/directory.c
+++ b/core/directory.c
@@ -2,6 +2,7 @@
 
 #include <stdlib.h>
 #include <string.h>
+#include <xxhash.h>
 
 #include "core/mem.h"
 
@@ -63,10 +64,11 @@
 
 struct dir_node *directory_node(const struct directory *d, const char *name)
 {
+	uint32_t hash = XXH32(name, strlen(name), 0);
 	struct dir_node *n;
 
 	list_for_each_entry(n, &d->nodes, link)
-		if (!strcmp(n->name, name))
+		if (n->name_hash == hash && !strcmp(n->name, name))
 			return n;
 	return NULL;
 }
@@ -165,6 +167,7 @@
 		return n;
 	n = mem_new(struct dir_node);
 	mem_copy_str(n->name, name, sizeof(n->name));
+	n->name_hash = XXH32(n->name, strlen(n->name), 0);
 	list_push_back(&d->nodes, &n->link);
 	return n;
 }
@@ -313,6 +316,7 @@
 	n->leaving = l->leaving;
 	n->watches = l->watches;
 	n->asks_us |= l->asks;
+	d->asks |= l->asks;
 	n->load = l->load;
 	n->sent = 0;
 	return n;
--- a/core/directory.h
+++ b/core/directory.h
@@ -33,6 +33,7 @@
 struct dir_node {
 	struct list link;
 	char name[JD_NODE_NAME_MAX];
+	uint32_t name_hash;
 	struct node_card card; /* the newest known */
 	revision_t revision;   /* of the card; 0: the store has none */
 	uint64_t absent_ns;    /* since then, when it has none */
@@ -71,6 +72,7 @@
 	struct list keymaps;	  /* of struct dir_keymap */
 	struct list evacuated;	  /* of struct dir_zone */
 	char region[JD_NAME_MAX]; /* of this node */
+	bool asks;		  /* some node's to_ask or asks_us is set */
 	uint64_t report_ns;	  /* span between two rounds of load reports */
 	uint32_t far_rounds; /* other regions are told each so many rounds */
 	uint64_t changes;    /* rises with each change of any record */
--- a/core/dispatch.c
+++ b/core/dispatch.c
@@ -735,8 +735,10 @@
 		return;
 	n = directory_node(&c->dir, j->node);
 	if (n && n->boot == j->at && c->now_ns > n->heard_ns + ASK_AFTER_NS &&
-	    n->asked_ns <= n->heard_ns)
+	    n->asked_ns <= n->heard_ns) {
 		n->to_ask = true;
+		c->dir.asks = true;
+	}
 }
 
 static void look_at(struct dispatch *d, struct mesh_ctx *c, struct gate_side *g,
--- a/core/holder.c
+++ b/core/holder.c
@@ -359,6 +359,18 @@
 	return keys;
 }
 
+/* Cheap, as it is asked all the time: copies and candidates come later. */
+static bool any_to_move(const struct holder *h, const struct mesh_ctx *c,
+			const struct keymap *map)
+{
+	const struct keyrow *r;
+
+	list_for_each_entry(r, &map->rows, link)
+		if (!strcmp(r->owner.node, c->opts->node) && given_up(h, c, r))
+			return true;
+	return false;
+}
+
 static void write_moves(struct holder *h, struct mesh_ctx *c,
 			const struct dir_keymap *k)
 {
@@ -367,7 +379,6 @@
 	struct act_store_call *a;
 	struct record *rec;
 
-	/* A write whose end is unknown is overtaken, even with no change. */
 	if (!keys && !h->write_unsure) {
 		keymap_delete(map);
 		return;
@@ -423,7 +434,9 @@
 	}
 	if (h->write_unsure && c->now_ns < h->write_wait_ns)
 		return;
-	write_moves(h, c, k);
+	/* A write whose end is unknown is overtaken, even with no change. */
+	if (h->write_unsure || any_to_move(h, c, k->map))
+		write_moves(h, c, k);
 	h->next_write_ns = c->now_ns + LOOK_AGAIN_NS;
 }
 
--- a/core/keyplan.c
+++ b/core/keyplan.c
@@ -9,6 +9,8 @@
 /* And no further one has for as long. */
 #define SETTLED_NS     (500 * NS_PER_MS)
 #define LOOK_NS	       (100 * NS_PER_MS)
+/* When no card is missing and no record has changed since. */
+#define LOOK_CALM_NS   (500 * NS_PER_MS)
 #define AGAIN_NS       (300 * NS_PER_MS)
 /* A node behind the first one in line waits as long for each before it. */
 #define RANK_NS	       (250 * NS_PER_MS)
@@ -116,11 +118,14 @@
 	uint32_t keys = 0;
 
 	list_for_each_entry(r, &k->map->rows, link) {
-		struct keymap_candidate *to = keymap_emptiest(candidates);
+		struct keymap_candidate *to;
 		struct keyrow *mine;
 
-		if (!to || !orphaned(c, r->owner.node, wait))
+		if (!orphaned(c, r->owner.node, wait))
 			continue;
+		to = keymap_emptiest(candidates);
+		if (!to)
+			break;
 		if (!a) {
 			a = mesh_store_call(c, CALL_WRITE);
 			mesh_expect(a, RECORD_KEYMAP, k->map->service,
@@ -218,6 +223,18 @@
 	candidates_delete(&candidates);
 }
 
+static bool is_calm(struct keyplan *p, const struct mesh_ctx *c)
+{
+	bool changed = p->seen_changes != c->dir.changes;
+	const struct dir_node *n;
+
+	p->seen_changes = c->dir.changes;
+	list_for_each_entry(n, &c->dir.nodes, link)
+		if (!n->revision)
+			return false;
+	return !changed;
+}
+
 void keyplan_work(struct keyplan *p, struct mesh_ctx *c,
 		  const struct session *s)
 {
@@ -225,7 +242,7 @@
 
 	if (p->op || c->now_ns < p->next_ns)
 		return;
-	p->next_ns = c->now_ns + LOOK_NS;
+	p->next_ns = c->now_ns + (is_calm(p, c) ? LOOK_CALM_NS : LOOK_NS);
 	if (c->store_down || !c->dir.manifest || !session_authority_ns(s))
 		return;
 	list_for_each_entry(sv, &c->dir.manifest->services, link)
--- a/core/keyplan.h
+++ b/core/keyplan.h
@@ -12,9 +12,10 @@
 struct keyplan {
 	uint64_t op; /* write under way; 0: none */
 	uint64_t next_ns;
-	uint64_t first_ns;  /* a first keymap may be made from then on */
-	uint64_t stable_ns; /* the candidates are the same since */
-	uint64_t last_set;  /* a number that changes with them */
+	uint64_t seen_changes; /* of the directory, at the last look */
+	uint64_t first_ns;     /* a first keymap may be made from then on */
+	uint64_t stable_ns;    /* the candidates are the same since */
+	uint64_t last_set;     /* a number that changes with them */
 	uint64_t deals;
 	uint64_t orphan_moves;
 	uint64_t balance_moves;
--- a/core/mesh.c
+++ b/core/mesh.c
@@ -275,10 +275,12 @@
 		.gate = &m->gate,
 		.holder = &m->holder,
 		.leaving = m->stop >= MESH_CLOSED,
-		.watches = session_watches(&m->session, &m->ctx),
 	};
 
 	note_own_load(m);
+	if (!reports_due(&m->reports, &m->ctx, &state))
+		return;
+	state.watches = session_watches(&m->session, &m->ctx);
 	reports_work(&m->reports, &m->ctx, &state);
 }
 
--- a/core/reports.c
+++ b/core/reports.c
@@ -46,11 +46,27 @@
 	       (n->revision || c->now_ns < n->heard_ns + FORGOTTEN_NS);
 }
 
+static bool changed(const struct reports *r, const struct mesh_ctx *c,
+		    const struct report_state *s)
+{
+	return r->was_open != (holder_open(s->holder, c) && !s->leaving);
+}
+
+bool reports_due(const struct reports *r, const struct mesh_ctx *c,
+		 const struct report_state *s)
+{
+	return c->dir.loaded &&
+	       (c->dir.asks || c->now_ns >= r->next_ns || changed(r, c, s));
+}
+
 static void send_asked(struct reports *r, struct mesh_ctx *c,
 		       const struct report_state *s)
 {
 	struct dir_node *n;
 
+	if (!c->dir.asks)
+		return;
+	c->dir.asks = false;
 	list_for_each_entry(n, &c->dir.nodes, link)
 		if ((n->to_ask || n->asks_us) && reachable(c, n))
 			send_report(r, c, s, n);
@@ -59,8 +75,7 @@
 void reports_work(struct reports *r, struct mesh_ctx *c,
 		  const struct report_state *s)
 {
-	bool open = holder_open(s->holder, c) && !s->leaving;
-	bool changed = open != r->was_open;
+	bool flipped = changed(r, c, s);
 	struct directory *d = &c->dir;
 	struct dir_node *n;
 	uint64_t span = 0;
@@ -70,11 +85,11 @@
 	if (!d->loaded)
 		return;
 	send_asked(r, c, s);
-	if (!changed && c->now_ns < r->next_ns)
+	if (!flipped && c->now_ns < r->next_ns)
 		return;
-	r->was_open = open;
+	r->was_open ^= flipped;
 	r->rounds++;
-	far = changed || r->rounds < NAMED_ROUNDS ||
+	far = flipped || r->rounds < NAMED_ROUNDS ||
 	      r->rounds % d->far_rounds == 0;
 	list_for_each_entry(n, &d->nodes, link) {
 		if (!reachable(c, n))
@@ -83,7 +98,7 @@
 		span += ROUND_EACH_NS;
 		if (!far && !directory_near(d, n))
 			continue;
-		if (changed || c->now_ns >= n->told_ns + d->report_ns / 2)
+		if (flipped || c->now_ns >= n->told_ns + d->report_ns / 2)
 			send_report(r, c, s, n);
 	}
 	d->report_ns = span > ROUND_NS ? span : ROUND_NS;
--- a/core/reports.h
+++ b/core/reports.h
@@ -23,6 +23,10 @@
 	bool watches; /* see core/relay.h */
 };
 
+/** True when a report is due; asked all the time, so it is cheap. */
+bool reports_due(const struct reports *r, const struct mesh_ctx *c,
+		 const struct report_state *state);
+
 /** Sends what is due. */
 void reports_work(struct reports *r, struct mesh_ctx *c,
 		  const struct report_state *state);
--- a/io/driver.c
+++ b/io/driver.c
@@ -54,7 +54,7 @@
 
 static void send_message(struct driver *d, const struct act_send *s)
 {
-	if (!peers_send(d->peers, s->addr, s->message) &&
+	if (!peers_send(d->peers, s->addr, s->message, true) &&
 	    s->message->kind == MSG_FORWARD)
 		answer_unsent(d, s->message);
 }
--- a/io/peers.c
+++ b/io/peers.c
@@ -272,16 +272,18 @@
 	free(data);
 }
 
-static void encode(const struct message *m, zmq_msg_t *msg)
+static void encode(const struct message *m, bool squeeze, zmq_msg_t *msg)
 {
 	struct wire_buf b;
 
 	wire_encode_message(m, &b);
-	wire_squeeze(&b);
+	if (squeeze)
+		wire_squeeze(&b);
 	zmq_msg_init_data(msg, b.data, b.len, free_bytes, NULL);
 }
 
-bool peers_send(struct peers *p, const char *addr, const struct message *m)
+bool peers_send(struct peers *p, const char *addr, const struct message *m,
+		bool squeeze)
 {
 	struct peer *it = peer_get(p, addr);
 	uint64_t now = clock_now_ns();
@@ -289,7 +291,7 @@
 	bool ok;
 
 	it->idle_ns = now + IDLE_NS;
-	encode(m, &msg);
+	encode(m, squeeze, &msg);
 	ok = push(p, it, &msg);
 	if (!ok && m->kind != MSG_FORWARD)
 		ok = wait_for_connection(p, it, &msg, now);
--- a/io/peers.h
+++ b/io/peers.h
@@ -42,11 +42,12 @@
 void peers_delete(struct peers *p);
 
 /**
- * Sends @m (not taken) to @addr. False when it was provably not sent. While
- * the connection is being made, a forward is refused and other messages wait
- * for a short time.
+ * Sends @m (not taken) to @addr, shortened if @squeeze. False when it was
+ * provably not sent. While the connection is being made, a forward is refused
+ * and other messages wait for a short time.
  */
-bool peers_send(struct peers *p, const char *addr, const struct message *m);
+bool peers_send(struct peers *p, const char *addr, const struct message *m,
+		bool squeeze);
 
 /** Reads what has come in; also called after each turn of the loop. */
 void peers_read(struct peers *p);
--- a/tests/peers_test.cpp
+++ b/tests/peers_test.cpp
@@ -82,7 +82,7 @@
 	{
 		struct message *m = message_new(MSG_CANCEL);
 		m->from = SENDER;
-		bool ok = peers_send(from->p, to->addr.c_str(), m);
+		bool ok = peers_send(from->p, to->addr.c_str(), m, true);
 
 		message_delete(m);
 		return ok;
@@ -97,7 +97,7 @@
 		m->u.forward.request = http_request_new("POST", "/");
 		payload_set_body(&m->u.forward.request->payload, bytes.data(),
 				 body);
-		bool ok = peers_send(from->p, to->addr.c_str(), m);
+		bool ok = peers_send(from->p, to->addr.c_str(), m, true);
 
 		message_delete(m);
 		return ok;
@@ -142,7 +142,7 @@
 		struct message *m = message_new(MSG_FORWARD);
 
 		m->u.forward.request = http_request_new("GET", "/");
-		bool sent = peers_send(a.p, addr.c_str(), m);
+		bool sent = peers_send(a.p, addr.c_str(), m, true);
 		message_delete(m);
 		return !sent;
 	});
--- a/tests/reports_test.cpp
+++ b/tests/reports_test.cpp
@@ -159,6 +159,7 @@
 	run(10 * NS_PER_S);
 	sent_to(0);
 	silent->to_ask = true;
+	c.dir.asks = true;
 	asking->asks_us = true;
 	run(now + 10 * NS_PER_MS);
 	EXPECT_EQ(silent->asked_ns, now - 10 * NS_PER_MS);
