Watchers claim only what the store has shown; a watch is begun anew after a cut

Ruled out: the change itself is read within 0.2 s where a push arrives. Change: the claim needs an answer of the last 1.8 s; after a failure the watch is begun anew with the first answer; where others rely on it a watch returns after 2 s; a node that lags asks after 0.4 s instead of 0.7.

--- a/core/mesh.c
+++ b/core/mesh.c
@@ -310,7 +310,7 @@
 		return;
 	m->stop = MESH_ENDED;
 	m->dispatch.closed = true;
-	if (m->holder.draining || m->holder.gone)
+	if (m->session.lease && (m->holder.draining || m->holder.gone))
 		mesh_store_call(&m->ctx, CALL_LEASE_END)->lease =
 			m->session.lease;
 	mesh_actions_add(m->ctx.out, MA_EXIT);
--- a/core/relay.c
+++ b/core/relay.c
@@ -7,20 +7,31 @@
 /* In a region of fewer nodes all watch: the calls that it saves are few. */
 #define LEAST	 8
 
-bool relay_is_watcher(const struct mesh_ctx *c)
+static bool counts(const struct mesh_ctx *c, const struct dir_node *n)
+{
+	return directory_near(&c->dir, n) && !n->leaving &&
+	       directory_heard(&c->dir, n, c->now_ns);
+}
+
+bool relay_all_watch(const struct mesh_ctx *c)
 {
 	const struct dir_node *n;
 	uint32_t near = 0;
+
+	list_for_each_entry(n, &c->dir.nodes, link)
+		near += counts(c, n);
+	return near < LEAST;
+}
+
+bool relay_is_watcher(const struct mesh_ctx *c)
+{
+	const struct dir_node *n;
 	uint32_t before = 0;
 
-	list_for_each_entry(n, &c->dir.nodes, link) {
-		if (!directory_near(&c->dir, n) || n->leaving ||
-		    !directory_heard(&c->dir, n, c->now_ns))
-			continue;
-		near++;
-		before += n->watches && strcmp(n->name, c->opts->node) < 0;
-	}
-	return near < LEAST || before < WATCHERS;
+	list_for_each_entry(n, &c->dir.nodes, link)
+		before += n->watches && counts(c, n) &&
+			  strcmp(n->name, c->opts->node) < 0;
+	return before < WATCHERS || relay_all_watch(c);
 }
 
 static void tell(struct mesh_ctx *c, const struct dir_node *n, revision_t from,
--- a/core/relay.h
+++ b/core/relay.h
@@ -8,6 +8,9 @@
 
 #include "core/mesh_ctx.h"
 
+/** True in a region so small that each node watches. */
+bool relay_all_watch(const struct mesh_ctx *c);
+
 /** True when this node is to watch the store itself. */
 bool relay_is_watcher(const struct mesh_ctx *c);
 
--- a/core/session.c
+++ b/core/session.c
@@ -7,6 +7,8 @@
 
 /* A waiting watch returns after as long even if nothing changed. */
 #define WATCH_WAIT_NS	(10 * NS_PER_S)
+/* The same where others rely on it: a silent one is noticed sooner. */
+#define RELAY_WAIT_NS	(2 * NS_PER_S)
 /* One that only shows what has changed so far. */
 #define WATCH_GLANCE_NS NS_PER_MS
 #define WATCH_SLACK_NS	(1500 * NS_PER_MS)
@@ -22,7 +24,9 @@
 #define RETRY_MAX_NS	(1000 * NS_PER_MS)
 #define READ_AGAIN_NS	(500 * NS_PER_MS)
 /* Others know more for as long: our watch may have gone silent. */
-#define BEHIND_NS	(700 * NS_PER_MS)
+#define BEHIND_NS	(400 * NS_PER_MS)
+/* Nobody relies on a node that the store has not answered for as long. */
+#define WELL_NS		(1800 * NS_PER_MS)
 /* How often a node without a watch looks whether it is to have one. */
 #define WATCHER_LOOK_NS (200 * NS_PER_MS)
 /* Renewals in one lifetime of the lease. */
@@ -260,8 +264,18 @@
 
 void session_note_end(struct session *s, struct mesh_ctx *c, enum store_end end)
 {
-	c->store_down = end == STORE_REFUSED || end == STORE_LOST;
-	if (!c->store_down)
+	bool failed = end == STORE_REFUSED || end == STORE_LOST;
+
+	if (!failed) {
+		s->answered_ns = c->now_ns;
+		/* A watch from before may never be answered any more. */
+		if (c->store_down && s->watch.op) {
+			s->watch.op = 0;
+			s->watch.next_ns = c->now_ns;
+		}
+	}
+	c->store_down = failed;
+	if (!failed)
 		return;
 	if (c->now_ns > s->trouble_ns + NS_PER_S)
 		mesh_log(c->out, LOG_WARN, "event=store_trouble end=%s",
@@ -353,7 +367,7 @@
 bool session_watches(const struct session *s, const struct mesh_ctx *c)
 {
 	return s->registered && c->dir.loaded && !c->store_down &&
-	       relay_is_watcher(c);
+	       c->now_ns < s->answered_ns + WELL_NS && relay_is_watcher(c);
 }
 
 void session_set_card(struct session *s, const struct node_card *card)
@@ -416,7 +430,9 @@
 	}
 	a = start(s, c, &s->watch, CALL_WATCH_ALL);
 	a->after = c->dir.revision;
-	a->wait_ns = stays ? WATCH_WAIT_NS : WATCH_GLANCE_NS;
+	a->wait_ns = !stays		  ? WATCH_GLANCE_NS
+		     : relay_all_watch(c) ? WATCH_WAIT_NS
+					  : RELAY_WAIT_NS;
 	a->deadline_ns = c->now_ns + a->wait_ns + WATCH_SLACK_NS;
 }
 
--- a/core/session.h
+++ b/core/session.h
@@ -39,6 +39,7 @@
 	struct node_card card; /* as it should be */
 	bool card_dirty;
 	uint64_t card_wait_ns; /* a card without an upstream waits until then */
+	uint64_t answered_ns;  /* last time that the store answered a call */
 	uint64_t settled_ns;   /* a fleet that starts with us has by then */
 	uint64_t trouble_ns;   /* last time that the store failed a call */
 	revision_t heard_revision; /* the highest that others know */
--- a/tests/mesh_world.hpp
+++ b/tests/mesh_world.hpp
@@ -500,6 +500,8 @@
 			leases[a.lease] = now + lease_ttl[a.lease];
 			return STORE_DONE;
 		case CALL_LEASE_END:
+			if (!leases.count(a.lease))
+				return STORE_NO_LEASE;
 			leases[a.lease] = now;
 			return STORE_DONE;
 		}
--- a/tests/relay_test.cpp
+++ b/tests/relay_test.cpp
@@ -196,6 +196,33 @@
 	EXPECT_GE(calls[CALL_LEASE_KEEP], static_cast<int>(2 * away_s));
 }
 
+/* A cut leaves a watch that is never answered; nobody may rely on that. */
+TEST_F(RelayTest, AfterAnOutageAWatchIsBegunAnew)
+{
+	uint64_t before;
+
+	fleet(20, 0);
+	session.want_read = false;
+	session.lease = 7;
+	session.registered = session.fresh = true;
+	session.keep.next_ns = UINT64_MAX;
+	session_note_end(&session, &c, STORE_DONE);
+	session_work(&session, &c);
+	before = session.watch.op;
+	ASSERT_NE(before, 0u);
+	EXPECT_TRUE(session_watches(&session, &c));
+	session_note_end(&session, &c, STORE_LOST);
+	EXPECT_FALSE(session_watches(&session, &c));
+	session_note_end(&session, &c, STORE_DONE);
+	session_work(&session, &c);
+	EXPECT_NE(session.watch.op, 0u);
+	EXPECT_NE(session.watch.op, before);
+	EXPECT_TRUE(session_watches(&session, &c));
+	/* Silence counts like a failure. */
+	c.now_ns += 2 * NS_PER_S;
+	EXPECT_FALSE(session_watches(&session, &c));
+}
+
 /* Its content is read, also when a read is overtaken by further changes. */
 TEST_F(RelayTest, AChangedConfigurationIsReadUntilItIsKnown)
 {
