--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 # Targets for people and CI; the build itself is CMakeLists.txt.
 JOBS ?= $(shell nproc)
 
-.PHONY: all deps build test lint format demo bench soak chaos recovery \
+.PHONY: all deps build test lint format demo bench soak chaos mesh-soak recovery \
 	request-soak router-cost rollout clean
 
 all: build
@@ -42,6 +42,12 @@
 	build/chaos --bin build --manifest examples/chaos.toml \
 		--seed $(SEED) --duration-s $(DURATION_S)
 
+# Platform nodes behind proxies: make mesh-soak SEED=1 DURATION_S=30 NODES_SOAK=6
+NODES_SOAK ?= 6
+mesh-soak: build
+	build/mesh_soak --bin build --seed $(SEED) --duration-s $(DURATION_S) \
+		--nodes $(NODES_SOAK)
+
 # Time until every key is served again after each kind of loss.
 recovery: build
 	build/recovery --bin build --manifest examples/chaos.toml
--- a/chaos/mesh_soak_main.c
+++ b/chaos/mesh_soak_main.c
@@ -9,16 +9,18 @@
 #include "core/text.h"
 #include "io/clock.h"
 
-#define BOOT_S	      5
-#define QUIET_S	      14 /* past a lease and the longest wait for it */
-#define QUIET_CHECK_S 3	 /* at its end every request must be served */
-#define CLIENTS_EACH  4
-#define PAUSE_MS      40
-#define FAULT_MIN_MS  150
-#define FAULT_SPAN_MS 900
-#define MEND_MIN_MS   200
-#define MEND_SPAN_MS  6000
-#define MENDS_MAX     64
+#define BOOT_S		 5
+#define QUIET_S		 14 /* past a lease and the longest wait for it */
+#define QUIET_CHECK_S	 3  /* at its end every request must be served */
+#define CLIENTS_EACH	 4
+#define PAUSE_MS	 40
+#define FAULT_MIN_MS	 150
+#define FAULT_SPAN_MS	 900
+#define MEND_MIN_MS	 200
+#define MEND_SPAN_MS	 6000
+#define MENDS_MAX	 64
+#define NODES_DEFAULT	 6
+#define FAULTS_DEFAULT_S 30
 
 enum soak_fault {
 	SOAK_KILL,	/* a node's process; it is started again */
@@ -418,15 +420,20 @@
 	struct arg_end *end = arg_end(4);
 	void *table[] = {bin, seed, secs, nodes, end};
 	uint32_t n;
+	int code = EXIT_FAILURE;
 
 	signal(SIGPIPE, SIG_IGN);
 	if (arg_parse(argc, argv, table)) {
 		arg_print_errors(stderr, end, "mesh_soak");
-		return EXIT_FAILURE;
+		goto out;
 	}
-	n = nodes->count ? (uint32_t)nodes->ival[0] : 6;
+	n = nodes->count ? (uint32_t)nodes->ival[0] : NODES_DEFAULT;
 	if (!n || n > MESH_NODES_MAX)
-		return EXIT_FAILURE;
-	return soak(bin->sval[0], seed->count ? (uint64_t)seed->ival[0] : 1,
-		    secs->count ? (unsigned)secs->ival[0] : 30, n);
+		goto out;
+	code = soak(bin->sval[0], seed->count ? (uint64_t)seed->ival[0] : 1,
+		    secs->count ? (unsigned)secs->ival[0] : FAULTS_DEFAULT_S,
+		    n);
+out:
+	arg_freetable(table, sizeof(table) / sizeof(*table));
+	return code;
 }
