The way to another region or data centre costs by the bytes of a route's answers

Cause: bytes between regions are the largest price on both grown sites; a fixed share of the objective sent 5 KB answers across as readily as 400 bytes. Change: an entry learns the mean answer of each route; another region costs 0.2 of the objective and 0.1 more a KB, 0.8 at most, another data centre 0.15 of that.

--- a/core/dispatch.c
+++ b/core/dispatch.c
@@ -22,9 +22,18 @@
 /* Share of its whole time for an upstream's call, which a request needs. */
 #define HOLD_INTERNAL	     0.7
 #define HOLD_ANY	     0.125
-/* Shares of the objective that a longer way counts as, for its price. */
-#define OTHER_REGION_COST    0.45
-#define OTHER_DC_COST	     0.04
+/*
+ * Shares of the objective that a longer way counts as, for its price: to
+ * another region by the bytes of the route's answers.
+ */
+#define OTHER_REGION_LEAST   0.2
+#define OTHER_REGION_EACH_KB 0.1
+#define OTHER_REGION_MOST    0.8
+/* To another data centre, as a share of that. */
+#define OTHER_DC_SHARE	     0.15
+/* Answer of a route that has not been seen yet. */
+#define ANSWER_FIRST_KB	     2.5
+#define ANSWER_WEIGHT	     0.05
 /* Extra attempts kept back, as several nodes spend the same budget. */
 #define BUDGET_SHARE	     0.7
 /* Weight of the newest outcome in a gate's share of failures. */
@@ -45,6 +54,7 @@
 	d->next_id = 1;
 	list_init(&d->budgets);
 	list_init(&d->internal);
+	list_init(&d->answers);
 	histogram_init(&d->latency);
 	burn_init(&d->burn);
 }
@@ -65,6 +75,7 @@
 {
 	struct service_budget *b, *bt;
 	struct internal_route *r, *rt;
+	struct route_answers *s, *st;
 
 	for (int i = 0; i < DISPATCH_BUCKETS; i++) {
 		struct job *j, *tmp;
@@ -76,6 +87,8 @@
 		free(b);
 	list_for_each_entry_safe(r, rt, &d->internal, link)
 		free(r);
+	list_for_each_entry_safe(s, st, &d->answers, link)
+		free(s);
 	burn_done(&d->burn);
 }
 
@@ -104,6 +117,20 @@
 	return false;
 }
 
+static struct route_answers *answers_of(struct dispatch *d, const char *route)
+{
+	struct route_answers *s;
+
+	list_for_each_entry(s, &d->answers, link)
+		if (!strcmp(s->route, route))
+			return s;
+	s = mem_new(struct route_answers);
+	mem_copy_str(s->route, route, sizeof(s->route));
+	s->mean_kb = ANSWER_FIRST_KB;
+	list_push_back(&d->answers, &s->link);
+	return s;
+}
+
 static void learn_internal(struct dispatch *d, const struct mesh_ctx *c,
 			   const struct job *j)
 {
@@ -234,9 +261,18 @@
 			     JD_NODE_NAME_MAX);
 }
 
+/* What an answer from another region counts as, of the objective. */
+static double region_cost(struct dispatch *d, const struct job *j)
+{
+	double cost = OTHER_REGION_LEAST +
+		      OTHER_REGION_EACH_KB * answers_of(d, j->route)->mean_kb;
+
+	return cost < OTHER_REGION_MOST ? cost : OTHER_REGION_MOST;
+}
+
 /* Expected time at a gate, with what the way to it costs. */
 static double cost_ns(const struct mesh_ctx *c, const struct job *j,
-		      const struct dir_node *n)
+		      const struct dir_node *n, double other_region)
 {
 	double objective = (double)(j->objective_at_ns - j->received_ns);
 	double limit = n->load.limit ? n->load.limit : 1;
@@ -246,9 +282,9 @@
 	double cost = one * (1 + 0.3 * busy / limit) + queue;
 
 	if (strcmp(n->card.region, c->opts->region) != 0)
-		cost += OTHER_REGION_COST * objective;
+		cost += other_region * objective;
 	else if (strcmp(n->card.dc, c->opts->dc) != 0)
-		cost += OTHER_DC_COST * objective;
+		cost += OTHER_DC_SHARE * other_region * objective;
 	return cost * (1 + FAILURE_COST * n->failures);
 }
 
@@ -258,8 +294,10 @@
 	       region_set_allows(&j->regions, n->card.region);
 }
 
-static struct dir_node *pick_any(struct mesh_ctx *c, const struct job *j)
+static struct dir_node *pick_any(struct dispatch *d, struct mesh_ctx *c,
+				 const struct job *j)
 {
+	double other_region = region_cost(d, j);
 	struct dir_node *best = NULL;
 	struct dir_node *n;
 	double least = 0;
@@ -270,7 +308,7 @@
 		if (!may_serve(j, n) || was_tried(j, n->name) ||
 		    !directory_usable(&c->dir, n, c->now_ns))
 			continue;
-		cost = cost_ns(c, j, n) *
+		cost = cost_ns(c, j, n, other_region) *
 		       (1 + (double)rng_below(&c->rng, 64) / 1000);
 		if (best && cost >= least)
 			continue;
@@ -354,7 +392,7 @@
 static void route_job(struct dispatch *d, struct mesh_ctx *c,
 		      struct gate_side *g, struct job *j)
 {
-	struct dir_node *n = j->keyed ? pick_owner(c, j) : pick_any(c, j);
+	struct dir_node *n = j->keyed ? pick_owner(c, j) : pick_any(d, c, j);
 
 	if (n) {
 		send_to(c, g, j, n);
@@ -654,6 +692,15 @@
 		route_job(d, c, g, j);
 }
 
+static void learn_answer(struct dispatch *d, const struct job *j,
+			 const struct http_answer *answer)
+{
+	struct route_answers *s = answers_of(d, j->route);
+	double kb = (double)answer->payload.body_len / 1024;
+
+	s->mean_kb += ANSWER_WEIGHT * (kb - s->mean_kb);
+}
+
 static void on_done(struct dispatch *d, struct mesh_ctx *c, struct gate_side *g,
 		    struct job *j, struct msg_answer *a, struct dir_node *n)
 {
@@ -661,6 +708,7 @@
 	struct http_answer *answer = a->answer;
 
 	a->answer = NULL;
+	learn_answer(d, j, answer);
 	if (n)
 		n->failures += FAILURE_WEIGHT * ((double)failed - n->failures);
 	if (failed && j->idempotent && !j->failure && !j->keyed) {
--- a/core/dispatch.h
+++ b/core/dispatch.h
@@ -73,6 +73,13 @@
 	char route[JD_NAME_MAX];
 };
 
+/** Bodies of a route's answers: those from other regions are paid for. */
+struct route_answers {
+	struct list link;
+	char route[JD_NAME_MAX];
+	double mean_kb; /* moving average */
+};
+
 struct dispatch {
 	struct list jobs[DISPATCH_BUCKETS];    /* of struct job */
 	struct list callers[DISPATCH_BUCKETS]; /* of struct job */
@@ -85,6 +92,7 @@
 	bool closed;	      /* nothing new is taken */
 	struct list budgets;  /* of struct service_budget */
 	struct list internal; /* of struct internal_route */
+	struct list answers;  /* of struct route_answers */
 	uint64_t repeats;
 	uint64_t repeats_denied;
 	struct histogram latency;
--- /dev/null
+++ b/tests/dispatch_test.cpp
@@ -0,0 +1,207 @@
+#include "jd_test.hpp"
+
+#include <string>
+
+extern "C" {
+#include "core/dispatch.h"
+#include "core/mem.h"
+}
+
+/* An entry with one gate beside it in the region and one in another. */
+struct DispatchTest : public ::testing::Test {
+	struct mesh_opts opts = {};
+	struct mesh_ctx c = {};
+	struct mesh_actions out;
+	struct gatekeeper gate;
+	struct holder holder;
+	struct dispatch d;
+	struct gate_side side;
+	uint64_t next_caller = 0;
+
+	DispatchTest()
+	{
+		mem_copy_str(opts.node, "n0", sizeof(opts.node));
+		mem_copy_str(opts.region, "r0", sizeof(opts.region));
+		mem_copy_str(opts.dc, "dc0", sizeof(opts.dc));
+		opts.boot = 1;
+		opts.retry_window_ns = 10 * NS_PER_S;
+		opts.retry_ratio = 0.2;
+		opts.retry_slack = 60;
+		mesh_actions_init(&out);
+		c.opts = &opts;
+		c.out = &out;
+		c.now_ns = 100 * NS_PER_S;
+		directory_init(&c.dir, "r0");
+		rng_init(&c.rng, 1);
+		gatekeeper_init(&gate);
+		holder_init(&holder, &opts, c.now_ns);
+		dispatch_init(&d);
+		side = {&gate, &holder};
+		configure();
+		add_gate("near", "r0", 2);
+		add_gate("far", "r1", 3);
+	}
+	~DispatchTest() override
+	{
+		dispatch_done(&d);
+		gatekeeper_done(&gate);
+		holder_done(&holder);
+		directory_done(&c.dir);
+		mesh_actions_done(&out);
+	}
+	void configure()
+	{
+		struct manifest *m = manifest_new();
+		struct route *r = manifest_add_route(m);
+
+		mem_copy_str(r->name, "status", sizeof(r->name));
+		mem_copy_str(r->service, "intake", sizeof(r->service));
+		mem_copy_str(r->path, "/", sizeof(r->path));
+		r->timeout_ms = 4000;
+		r->objective_ms = 1000;
+		r->idempotent = ~0u;
+		r->max_attempts = 2;
+		mem_copy_str(manifest_add_service(m)->name, "intake",
+			     JD_NAME_MAX);
+		m->version = 1;
+		c.dir.manifest = m;
+	}
+	void add_gate(const char *name, const char *region, uint64_t boot)
+	{
+		struct record *r = record_new(RECORD_CARD, name);
+		struct list records;
+		struct dir_node *n;
+
+		list_init(&records);
+		list_push_back(&records, &r->link);
+		r->revision = boot;
+		mem_copy_str(r->u.card.region, region,
+			     sizeof(r->u.card.region));
+		mem_copy_str(r->u.card.dc, "dc0", sizeof(r->u.card.dc));
+		mem_copy_str(r->u.card.service, "intake",
+			     sizeof(r->u.card.service));
+		mem_copy_str(r->u.card.upstream.instance, "i",
+			     sizeof(r->u.card.upstream.instance));
+		r->u.card.boot = boot;
+		r->u.card.slots = 10;
+		directory_apply(&c.dir, &records, false, boot, c.now_ns, &out);
+		records_delete(&records);
+		n = directory_node(&c.dir, name);
+		n->heard_ns = c.now_ns;
+		n->load.open = true;
+		n->load.limit = 10;
+		n->load.service_ns = 200 * NS_PER_MS;
+	}
+	/* Sends one request; returns the boot of the gate that got it. */
+	uint64_t send(struct request_id *id)
+	{
+		struct caller_request r = {};
+		struct mesh_action *a;
+		uint64_t to = 0;
+
+		r.caller = ++next_caller;
+		mem_copy_str(r.id, "q", sizeof(r.id));
+		mem_copy_str(r.host, "h", sizeof(r.host));
+		r.request = http_request_new("GET", "/x");
+		dispatch_on_request(&d, &c, &side, &r);
+		http_request_delete(r.request);
+		while ((a = mesh_actions_pop(&out))) {
+			if (a->kind == MA_SEND &&
+			    a->u.send.message->kind == MSG_FORWARD) {
+				to = a->u.send.message->to;
+				*id = a->u.send.message->u.forward.id;
+			}
+			mesh_action_delete(a);
+		}
+		return to;
+	}
+	/* Answers of @bytes teach the entry what a route's answers weigh. */
+	void learn(size_t bytes)
+	{
+		std::string body(bytes, 'x');
+
+		for (int i = 0; i < 200; i++) {
+			struct request_id id = {};
+			uint64_t to = send(&id);
+			struct msg_answer a = {};
+
+			a.id = id;
+			a.attempt = 1;
+			a.outcome = OUTCOME_DONE;
+			a.load = directory_by_boot(&c.dir, to)->load;
+			a.answer = http_answer_new(200);
+			payload_set_body(&a.answer->payload, body.data(),
+					 body.size());
+			dispatch_on_answer(&d, &c, &side, to, &a);
+			http_answer_delete(a.answer);
+		}
+	}
+	void load_near(uint32_t waiting)
+	{
+		struct dir_node *n = directory_node(&c.dir, "near");
+
+		n->load.running = 10;
+		n->load.waiting = waiting;
+	}
+};
+
+/* Bytes between regions are paid for: a queue is worth less than 5 KB. */
+TEST_F(DispatchTest, AHeavyAnswerStaysInItsRegionALightOneGoes)
+{
+	struct request_id id;
+
+	learn(400);
+	load_near(20);
+	EXPECT_EQ(send(&id), 3u);
+	load_near(0);
+	learn(5000);
+	load_near(20);
+	EXPECT_EQ(send(&id), 2u);
+	/* Not at any price: it would be too late there. */
+	load_near(60);
+	EXPECT_EQ(send(&id), 3u);
+}
+
+/* Own requests on their way count until the gate's next word. */
+TEST_F(DispatchTest, AnAnswerResetsWhatWasSent)
+{
+	struct request_id id;
+	struct msg_answer a = {};
+	struct dir_node *near = directory_node(&c.dir, "near");
+
+	for (int i = 0; i < 5; i++)
+		ASSERT_EQ(send(&id), near->boot);
+	EXPECT_EQ(near->sent, 5u);
+	a.id = id;
+	a.attempt = 1;
+	a.outcome = OUTCOME_DONE;
+	a.load = near->load;
+	a.answer = http_answer_new(200);
+	c.now_ns += 50 * NS_PER_MS;
+	dispatch_on_answer(&d, &c, &side, near->boot, &a);
+	EXPECT_EQ(near->sent, 0u);
+	EXPECT_EQ(near->heard_ns, c.now_ns);
+}
+
+/* A gate that is lost costs one question, not the rest of the deadline. */
+TEST_F(DispatchTest, ASilentGateThatOwesAnAnswerIsAsked)
+{
+	struct request_id id;
+	struct dir_node *near = directory_node(&c.dir, "near");
+
+	ASSERT_EQ(send(&id), near->boot);
+	c.now_ns += 400 * NS_PER_MS;
+	dispatch_work(&d, &c, &side);
+	EXPECT_FALSE(near->to_ask);
+	c.now_ns += 200 * NS_PER_MS;
+	dispatch_work(&d, &c, &side);
+	EXPECT_TRUE(near->to_ask);
+	EXPECT_TRUE(c.dir.asks);
+	near->to_ask = false;
+	near->asked_ns = c.now_ns;
+	c.now_ns += DIR_ASKED_NS + NS_PER_MS;
+	directory_node(&c.dir, "far")->heard_ns = c.now_ns;
+	dispatch_work(&d, &c, &side);
+	EXPECT_FALSE(directory_usable(&c.dir, near, c.now_ns));
+	EXPECT_EQ(d.repeats, 1u) << "it went on to the other gate";
+}
