--- a/cli/command.c
+++ b/cli/command.c
@@ -9,6 +9,7 @@
 #include "cli/exit_code.h"
 #include "cli/member_change.h"
 #include "cli/metrics.h"
+#include "cli/platform_view.h"
 #include "cli/reference.h"
 #include "cli/report.h"
 #include "cli/status.h"
@@ -26,6 +27,9 @@
 	COMMAND_REPORT_BURN,
 	COMMAND_METRICS,
 	COMMAND_REFERENCE,
+	COMMAND_PLATFORM_STATUS,
+	COMMAND_PLATFORM_WHERE,
+	COMMAND_PLATFORM_CHECK,
 	COMMAND_COUNT,
 };
 
@@ -70,6 +74,18 @@
 	[COMMAND_REFERENCE] = {"reference", "manifest|settings|commands", 1, 1,
 			       "Print a reference page made from the tables in "
 			       "the code."},
+	[COMMAND_PLATFORM_STATUS] =
+		{"platform status", "", 0, 0,
+		 "Show what a fleet on the platform has in its store: the "
+		 "configuration's version, data centres taken out, nodes, and "
+		 "the keys of each upstream. Exit code 2 when some keys have "
+		 "no node."},
+	[COMMAND_PLATFORM_WHERE] = {"platform where", "SERVICE KEY", 2, 2,
+				    "Show which upstream owns a key number "
+				    "there, its fence and its row."},
+	[COMMAND_PLATFORM_CHECK] = {"platform check", "FILE", 1, 1,
+				    "Say whether a node would take a "
+				    "configuration document."},
 };
 
 static int run(enum command c, const struct cli_options *o)
@@ -95,6 +111,12 @@
 		return metrics_run(o);
 	case COMMAND_REFERENCE:
 		return reference_run(o);
+	case COMMAND_PLATFORM_STATUS:
+		return platform_status_run(o);
+	case COMMAND_PLATFORM_WHERE:
+		return platform_where_run(o);
+	case COMMAND_PLATFORM_CHECK:
+		return platform_check_run(o);
 	case COMMAND_COUNT:
 		break;
 	}
--- a/fakes/kv_server.c
+++ b/fakes/kv_server.c
@@ -164,14 +164,20 @@
 	it->lease = lease;
 }
 
+void kv_server_put_encoded(struct kv_server *s, const char *key,
+			   const char *value)
+{
+	s->revision++;
+	put(s, key, value, 0);
+	wake(s);
+}
+
 void kv_server_put(struct kv_server *s, const char *key, const char *value)
 {
 	char *text = base64_encode(value, strlen(value));
 
-	s->revision++;
-	put(s, key, text, 0);
+	kv_server_put_encoded(s, key, text);
 	free(text);
-	wake(s);
 }
 
 void kv_server_remove(struct kv_server *s, const char *key)
--- a/fakes/kv_server.h
+++ b/fakes/kv_server.h
@@ -36,6 +36,9 @@
 
 /** Writes as the operator does; @value is plain text. */
 void kv_server_put(struct kv_server *s, const char *key, const char *value);
+/** The same with a value that is base64 already. */
+void kv_server_put_encoded(struct kv_server *s, const char *key,
+			   const char *value);
 void kv_server_remove(struct kv_server *s, const char *key);
 
 /** Calls answered or refused so far. */
