A node that moves its keys takes along those of other restarted upstreams

Change: a write also moves rows whose owner was followed by another lifetime, by the card of its node; the card proves that the owner has ended, and the write is conditional on the keymap's revision as before.

--- a/core/holder.c
+++ b/core/holder.c
@@ -365,6 +365,42 @@
 	return &best->id;
 }
 
+/*
+ * The upstream that has followed the row's owner at another node, by that
+ * node's card: the owner has ended. When a fleet restarts, each write takes
+ * along what others would have to write on the same record after it.
+ */
+static const struct holder_id *successor(const struct mesh_ctx *c,
+					 const struct keyrow *r)
+{
+	const struct dir_node *n = directory_node(&c->dir, r->owner.node);
+
+	if (!n || !n->revision || n->card.draining ||
+	    !n->card.upstream.instance[0] ||
+	    strcmp(n->card.service, c->opts->service) != 0 ||
+	    n->card.upstream.born <= r->owner.born)
+		return NULL;
+	return &n->card.upstream;
+}
+
+static uint32_t help_rows(const struct mesh_ctx *c, struct keymap *map)
+{
+	const struct holder_id *to;
+	struct keyrow *r;
+	uint32_t keys = 0;
+
+	list_for_each_entry(r, &map->rows, link) {
+		if (!strcmp(r->owner.node, c->opts->node))
+			continue;
+		to = successor(c, r);
+		if (!to)
+			continue;
+		keymap_move(map, r, to, "");
+		keys += r->to - r->from + 1;
+	}
+	return keys;
+}
+
 static uint32_t move_rows(struct holder *h, struct mesh_ctx *c,
 			  struct keymap *map)
 {
@@ -411,16 +447,18 @@
 	uint32_t keys = move_rows(h, c, map);
 	struct act_store_call *a;
 	struct record *rec;
+	uint32_t helped;
 
 	if (!keys && !h->write_unsure) {
 		keymap_delete(map);
 		return;
 	}
+	helped = help_rows(c, map);
 	mesh_log(c->out, LOG_INFO,
 		 "event=keys_moved keys=%u from=%s revision=%lu leaving=%d "
-		 "gone=%d",
+		 "gone=%d for_others=%u",
 		 keys, h->id.instance, (unsigned long)k->revision,
-		 holder_leaving(h, c), h->gone);
+		 holder_leaving(h, c), h->gone, helped);
 	keymap_join(map);
 	rec = record_new(RECORD_KEYMAP, map->service);
 	rec->u.keymap = map;
--- a/tests/mesh_test.cpp
+++ b/tests/mesh_test.cpp
@@ -83,6 +83,32 @@
 		EXPECT_EQ(h.second.fence, w.ups[1].holds[h.first].fence);
 }
 
+/* All lose power: each upstream is a new lifetime, its keys move on to it. */
+TEST(Mesh, AfterALossOfPowerFewWritesGiveAllKeysBack)
+{
+	WorldOpts o;
+	uint64_t before;
+
+	o.nodes = 24;
+	World w(o);
+	w.run_for(8 * NS_PER_S);
+	ASSERT_EQ(w.unheld(), 0u);
+	before = w.keymap_writes;
+	for (int i = 0; i < o.nodes; i++) {
+		w.kill_process(i);
+		w.crash_upstream(i);
+	}
+	w.run_for(500 * W_MS);
+	for (int i = 0; i < o.nodes; i++) {
+		w.start_upstream(i);
+		w.start_process(i);
+	}
+	w.run_for(4 * NS_PER_S);
+	EXPECT_SOUND(w);
+	EXPECT_EQ(w.unheld(), 0u);
+	EXPECT_LE(w.keymap_writes - before, (uint64_t)o.nodes);
+}
+
 TEST(Mesh, KeysOfALostVmAreHeldAgainAfterItsLease)
 {
 	World w({});
--- a/tests/mesh_world.hpp
+++ b/tests/mesh_world.hpp
@@ -395,9 +395,21 @@
 		}
 	}
 
+	/* Attempts to write a keymap, in vain or not. */
+	uint64_t keymap_writes = 0;
+
+	static bool is_keymap(const std::vector<struct record *> &puts)
+	{
+		for (const struct record *r : puts)
+			if (r->kind == RECORD_KEYMAP)
+				return true;
+		return false;
+	}
+
 	enum store_end write(const struct act_store_call &a,
 			     std::vector<struct record *> &puts)
 	{
+		keymap_writes += is_keymap(puts);
 		if (a.lease && !leases.count(a.lease))
 			return STORE_NO_LEASE;
 		for (uint32_t i = 0; i < a.expect_count; i++) {
