--- a/chaos/mesh_soak_main.c
+++ b/chaos/mesh_soak_main.c
@@ -88,12 +88,17 @@
 	char evacuated[64];
 };
 
+static const char *fault_text(enum soak_fault f)
+{
+	return f < SOAK_FAULT_COUNT ? fault_names[f] : "?";
+}
+
 static void say(const struct soak *s, const char *what, enum soak_fault f,
 		uint32_t node, const char *more)
 {
 	printf("soak: ms=%lu %s=%s node=%u%s%s\n",
 	       (unsigned long)((clock_now_ns() - s->started_ns) / NS_PER_MS),
-	       what, fault_names[f], node, *more ? " how=" : "", more);
+	       what, fault_text(f), node, *more ? " how=" : "", more);
 	fflush(stdout);
 }
 
