A grant that nobody takes leaves no connection behind

The log shows the stop in 9.0 s (drain_started 23.355, stopped 32.354); the rest was the leak sanitizer's report of 36 connections at exit, four for each second without an upstream: libevent frees one "on completion" only if it was made. Ruled out: the drain itself (see the log), the store's client (no leak in 4 s without a store), the platform's path (no leak either; it has another client). Change: a grant's connection is freed by a timer after its end, or with the client.

--- a/io/upstream_client.c
+++ b/io/upstream_client.c
@@ -46,8 +46,17 @@
 	struct event_base *base;
 	upstream_done_fn done;
 	void *arg;
-	struct list idle; /* of struct conn */
-	struct list busy; /* of struct conn */
+	struct list idle;   /* of struct conn */
+	struct list busy;   /* of struct conn */
+	struct list grants; /* of struct grant_call */
+};
+
+/** A grant on its way, on a connection of its own. */
+struct grant_call {
+	struct list link;
+	struct upstream_client *client;
+	struct evhttp_connection *http;
+	struct event *release;
 };
 
 struct upstream_client *upstream_client_new(struct event_base *base,
@@ -60,9 +69,18 @@
 	u->arg = arg;
 	list_init(&u->idle);
 	list_init(&u->busy);
+	list_init(&u->grants);
 	return u;
 }
 
+static void grant_delete(struct grant_call *g)
+{
+	list_remove(&g->link);
+	evhttp_connection_free(g->http);
+	event_free(g->release);
+	free(g);
+}
+
 static void call_out_delete(struct call_out *c)
 {
 	if (!c)
@@ -84,11 +102,14 @@
 void upstream_client_delete(struct upstream_client *u)
 {
 	struct conn *cn, *tmp;
+	struct grant_call *g, *gt;
 
 	list_for_each_entry_safe(cn, tmp, &u->idle, link)
 		conn_delete(cn);
 	list_for_each_entry_safe(cn, tmp, &u->busy, link)
 		conn_delete(cn);
+	list_for_each_entry_safe(g, gt, &u->grants, link)
+		grant_delete(g);
 	free(u);
 }
 
@@ -398,13 +419,24 @@
 /* What was not taken is sent again, whole. */
 static void on_granted(struct evhttp_request *req, void *arg)
 {
-	struct upstream_client *u = arg;
+	struct grant_call *g = arg;
+	struct upstream_client *u = g->client;
 	struct ev_upstream_answer a = {.outcome = OUTCOME_NOT_RUN};
+	struct timeval now = {0, 0};
 
+	/* evhttp does not let go of a connection inside its own callback. */
+	evtimer_add(g->release, &now);
 	if (!req || evhttp_request_get_response_code(req) / 100 != 2)
 		u->done(u->arg, &a);
 }
 
+static void on_release(evutil_socket_t fd, short what, void *arg)
+{
+	(void)fd;
+	(void)what;
+	grant_delete(arg);
+}
+
 static char *grant_json(const struct act_grant *g)
 {
 	const struct grant_range *r;
@@ -435,21 +467,23 @@
 void upstream_client_grant(struct upstream_client *u, const struct act_grant *g)
 {
 	char ip[JD_ADDR_MAX] = "127.0.0.1";
-	struct evhttp_connection *conn;
+	struct grant_call *call = mem_new(struct grant_call);
 	struct evhttp_request *req;
 	uint16_t port = 0;
 	char *body = grant_json(g);
 
 	addr_split(g->addr, ip, sizeof(ip), &port);
-	conn = evhttp_connection_base_new(u->base, NULL, ip, port);
-	evhttp_connection_free_on_completion(conn);
-	evhttp_connection_set_timeout(conn, 2);
-	req = evhttp_request_new(on_granted, u);
+	call->client = u;
+	call->http = evhttp_connection_base_new(u->base, NULL, ip, port);
+	call->release = evtimer_new(u->base, on_release, call);
+	list_push_back(&u->grants, &call->link);
+	evhttp_connection_set_timeout(call->http, 2);
+	req = evhttp_request_new(on_granted, call);
 	evhttp_add_header(evhttp_request_get_output_headers(req), "Host",
 			  g->addr);
 	evhttp_add_header(evhttp_request_get_output_headers(req), "Connection",
 			  "close");
 	evbuffer_add(evhttp_request_get_output_buffer(req), body, strlen(body));
 	free(body);
-	evhttp_make_request(conn, req, EVHTTP_REQ_POST, "/-/grants");
+	evhttp_make_request(call->http, req, EVHTTP_REQ_POST, "/-/grants");
 }
--- a/tests/upstream_client_test.cpp
+++ b/tests/upstream_client_test.cpp
@@ -417,3 +417,24 @@
 	EXPECT_EQ(s.answers.back().refusal, REFUSAL_NOT_OWNER);
 	actions_done(&out);
 }
+
+/* Run with the leak sanitizer: each try had left its connection behind. */
+TEST(UpstreamClient, AGrantThatNobodyTakesLeavesNothingBehind)
+{
+	Side s;
+	struct actions out;
+	struct act_grant *g;
+
+	actions_init(&out);
+	g = &actions_add(&out, ACT_GRANT)->u.grant;
+	mem_copy_str(g->addr, s.addr.c_str(), sizeof(g->addr));
+	g->deadline_ns = clock_now_ns() + 400 * MS;
+	for (size_t i = 1; i <= 5; i++) {
+		upstream_client_grant(s.client, g);
+		s.run_answers(i);
+		EXPECT_EQ(s.answers.back().outcome, OUTCOME_NOT_RUN);
+	}
+	/* One that is still on its way goes with its client. */
+	upstream_client_grant(s.client, g);
+	actions_done(&out);
+}
