--- a/chaos/mesh_fleet.c
+++ b/chaos/mesh_fleet.c
@@ -31,8 +31,7 @@
 #define ANNOUNCE_MS   300
 #define WORK_MS	      20
 #define SLOTS	      16
-/* As the settings below say, with a second for what is on its way. */
-#define DRAIN_NS      (2 * NS_PER_S)
+/* drainS of the settings below, and a second for what is on its way. */
 #define LATE_LEAVE_NS (3 * NS_PER_S)
 /* The bound on an upstream's clock that the fleet is told of. */
 #define SLOW_PERCENT  2
@@ -180,7 +179,6 @@
 		.slots = SLOTS,
 		.announce_ms = ANNOUNCE_MS,
 		.work_ms = WORK_MS,
-		.drain_ms = DRAIN_NS / NS_PER_MS,
 		.seed = f->opts.seed * 1000 + i * 50 + n->lives,
 		.slow_percent = i % 3 ? 0 : SLOW_PERCENT,
 		.report = on_report,
--- a/fakes/leased_upstream.h
+++ b/fakes/leased_upstream.h
@@ -36,8 +36,7 @@
 	bool keyed;
 	uint32_t slots;
 	uint32_t announce_ms;
-	uint32_t work_ms;  /* of a request, on average */
-	uint32_t drain_ms; /* it serves that long after a leave is known */
+	uint32_t work_ms; /* of a request, on average */
 	uint64_t seed;
 	/** Its clock counts that much slower. */
 	uint32_t slow_percent;
@@ -53,7 +52,7 @@
 
 /** Announces that it drains; it goes on serving. */
 void leased_upstream_drain(struct leased_upstream *u);
-/** Nothing moves while it is stopped; its leases run on. */
+/** Its announcements stop, or go on; it serves and its leases run out. */
 void leased_upstream_freeze(struct leased_upstream *u, bool frozen);
 
 const char *leased_upstream_instance(const struct leased_upstream *u);
