--- /dev/null
+++ b/tests/platform_metrics_test.cpp
@@ -0,0 +1,62 @@
+#include "jd_test.hpp"
+
+extern "C" {
+#include "core/mesh.h"
+#include "platform/platform_metrics.h"
+}
+
+/* A node without a manifest. */
+struct PlatformMetricsTest : public ::testing::Test {
+	struct mesh *m;
+
+	PlatformMetricsTest()
+	{
+		struct mesh_opts o = {};
+
+		o.boot = 1;
+		o.seed = 1;
+		o.announce_interval_ns = NS_PER_S;
+		m = mesh_new(&o, NS_PER_S);
+	}
+	~PlatformMetricsTest() override
+	{
+		mesh_delete(m);
+	}
+	std::string page()
+	{
+		struct peers_stats peers = {};
+		char *text = platform_metrics_page(m, 0, 0, &peers);
+		std::string s = text;
+
+		free(text);
+		return s;
+	}
+	void send_request()
+	{
+		struct mesh_event ev = {};
+		struct mesh_actions out;
+		struct mesh_action *a;
+
+		mesh_actions_init(&out);
+		ev.kind = ME_REQUEST;
+		ev.now_ns = 2 * NS_PER_S;
+		ev.u.request.caller = 1;
+		ev.u.request.request = http_request_new("GET", "/");
+		mesh_handle(m, &ev, &out);
+		while ((a = mesh_actions_pop(&out)))
+			mesh_action_delete(a);
+		mesh_actions_done(&out);
+	}
+};
+
+/* Guards against refusals whose reason no counter shows. */
+TEST_F(PlatformMetricsTest, RefusalsAreCountedByReason)
+{
+	EXPECT_NE(page().find("jackdaw_refused_total{why=\"no_route\"} 0\n"),
+		  std::string::npos);
+	send_request();
+	EXPECT_NE(page().find("jackdaw_refused_total{why=\"no_manifest\"} 1\n"),
+		  std::string::npos);
+	EXPECT_NE(page().find("jackdaw_refused_total{why=\"no_route\"} 0\n"),
+		  std::string::npos);
+}
