The demo waits until the store answers

The store's log file did not exist yet, so its process had not begun. The demo slept for a fixed 0.2 s; it now asks the store until it answers, for at most 10 s, and fails otherwise.

--- a/demo/demo.sh
+++ b/demo/demo.sh
@@ -71,7 +71,8 @@
 declare -A node_pid upstream_pid
 "$bin/fake-store" --addr "$store" 2>"$dir/store.log" &
 pids+=($!)
-sleep 0.2
+until_true 10 curl -s -m 1 -o "$dir/body" "http://$store/" ||
+	fail "the store does not answer"
 
 t0=$(now_ms)
 "$bin/jackdaw" --store "$store" apply "$here/examples/demo.toml" ||
