A repeated refusal is no answer to a retry on the same connection

What callers saw (reports of other operators): 'not run, try again' for a request that an upstream was running (REFUSED), or the same request at a second upstream (TWICE), after an upstream wrote an earlier refusal once more on a kept connection.

Cause: an answer was matched to its request by the echoed id alone. A retry carries the id of the refused attempt (a held request of a key goes to the same gate again, dispatch.c hold_request; one without a key after its list of tried nodes was cleared, route_request), and it took the idle connection on which that id had been refused. The refusal that came once more had the right id. A request without an id took any answer.

Evidence: RepeatedRefusalIsNotTheAnswerToARetry and RequestWithoutIdHasAConnectionOfItsOwn got the repeated 503 as the answer to the request in progress before the change.

Why it works: a connection carries each id once, so an answer with the id of the request in progress can't be the answer to an earlier one; a request without an id gets a connection that carries nothing before or after it. Only a call whose id all idle connections have carried opens a new one, which replaces an idle one. What is remembered is 4 KB a connection, after 1024 requests it is replaced. An equal hash of two ids costs a connection, never an answer.

RepeatedRefusalIsNotTheAnswerToAnotherRequest passed before, too: the id tells different requests apart, and the connection is closed after the answer. ConnectionIsReplacedAfterManyRequests bounds what is new here.

--- a/io/http_client.c
+++ b/io/http_client.c
@@ -7,6 +7,7 @@
 #include <stdlib.h>
 #include <string.h>
 #include <strings.h>
+#include <xxhash.h>
 
 #include "core/mem.h"
 #include "core/text.h"
@@ -21,6 +22,8 @@
 #define KEEP_ALIVE_FRACTION	0.8
 /* Answers to earlier requests that are dropped before the call fails. */
 #define STALE_ANSWERS_MAX	4
+/* A connection that has carried this many requests is not reused. */
+#define CONN_REQUESTS_MAX	1024
 
 struct client_conn {
 	struct list link; /* in idle or busy */
@@ -32,6 +35,9 @@
 	bool started;  /* bytes of its answer were received */
 	bool reusable; /* the answer allows another request */
 	uint32_t stale_answers;
+	/* hashes of the identifying values that were written */
+	uint32_t sent_ids[CONN_REQUESTS_MAX];
+	uint32_t sent_count;
 	uint64_t idle_deadline_ns;
 	uint64_t idle_timeout_ns;
 	struct event *timer;
@@ -221,16 +227,74 @@
 	cn->parser.data = cn;
 }
 
+/* The value that an answer to @r echoes; NULL if nothing identifies it. */
+static const char *identifying_value(const struct http_client *c,
+				     const struct http_request *r)
+{
+	const char *id = payload_header(&r->payload, c->opts.echo_header);
+
+	return id && *id ? id : NULL;
+}
+
 /* True if the answer echoes the request's identifying header, if any. */
 static bool answers_request(const struct client_conn *cn)
 {
-	const char *header = cn->client->opts.echo_header;
-	const char *sent = payload_header(&cn->call.request->payload, header);
-	const char *got = payload_header(&cn->answer->payload, header);
+	const struct http_client *c = cn->client;
+	const char *sent = identifying_value(c, cn->call.request);
+	const char *got =
+		payload_header(&cn->answer->payload, c->opts.echo_header);
 
 	return !sent || (got && !strcmp(sent, got));
 }
 
+static uint32_t id_hash(const char *id)
+{
+	return (uint32_t)XXH3_64bits(id, strlen(id));
+}
+
+/* Records that the current request is written to the connection. */
+static void record_sent(struct client_conn *cn)
+{
+	const char *id = identifying_value(cn->client, cn->call.request);
+
+	cn->sent_ids[cn->sent_count++] = id ? id_hash(id) : 0;
+}
+
+/*
+ * An upstream may write an answer once more, so @r must be told apart from all
+ * requests that the connection has carried. Equal hashes of two values only
+ * cost a new connection.
+ */
+static bool may_carry(const struct client_conn *cn,
+		      const struct http_request *r)
+{
+	const char *id = identifying_value(cn->client, r);
+	uint32_t hash;
+
+	if (!id)
+		return !cn->sent_count;
+	hash = id_hash(id);
+	for (uint32_t i = 0; i < cn->sent_count; i++)
+		if (cn->sent_ids[i] == hash)
+			return false;
+	return true;
+}
+
+/* True if another request may follow the answered one on its connection. */
+static bool may_reuse(const struct client_conn *cn)
+{
+	size_t unread_bytes =
+		evbuffer_get_length(bufferevent_get_input(cn->bev));
+
+	/*
+	 * Surplus bytes and stale answers could be mistaken for the answer to
+	 * the next request, and so could answers that identify no request.
+	 */
+	return cn->reusable && !unread_bytes && !cn->stale_answers &&
+	       identifying_value(cn->client, cn->call.request) &&
+	       cn->sent_count < CONN_REQUESTS_MAX;
+}
+
 /* Sets the idle timeout from the upstream's Keep-Alive header. */
 static void update_idle_timeout(struct client_conn *cn)
 {
@@ -250,9 +314,6 @@
  */
 static bool handle_answer(struct client_conn *cn)
 {
-	size_t unread_bytes =
-		evbuffer_get_length(bufferevent_get_input(cn->bev));
-
 	/* A 1xx answer is followed by the final one. */
 	if (cn->answer->code / 100 == 1) {
 		answer_reset(cn);
@@ -272,12 +333,7 @@
 		return true;
 	}
 	update_idle_timeout(cn);
-	/*
-	 * Surplus bytes and stale answers could be mistaken for the answer to
-	 * the next request, so the connection is not reused after them.
-	 */
-	finish_call(cn, CLIENT_ANSWERED,
-		    cn->reusable && !unread_bytes && !cn->stale_answers);
+	finish_call(cn, CLIENT_ANSWERED, may_reuse(cn));
 	return false;
 }
 
@@ -343,6 +399,7 @@
 	evbuffer_add(out, "\r\n", 2);
 	if (r->payload.body_len)
 		evbuffer_add(out, r->payload.body, r->payload.body_len);
+	record_sent(cn);
 	cn->wrote = true;
 	cn->started = false;
 	cn->stale_answers = 0;
@@ -437,27 +494,34 @@
 }
 
 /*
- * Returns the first idle connection to @addr that has not timed out and has no
- * unread bytes; NULL for none. Closes the idle connections before it.
+ * Returns an idle connection that may carry @call; NULL for none. Closes those
+ * that have timed out, lead elsewhere or have unread bytes.
  */
 static struct client_conn *find_idle_conn(struct http_client *c,
-					  const char *addr)
+					  const struct client_call *call)
 {
 	uint64_t now = clock_now_ns();
-	struct client_conn *cn, *tmp;
+	struct client_conn *cn, *tmp, *unfit = NULL;
 
 	list_for_each_entry_safe(cn, tmp, &c->idle, link) {
-		if (now < cn->idle_deadline_ns && !strcmp(cn->addr, addr) &&
-		    socket_is_idle(bufferevent_getfd(cn->bev)))
+		if (now >= cn->idle_deadline_ns ||
+		    strcmp(cn->addr, call->addr) != 0 ||
+		    !socket_is_idle(bufferevent_getfd(cn->bev)))
+			conn_delete(cn);
+		else if (may_carry(cn, call->request))
 			return cn;
-		conn_delete(cn);
+		else
+			unfit = cn;
 	}
+	/* The upstream limits its connections, so a new one replaces it. */
+	if (unfit)
+		conn_delete(unfit);
 	return NULL;
 }
 
 void http_client_call(struct http_client *c, const struct client_call *call)
 {
-	struct client_conn *cn = find_idle_conn(c, call->addr);
+	struct client_conn *cn = find_idle_conn(c, call);
 	struct sockaddr_in sin;
 	bool reused = cn != NULL;
 
--- a/io/http_client.h
+++ b/io/http_client.h
@@ -37,7 +37,8 @@
 	/**
 	 * Header that an answer must echo from its request; an answer without
 	 * it or with another value belongs to an earlier request and is
-	 * dropped.
+	 * dropped. A connection carries each value once, and a request without
+	 * the header has a connection of its own.
 	 */
 	const char *echo_header;
 	/** Called once for each call. */
--- a/tests/http_client_test.cpp
+++ b/tests/http_client_test.cpp
@@ -1,5 +1,8 @@
 #include "jd_test.hpp"
 
+#include <poll.h>
+
+#include <functional>
 #include <vector>
 
 #include "free_port.hpp"
@@ -21,9 +24,11 @@
 	struct Result {
 		uint64_t call;
 		enum client_end end;
+		int code;
 		std::string body;
 	};
 	std::vector<Result> results;
+	std::function<void()> between;
 
 	HttpClientTest()
 	{
@@ -47,7 +52,7 @@
 		auto *t = (HttpClientTest *)arg;
 
 		t->results.push_back(
-			{r->call, r->end,
+			{r->call, r->end, r->answer ? r->answer->code : 0,
 			 r->answer
 				 ? std::string((char *)r->answer->payload.body,
 					       r->answer->payload.body_len)
@@ -68,8 +73,10 @@
 		EXPECT_EQ(bind(listen_fd, (struct sockaddr *)&a, sizeof(a)), 0);
 		EXPECT_EQ(listen(listen_fd, 8), 0);
 	}
-	void call(uint64_t number, const char *id, uint64_t ms = 2000,
-		  uint64_t write_before_ms = 2000)
+	/* @id is NULL for a request without an identifying value. */
+	void start_call(uint64_t number, const char *id, uint64_t ms = 2000,
+			uint64_t write_before_ms = 2000,
+			const char *method = "GET")
 	{
 		struct client_call call = {};
 
@@ -78,12 +85,34 @@
 		call.deadline_ns = clock_now_ns() + ms * NS_PER_MS;
 		call.write_before_ns =
 			clock_now_ns() + write_before_ms * NS_PER_MS;
-		call.request = http_request_new("GET", "/");
-		payload_add_header(&call.request->payload, "Id", id);
+		call.request = http_request_new(method, "/");
+		if (id)
+			payload_add_header(&call.request->payload, "Id", id);
 		http_client_call(c, &call);
 		http_request_unref(call.request);
+	}
+	void call(uint64_t number, const char *id, uint64_t ms = 2000,
+		  uint64_t write_before_ms = 2000)
+	{
+		start_call(number, id, ms, write_before_ms);
 		run_loop(30);
 	}
+	/*
+	 * Runs @fn after data that is readable now was read from its socket,
+	 * and before the client has handled it.
+	 */
+	void run_between_read_and_handling(std::function<void()> fn)
+	{
+		struct timeval soon = {0, 1};
+		auto run = [](evutil_socket_t, short, void *arg) {
+			((HttpClientTest *)arg)->between();
+		};
+
+		between = fn;
+		event_base_once(base, -1, EV_TIMEOUT, run, this, &soon);
+		usleep(10000);
+		event_base_loop(base, EVLOOP_ONCE | EVLOOP_NONBLOCK);
+	}
 	void run_loop(int ms)
 	{
 		struct timeval tv = {0, ms * 1000};
@@ -91,9 +120,13 @@
 		event_base_loopexit(base, &tv);
 		event_base_dispatch(base);
 	}
+	/* Returns -1 if no connection waits. */
 	int accept_connection()
 	{
-		return accept(listen_fd, NULL, NULL);
+		struct pollfd p = {listen_fd, POLLIN, 0};
+
+		return poll(&p, 1, 100) > 0 ? accept(listen_fd, NULL, NULL)
+					    : -1;
 	}
 	std::string read_all(int fd)
 	{
@@ -117,6 +150,14 @@
 	       "\r\n\r\n" + body;
 }
 
+/* @id is NULL for a refusal without an identifying value. */
+static std::string refusal_text(const char *id)
+{
+	return std::string("HTTP/1.1 503 Service Unavailable\r\n") +
+	       (id ? "Id: " + std::string(id) + "\r\n" : "") +
+	       "Content-Length: 0\r\n\r\n";
+}
+
 TEST_F(HttpClientTest, SecondCallReusesConnection)
 {
 	start_listening();
@@ -299,3 +340,146 @@
 	close(fd);
 	close(second);
 }
+
+/*
+ * A refusal that an upstream wrote once more was the answer to the retry of the
+ * same request, which the upstream was running.
+ */
+TEST_F(HttpClientTest, RepeatedRefusalIsNotTheAnswerToARetry)
+{
+	start_listening();
+	call(1, "a");
+	int first = accept_connection();
+
+	send_text(first, refusal_text("a"));
+	ASSERT_EQ(results.size(), 1u);
+	EXPECT_EQ(results[0].code, 503);
+	call(2, "a");
+	write(first, refusal_text("a").data(), refusal_text("a").size());
+	run_loop(30);
+	EXPECT_EQ(results.size(), 1u);
+	int second = accept_connection();
+
+	ASSERT_GE(second, 0);
+	send_text(second, answer_text("a", "ran"));
+	ASSERT_EQ(results.size(), 2u);
+	EXPECT_EQ(results[1].body, "ran");
+	close(first);
+	close(second);
+}
+
+/* A retry needs no new connection if an idle one has not carried its id. */
+TEST_F(HttpClientTest, RetryUsesIdleConnectionThatHasNotCarriedItsId)
+{
+	start_listening();
+	call(1, "a");
+	call(2, "b");
+	int first = accept_connection();
+	int second = accept_connection();
+
+	send_text(second, answer_text("b", "two"));
+	send_text(first, refusal_text("a"));
+	read_all(second);
+	call(3, "a");
+	EXPECT_NE(read_all(second).find("Id: a"), std::string::npos);
+	send_text(second, answer_text("a", "ran"));
+	call(4, "c");
+	call(5, "d");
+	EXPECT_EQ(http_client_connects(c), 2u);
+	close(first);
+	close(second);
+}
+
+/* The fresh connection of a retry added to those that the upstream limits. */
+TEST_F(HttpClientTest, RetryOnFreshConnectionClosesTheUnfitOne)
+{
+	char byte;
+
+	start_listening();
+	call(1, "a");
+	int first = accept_connection();
+
+	read_all(first);
+	send_text(first, refusal_text("a"));
+	call(2, "a");
+	EXPECT_EQ(http_client_connects(c), 2u);
+	EXPECT_EQ(recv(first, &byte, 1, MSG_DONTWAIT), 0);
+	close(first);
+}
+
+/*
+ * Nothing tells the answers to requests without an identifying value apart, so
+ * a repeated refusal was the answer to the next of them.
+ */
+TEST_F(HttpClientTest, RequestWithoutIdHasAConnectionOfItsOwn)
+{
+	start_listening();
+	call(1, "a");
+	int first = accept_connection();
+
+	send_text(first, answer_text("a", "one"));
+	call(2, NULL);
+	write(first, refusal_text(NULL).data(), refusal_text(NULL).size());
+	run_loop(30);
+	EXPECT_EQ(results.size(), 1u);
+	int second = accept_connection();
+
+	ASSERT_GE(second, 0);
+	send_text(second, refusal_text(NULL));
+	ASSERT_EQ(results.size(), 2u);
+	EXPECT_EQ(results[1].code, 503);
+	call(3, NULL);
+	int third = accept_connection();
+
+	ASSERT_GE(third, 0);
+	send_text(third, refusal_text(NULL));
+	call(4, "b");
+	EXPECT_EQ(http_client_connects(c), 4u);
+	close(first);
+	close(second);
+	close(third);
+}
+
+/* Does not fail without a fix: the id of each request tells them apart. */
+TEST_F(HttpClientTest, RepeatedRefusalIsNotTheAnswerToAnotherRequest)
+{
+	start_listening();
+	call(1, "a");
+	int fd = accept_connection();
+
+	send_text(fd, refusal_text("a"));
+	call(2, "b");
+	send_text(fd, refusal_text("a") + refusal_text(NULL) +
+			      answer_text("b", "ran"));
+	ASSERT_EQ(results.size(), 2u);
+	EXPECT_EQ(results[1].code, 200);
+	EXPECT_EQ(results[1].body, "ran");
+	call(3, "c");
+	EXPECT_EQ(http_client_connects(c), 2u);
+	close(fd);
+}
+
+/* What a connection remembers of its requests is bounded. */
+TEST_F(HttpClientTest, ConnectionIsReplacedAfterManyRequests)
+{
+	const size_t requests_max = 1024;
+
+	start_listening();
+	call(1, "0");
+	int fd = accept_connection();
+
+	for (size_t i = 0; i < requests_max; i++) {
+		std::string id = std::to_string(i);
+
+		if (i)
+			start_call(i + 1, id.c_str());
+		EXPECT_EQ(http_client_connects(c), 1u);
+		std::string text = answer_text(id.c_str(), "x");
+		write(fd, text.data(), text.size());
+		while (results.size() <= i)
+			event_base_loop(base, EVLOOP_ONCE);
+	}
+	call(requests_max + 1, "last");
+	EXPECT_EQ(http_client_connects(c), 2u);
+	close(fd);
+}
