Bytes that came before a request was written are not its answer

Cause: an idle connection was checked for unread bytes in the socket only. Bytes that the buffered socket had read, but whose callback was still deferred, were taken for the answer to a request that was written in between. A new connection was not checked at all.

Evidence: AnswerReadBeforeItsRequestWasWrittenIsDropped got a 503 for call b that the upstream wrote before the call; BytesBeforeTheFirstRequestAreNoAnswer wrote the request and took the bytes that were there before. Both failed before the change.

Why it works: a request is written only to a connection on which nothing was received, neither in the socket nor in its buffer. On a new one the call ends as not sent, which is true.

--- a/io/http_client.c
+++ b/io/http_client.c
@@ -425,6 +425,13 @@
 	evtimer_add(cn->timer, &tv);
 }
 
+/* True if the connection is open and nothing was received on it. */
+static bool is_quiet(const struct client_conn *cn)
+{
+	return !evbuffer_get_length(bufferevent_get_input(cn->bev)) &&
+	       socket_is_idle(bufferevent_getfd(cn->bev));
+}
+
 /* Writes the request unless its deadline or write_before_ns has passed. */
 static void send_call(struct client_conn *cn)
 {
@@ -434,6 +441,11 @@
 		finish_call(cn, CLIENT_NOT_SENT, true);
 		return;
 	}
+	/* Bytes before the first request answer none. */
+	if (!is_quiet(cn)) {
+		finish_call(cn, CLIENT_NOT_SENT, false);
+		return;
+	}
 	set_timer(cn, cn->call.deadline_ns);
 	write_request(cn);
 }
@@ -505,8 +517,7 @@
 
 	list_for_each_entry_safe(cn, tmp, &c->idle, link) {
 		if (now >= cn->idle_deadline_ns ||
-		    strcmp(cn->addr, call->addr) != 0 ||
-		    !socket_is_idle(bufferevent_getfd(cn->bev)))
+		    strcmp(cn->addr, call->addr) != 0 || !is_quiet(cn))
 			conn_delete(cn);
 		else if (may_carry(cn, call->request))
 			return cn;
--- a/tests/http_client_test.cpp
+++ b/tests/http_client_test.cpp
@@ -368,6 +368,41 @@
 	close(second);
 }
 
+/*
+ * An answer that came before its request was written, and that the client had
+ * read but not handled yet, was the answer to that request.
+ */
+TEST_F(HttpClientTest, AnswerReadBeforeItsRequestWasWrittenIsDropped)
+{
+	start_listening();
+	call(1, "a");
+	int fd = accept_connection();
+
+	send_text(fd, answer_text("a", "one"));
+	ASSERT_EQ(results.size(), 1u);
+	write(fd, refusal_text("b").data(), refusal_text("b").size());
+	run_between_read_and_handling([this] { start_call(2, "b"); });
+	run_loop(30);
+	EXPECT_EQ(results.size(), 1u);
+	EXPECT_EQ(http_client_connects(c), 2u);
+	close(fd);
+}
+
+/* The same, on a new connection. */
+TEST_F(HttpClientTest, BytesBeforeTheFirstRequestAreNoAnswer)
+{
+	start_listening();
+	start_call(1, "a");
+	int fd = accept_connection();
+
+	write(fd, refusal_text("a").data(), refusal_text("a").size());
+	run_loop(30);
+	ASSERT_EQ(results.size(), 1u);
+	EXPECT_EQ(results[0].end, CLIENT_NOT_SENT);
+	EXPECT_EQ(read_all(fd), "");
+	close(fd);
+}
+
 /* A retry needs no new connection if an idle one has not carried its id. */
 TEST_F(HttpClientTest, RetryUsesIdleConnectionThatHasNotCarriedItsId)
 {
