A success that claims not to have run is no refusal

An answer below 400 with the not-executed header, signature or not, was decoded as not run, so the request was sent to a second upstream although the first may have run it (TWICE).

Cause: decode_answer() looked at the header before the status. The platform names the header for refusals only (503, 429, 421, 400).

--- a/tests/requests_test.cpp
+++ b/tests/requests_test.cpp
@@ -104,6 +104,7 @@
 		 OUTCOME_UNKNOWN},
 		{500, {{SIGNATURE, "s"}}, OUTCOME_DONE},
 		{503, {{NOT_RUN, "1"}}, OUTCOME_NOT_RUN},
+		{400, {{NOT_RUN, "1"}}, OUTCOME_NOT_RUN},
 		{503, {}, OUTCOME_UNKNOWN},
 		{429, {{SIGNATURE, "s"}}, OUTCOME_UNKNOWN},
 		{421, {}, OUTCOME_NOT_RUN},
@@ -127,6 +128,27 @@
 	}
 }
 
+/*
+ * A success that claims not to have run contradicts itself; taken for a
+ * refusal it made the request run at a second upstream.
+ */
+TEST(Requests, SuccessThatClaimsNotToHaveRunIsUnknown)
+{
+	for (int code : {200, 204, 304}) {
+		struct client_result r = {};
+		struct ev_upstream_end e;
+
+		r.end = CLIENT_ANSWERED;
+		r.answer = http_answer_new(code);
+		payload_add_header(&r.answer->payload, SIGNATURE, "s");
+		payload_add_header(&r.answer->payload, NOT_RUN, "1");
+		result_decode(&r, &e);
+		EXPECT_EQ(e.outcome, OUTCOME_UNKNOWN) << code;
+		EXPECT_EQ(e.answer, nullptr);
+		http_answer_delete(r.answer);
+	}
+}
+
 TEST(Requests, OutcomeOfACallWithoutAnAnswer)
 {
 	const std::pair<enum client_end, enum outcome> cases[] = {
