Test: an answer cut after any byte is incomplete, by FIN or reset

It can't happen on the path of the leased fleet. io/http_client.c reports an answer only once http_parser has seen the end of its message; at the end of the connection the parser completes a message only in the body of an answer without a length (and with a FIN, as a reset doesn't reach the parser), never in a head, a chunk header or trailers. platform/requests.c decodes what is incomplete as unknown. CutAnswerTest cuts 16 answers after each byte, with FIN and with reset: with a length, in chunks with an extension and with trailers, without a length, HTTP/1.0, to HEAD, behind 1xx and stale answers, 204, 304, a failure, and with the signature last, so that each prefix of its value is cut. An answer without a length that breaks off in its body with a FIN can't be told from a whole one.

--- a/tests/http_client_test.cpp
+++ b/tests/http_client_test.cpp
@@ -120,6 +120,51 @@
 		event_base_loopexit(base, &tv);
 		event_base_dispatch(base);
 	}
+	/* Runs the loop until there are @count results, for 2 s at most. */
+	void run_until_results(size_t count)
+	{
+		uint64_t end_ns = clock_now_ns() + 2 * NS_PER_S;
+
+		while (results.size() < count && clock_now_ns() < end_ns)
+			event_base_loop(base, EVLOOP_ONCE | EVLOOP_NONBLOCK);
+	}
+	/*
+	 * Starts a call on a new connection and returns the upstream's end of
+	 * it, with the request read.
+	 */
+	int call_on_new_connection(const char *method, const char *id)
+	{
+		int fd;
+
+		start_call(results.size() + 1, id, 2000, 2000, method);
+		fd = accept_connection();
+		EXPECT_GE(fd, 0);
+		while (read_all(fd).empty())
+			event_base_loop(base, EVLOOP_ONCE | EVLOOP_NONBLOCK);
+		return fd;
+	}
+	/* Has the upstream write @bytes and close, by a FIN or by a reset. */
+	Result end_of_answer(const char *method, const std::string &bytes,
+			     bool reset)
+	{
+		size_t before = results.size();
+		int fd = call_on_new_connection(method, "a");
+		struct linger l = {1, 0};
+
+		EXPECT_EQ(write(fd, bytes.data(), bytes.size()),
+			  (ssize_t)bytes.size());
+		/* A reset discards what the client has not read. */
+		for (int i = 0; i < 3; i++)
+			event_base_loop(base, EVLOOP_ONCE | EVLOOP_NONBLOCK);
+		if (reset)
+			setsockopt(fd, SOL_SOCKET, SO_LINGER, &l, sizeof(l));
+		close(fd);
+		run_until_results(before + 1);
+		/* The next call needs a new connection. */
+		event_base_loop(base, EVLOOP_ONCE | EVLOOP_NONBLOCK);
+		EXPECT_EQ(results.size(), before + 1);
+		return results.back();
+	}
 	/* Returns -1 if no connection waits. */
 	int accept_connection()
 	{
@@ -518,3 +563,121 @@
 	EXPECT_EQ(http_client_connects(c), 2u);
 	close(fd);
 }
+
+struct CutCase {
+	const char *name;
+	const char *method;
+	std::string text; /* the whole answer */
+	int code;
+	std::string body;
+	bool ends_at_close; /* the body has no length */
+};
+
+/* Names the case in the output of a failed test. */
+static void PrintTo(const CutCase &k, std::ostream *out)
+{
+	*out << k.name;
+}
+
+static const std::string HEAD_200 =
+	"HTTP/1.1 200 OK\r\nId: a\r\nSignature: 3e1b.07.5a2.600\r\n";
+
+static const CutCase cut_cases[] = {
+	{"length", "GET", HEAD_200 + "Content-Length: 9\r\n\r\nall of it", 200,
+	 "all of it", false},
+	{"length_signature_last", "GET",
+	 "HTTP/1.1 200 OK\r\nContent-Length: 9\r\nId: a\r\n"
+	 "Signature: 3e1b.07.5a2.600\r\n\r\nall of it",
+	 200, "all of it", false},
+	{"empty", "GET", HEAD_200 + "Content-Length: 0\r\n\r\n", 200, "",
+	 false},
+	{"chunks", "GET",
+	 HEAD_200 + "Transfer-Encoding: chunked\r\n\r\n"
+		    "4;x=1\r\nall \r\n00005\r\nof it\r\n0\r\n\r\n",
+	 200, "all of it", false},
+	{"trailers", "GET",
+	 HEAD_200 + "Transfer-Encoding: chunked\r\n\r\n"
+		    "9\r\nall of it\r\n0\r\nA: 1\r\nBb: 22\r\n\r\n",
+	 200, "all of it", false},
+	{"no_length", "GET", HEAD_200 + "\r\nall of it", 200, "all of it",
+	 true},
+	{"no_length_close", "GET",
+	 HEAD_200 + "Connection: close\r\n\r\nall of it", 200, "all of it",
+	 true},
+	{"http_1_0", "GET",
+	 "HTTP/1.0 200 OK\r\nId: a\r\nSignature: 3e1b\r\n\r\nall of it", 200,
+	 "all of it", true},
+	{"head", "HEAD", HEAD_200 + "Content-Length: 9\r\n\r\n", 200, "",
+	 false},
+	{"head_no_length", "HEAD", HEAD_200 + "\r\n", 200, "", false},
+	{"interim", "GET",
+	 "HTTP/1.1 100 Continue\r\n\r\n"
+	 "HTTP/1.1 103 Early Hints\r\nId: a\r\nLink: x\r\n\r\n" +
+		 HEAD_200 + "Content-Length: 9\r\n\r\nall of it",
+	 200, "all of it", false},
+	{"interim_no_length", "GET",
+	 "HTTP/1.1 100 Continue\r\n\r\n" + HEAD_200 + "\r\nall of it", 200,
+	 "all of it", true},
+	{"stale", "GET",
+	 "HTTP/1.1 200 OK\r\nId: z\r\nContent-Length: 2\r\n\r\nno" + HEAD_200 +
+		 "Content-Length: 9\r\n\r\nall of it",
+	 200, "all of it", false},
+	{"204", "GET",
+	 "HTTP/1.1 204 No Content\r\nId: a\r\nSignature: 3e\r\n\r\n", 204, "",
+	 false},
+	{"304", "GET", "HTTP/1.1 304 Not Modified\r\nId: a\r\nETag: x\r\n\r\n",
+	 304, "", false},
+	{"failure", "GET",
+	 "HTTP/1.1 500 Internal Server Error\r\nId: a\r\n"
+	 "Content-Length: 3\r\n\r\nbad",
+	 500, "bad", false},
+};
+
+struct CutAnswerTest : public HttpClientTest,
+		       public ::testing::WithParamInterface<CutCase> {
+	/*
+	 * Cuts the answer after each byte. Without a length, a body that ends
+	 * with a FIN is whole; nothing else tells its end.
+	 */
+	void cut_everywhere(bool reset)
+	{
+		const CutCase &k = GetParam();
+		size_t body_at = k.ends_at_close ? k.text.size() - k.body.size()
+						 : k.text.size();
+
+		start_listening();
+		for (size_t n = 0; n <= k.text.size(); n++) {
+			Result r = end_of_answer(k.method, k.text.substr(0, n),
+						 reset);
+			bool whole = k.ends_at_close ? n >= body_at && !reset
+						     : n == k.text.size();
+
+			ASSERT_EQ(r.end,
+				  whole ? CLIENT_ANSWERED : CLIENT_INCOMPLETE)
+				<< n << " bytes";
+			EXPECT_EQ(r.code, whole ? k.code : 0);
+			EXPECT_EQ(r.body,
+				  !whole ? ""
+				  : k.ends_at_close
+					  ? k.text.substr(body_at, n - body_at)
+					  : k.body);
+		}
+	}
+};
+
+/* A head that was cut by the end of its connection became an empty 200. */
+TEST_P(CutAnswerTest, FinLeavesItIncomplete)
+{
+	cut_everywhere(false);
+}
+
+TEST_P(CutAnswerTest, ResetLeavesItIncomplete)
+{
+	cut_everywhere(true);
+}
+
+INSTANTIATE_TEST_SUITE_P(HttpClient, CutAnswerTest,
+			 ::testing::ValuesIn(cut_cases),
+			 [](const ::testing::TestParamInfo<CutCase> &i) {
+				 return std::string(i.param.name);
+			 });
