An answer without a body by its status ends with its head

What callers saw: by the test, a request that the upstream answered with 304 or 204 and a Content-Length ended with 502 or 504; behind a 1xx answer with a length the final answer was lost.

Cause: http_parser waits for the body that Content-Length states for these statuses, too. A 304 may state the length of the body that it leaves out (RFC 9110, 8.6).

Evidence: AnswerThatHasNoBodyEndsWithItsHead and the cases 304_length, 204_length and interim_length of CutAnswerTest failed before the change.

Why it works: the parser is told that no body follows.

--- a/io/http_client.c
+++ b/io/http_client.c
@@ -179,6 +179,13 @@
 	return 0;
 }
 
+/* The parser would wait for the body that their length states. */
+static bool has_no_body(const struct client_conn *cn, int code)
+{
+	return !strcmp(cn->call.request->method, "HEAD") || code / 100 == 1 ||
+	       code == 204 || code == 304;
+}
+
 /* Returning 1 tells the parser that no body follows. */
 static int on_headers(http_parser *p)
 {
@@ -186,7 +193,7 @@
 
 	flush_header(cn);
 	cn->answer->code = (int)p->status_code;
-	return !strcmp(cn->call.request->method, "HEAD");
+	return has_no_body(cn, cn->answer->code);
 }
 
 static int on_body(http_parser *p, const char *at, size_t len)
--- a/tests/http_client_test.cpp
+++ b/tests/http_client_test.cpp
@@ -627,6 +627,16 @@
 	 false},
 	{"304", "GET", "HTTP/1.1 304 Not Modified\r\nId: a\r\nETag: x\r\n\r\n",
 	 304, "", false},
+	{"304_length", "GET",
+	 "HTTP/1.1 304 Not Modified\r\nId: a\r\nContent-Length: 9\r\n\r\n", 304,
+	 "", false},
+	{"204_length", "GET",
+	 "HTTP/1.1 204 No Content\r\nId: a\r\nContent-Length: 9\r\n\r\n", 204,
+	 "", false},
+	{"interim_length", "GET",
+	 "HTTP/1.1 103 Early Hints\r\nContent-Length: 9\r\n\r\n" + HEAD_200 +
+		 "Content-Length: 9\r\n\r\nall of it",
+	 200, "all of it", false},
 	{"failure", "GET",
 	 "HTTP/1.1 500 Internal Server Error\r\nId: a\r\n"
 	 "Content-Length: 3\r\n\r\nbad",
@@ -681,3 +691,20 @@
 			 [](const ::testing::TestParamInfo<CutCase> &i) {
 				 return std::string(i.param.name);
 			 });
+
+/* The caller of a 304 with a length got a failure after the deadline. */
+TEST_F(HttpClientTest, AnswerThatHasNoBodyEndsWithItsHead)
+{
+	start_listening();
+	call(1, "a");
+	int fd = accept_connection();
+
+	send_text(fd,
+		  "HTTP/1.1 304 Not Modified\r\nId: a\r\nContent-Length: 9\r\n"
+		  "\r\n");
+	ASSERT_EQ(results.size(), 1u);
+	EXPECT_EQ(results[0].code, 304);
+	call(2, "b");
+	EXPECT_EQ(http_client_connects(c), 1u);
+	close(fd);
+}
