An answer's parts are appended in linear time

What callers saw: by the test, a body that comes in small pieces kept the process busy, so that all its callers waited.

Cause: each piece of a body was appended by a realloc to the exact size, each piece of a header after a strlen of all before it: quadratic in the number of pieces, which an upstream chooses.

Why it works: header names, values and bodies grow in buffers that double.

--- a/io/http_client.c
+++ b/io/http_client.c
@@ -25,6 +25,13 @@
 /* A connection that has carried this many requests is not reused. */
 #define CONN_REQUESTS_MAX	1024
 
+/* Bytes received in parts, closed by a NUL that is not counted. */
+struct byte_buf {
+	char *data; /* NULL until the first bytes */
+	size_t len;
+	size_t cap;
+};
+
 struct client_conn {
 	struct list link; /* in idle or busy */
 	struct http_client *client;
@@ -44,9 +51,10 @@
 	struct client_call call; /* its request is NULL while idle */
 	http_parser parser;
 	struct http_answer *answer;
-	char *field;
-	char *value;
+	struct byte_buf field;
+	struct byte_buf value;
 	bool in_value; /* value belongs to the header named by field */
+	struct byte_buf body;
 	bool complete; /* the answer was received to its end */
 };
 
@@ -57,14 +65,30 @@
 	uint64_t connects;
 };
 
+static void buf_add(struct byte_buf *b, const char *at, size_t len)
+{
+	if (b->len + len >= b->cap) {
+		b->cap = 2 * (b->len + len) + 1;
+		b->data = mem_realloc(b->data, b->cap, 1);
+	}
+	memcpy(b->data + b->len, at, len);
+	b->len += len;
+	b->data[b->len] = '\0';
+}
+
+static void buf_done(struct byte_buf *b)
+{
+	free(b->data);
+	memset(b, 0, sizeof(*b));
+}
+
 static void answer_reset(struct client_conn *cn)
 {
 	http_answer_delete(cn->answer);
-	free(cn->field);
-	free(cn->value);
+	buf_done(&cn->field);
+	buf_done(&cn->value);
+	buf_done(&cn->body);
 	cn->answer = NULL;
-	cn->field = NULL;
-	cn->value = NULL;
 	cn->in_value = false;
 	cn->complete = false;
 }
@@ -105,6 +129,18 @@
 	return c->connects;
 }
 
+/* Moves the body to the answer, without its spare capacity. */
+static void move_body(struct client_conn *cn)
+{
+	struct payload *p = &cn->answer->payload;
+
+	if (!cn->body.len)
+		return;
+	p->body = mem_realloc(cn->body.data, cn->body.len + 1, 1);
+	p->body_len = cn->body.len;
+	memset(&cn->body, 0, sizeof(cn->body));
+}
+
 /* Reports the end of the call; the connection is freed unless @keep. */
 static void finish_call(struct client_conn *cn, enum client_end end, bool keep)
 {
@@ -112,6 +148,7 @@
 	struct client_result r = {.call = cn->call.call, .end = end};
 
 	if (end == CLIENT_ANSWERED) {
+		move_body(cn);
 		r.answer = cn->answer;
 		cn->answer = NULL;
 	}
@@ -130,24 +167,13 @@
 	http_answer_delete(r.answer);
 }
 
-static void append(char **to, const char *at, size_t len)
-{
-	size_t old_len = *to ? strlen(*to) : 0;
-
-	*to = mem_realloc(*to, old_len + len + 1, 1);
-	memcpy(*to + old_len, at, len);
-	(*to)[old_len + len] = '\0';
-}
-
 static void flush_header(struct client_conn *cn)
 {
-	if (cn->field)
-		payload_add_header(&cn->answer->payload, cn->field,
-				   cn->value ? cn->value : "");
-	free(cn->field);
-	free(cn->value);
-	cn->field = NULL;
-	cn->value = NULL;
+	if (cn->field.len)
+		payload_add_header(&cn->answer->payload, cn->field.data,
+				   cn->value.len ? cn->value.data : "");
+	cn->field.len = 0;
+	cn->value.len = 0;
 	cn->in_value = false;
 }
 
@@ -166,7 +192,7 @@
 
 	if (cn->in_value)
 		flush_header(cn);
-	append(&cn->field, at, len);
+	buf_add(&cn->field, at, len);
 	return 0;
 }
 
@@ -175,7 +201,7 @@
 	struct client_conn *cn = p->data;
 
 	cn->in_value = true;
-	append(&cn->value, at, len);
+	buf_add(&cn->value, at, len);
 	return 0;
 }
 
@@ -199,13 +225,10 @@
 static int on_body(http_parser *p, const char *at, size_t len)
 {
 	struct client_conn *cn = p->data;
-	struct payload *pl = &cn->answer->payload;
 
-	if (pl->body_len + len > HTTP_ANSWER_MAX_BYTES)
+	if (cn->body.len + len > HTTP_ANSWER_MAX_BYTES)
 		return 1;
-	pl->body = mem_realloc(pl->body, pl->body_len + len, 1);
-	memcpy(pl->body + pl->body_len, at, len);
-	pl->body_len += len;
+	buf_add(&cn->body, at, len);
 	return 0;
 }
 
--- a/tests/http_client_test.cpp
+++ b/tests/http_client_test.cpp
@@ -132,11 +132,12 @@
 	 * Starts a call on a new connection and returns the upstream's end of
 	 * it, with the request read.
 	 */
-	int call_on_new_connection(const char *method, const char *id)
+	int call_on_new_connection(const char *method, const char *id,
+				   uint64_t ms = 2000)
 	{
 		int fd;
 
-		start_call(results.size() + 1, id, 2000, 2000, method);
+		start_call(results.size() + 1, id, ms, 2000, method);
 		fd = accept_connection();
 		EXPECT_GE(fd, 0);
 		while (read_all(fd).empty())
@@ -580,7 +581,7 @@
 }
 
 static const std::string HEAD_200 =
-	"HTTP/1.1 200 OK\r\nId: a\r\nSignature: 3e1b.07.5a2.600\r\n";
+	"HTTP/1.1 200 OK\r\nEmpty:\r\nId: a\r\nSignature: 3e1b.07.5a2.600\r\n";
 
 static const CutCase cut_cases[] = {
 	{"length", "GET", HEAD_200 + "Content-Length: 9\r\n\r\nall of it", 200,
@@ -708,3 +709,52 @@
 	EXPECT_EQ(http_client_connects(c), 1u);
 	close(fd);
 }
+
+static const size_t KB = 1024;
+static const size_t MB = 1024 * KB;
+static const std::string CHUNKED_200 =
+	HEAD_200 + "Transfer-Encoding: chunked\r\n\r\n";
+
+/* Each piece of a body was appended by a copy of all before it. */
+TEST_F(HttpClientTest, BodyInSmallPiecesTakesLinearTime)
+{
+	const std::string chunk = "1\r\nx\r\n";
+	std::string text = CHUNKED_200;
+	size_t sent = 0;
+	int fd;
+
+	for (size_t i = 0; i < MB; i++)
+		text += chunk;
+	text += "0\r\n\r\n";
+	start_listening();
+	fd = call_on_new_connection("GET", "a", 10000);
+	while (results.empty()) {
+		ssize_t n = send(fd, text.data() + sent, text.size() - sent,
+				 MSG_DONTWAIT | MSG_NOSIGNAL);
+
+		sent += n > 0 ? (size_t)n : 0;
+		event_base_loop(base, EVLOOP_ONCE | EVLOOP_NONBLOCK);
+	}
+	EXPECT_EQ(results[0].end, CLIENT_ANSWERED);
+	EXPECT_EQ(results[0].body, std::string(MB, 'x'));
+	close(fd);
+}
+
+/* A large answer leaves the loop to others between its parts. */
+TEST_F(HttpClientTest, LargeAnswerIsReadInSteps)
+{
+	std::string text = HEAD_200 + "\r\n" + std::string(MB, 'x');
+	int steps = 0;
+	int fd;
+
+	start_listening();
+	fd = call_on_new_connection("GET", "a");
+	ssize_t n = send(fd, text.data(), text.size(), MSG_DONTWAIT);
+
+	ASSERT_GT(n, (ssize_t)(128 * KB));
+	close(fd);
+	for (; results.empty(); steps++)
+		event_base_loop(base, EVLOOP_ONCE);
+	EXPECT_EQ(results[0].end, CLIENT_ANSWERED);
+	EXPECT_GE(steps, n / (ssize_t)(64 * KB));
+}
