Bytes of an upstream without end end the call early

Cause: http_parser bounds one head (80 KB) and on_body() a body, but 1xx answers had no bound, the extensions of chunks were bounded per chunk only, stale answers by their number only, and a body with a huge length was read up to the limit. Such a call held its slot, and the processor, until its deadline.

Why it works: what is not body is counted over all that a call receives and bounded by 64 KB, plus 8 bytes for each byte of body, as short chunks need; 1xx answers are bounded by 16; a length over the body limit ends the call at the head. The call ends as incomplete, so its outcome is unknown, and the connection is closed. Each end of this kind leaves a log line with its reason (event=answer_invalid).

--- a/io/http_client.c
+++ b/io/http_client.c
@@ -22,6 +22,14 @@
 #define KEEP_ALIVE_FRACTION	0.8
 /* Answers to earlier requests that are dropped before the call fails. */
 #define STALE_ANSWERS_MAX	4
+/* 1xx answers before the final one. */
+#define INTERIM_ANSWERS_MAX	16
+/*
+ * Bytes of a call's answers that are no body: heads, 1xx and stale ones
+ * included, chunk headers and trailers. Short chunks need more than this.
+ */
+#define FRAMING_MAX_BYTES	(64u << 10)
+#define FRAMING_PER_BODY_BYTE	8
 /* A connection that has carried this many requests is not reused. */
 #define CONN_REQUESTS_MAX	1024
 
@@ -39,9 +47,11 @@
 	char addr[JD_ADDR_MAX];
 	bool connected;
 	bool wrote;    /* the current request was passed to bev */
-	bool started;  /* bytes of its answer were received */
 	bool reusable; /* the answer allows another request */
 	uint32_t stale_answers;
+	uint32_t interim_answers;
+	uint64_t received_bytes; /* since the request was written */
+	uint64_t body_bytes;	 /* the part of them that is body */
 	/* hashes of the identifying values that were written */
 	uint32_t sent_ids[CONN_REQUESTS_MAX];
 	uint32_t sent_count;
@@ -212,14 +222,19 @@
 	       code == 204 || code == 304;
 }
 
-/* Returning 1 tells the parser that no body follows. */
+/* Returning 1 tells the parser that no body follows, -1 makes it fail. */
 static int on_headers(http_parser *p)
 {
 	struct client_conn *cn = p->data;
 
 	flush_header(cn);
 	cn->answer->code = (int)p->status_code;
-	return has_no_body(cn, cn->answer->code);
+	if (has_no_body(cn, cn->answer->code))
+		return 1;
+	if (p->content_length != UINT64_MAX &&
+	    p->content_length > HTTP_ANSWER_MAX_BYTES)
+		return -1;
+	return 0;
 }
 
 static int on_body(http_parser *p, const char *at, size_t len)
@@ -229,6 +244,7 @@
 	if (cn->body.len + len > HTTP_ANSWER_MAX_BYTES)
 		return 1;
 	buf_add(&cn->body, at, len);
+	cn->body_bytes += len;
 	return 0;
 }
 
@@ -338,6 +354,21 @@
 				   (double)NS_PER_S);
 }
 
+/* Ends the call and its connection because of what the upstream sent. */
+static void abandon_answer(struct client_conn *cn, const char *why)
+{
+	log_event(LOG_WARN, "event=answer_invalid why=%s addr=%s", why,
+		  cn->addr);
+	finish_call(cn, CLIENT_INCOMPLETE, false);
+}
+
+/* True if more was received than any proper answer needs for its body. */
+static bool exceeds_framing(const struct client_conn *cn)
+{
+	return cn->received_bytes - cn->body_bytes >
+	       FRAMING_MAX_BYTES + FRAMING_PER_BODY_BYTE * cn->body_bytes;
+}
+
 /*
  * Handles a complete answer. True if the call still waits for its own answer;
  * otherwise the call has ended and @cn may be freed.
@@ -346,6 +377,10 @@
 {
 	/* A 1xx answer is followed by the final one. */
 	if (cn->answer->code / 100 == 1) {
+		if (++cn->interim_answers > INTERIM_ANSWERS_MAX) {
+			abandon_answer(cn, "too_many_interim");
+			return false;
+		}
 		answer_reset(cn);
 		parser_reset(cn);
 		return true;
@@ -355,7 +390,7 @@
 			  "event=answer_dropped why=other_request addr=%s",
 			  cn->addr);
 		if (!cn->reusable || ++cn->stale_answers > STALE_ANSWERS_MAX) {
-			finish_call(cn, CLIENT_INCOMPLETE, false);
+			abandon_answer(cn, "too_many_stale");
 			return false;
 		}
 		answer_reset(cn);
@@ -385,15 +420,19 @@
 			&cn->parser, &parser_settings, data, len);
 		enum http_errno err = HTTP_PARSER_ERRNO(&cn->parser);
 
-		cn->started = true;
 		evbuffer_drain(in, parsed);
+		cn->received_bytes += parsed;
+		if (exceeds_framing(cn)) {
+			abandon_answer(cn, "head_too_long");
+			return;
+		}
 		if (cn->complete) {
 			if (!handle_answer(cn))
 				return;
 			continue;
 		}
 		if (err != HPE_OK || cn->parser.upgrade) {
-			finish_call(cn, CLIENT_INCOMPLETE, false);
+			abandon_answer(cn, http_errno_name(err));
 			return;
 		}
 	}
@@ -431,8 +470,10 @@
 		evbuffer_add(out, r->payload.body, r->payload.body_len);
 	record_sent(cn);
 	cn->wrote = true;
-	cn->started = false;
 	cn->stale_answers = 0;
+	cn->interim_answers = 0;
+	cn->received_bytes = 0;
+	cn->body_bytes = 0;
 	parser_reset(cn);
 	answer_reset(cn);
 	bufferevent_write_buffer(cn->bev, out);
--- a/tests/http_client_test.cpp
+++ b/tests/http_client_test.cpp
@@ -715,6 +715,95 @@
 static const std::string CHUNKED_200 =
 	HEAD_200 + "Transfer-Encoding: chunked\r\n\r\n";
 
+struct EndlessCase {
+	const char *name;
+	std::string start;
+	std::string repeated;
+	size_t bytes_max; /* taken from the upstream before the call ends */
+};
+
+static const EndlessCase endless_cases[] = {
+	{"empty_lines", "", "\r\n", 128 * KB},
+	{"reason_phrase", "HTTP/1.1 200 ", "O", 128 * KB},
+	{"header_name", "HTTP/1.1 200 OK\r\n", "N", 128 * KB},
+	{"header_value", "HTTP/1.1 200 OK\r\nId: ", "v", 128 * KB},
+	{"headers", "HTTP/1.1 200 OK\r\n", "a:\r\n", 128 * KB},
+	{"interim_answers", "", "HTTP/1.1 100 Continue\r\n\r\n", 128 * KB},
+	{"interim_heads", "",
+	 "HTTP/1.1 103 Early Hints\r\nLink: " + std::string(8 * KB, 'x') +
+		 "\r\n\r\n",
+	 128 * KB},
+	{"stale_answers", "",
+	 "HTTP/1.1 200 OK\r\nId: z\r\nContent-Length: 0\r\n\r\n", 128 * KB},
+	{"stale_heads", "",
+	 "HTTP/1.1 200 OK\r\nId: z\r\nContent-Length: 0\r\nX: " +
+		 std::string(50 * KB, 'x') + "\r\n\r\n",
+	 128 * KB},
+	{"chunk_size", CHUNKED_200, "0", 128 * KB},
+	{"chunk_extension", CHUNKED_200 + "1;x=", "e", 128 * KB},
+	{"chunk_extensions", CHUNKED_200,
+	 "1;x=" + std::string(8 * KB, 'e') + "\r\nx\r\n", 256 * KB},
+	{"trailer_value", CHUNKED_200 + "0\r\nT: ", "v", 128 * KB},
+	{"trailers", CHUNKED_200 + "0\r\n", "t: v\r\n", 128 * KB},
+	{"body_of_huge_length",
+	 HEAD_200 + "Content-Length: 9000000000000\r\n\r\n", "b", 128 * KB},
+	{"body_without_length", HEAD_200 + "\r\n", "b", 5 * MB},
+	{"body_in_chunks", CHUNKED_200,
+	 "400\r\n" + std::string(KB, 'c') + "\r\n", 5 * MB},
+	{"no_answer", "", "SSH-2.0\r\n", 128 * KB},
+	{"zeros", "", std::string(64, '\0'), 128 * KB},
+};
+
+static void PrintTo(const EndlessCase &k, std::ostream *out)
+{
+	*out << k.name;
+}
+
+struct EndlessAnswerTest : public HttpClientTest,
+			   public ::testing::WithParamInterface<EndlessCase> {
+};
+
+/*
+ * Bytes that are no answer kept the upstream's slot, the memory and the
+ * processor until the deadline of the call.
+ */
+TEST_P(EndlessAnswerTest, CallEndsEarlyAndClosesTheConnection)
+{
+	const EndlessCase &k = GetParam();
+	const size_t piece = 4 * KB;
+	std::string pieces;
+	uint64_t end_ns = clock_now_ns() + 5 * NS_PER_S;
+	size_t sent = 0;
+	int fd;
+
+	while (pieces.size() < piece + k.repeated.size())
+		pieces += k.repeated;
+	start_listening();
+	fd = call_on_new_connection("GET", "a", 60000);
+	write(fd, k.start.data(), k.start.size());
+	while (results.empty() && clock_now_ns() < end_ns) {
+		ssize_t n = send(fd, pieces.data() + sent % k.repeated.size(),
+				 piece, MSG_DONTWAIT | MSG_NOSIGNAL);
+
+		sent += n > 0 ? (size_t)n : 0;
+		event_base_loop(base, EVLOOP_ONCE | EVLOOP_NONBLOCK);
+	}
+	ASSERT_EQ(results.size(), 1u);
+	EXPECT_EQ(results[0].end, CLIENT_INCOMPLETE);
+	EXPECT_LE(sent, k.bytes_max);
+	run_loop(10);
+	EXPECT_LT(send(fd, "x", 1, MSG_NOSIGNAL) +
+			  send(fd, "x", 1, MSG_NOSIGNAL),
+		  2);
+	close(fd);
+}
+
+INSTANTIATE_TEST_SUITE_P(HttpClient, EndlessAnswerTest,
+			 ::testing::ValuesIn(endless_cases),
+			 [](const ::testing::TestParamInfo<EndlessCase> &i) {
+				 return std::string(i.param.name);
+			 });
+
 /* Each piece of a body was appended by a copy of all before it. */
 TEST_F(HttpClientTest, BodyInSmallPiecesTakesLinearTime)
 {
