Trailers of an upstream's answer are not taken for its headers

What callers saw: by the test, an answer without the request's id in its head was taken for the answer of the request in progress if the id came in a trailer; a not-executed header or a signature there counted, too.

Cause: the parser reports trailers by the callbacks of headers, and they were added to the headers, all but the last one.

Evidence: TrailersAreNotTakenForHeaders failed before the change: the 503 ended the call.

--- a/io/http_client.c
+++ b/io/http_client.c
@@ -63,7 +63,8 @@
 	struct http_answer *answer;
 	struct byte_buf field;
 	struct byte_buf value;
-	bool in_value; /* value belongs to the header named by field */
+	bool in_value;	 /* value belongs to the header named by field */
+	bool head_ended; /* later fields are trailers and are dropped */
 	struct byte_buf body;
 	bool complete; /* the answer was received to its end */
 };
@@ -100,6 +101,7 @@
 	buf_done(&cn->body);
 	cn->answer = NULL;
 	cn->in_value = false;
+	cn->head_ended = false;
 	cn->complete = false;
 }
 
@@ -200,6 +202,8 @@
 {
 	struct client_conn *cn = p->data;
 
+	if (cn->head_ended)
+		return 0;
 	if (cn->in_value)
 		flush_header(cn);
 	buf_add(&cn->field, at, len);
@@ -210,6 +214,8 @@
 {
 	struct client_conn *cn = p->data;
 
+	if (cn->head_ended)
+		return 0;
 	cn->in_value = true;
 	buf_add(&cn->value, at, len);
 	return 0;
@@ -228,6 +234,7 @@
 	struct client_conn *cn = p->data;
 
 	flush_header(cn);
+	cn->head_ended = true;
 	cn->answer->code = (int)p->status_code;
 	if (has_no_body(cn, cn->answer->code))
 		return 1;
--- a/tests/http_client_test.cpp
+++ b/tests/http_client_test.cpp
@@ -715,6 +715,22 @@
 static const std::string CHUNKED_200 =
 	HEAD_200 + "Transfer-Encoding: chunked\r\n\r\n";
 
+/* A header after the body made an unidentified answer that of the request. */
+TEST_F(HttpClientTest, TrailersAreNotTakenForHeaders)
+{
+	start_listening();
+	int fd = call_on_new_connection("GET", "a");
+
+	send_text(fd, "HTTP/1.1 503 Service Unavailable\r\n"
+		      "Transfer-Encoding: chunked\r\n\r\n"
+		      "0\r\nId: a\r\nNot-Executed: 1\r\n\r\n");
+	EXPECT_TRUE(results.empty());
+	send_text(fd, answer_text("a", "mine"));
+	ASSERT_EQ(results.size(), 1u);
+	EXPECT_EQ(results[0].body, "mine");
+	close(fd);
+}
+
 struct EndlessCase {
 	const char *name;
 	std::string start;
