Test: the upstream of the client's tests listens on a port of its own

In three parallel runs of http_client_test, two failed to bind: the ports came from a range that concurrent test programs share, and were free when they were looked up. The kernel picks the port of the listening socket now, and a call that ends before its request arrives fails the test, where it looped.

A connection of another process to a shared port would do this; no trace shows that it was so.

--- a/tests/http_client_test.cpp
+++ b/tests/http_client_test.cpp
@@ -58,20 +58,19 @@
 					       r->answer->payload.body_len)
 				 : ""});
 	}
+	/* Has the kernel pick the port, which no other process can take. */
 	void start_listening()
 	{
 		struct sockaddr_in a = {};
-		int on = 1;
+		socklen_t len = sizeof(a);
 
 		listen_fd = socket(AF_INET, SOCK_STREAM, 0);
-		setsockopt(listen_fd, SOL_SOCKET, SO_REUSEADDR, &on,
-			   sizeof(on));
 		a.sin_family = AF_INET;
-		a.sin_port = htons((uint16_t)atoi(
-			addr.substr(addr.find(':') + 1).c_str()));
 		a.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
 		EXPECT_EQ(bind(listen_fd, (struct sockaddr *)&a, sizeof(a)), 0);
 		EXPECT_EQ(listen(listen_fd, 8), 0);
+		getsockname(listen_fd, (struct sockaddr *)&a, &len);
+		addr = "127.0.0.1:" + std::to_string(ntohs(a.sin_port));
 	}
 	/* @id is NULL for a request without an identifying value. */
 	void start_call(uint64_t number, const char *id, uint64_t ms = 2000,
@@ -135,13 +134,18 @@
 	int call_on_new_connection(const char *method, const char *id,
 				   uint64_t ms = 2000)
 	{
+		size_t before = results.size();
+		std::string request;
 		int fd;
 
-		start_call(results.size() + 1, id, ms, 2000, method);
+		start_call(before + 1, id, ms, 2000, method);
 		fd = accept_connection();
 		EXPECT_GE(fd, 0);
-		while (read_all(fd).empty())
+		while (request.empty() && results.size() == before) {
 			event_base_loop(base, EVLOOP_ONCE | EVLOOP_NONBLOCK);
+			request = read_all(fd);
+		}
+		EXPECT_NE(request, "") << "end " << results.back().end;
 		return fd;
 	}
 	/* Has the upstream write @bytes and close, by a FIN or by a reset. */
