Bytes with another status than those of HTTP/1 are no answer

A 101 counted as an answer before the final one, though no switch of protocols is ever requested.

Cause: http_parser takes a status of one to three digits and any version; the client compared the first digit only.

Evidence: StatusOutsideOfHttp1IsNoAnswer (eight of its status lines) and SwitchOfProtocolsIsNoInterimAnswer failed before the change.

Why it works: a head with a status outside of 100 to 599, another major version or 101 makes the parser fail, so the call is incomplete and its outcome unknown.

FailureOfAnotherOrNoRequestIsDropped passed before, too: a 3xx or 4xx without the request's id, as servers write for what they can't parse, or with another value is dropped as the answer to another request.

--- a/io/http_client.c
+++ b/io/http_client.c
@@ -228,12 +228,21 @@
 	       code == 204 || code == 304;
 }
 
+/* False for bytes that parse but are no answer to an HTTP/1 request. */
+static bool is_valid_status(const http_parser *p)
+{
+	return p->http_major == 1 && p->status_code >= 100 &&
+	       p->status_code < 600 && p->status_code != 101;
+}
+
 /* Returning 1 tells the parser that no body follows, -1 makes it fail. */
 static int on_headers(http_parser *p)
 {
 	struct client_conn *cn = p->data;
 
 	flush_header(cn);
+	if (!is_valid_status(p))
+		return -1;
 	cn->head_ended = true;
 	cn->answer->code = (int)p->status_code;
 	if (has_no_body(cn, cn->answer->code))
--- a/tests/http_client_test.cpp
+++ b/tests/http_client_test.cpp
@@ -719,6 +719,67 @@
 static const std::string CHUNKED_200 =
 	HEAD_200 + "Transfer-Encoding: chunked\r\n\r\n";
 
+/*
+ * Bytes with the right id whose status line is none of HTTP/1 reached the
+ * caller as an answer.
+ */
+TEST_F(HttpClientTest, StatusOutsideOfHttp1IsNoAnswer)
+{
+	start_listening();
+	for (const char *status :
+	     {"HTTP/1.1 000 X", "HTTP/1.1 7 X", "HTTP/1.1 099 X",
+	      "HTTP/1.1 600 X", "HTTP/1.1 999 X", "HTTP/1.1 1000 X",
+	      "HTTP/0.9 200 OK", "HTTP/2.0 200 OK", "HTTP/3.1 404 X",
+	      "HTTP/1.1 101 Switching Protocols", "HTTP/1.1 -44 X",
+	      "HTTP/1.1 4o4 X", "HTTP/11 404 X", "ICY 404 X",
+	      "http/1.1 404 X"}) {
+		Result r = end_of_answer("GET",
+					 std::string(status) +
+						 "\r\nId: a\r\n"
+						 "Content-Length: 0\r\n\r\n",
+					 false);
+
+		EXPECT_EQ(r.end, CLIENT_INCOMPLETE) << status;
+		EXPECT_EQ(r.code, 0) << status;
+	}
+}
+
+/*
+ * A failure without the request's id, such as one that a server writes when it
+ * can't parse what it reads, is not the upstream's answer to the request.
+ */
+TEST_F(HttpClientTest, FailureOfAnotherOrNoRequestIsDropped)
+{
+	start_listening();
+	for (const char *head :
+	     {"HTTP/1.1 400 Bad Request\r\nConnection: close\r\n",
+	      "HTTP/1.0 404 Not Found\r\n", "HTTP/1.1 404 Not Found\r\n",
+	      "HTTP/1.1 404 Not Found\r\nId:\r\n",
+	      "HTTP/1.1 404 Not Found\r\nId: a b\r\n",
+	      "HTTP/1.1 404 Not Found\r\nId: A\r\n",
+	      "HTTP/1.1 304 Not Modified\r\n",
+	      "HTTP/1.1 302 Found\r\nId: z\r\nLocation: /\r\n"}) {
+		Result r =
+			end_of_answer("GET", std::string(head) + "\r\n", false);
+
+		EXPECT_EQ(r.end, CLIENT_INCOMPLETE) << head;
+		EXPECT_EQ(r.code, 0) << head;
+	}
+}
+
+/* The caller's request to switch protocols is not forwarded. */
+TEST_F(HttpClientTest, SwitchOfProtocolsIsNoInterimAnswer)
+{
+	start_listening();
+	int fd = call_on_new_connection("GET", "a");
+
+	send_text(fd, "HTTP/1.1 101 Switching Protocols\r\n\r\n" +
+			      answer_text("a", "other protocol"));
+	ASSERT_EQ(results.size(), 1u);
+	EXPECT_EQ(results[0].end, CLIENT_INCOMPLETE);
+	close(fd);
+}
+
 /* A header after the body made an unidentified answer that of the request. */
 TEST_F(HttpClientTest, TrailersAreNotTakenForHeaders)
 {
