A body in an unknown transfer coding is no answer

Cause: http_parser undoes chunked only, and ignores or accepts other codings; Transfer-Encoding concerns one connection and is not forwarded.

Evidence: OnlyChunkedTransferCodingIsDecoded failed before the change for five headers.

Why it works: each Transfer-Encoding header has to be chunked alone, otherwise the call is incomplete. AmbiguousLengthIsNoAnswer passed before: the parser refuses two lengths, a length with chunks, and what is no number.

--- a/io/http_client.c
+++ b/io/http_client.c
@@ -235,6 +235,18 @@
 	       p->status_code < 600 && p->status_code != 101;
 }
 
+/* True if the body is in a transfer coding that the parser does not undo. */
+static bool has_unknown_coding(const struct payload *p)
+{
+	const struct header *h;
+
+	list_for_each_entry(h, &p->headers, link)
+		if (!strcasecmp(h->name, "Transfer-Encoding") &&
+		    strcasecmp(h->value, "chunked") != 0)
+			return true;
+	return false;
+}
+
 /* Returning 1 tells the parser that no body follows, -1 makes it fail. */
 static int on_headers(http_parser *p)
 {
@@ -250,6 +262,8 @@
 	if (p->content_length != UINT64_MAX &&
 	    p->content_length > HTTP_ANSWER_MAX_BYTES)
 		return -1;
+	if (has_unknown_coding(&cn->answer->payload))
+		return -1;
 	return 0;
 }
 
--- a/tests/http_client_test.cpp
+++ b/tests/http_client_test.cpp
@@ -796,6 +796,51 @@
 	close(fd);
 }
 
+/* A body in another transfer coding reached the caller as it was sent. */
+TEST_F(HttpClientTest, OnlyChunkedTransferCodingIsDecoded)
+{
+	start_listening();
+	for (const char *coding :
+	     {"Transfer-Encoding: gzip, chunked\r\n",
+	      "Transfer-Encoding: gzip\r\nTransfer-Encoding: chunked\r\n",
+	      "Transfer-Encoding: gzip\r\n", "Transfer-Encoding: \r\n",
+	      "Transfer-Encoding: chunked, chunked\r\n"}) {
+		Result r = end_of_answer(
+			"GET", HEAD_200 + coding + "\r\n4\r\nbody\r\n0\r\n\r\n",
+			false);
+
+		EXPECT_EQ(r.end, CLIENT_INCOMPLETE) << coding;
+	}
+	Result r = end_of_answer("GET",
+				 HEAD_200 + "Transfer-Encoding: Chunked\r\n\r\n"
+					    "4\r\nbody\r\n0\r\n\r\n",
+				 false);
+
+	EXPECT_EQ(r.end, CLIENT_ANSWERED);
+	EXPECT_EQ(r.body, "body");
+}
+
+/* Two lengths, or a length and chunks, leave the end of the body open. */
+TEST_F(HttpClientTest, AmbiguousLengthIsNoAnswer)
+{
+	start_listening();
+	for (const char *lengths :
+	     {"Content-Length: 2\r\nContent-Length: 4\r\n",
+	      "Content-Length: 4\r\nTransfer-Encoding: chunked\r\n",
+	      "Transfer-Encoding: chunked\r\nContent-Length: 4\r\n",
+	      "Content-Length: 2, 4\r\n", "Content-Length: -4\r\n",
+	      "Content-Length: +4\r\n", "Content-Length: \r\n",
+	      "Content-Length: 4x\r\n", "Content-Length: 0x4\r\n",
+	      "Content-Length: 99999999999999999999999\r\n"}) {
+		Result r = end_of_answer("GET",
+					 HEAD_200 + lengths +
+						 "\r\n4\r\nbody\r\n0\r\n\r\n",
+					 false);
+
+		EXPECT_EQ(r.end, CLIENT_INCOMPLETE) << lengths;
+	}
+}
+
 struct EndlessCase {
 	const char *name;
 	std::string start;
