An empty signature does not sign a success

What callers saw: by the test, a 2xx whose signature header has no value was passed on as a success of the upstream (MIXED: a 2xx without the signature is none).

Cause: decode_answer() asked for the header, not for its value.

FailureOfTheUpstreamIsPassedOnUnchanged passed before: a 3xx or 4xx of the upstream needs no signature.

--- a/tests/requests_test.cpp
+++ b/tests/requests_test.cpp
@@ -149,6 +149,51 @@
 	}
 }
 
+/* A success with an empty signature was passed on as a signed one. */
+TEST(Requests, EmptySignatureDoesNotSignASuccess)
+{
+	struct client_result r = {};
+	struct ev_upstream_end e;
+
+	r.end = CLIENT_ANSWERED;
+	r.answer = http_answer_new(200);
+	payload_add_header(&r.answer->payload, SIGNATURE, "");
+	result_decode(&r, &e);
+	EXPECT_EQ(e.outcome, OUTCOME_UNKNOWN);
+	EXPECT_EQ(e.answer, nullptr);
+	http_answer_delete(r.answer);
+}
+
+/*
+ * The upstream's own 3xx and 4xx are passed on, signed or not: a failure need
+ * not be signed.
+ */
+TEST(Requests, FailureOfTheUpstreamIsPassedOnUnchanged)
+{
+	for (int code : {300, 302, 304, 400, 401, 404, 409, 413, 499}) {
+		for (bool is_signed : {false, true}) {
+			struct client_result r = {};
+			struct ev_upstream_end e;
+
+			r.end = CLIENT_ANSWERED;
+			r.answer = http_answer_new(code);
+			if (is_signed)
+				payload_add_header(&r.answer->payload,
+						   SIGNATURE, "s");
+			payload_set_body(&r.answer->payload, "why", 3);
+			result_decode(&r, &e);
+			EXPECT_EQ(e.outcome, OUTCOME_DONE) << code;
+			ASSERT_NE(e.answer, nullptr) << code;
+			EXPECT_EQ(e.answer->code, code);
+			EXPECT_EQ(e.answer->payload.body_len, 3u);
+			EXPECT_EQ(payload_header(&e.answer->payload,
+						 SIGNATURE) != nullptr,
+				  is_signed);
+			http_answer_delete(e.answer);
+		}
+	}
+}
+
 TEST(Requests, OutcomeOfACallWithoutAnAnswer)
 {
 	const std::pair<enum client_end, enum outcome> cases[] = {
