--- a/io/http_client.c
+++ b/io/http_client.c
@@ -7,6 +7,7 @@
 #include <stdlib.h>
 #include <string.h>
 #include <strings.h>
+#include <xxhash.h>
 
 #include "core/mem.h"
 #include "core/text.h"
@@ -21,6 +22,23 @@
 #define KEEP_ALIVE_FRACTION	0.8
 /* Answers to earlier requests that are dropped before the call fails. */
 #define STALE_ANSWERS_MAX	4
+/* 1xx answers before the final one. */
+#define INTERIM_ANSWERS_MAX	16
+/*
+ * Bytes of a call's answers that are no body: heads, 1xx and stale ones
+ * included, chunk headers and trailers. Short chunks need more than this.
+ */
+#define FRAMING_MAX_BYTES	(64u << 10)
+#define FRAMING_PER_BODY_BYTE	8
+/* A connection that has carried this many requests is not reused. */
+#define CONN_REQUESTS_MAX	1024
+
+/* Bytes received in parts, closed by a NUL that is not counted. */
+struct byte_buf {
+	char *data; /* NULL until the first bytes */
+	size_t len;
+	size_t cap;
+};
 
 struct client_conn {
 	struct list link; /* in idle or busy */
@@ -29,18 +47,25 @@
 	char addr[JD_ADDR_MAX];
 	bool connected;
 	bool wrote;    /* the current request was passed to bev */
-	bool started;  /* bytes of its answer were received */
 	bool reusable; /* the answer allows another request */
 	uint32_t stale_answers;
+	uint32_t interim_answers;
+	uint64_t received_bytes; /* since the request was written */
+	uint64_t body_bytes;	 /* the part of them that is body */
+	/* hashes of the identifying values that were written */
+	uint32_t sent_ids[CONN_REQUESTS_MAX];
+	uint32_t sent_count;
 	uint64_t idle_deadline_ns;
 	uint64_t idle_timeout_ns;
 	struct event *timer;
 	struct client_call call; /* its request is NULL while idle */
 	http_parser parser;
 	struct http_answer *answer;
-	char *field;
-	char *value;
-	bool in_value; /* value belongs to the header named by field */
+	struct byte_buf field;
+	struct byte_buf value;
+	bool in_value;	 /* value belongs to the header named by field */
+	bool head_ended; /* later fields are trailers and are dropped */
+	struct byte_buf body;
 	bool complete; /* the answer was received to its end */
 };
 
@@ -51,15 +76,32 @@
 	uint64_t connects;
 };
 
+static void buf_add(struct byte_buf *b, const char *at, size_t len)
+{
+	if (b->len + len >= b->cap) {
+		b->cap = 2 * (b->len + len) + 1;
+		b->data = mem_realloc(b->data, b->cap, 1);
+	}
+	memcpy(b->data + b->len, at, len);
+	b->len += len;
+	b->data[b->len] = '\0';
+}
+
+static void buf_done(struct byte_buf *b)
+{
+	free(b->data);
+	memset(b, 0, sizeof(*b));
+}
+
 static void answer_reset(struct client_conn *cn)
 {
 	http_answer_delete(cn->answer);
-	free(cn->field);
-	free(cn->value);
+	buf_done(&cn->field);
+	buf_done(&cn->value);
+	buf_done(&cn->body);
 	cn->answer = NULL;
-	cn->field = NULL;
-	cn->value = NULL;
 	cn->in_value = false;
+	cn->head_ended = false;
 	cn->complete = false;
 }
 
@@ -99,6 +141,18 @@
 	return c->connects;
 }
 
+/* Moves the body to the answer, without its spare capacity. */
+static void move_body(struct client_conn *cn)
+{
+	struct payload *p = &cn->answer->payload;
+
+	if (!cn->body.len)
+		return;
+	p->body = mem_realloc(cn->body.data, cn->body.len + 1, 1);
+	p->body_len = cn->body.len;
+	memset(&cn->body, 0, sizeof(cn->body));
+}
+
 /* Reports the end of the call; the connection is freed unless @keep. */
 static void finish_call(struct client_conn *cn, enum client_end end, bool keep)
 {
@@ -106,6 +160,7 @@
 	struct client_result r = {.call = cn->call.call, .end = end};
 
 	if (end == CLIENT_ANSWERED) {
+		move_body(cn);
 		r.answer = cn->answer;
 		cn->answer = NULL;
 	}
@@ -124,24 +179,13 @@
 	http_answer_delete(r.answer);
 }
 
-static void append(char **to, const char *at, size_t len)
-{
-	size_t old_len = *to ? strlen(*to) : 0;
-
-	*to = mem_realloc(*to, old_len + len + 1, 1);
-	memcpy(*to + old_len, at, len);
-	(*to)[old_len + len] = '\0';
-}
-
 static void flush_header(struct client_conn *cn)
 {
-	if (cn->field)
-		payload_add_header(&cn->answer->payload, cn->field,
-				   cn->value ? cn->value : "");
-	free(cn->field);
-	free(cn->value);
-	cn->field = NULL;
-	cn->value = NULL;
+	if (cn->field.len)
+		payload_add_header(&cn->answer->payload, cn->field.data,
+				   cn->value.len ? cn->value.data : "");
+	cn->field.len = 0;
+	cn->value.len = 0;
 	cn->in_value = false;
 }
 
@@ -158,9 +202,11 @@
 {
 	struct client_conn *cn = p->data;
 
+	if (cn->head_ended)
+		return 0;
 	if (cn->in_value)
 		flush_header(cn);
-	append(&cn->field, at, len);
+	buf_add(&cn->field, at, len);
 	return 0;
 }
 
@@ -168,31 +214,67 @@
 {
 	struct client_conn *cn = p->data;
 
+	if (cn->head_ended)
+		return 0;
 	cn->in_value = true;
-	append(&cn->value, at, len);
+	buf_add(&cn->value, at, len);
 	return 0;
 }
 
-/* Returning 1 tells the parser that no body follows. */
+/* The parser would wait for the body that their length states. */
+static bool has_no_body(const struct client_conn *cn, int code)
+{
+	return !strcmp(cn->call.request->method, "HEAD") || code / 100 == 1 ||
+	       code == 204 || code == 304;
+}
+
+/* False for bytes that parse but are no answer to an HTTP/1 request. */
+static bool is_valid_status(const http_parser *p)
+{
+	return p->http_major == 1 && p->status_code >= 100 &&
+	       p->status_code < 600 && p->status_code != 101;
+}
+
+/* True if the body is in a transfer coding that the parser does not undo. */
+static bool has_unknown_coding(const struct payload *p)
+{
+	const struct header *h;
+
+	list_for_each_entry(h, &p->headers, link)
+		if (!strcasecmp(h->name, "Transfer-Encoding") &&
+		    strcasecmp(h->value, "chunked") != 0)
+			return true;
+	return false;
+}
+
+/* Returning 1 tells the parser that no body follows, -1 makes it fail. */
 static int on_headers(http_parser *p)
 {
 	struct client_conn *cn = p->data;
 
 	flush_header(cn);
+	if (!is_valid_status(p))
+		return -1;
+	cn->head_ended = true;
 	cn->answer->code = (int)p->status_code;
-	return !strcmp(cn->call.request->method, "HEAD");
+	if (has_no_body(cn, cn->answer->code))
+		return 1;
+	if (p->content_length != UINT64_MAX &&
+	    p->content_length > HTTP_ANSWER_MAX_BYTES)
+		return -1;
+	if (has_unknown_coding(&cn->answer->payload))
+		return -1;
+	return 0;
 }
 
 static int on_body(http_parser *p, const char *at, size_t len)
 {
 	struct client_conn *cn = p->data;
-	struct payload *pl = &cn->answer->payload;
 
-	if (pl->body_len + len > HTTP_ANSWER_MAX_BYTES)
+	if (cn->body.len + len > HTTP_ANSWER_MAX_BYTES)
 		return 1;
-	pl->body = mem_realloc(pl->body, pl->body_len + len, 1);
-	memcpy(pl->body + pl->body_len, at, len);
-	pl->body_len += len;
+	buf_add(&cn->body, at, len);
+	cn->body_bytes += len;
 	return 0;
 }
 
@@ -221,16 +303,74 @@
 	cn->parser.data = cn;
 }
 
+/* The value that an answer to @r echoes; NULL if nothing identifies it. */
+static const char *identifying_value(const struct http_client *c,
+				     const struct http_request *r)
+{
+	const char *id = payload_header(&r->payload, c->opts.echo_header);
+
+	return id && *id ? id : NULL;
+}
+
 /* True if the answer echoes the request's identifying header, if any. */
 static bool answers_request(const struct client_conn *cn)
 {
-	const char *header = cn->client->opts.echo_header;
-	const char *sent = payload_header(&cn->call.request->payload, header);
-	const char *got = payload_header(&cn->answer->payload, header);
+	const struct http_client *c = cn->client;
+	const char *sent = identifying_value(c, cn->call.request);
+	const char *got =
+		payload_header(&cn->answer->payload, c->opts.echo_header);
 
 	return !sent || (got && !strcmp(sent, got));
 }
 
+static uint32_t id_hash(const char *id)
+{
+	return (uint32_t)XXH3_64bits(id, strlen(id));
+}
+
+/* Records that the current request is written to the connection. */
+static void record_sent(struct client_conn *cn)
+{
+	const char *id = identifying_value(cn->client, cn->call.request);
+
+	cn->sent_ids[cn->sent_count++] = id ? id_hash(id) : 0;
+}
+
+/*
+ * An upstream may write an answer once more, so @r must be told apart from all
+ * requests that the connection has carried. Equal hashes of two values only
+ * cost a new connection.
+ */
+static bool may_carry(const struct client_conn *cn,
+		      const struct http_request *r)
+{
+	const char *id = identifying_value(cn->client, r);
+	uint32_t hash;
+
+	if (!id)
+		return !cn->sent_count;
+	hash = id_hash(id);
+	for (uint32_t i = 0; i < cn->sent_count; i++)
+		if (cn->sent_ids[i] == hash)
+			return false;
+	return true;
+}
+
+/* True if another request may follow the answered one on its connection. */
+static bool may_reuse(const struct client_conn *cn)
+{
+	size_t unread_bytes =
+		evbuffer_get_length(bufferevent_get_input(cn->bev));
+
+	/*
+	 * Surplus bytes and stale answers could be mistaken for the answer to
+	 * the next request, and so could answers that identify no request.
+	 */
+	return cn->reusable && !unread_bytes && !cn->stale_answers &&
+	       identifying_value(cn->client, cn->call.request) &&
+	       cn->sent_count < CONN_REQUESTS_MAX;
+}
+
 /* Sets the idle timeout from the upstream's Keep-Alive header. */
 static void update_idle_timeout(struct client_conn *cn)
 {
@@ -244,17 +384,33 @@
 				   (double)NS_PER_S);
 }
 
+/* Ends the call and its connection because of what the upstream sent. */
+static void abandon_answer(struct client_conn *cn, const char *why)
+{
+	log_event(LOG_WARN, "event=answer_invalid why=%s addr=%s", why,
+		  cn->addr);
+	finish_call(cn, CLIENT_INCOMPLETE, false);
+}
+
+/* True if more was received than any proper answer needs for its body. */
+static bool exceeds_framing(const struct client_conn *cn)
+{
+	return cn->received_bytes - cn->body_bytes >
+	       FRAMING_MAX_BYTES + FRAMING_PER_BODY_BYTE * cn->body_bytes;
+}
+
 /*
  * Handles a complete answer. True if the call still waits for its own answer;
  * otherwise the call has ended and @cn may be freed.
  */
 static bool handle_answer(struct client_conn *cn)
 {
-	size_t unread_bytes =
-		evbuffer_get_length(bufferevent_get_input(cn->bev));
-
 	/* A 1xx answer is followed by the final one. */
 	if (cn->answer->code / 100 == 1) {
+		if (++cn->interim_answers > INTERIM_ANSWERS_MAX) {
+			abandon_answer(cn, "too_many_interim");
+			return false;
+		}
 		answer_reset(cn);
 		parser_reset(cn);
 		return true;
@@ -264,7 +420,7 @@
 			  "event=answer_dropped why=other_request addr=%s",
 			  cn->addr);
 		if (!cn->reusable || ++cn->stale_answers > STALE_ANSWERS_MAX) {
-			finish_call(cn, CLIENT_INCOMPLETE, false);
+			abandon_answer(cn, "too_many_stale");
 			return false;
 		}
 		answer_reset(cn);
@@ -272,12 +428,7 @@
 		return true;
 	}
 	update_idle_timeout(cn);
-	/*
-	 * Surplus bytes and stale answers could be mistaken for the answer to
-	 * the next request, so the connection is not reused after them.
-	 */
-	finish_call(cn, CLIENT_ANSWERED,
-		    cn->reusable && !unread_bytes && !cn->stale_answers);
+	finish_call(cn, CLIENT_ANSWERED, may_reuse(cn));
 	return false;
 }
 
@@ -299,15 +450,19 @@
 			&cn->parser, &parser_settings, data, len);
 		enum http_errno err = HTTP_PARSER_ERRNO(&cn->parser);
 
-		cn->started = true;
 		evbuffer_drain(in, parsed);
+		cn->received_bytes += parsed;
+		if (exceeds_framing(cn)) {
+			abandon_answer(cn, "head_too_long");
+			return;
+		}
 		if (cn->complete) {
 			if (!handle_answer(cn))
 				return;
 			continue;
 		}
 		if (err != HPE_OK || cn->parser.upgrade) {
-			finish_call(cn, CLIENT_INCOMPLETE, false);
+			abandon_answer(cn, http_errno_name(err));
 			return;
 		}
 	}
@@ -343,9 +498,12 @@
 	evbuffer_add(out, "\r\n", 2);
 	if (r->payload.body_len)
 		evbuffer_add(out, r->payload.body, r->payload.body_len);
+	record_sent(cn);
 	cn->wrote = true;
-	cn->started = false;
 	cn->stale_answers = 0;
+	cn->interim_answers = 0;
+	cn->received_bytes = 0;
+	cn->body_bytes = 0;
 	parser_reset(cn);
 	answer_reset(cn);
 	bufferevent_write_buffer(cn->bev, out);
@@ -368,6 +526,13 @@
 	evtimer_add(cn->timer, &tv);
 }
 
+/* True if the connection is open and nothing was received on it. */
+static bool is_quiet(const struct client_conn *cn)
+{
+	return !evbuffer_get_length(bufferevent_get_input(cn->bev)) &&
+	       socket_is_idle(bufferevent_getfd(cn->bev));
+}
+
 /* Writes the request unless its deadline or write_before_ns has passed. */
 static void send_call(struct client_conn *cn)
 {
@@ -377,6 +542,11 @@
 		finish_call(cn, CLIENT_NOT_SENT, true);
 		return;
 	}
+	/* Bytes before the first request answer none. */
+	if (!is_quiet(cn)) {
+		finish_call(cn, CLIENT_NOT_SENT, false);
+		return;
+	}
 	set_timer(cn, cn->call.deadline_ns);
 	write_request(cn);
 }
@@ -437,27 +607,33 @@
 }
 
 /*
- * Returns the first idle connection to @addr that has not timed out and has no
- * unread bytes; NULL for none. Closes the idle connections before it.
+ * Returns an idle connection that may carry @call; NULL for none. Closes those
+ * that have timed out, lead elsewhere or have unread bytes.
  */
 static struct client_conn *find_idle_conn(struct http_client *c,
-					  const char *addr)
+					  const struct client_call *call)
 {
 	uint64_t now = clock_now_ns();
-	struct client_conn *cn, *tmp;
+	struct client_conn *cn, *tmp, *unfit = NULL;
 
 	list_for_each_entry_safe(cn, tmp, &c->idle, link) {
-		if (now < cn->idle_deadline_ns && !strcmp(cn->addr, addr) &&
-		    socket_is_idle(bufferevent_getfd(cn->bev)))
+		if (now >= cn->idle_deadline_ns ||
+		    strcmp(cn->addr, call->addr) != 0 || !is_quiet(cn))
+			conn_delete(cn);
+		else if (may_carry(cn, call->request))
 			return cn;
-		conn_delete(cn);
+		else
+			unfit = cn;
 	}
+	/* The upstream limits its connections, so a new one replaces it. */
+	if (unfit)
+		conn_delete(unfit);
 	return NULL;
 }
 
 void http_client_call(struct http_client *c, const struct client_call *call)
 {
-	struct client_conn *cn = find_idle_conn(c, call->addr);
+	struct client_conn *cn = find_idle_conn(c, call);
 	struct sockaddr_in sin;
 	bool reused = cn != NULL;
 
