Bound the answers that evhttp reads from an upstream

Callers saw nothing until their deadline, and the node's memory grew, while an upstream sent bytes without end: in the first line, a header, interim answers, the framing of chunks, a body or its trailer. evhttp has no limit unless one is set, and its limits don't count interim answers and chunk framing. A connection that delivers grants had none at all: evhttp's timeout starts anew with each read.

io/answer_limit.c sets evhttp's limits and counts all bytes of an answer; above the limit it shuts the socket down, so that evhttp fails the request by its own path. The outcome is unknown, since the request was written.

--- a/io/upstream_client.c
+++ b/io/upstream_client.c
@@ -13,15 +13,18 @@
 #include "core/mem.h"
 #include "core/text.h"
 #include "io/addr.h"
+#include "io/answer_limit.h"
 #include "io/clock.h"
 #include "io/http_convert.h"
 #include "io/socket_opts.h"
 
 /* Header of the upstream's answer to a request that it rejected unexecuted. */
-#define HEADER_NOT_RUN	"X-Not-Run"
+#define HEADER_NOT_RUN	       "X-Not-Run"
 /* Value of that header if the upstream holds no valid grant for the fence. */
-#define NOT_RUN_FENCE	"fence"
-#define GRANT_TIMEOUT_S 2
+#define NOT_RUN_FENCE	       "fence"
+#define GRANT_TIMEOUT_S	       2
+/* Of an answer to grants; only its status is read. */
+#define GRANT_ANSWER_MAX_BYTES (64u << 10)
 
 /* A connection to the upstream, reused by later calls. */
 struct upstream_conn {
@@ -29,6 +32,7 @@
 	struct upstream_client *client;
 	char addr[JD_ADDR_MAX];
 	struct evhttp_connection *http;
+	struct answer_limit limit;
 	struct pending_call *call; /* NULL while idle */
 	/* evhttp's callback and argument, while on_connect() replaces them. */
 	bufferevent_event_cb evhttp_event_cb;
@@ -41,6 +45,7 @@
 	struct act_upstream_call act;
 	bool written;	       /* at least one byte was written to the socket */
 	enum refusal not_sent; /* why it was aborted before that */
+	bool too_large;	       /* the answer exceeded a limit */
 };
 
 struct upstream_client {
@@ -57,6 +62,7 @@
 	struct list link;
 	struct upstream_client *client;
 	struct evhttp_connection *http;
+	struct answer_limit limit;
 	struct event *delete_timer;
 };
 
@@ -136,6 +142,7 @@
 	mem_copy_str(cn->addr, addr, sizeof(cn->addr));
 	addr_split(addr, ip, sizeof(ip), &port);
 	cn->http = evhttp_connection_base_new(u->base, NULL, ip, port);
+	answer_limit_init(&cn->limit, cn->http, HTTP_ANSWER_MAX_BYTES);
 	evbuffer_add_cb(bufferevent_get_output(
 				evhttp_connection_get_bufferevent(cn->http)),
 			on_output_change, cn);
@@ -204,6 +211,15 @@
 	complete_call(cn, &a);
 }
 
+/* Called before on_answer(), which then gets no request. */
+static void on_error(enum evhttp_request_error error, void *arg)
+{
+	struct upstream_conn *cn = arg;
+
+	if (cn->call)
+		cn->call->too_large = error == EVREQ_HTTP_DATA_TOO_LONG;
+}
+
 static void on_answer(struct evhttp_request *req, void *arg)
 {
 	struct upstream_conn *cn = arg;
@@ -213,7 +229,8 @@
 	if (!cn->call)
 		return;
 	if (!req || !evhttp_request_get_response_code(req)) {
-		fail_call(cn, REFUSAL_CONNECTION_LOST);
+		fail_call(cn, cn->call->too_large ? REFUSAL_ANSWER_TOO_LARGE
+						  : REFUSAL_CONNECTION_LOST);
 		return;
 	}
 	not_run = evhttp_find_header(evhttp_request_get_input_headers(req),
@@ -380,6 +397,8 @@
 
 	http_method_to_evhttp(act->request->method, &type);
 	cn->call->req = evhttp_request_new(on_answer, cn);
+	evhttp_request_set_error_cb(cn->call->req, on_error);
+	answer_limit_start(&cn->limit);
 	payload_to_evhttp(&act->request->payload, cn->call->req);
 	add_headers(cn->call->req, act, now_ns);
 	start_timer(cn, now_ns);
@@ -484,6 +503,7 @@
 	addr_split(g->addr, ip, sizeof(ip), &port);
 	call->client = u;
 	call->http = evhttp_connection_base_new(u->base, NULL, ip, port);
+	answer_limit_init(&call->limit, call->http, GRANT_ANSWER_MAX_BYTES);
 	call->delete_timer = evtimer_new(u->base, on_delete_timer, call);
 	list_push_back(&u->grants, &call->link);
 	evhttp_connection_set_timeout(call->http, GRANT_TIMEOUT_S);
--- a/tests/upstream_client_test.cpp
+++ b/tests/upstream_client_test.cpp
@@ -442,3 +442,159 @@
 	upstream_client_grant(h.client, g);
 	actions_done(&out);
 }
+
+/** An upstream whose bytes the test writes; it answers one call at a time. */
+struct RawUpstream {
+	Listener listener;
+	ClientHarness harness;
+	uint64_t next_call = 1;
+	int fd = -1;
+
+	RawUpstream()
+	{
+		harness.addr = listener.addr;
+	}
+	~RawUpstream()
+	{
+		hang_up();
+	}
+
+	/** Sends a call; returns once a connection has received its bytes. */
+	void call()
+	{
+		char buf[4096];
+		struct act_upstream_call c = harness.call(next_call++);
+
+		c.deadline_ns = clock_now_ns() + 60 * NS_PER_S;
+		harness.send(c);
+		harness.run_until([&] {
+			int accepted = accept4(listener.fd, nullptr, nullptr,
+					       SOCK_NONBLOCK);
+
+			if (accepted >= 0) {
+				hang_up();
+				fd = accepted;
+			}
+			return fd >= 0 &&
+			       recv(fd, buf, sizeof(buf), MSG_DONTWAIT) > 0;
+		});
+	}
+
+	void hang_up()
+	{
+		if (fd >= 0)
+			close(fd);
+		fd = -1;
+	}
+
+	void write_text(const std::string &text)
+	{
+		ASSERT_EQ(send(fd, text.data(), text.size(), MSG_NOSIGNAL),
+			  (ssize_t)text.size());
+	}
+
+	/** Writes @text, then @repeated again and again until the call ends. */
+	size_t write_without_end(const std::string &text,
+				 const std::string &repeated)
+	{
+		std::string block;
+		size_t answers = harness.answers.size();
+		size_t written = 0;
+
+		while (block.size() < 8192)
+			block += repeated;
+		write_text(text);
+		harness.run_until([&] {
+			ssize_t n = send(fd, block.data(), block.size(),
+					 MSG_NOSIGNAL | MSG_DONTWAIT);
+
+			written += n > 0 ? (size_t)n : 0;
+			/* Whole repetitions only. */
+			while (n > 0 && (size_t)n % repeated.size() != 0 &&
+			       send(fd, block.data() + n, 1, MSG_NOSIGNAL) == 1)
+				n++;
+			return harness.answers.size() > answers;
+		});
+		return written;
+	}
+
+	const struct ev_upstream_answer &answer()
+	{
+		size_t calls = next_call - 1;
+
+		harness.run_until(
+			[&] { return harness.answers.size() >= calls; });
+		EXPECT_EQ(harness.answers.size(), calls);
+		if (harness.answers.size() < calls)
+			harness.answers.resize(calls);
+		return harness.answers.back();
+	}
+
+	enum outcome outcome()
+	{
+		return answer().outcome;
+	}
+};
+
+/*
+ * An upstream that closes within the head or a framed body has not answered: no
+ * part of it must reach the caller as a whole answer.
+ */
+TEST(UpstreamClient, AnswerCutAnywhereIsUnknown)
+{
+	static const char *const answers[] = {
+		"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok",
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+		"2\r\nok\r\n0\r\n\r\n",
+		"HTTP/1.1 503 Busy\r\nX-Not-Run: full\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n",
+	};
+	RawUpstream u;
+
+	for (const char *text : answers)
+		for (size_t len = 0; len < strlen(text); len++) {
+			u.call();
+			u.write_text(std::string(text, len));
+			u.hang_up();
+			EXPECT_EQ(u.outcome(), OUTCOME_UNKNOWN)
+				<< std::string(text, len);
+			EXPECT_EQ(u.answer().answer, nullptr);
+		}
+}
+
+/*
+ * Bytes that go on without end must not fill the memory nor last until the
+ * deadline; the request may have run.
+ */
+TEST(UpstreamClient, AnswerWithoutEndFailsEarlyAndBounded)
+{
+	static const struct {
+		const char *start, *repeated;
+	} streams[] = {
+		{"", "x"},
+		{"HTTP/1.1 200 OK\r\nX-Long: ", "x"},
+		{"HTTP/1.1 200 OK\r\n", "X-More: x\r\n"},
+		{"", "HTTP/1.1 100 Continue\r\n\r\n"},
+		{"", "HTTP/1.1 100 Continue\r\nX-More: x\r\n\r\n"},
+		{"HTTP/1.1 200 OK\r\n\r\n", "x"},
+		{"HTTP/1.1 200 OK\r\nContent-Length: 999999999999\r\n\r\n",
+		 "x"},
+		{"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+		 "2\r\nok\r\n"},
+		{"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "0"},
+		{"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+		 "\r\n"},
+		{"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n",
+		 "X-More: x\r\n"},
+	};
+	RawUpstream u;
+
+	for (const auto &s : streams) {
+		u.call();
+		EXPECT_LT(u.write_without_end(s.start, s.repeated), 32u << 20)
+			<< s.start << s.repeated;
+		ASSERT_EQ(u.outcome(), OUTCOME_UNKNOWN)
+			<< s.start << s.repeated;
+		u.hang_up();
+	}
+}
