--- a/tests/upstream_client_test.cpp
+++ b/tests/upstream_client_test.cpp
@@ -598,3 +598,29 @@
 		u.hang_up();
 	}
 }
+
+/* The same for the answer to grants, which has no deadline but a timeout. */
+TEST(UpstreamClient, GrantAnswerWithoutEndFailsEarly)
+{
+	Listener raw;
+	ClientHarness h;
+	struct act_grant g = {};
+	std::string block(8192, 'x');
+	int fd = -1;
+
+	list_init(&g.ranges);
+	mem_copy_str(g.addr, raw.addr.c_str(), sizeof(g.addr));
+	upstream_client_grant(h.client, &g);
+	h.run_until([&] {
+		if (fd < 0)
+			fd = accept4(raw.fd, nullptr, nullptr, SOCK_NONBLOCK);
+		else
+			(void)!send(fd, block.data(), block.size(),
+				    MSG_NOSIGNAL);
+		return !h.answers.empty();
+	});
+	close(fd);
+	ASSERT_EQ(h.answers.size(), 1u);
+	EXPECT_EQ(h.answers[0].call, 0u);
+	EXPECT_EQ(h.answers[0].outcome, OUTCOME_NOT_RUN);
+}
