Close a connection to the upstream after a refusal

Callers could be told not_run for a request that the upstream ran, and such a request could be handed to a second upstream: a faulty upstream that wrote an earlier refusal once more on a kept connection had it taken for the answer to the next request. Bytes that had arrived before the next request were already dropped (can_reuse()); those that came after it were not.

Evidence: UpstreamClient.RepeatedRefusalIsNotTheNextAnswer failed before with OUTCOME_NOT_RUN for a call whose request had been written.

A connection that has carried a refusal now carries no later request, so a copy of the refusal finds no request that waits. The cost is one connection to the upstream on the same VM for each refusal.

--- a/io/upstream_client.c
+++ b/io/upstream_client.c
@@ -211,6 +211,23 @@
 	complete_call(cn, &a);
 }
 
+/*
+ * Makes evhttp close the connection after a refusal: a second copy of it, sent
+ * on a kept connection, would be taken for the answer to the next request.
+ */
+static int on_head(struct evhttp_request *req, void *arg)
+{
+	struct evkeyvalq *h = evhttp_request_get_input_headers(req);
+
+	(void)arg;
+	if (!evhttp_find_header(h, HEADER_NOT_RUN))
+		return 0;
+	while (evhttp_remove_header(h, "Connection") == 0)
+		;
+	evhttp_add_header(h, "Connection", "close");
+	return 0;
+}
+
 /* Called before on_answer(), which then gets no request. */
 static void on_error(enum evhttp_request_error error, void *arg)
 {
@@ -397,6 +414,7 @@
 
 	http_method_to_evhttp(act->request->method, &type);
 	cn->call->req = evhttp_request_new(on_answer, cn);
+	evhttp_request_set_header_cb(cn->call->req, on_head);
 	evhttp_request_set_error_cb(cn->call->req, on_error);
 	answer_limit_start(&cn->limit);
 	payload_to_evhttp(&act->request->payload, cn->call->req);
--- a/tests/upstream_client_test.cpp
+++ b/tests/upstream_client_test.cpp
@@ -536,6 +536,39 @@
 	}
 };
 
+static const char REFUSED[] = "HTTP/1.1 503 Busy\r\nX-Not-Run: full\r\n"
+			      "Content-Length: 0\r\n\r\n";
+
+/*
+ * A faulty upstream writes its last refusal once more on a kept connection: the
+ * next request, which it runs, must not be reported as not run.
+ */
+TEST(UpstreamClient, RepeatedRefusalIsNotTheNextAnswer)
+{
+	RawUpstream u;
+
+	u.call();
+	u.write_text(REFUSED);
+	EXPECT_EQ(u.outcome(), OUTCOME_NOT_RUN);
+	(void)!send(u.fd, REFUSED, strlen(REFUSED), MSG_NOSIGNAL);
+	u.call();
+	u.write_text("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+	EXPECT_EQ(u.outcome(), OUTCOME_DONE);
+
+	u.call();
+	u.write_text(REFUSED);
+	EXPECT_EQ(u.outcome(), OUTCOME_NOT_RUN);
+	int first = dup(u.fd);
+	u.call();
+	(void)!send(first, REFUSED, strlen(REFUSED), MSG_NOSIGNAL);
+	for (int i = 0; i < 200; i++)
+		event_base_loop(u.harness.base, EVLOOP_ONCE | EVLOOP_NONBLOCK);
+	close(first);
+	EXPECT_EQ(u.harness.answers.size(), 3u);
+	u.write_text("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+	EXPECT_EQ(u.outcome(), OUTCOME_DONE);
+}
+
 /*
  * An upstream that closes within the head or a framed body has not answered: no
  * part of it must reach the caller as a whole answer.
