--- a/tests/upstream_client_test.cpp
+++ b/tests/upstream_client_test.cpp
@@ -623,6 +623,19 @@
 		}
 }
 
+/* The final answer has none of the headers of an interim one. */
+TEST(UpstreamClient, HeadersOfInterimAnswerAreDropped)
+{
+	RawUpstream u;
+
+	u.call();
+	u.write_text("HTTP/1.1 100 Continue\r\nX-Not-Run: full\r\n"
+		     "Content-Length: 0\r\n\r\n"
+		     "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+	ASSERT_EQ(u.outcome(), OUTCOME_DONE);
+	EXPECT_EQ(u.answer().answer->payload.body_len, 2u);
+}
+
 /*
  * Bytes that go on without end must not fill the memory nor last until the
  * deadline; the request may have run.
