Reject an upstream's answer that evhttp would misread

Callers could get an empty 200 in place of the upstream's body, or the framing of a transfer coding as the body, or an interim or impossible status (1, 103, 600) as the answer: evhttp takes a body without a length for empty beside any Connection header other than close, knows no coding but chunked, ends a request at any 1xx but 100, and accepts any status number.

Evidence: UpstreamClient.BodyWithoutLengthIsNotReportedAsEmpty and InvalidStatusIsUnknown failed before (done instead of unknown).

http_check_answer_head() looks at the head before evhttp reads the body, and the call ends with an unknown outcome. A status that overflows an int is still read as atoi() wraps it.

--- a/io/http_convert.c
+++ b/io/http_convert.c
@@ -5,6 +5,10 @@
 #include <string.h>
 #include <strings.h>
 
+#define HTTP_CONTINUE	 100
+#define FINAL_STATUS_MIN 200
+#define FINAL_STATUS_MAX 599
+
 static const struct {
 	const char *name;
 	enum evhttp_cmd_type type;
@@ -105,6 +109,38 @@
 	return a;
 }
 
+/*
+ * False if evhttp would take the body for empty, because of a Connection header
+ * other than "close", or would return the framing of a transfer coding.
+ */
+static bool is_body_length_known(struct evhttp_request *req)
+{
+	const struct evkeyvalq *h = evhttp_request_get_input_headers(req);
+	const char *coding = evhttp_find_header(h, "Transfer-Encoding");
+	const char *connection = evhttp_find_header(h, "Connection");
+	int code = evhttp_request_get_response_code(req);
+
+	if (evhttp_request_get_command(req) == EVHTTP_REQ_HEAD ||
+	    code == HTTP_NOCONTENT || code == HTTP_NOTMODIFIED)
+		return true;
+	if (coding)
+		return !strcasecmp(coding, "chunked");
+	return evhttp_find_header(h, "Content-Length") || !connection ||
+	       !strcasecmp(connection, "close");
+}
+
+bool http_check_answer_head(struct evhttp_request *req)
+{
+	int code = evhttp_request_get_response_code(req);
+
+	if (code == HTTP_CONTINUE) {
+		evhttp_clear_headers(evhttp_request_get_input_headers(req));
+		return true;
+	}
+	return code >= FINAL_STATUS_MIN && code <= FINAL_STATUS_MAX &&
+	       is_body_length_known(req);
+}
+
 void payload_to_evhttp(const struct payload *p, struct evhttp_request *req)
 {
 	struct evkeyvalq *out = evhttp_request_get_output_headers(req);
--- a/io/http_convert.h
+++ b/io/http_convert.h
@@ -18,6 +18,13 @@
  */
 struct http_answer *http_answer_from_evhttp(struct evhttp_request *req);
 
+/**
+ * For the callback of an answer's head. False if the head is none of a final
+ * answer, or evhttp would read its body by another length than HTTP's. Drops
+ * the headers of an interim answer, which evhttp would add to the final one's.
+ */
+bool http_check_answer_head(struct evhttp_request *req);
+
 /** Copies the end-to-end headers and the body into the outgoing @req. */
 void payload_to_evhttp(const struct payload *p, struct evhttp_request *req);
 
--- a/io/upstream_client.c
+++ b/io/upstream_client.c
@@ -25,7 +25,6 @@
 #define HEADER_NOT_RUN	       "X-Not-Run"
 /* Value of that header if the upstream holds no valid grant for the fence. */
 #define NOT_RUN_FENCE	       "fence"
-#define HTTP_CONTINUE	       100
 #define GRANT_TIMEOUT_S	       2
 /* Of an answer to grants; only its status is read. */
 #define GRANT_ANSWER_MAX_BYTES (64u << 10)
@@ -241,13 +240,6 @@
 	return false;
 }
 
-/* evhttp keeps the headers of interim answers for the final one. */
-static int drop_interim_answer(struct evhttp_request *req)
-{
-	evhttp_clear_headers(evhttp_request_get_input_headers(req));
-	return 0;
-}
-
 /*
  * Makes evhttp close the connection after a refusal: a second copy of it, sent
  * on a kept connection, would be taken for the answer to the next request.
@@ -260,8 +252,8 @@
 
 	if (!cn->call)
 		return -1;
-	if (evhttp_request_get_response_code(req) == HTTP_CONTINUE)
-		return drop_interim_answer(req);
+	if (!http_check_answer_head(req))
+		return -1;
 	if (has_other_id(cn, evhttp_find_header(h, HEADER_REQUEST_ID),
 			 is_refusal)) {
 		log_event(LOG_WARN,
--- a/tests/upstream_client_test.cpp
+++ b/tests/upstream_client_test.cpp
@@ -623,6 +623,42 @@
 		}
 }
 
+/*
+ * Without a length the body ends with the connection, also where a Connection
+ * header other than "close" makes evhttp take it for empty. Nor is the framing
+ * of a coding that evhttp doesn't know reported as the body.
+ */
+TEST(UpstreamClient, BodyWithoutLengthIsNotReportedAsEmpty)
+{
+	RawUpstream u;
+
+	u.call();
+	u.write_text("HTTP/1.1 200 OK\r\nConnection: keep-alive\r\n\r\nbody");
+	u.hang_up();
+	EXPECT_EQ(u.outcome(), OUTCOME_UNKNOWN);
+	u.call();
+	u.write_text("HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip, chunked\r\n"
+		     "\r\n4\r\nbody\r\n0\r\n\r\n");
+	u.hang_up();
+	EXPECT_EQ(u.outcome(), OUTCOME_UNKNOWN);
+	u.call();
+	u.write_text("HTTP/1.1 204 None\r\nConnection: keep-alive\r\n\r\n");
+	EXPECT_EQ(u.outcome(), OUTCOME_DONE);
+}
+
+/* Only a final status ends a call; anything else is no answer. */
+TEST(UpstreamClient, InvalidStatusIsUnknown)
+{
+	RawUpstream u;
+
+	for (const char *status : {"1", "-200", "99", "101", "103", "600"}) {
+		u.call();
+		u.write_text(std::string("HTTP/1.1 ") + status +
+			     " X\r\nContent-Length: 0\r\n\r\n");
+		EXPECT_EQ(u.outcome(), OUTCOME_UNKNOWN) << status;
+	}
+}
+
 /* The final answer has none of the headers of an interim one. */
 TEST(UpstreamClient, HeadersOfInterimAnswerAreDropped)
 {
