Fault soak: upstreams with faulty answers, and requests denied

In half of the seeds the fake upstreams play three faults at random: a refusal is written once more on its connection, an answer is cut within its head, or bytes go on without end in a first line, a header, a body or the framing of chunks. Their random numbers are a sequence of their own, so that the other faults of a seed stay as they were.

The checker counts a proper request that ends with a 3xx or 4xx other than 408, 421 and 429 as denied, which must not happen.

--- a/chaos/mesh_checker.c
+++ b/chaos/mesh_checker.c
@@ -65,6 +65,12 @@
 	return code == 408 || code == 421 || code == 429 || code == 503;
 }
 
+/* All tracked requests are proper, and the upstreams give no such status. */
+static bool means_denied(int code)
+{
+	return code >= 300 && code <= 499 && !means_not_run(code);
+}
+
 void mesh_checker_ended(struct mesh_checker *c, const char *id, int code,
 			bool valid, uint64_t now_ns)
 {
@@ -76,6 +82,8 @@
 	r->end_ns = now_ns;
 	if (code == 200 && !valid)
 		report_violation(&c->crossed, "crossed", id);
+	if (means_denied(code))
+		report_violation(&c->denied, "denied", id);
 	c->served += code == 200;
 	c->refused += means_not_run(code);
 	c->unknown += code != 200 && !means_not_run(code);
@@ -122,7 +130,8 @@
 				report_violation(&c->false_not_run,
 						 "false_not_run", r->id);
 	return c->two_holders + c->fence_not_above + c->doubled +
-	       c->false_not_run + c->crossed + c->unasked + c->after_leave;
+	       c->false_not_run + c->crossed + c->denied + c->unasked +
+	       c->after_leave;
 }
 
 uint64_t mesh_checker_unserved(const struct mesh_checker *c, uint64_t from_ns,
--- a/chaos/mesh_checker.h
+++ b/chaos/mesh_checker.h
@@ -46,6 +46,8 @@
 				     "not run" */
 	uint64_t crossed;	  /* 200 with an answer that is incomplete
 				     or belongs to another request */
+	uint64_t denied;	  /* a proper request ended with a status that
+				     calls it wrong or sends it elsewhere */
 	uint64_t unasked;	  /* an upstream ran an unknown request */
 	uint64_t after_leave;	  /* an upstream ran a request later than
 				     LEAVE_GRACE_NS after its leave was
--- a/chaos/mesh_soak_main.c
+++ b/chaos/mesh_soak_main.c
@@ -30,6 +30,7 @@
 #define MENDS_MAX	   64
 #define LINK_DELAY_MIN_MS  50
 #define LINK_DELAY_SPAN_MS 600
+#define ANSWER_FAULT_MS	   1500
 #define NODES_DEFAULT	   6
 #define FAULTS_DEFAULT_S   30
 
@@ -94,6 +95,10 @@
 	struct mend mends[MENDS_MAX];
 	struct event *fault_timer;
 	struct event *tick_timer;
+	struct rng
+		answer_rng; /* keeps the other faults of a seed as they are */
+	struct event *answer_timer;
+	uint64_t answer_counts[ANSWER_FAULT_COUNT];
 	uint64_t started_ns;
 	uint64_t counts[SOAK_FAULT_COUNT];
 	char evacuated[64]; /* store key of the evacuation; "": none */
@@ -309,6 +314,58 @@
 	evtimer_add(s->fault_timer, &tv);
 }
 
+static void set_answer_fault(struct soak *s, uint32_t i, enum answer_fault f)
+{
+	struct leased_upstream *u = s->fleet.nodes[i].upstream;
+
+	if (!u)
+		return;
+	leased_upstream_set_fault(u, f);
+	s->answer_counts[f]++;
+	if (f != ANSWER_SOUND)
+		printf("soak: ms=%lu fault=answers node=%u mode=%s\n",
+		       (unsigned long)((clock_now_ns() - s->started_ns) /
+				       NS_PER_MS),
+		       i, answer_fault_name(f));
+}
+
+/* Each upstream's answers are sound for half of the time. */
+static void on_answer_fault(evutil_socket_t fd, short what, void *arg)
+{
+	struct soak *s = arg;
+
+	(void)fd;
+	(void)what;
+	for (uint32_t i = 0; i < s->fleet.opts.nodes; i++) {
+		bool sound = rng_below(&s->answer_rng, 2);
+		uint64_t f = rng_below(&s->answer_rng, ANSWER_FAULT_COUNT - 1);
+
+		set_answer_fault(s, i,
+				 sound ? ANSWER_SOUND
+				       : (enum answer_fault)(1 + f));
+	}
+}
+
+/* Half of the seeds have faulty answers. */
+static void start_answer_faults(struct soak *s, uint64_t seed)
+{
+	struct timeval tv = {.tv_sec = ANSWER_FAULT_MS / 1000,
+			     .tv_usec = ANSWER_FAULT_MS % 1000 * 1000};
+
+	rng_init(&s->answer_rng, seed + 2);
+	s->answer_timer =
+		event_new(s->base, -1, EV_PERSIST, on_answer_fault, s);
+	if (rng_below(&s->answer_rng, 2))
+		event_add(s->answer_timer, &tv);
+}
+
+static void stop_answer_faults(struct soak *s)
+{
+	event_free(s->answer_timer);
+	for (uint32_t i = 0; i < s->fleet.opts.nodes; i++)
+		set_answer_fault(s, i, ANSWER_SOUND);
+}
+
 /* Restarts processes that have exited and mends the faults that are due. */
 static void on_tick(evutil_socket_t fd, short what, void *arg)
 {
@@ -350,7 +407,7 @@
 }
 
 /* Returns the number of requests of the last check that were not served. */
-static uint64_t run(struct soak *s, unsigned duration_s)
+static uint64_t run(struct soak *s, uint64_t seed, unsigned duration_s)
 {
 	struct timeval tick = {.tv_usec = TICK_MS * 1000}, immediately = {0};
 	uint64_t check_ns;
@@ -362,7 +419,9 @@
 	s->fault_timer = evtimer_new(s->base, on_fault, s);
 	if (duration_s) {
 		evtimer_add(s->fault_timer, &immediately);
+		start_answer_faults(s, seed);
 		run_for(s, duration_s);
+		stop_answer_faults(s);
 	}
 	event_del(s->fault_timer);
 	mend_all(s);
@@ -385,17 +444,23 @@
 		if (s->counts[i])
 			printf("soak: fault=%s times=%lu\n", fault_names[i],
 			       (unsigned long)s->counts[i]);
+	for (int i = ANSWER_SOUND + 1; i < ANSWER_FAULT_COUNT; i++)
+		if (s->answer_counts[i])
+			printf("soak: fault=answers mode=%s times=%lu\n",
+			       answer_fault_name((enum answer_fault)i),
+			       (unsigned long)s->answer_counts[i]);
 	printf("soak: seed=%lu sent=%lu served=%lu refused=%lu unknown=%lu "
 	       "two_holders=%lu fence_not_above=%lu doubled=%lu "
-	       "false_not_run=%lu crossed=%lu unasked=%lu after_leave=%lu "
+	       "false_not_run=%lu crossed=%lu denied=%lu unasked=%lu "
+	       "after_leave=%lu "
 	       "unserved_at_end=%lu store_calls=%lu\n",
 	       (unsigned long)seed, (unsigned long)c->sent,
 	       (unsigned long)c->served, (unsigned long)c->refused,
 	       (unsigned long)c->unknown, (unsigned long)c->two_holders,
 	       (unsigned long)c->fence_not_above, (unsigned long)c->doubled,
 	       (unsigned long)c->false_not_run, (unsigned long)c->crossed,
-	       (unsigned long)c->unasked, (unsigned long)c->after_leave,
-	       (unsigned long)unserved,
+	       (unsigned long)c->denied, (unsigned long)c->unasked,
+	       (unsigned long)c->after_leave, (unsigned long)unserved,
 	       (unsigned long)kv_server_calls(s->fleet.store));
 	return violations || unserved || !c->served ? EXIT_FAILURE
 						    : EXIT_SUCCESS;
@@ -427,7 +492,7 @@
 	rng_init(&s.rng, seed);
 	if (fo.dir && mesh_fleet_start(&s.fleet, &fo)) {
 		mesh_clients_start(&s.clients, &co);
-		code = report(&s, seed, run(&s, duration_s));
+		code = report(&s, seed, run(&s, seed, duration_s));
 		mesh_clients_stop(&s.clients);
 	}
 	mesh_fleet_stop(&s.fleet);
--- a/fakes/leased_upstream.c
+++ b/fakes/leased_upstream.c
@@ -19,6 +19,9 @@
 #define ANNOUNCE_RELEASED_MS 100
 #define LAPSE_CHECK_US	     10000
 #define HTTP_MISDIRECTED     421
+#define ENDLESS_INTERVAL_US  1000
+/* While a fault is set, one in so many requests gets a faulty answer. */
+#define FAULTY_ONE_IN	     3
 
 /** A row that is held, or one to be released once its requests have ended. */
 struct held_row {
@@ -46,6 +49,7 @@
 	char id[ID_MAX];
 	bool keyed;
 	uint32_t key;
+	bool endless; /* its answer goes on until the caller closes */
 };
 
 struct leased_upstream {
@@ -69,6 +73,9 @@
 	bool draining;
 	uint64_t left_ns; /* first acknowledgement while draining; 0: none */
 	bool frozen;
+	enum answer_fault fault;
+	char refused_id[ID_MAX]; /* of the last refusal */
+	uint16_t refused_port;	 /* the caller's port of its connection */
 };
 
 static void request_delete(struct running_request *r)
@@ -79,7 +86,23 @@
 	free(r);
 }
 
-static void respond(const struct leased_upstream *u, struct evhttp_request *req,
+static uint16_t caller_port(struct evhttp_request *req)
+{
+	char *ip;
+	uint16_t port = 0;
+
+	evhttp_connection_get_peer(evhttp_request_get_connection(req), &ip,
+				   &port);
+	return port;
+}
+
+/* True for a part of the requests while the fault @f is set. */
+static bool plays_fault(struct leased_upstream *u, enum answer_fault f)
+{
+	return u->fault == f && !rng_below(&u->rng, FAULTY_ONE_IN);
+}
+
+static void respond(struct leased_upstream *u, struct evhttp_request *req,
 		    int code, const char *id, const char *body)
 {
 	struct evkeyvalq *h = evhttp_request_get_output_headers(req);
@@ -93,6 +116,9 @@
 		evhttp_add_header(h, HEADER_SIGNATURE, text);
 	} else if (code != HTTP_INTERNAL) {
 		evhttp_add_header(h, HEADER_NOT_RUN, "1");
+		mem_copy_str(u->refused_id, id ? id : "",
+			     sizeof(u->refused_id));
+		u->refused_port = caller_port(req);
 	}
 	text_format(text, sizeof(text), "%u,0,%u,100", u->running,
 		    u->opts.slots);
@@ -110,6 +136,28 @@
 	request_delete(r);
 }
 
+static void close_connection(struct running_request *r)
+{
+	struct evhttp_connection *c = evhttp_request_get_connection(r->req);
+
+	evhttp_connection_set_closecb(c, NULL, NULL);
+	evhttp_connection_free(c);
+	request_delete(r);
+}
+
+static void continue_endless_answer(struct running_request *r)
+{
+	struct timeval tv = {.tv_usec = ENDLESS_INTERVAL_US};
+
+	if (!r->endless)
+		faulty_answer_start(r->req, r->id, &r->upstream->rng);
+	r->endless = true;
+	if (faulty_answer_continue(r->req))
+		evtimer_add(r->timer, &tv);
+	else
+		close_connection(r);
+}
+
 static void on_work_done(evutil_socket_t fd, short what, void *arg)
 {
 	struct running_request *r = arg;
@@ -120,6 +168,15 @@
 
 	(void)fd;
 	(void)what;
+	if (r->endless || plays_fault(u, ANSWER_ENDLESS)) {
+		continue_endless_answer(r);
+		return;
+	}
+	if (plays_fault(u, ANSWER_CUT)) {
+		faulty_answer_cut(r->req, r->id, &u->rng);
+		close_connection(r);
+		return;
+	}
 	evhttp_connection_set_closecb(evhttp_request_get_connection(r->req),
 				      NULL, NULL);
 	text_format(body, sizeof(body), "%s whole", r->id);
@@ -150,6 +207,9 @@
 	evhttp_connection_set_closecb(evhttp_request_get_connection(req),
 				      on_caller_disconnected, r);
 	u->opts.on_event(u->opts.arg, &ev);
+	if (u->fault == ANSWER_REPEATS_REFUSAL &&
+	    u->refused_port == caller_port(req))
+		faulty_answer_refuse(req, u->refused_id);
 }
 
 static void on_request(struct evhttp_request *req, void *arg)
@@ -172,6 +232,10 @@
 		respond(u, req, HTTP_MISDIRECTED, id, "not held");
 	} else if (u->running >= u->opts.slots) {
 		respond(u, req, HTTP_SERVUNAVAIL, id, "full");
+	} else if (plays_fault(u, ANSWER_REPEATS_REFUSAL)) {
+		if (rng_below(&u->rng, 2))
+			faulty_answer_refuse(req, id);
+		respond(u, req, HTTP_SERVUNAVAIL, id, "full");
 	} else {
 		start_request(u, req, id, key);
 	}
@@ -484,6 +548,12 @@
 	u->frozen = frozen;
 }
 
+void leased_upstream_set_fault(struct leased_upstream *u,
+			       enum answer_fault fault)
+{
+	u->fault = fault;
+}
+
 const char *leased_upstream_instance(const struct leased_upstream *u)
 {
 	return u->instance;
--- a/fakes/leased_upstream.h
+++ b/fakes/leased_upstream.h
@@ -11,6 +11,7 @@
 #include <stdint.h>
 
 #include "core/keymap.h"
+#include "fakes/faulty_answer.h"
 
 struct leased_upstream;
 
@@ -57,6 +58,9 @@
 void leased_upstream_drain(struct leased_upstream *u);
 /** Stops or resumes announcements. It still serves until its leases end. */
 void leased_upstream_freeze(struct leased_upstream *u, bool frozen);
+/** Sets the fault of a part of the answers from now on. */
+void leased_upstream_set_fault(struct leased_upstream *u,
+			       enum answer_fault fault);
 
 const char *leased_upstream_instance(const struct leased_upstream *u);
 /** When its node first acknowledged that it drains; 0: not yet. */
--- a/tests/mesh_checker_test.cpp
+++ b/tests/mesh_checker_test.cpp
@@ -46,6 +46,23 @@
 	EXPECT_EQ(checker->doubled, 1u);
 }
 
+TEST_F(MeshCheckerTest, FindsAProperRequestThatWasDenied)
+{
+	uint64_t denied = 0;
+
+	for (int code : {301, 400, 401, 403, 404, 405, 408, 413, 421, 429, 431,
+			 499, 500, 503}) {
+		std::string id = std::to_string(code);
+
+		mesh_checker_sent(checker, id.c_str(), true, 1);
+		mesh_checker_ended(checker, id.c_str(), code, false, 2);
+		denied +=
+			code < 500 && code != 408 && code != 421 && code != 429;
+		EXPECT_EQ(checker->denied, denied) << code;
+	}
+	EXPECT_EQ(mesh_checker_violations(checker), denied);
+}
+
 TEST_F(MeshCheckerTest, FindsARefusedRequestThatRanBeforeOrAfterTheRefusal)
 {
 	mesh_checker_sent(checker, "a", false, 1);
