Accept request targets in absolute form

Callers got 404 no_route, or 400 no_key, for a proper request whose target was in absolute form (GET http://host/path), as proxies and some clients send it: evhttp gives the target as it came, and the router looks for path prefixes.

Evidence: Frontend.TargetInAbsoluteFormIsReducedToItsPath failed before.

The entry now reduces the target to its path and query before anything looks at it, internal paths included: InternalPathInAbsoluteFormIsNotReportedAsRequest shows that /-/grants can't be passed on to an upstream this way.

--- a/io/frontend.c
+++ b/io/frontend.c
@@ -179,25 +179,31 @@
 	f->opts.on_event(f->opts.arg, &ev);
 }
 
-static void on_http_request(struct evhttp_request *req, void *arg)
+static void handle_internal(struct frontend *f, struct evhttp_request *req,
+			    const char *path)
 {
-	const char *uri = evhttp_request_get_uri(req);
-	struct frontend *f = arg;
 	char *page;
 
-	if (strncmp(uri, "/-/", 3) != 0) {
-		handle_request(f, req);
-		return;
-	}
-	if (!strcmp(uri, "/-/announce")) {
+	if (!strcmp(path, "/announce")) {
 		handle_announcement(f, req);
 		return;
 	}
-	page = f->opts.page(f->opts.arg, uri + 2);
+	page = f->opts.page(f->opts.arg, path);
 	reply_text(req, page ? 200 : 404, page ? page : "no such page\n");
 	free(page);
 }
 
+static void on_http_request(struct evhttp_request *req, void *arg)
+{
+	char *target = http_target_from_evhttp(req);
+
+	if (!strncmp(target, "/-/", 3))
+		handle_internal(arg, req, target + 2);
+	else
+		handle_request(arg, req);
+	free(target);
+}
+
 struct frontend *frontend_new(const struct frontend_opts *o, struct status *st)
 {
 	struct frontend *f = mem_new(struct frontend);
--- a/io/http_convert.c
+++ b/io/http_convert.c
@@ -2,9 +2,12 @@
 
 #include <event2/buffer.h>
 #include <event2/keyvalq_struct.h>
+#include <stdlib.h>
 #include <string.h>
 #include <strings.h>
 
+#include "core/text.h"
+
 #define HTTP_CONTINUE	 100
 #define FINAL_STATUS_MIN 200
 #define FINAL_STATUS_MAX 599
@@ -83,17 +86,32 @@
 	return false;
 }
 
+char *http_target_from_evhttp(struct evhttp_request *req)
+{
+	const char *uri = evhttp_request_get_uri(req);
+	const char *path;
+
+	if (strncasecmp(uri, "http://", strlen("http://")) != 0 &&
+	    strncasecmp(uri, "https://", strlen("https://")) != 0)
+		return text_new("%s", uri);
+	path = strstr(uri, "://") + strlen("://");
+	path += strcspn(path, "/?#");
+	return text_new("%s%s", *path == '/' ? "" : "/", path);
+}
+
 struct http_request *http_request_from_evhttp(struct evhttp_request *req)
 {
 	enum evhttp_cmd_type type = evhttp_request_get_command(req);
 
 	for (size_t i = 0; i < sizeof(methods) / sizeof(*methods); i++) {
 		struct http_request *r;
+		char *target;
 
 		if (methods[i].type != type)
 			continue;
-		r = http_request_new(methods[i].name,
-				     evhttp_request_get_uri(req));
+		target = http_target_from_evhttp(req);
+		r = http_request_new(methods[i].name, target);
+		free(target);
 		payload_from_evhttp(&r->payload, req);
 		return r;
 	}
--- a/tests/frontend_test.cpp
+++ b/tests/frontend_test.cpp
@@ -202,6 +202,36 @@
 	EXPECT_STREQ(payload_header(p, "X-End"), "2");
 }
 
+// A target in absolute form once matched no route: the caller got 404.
+TEST_F(Frontend, TargetInAbsoluteFormIsReducedToItsPath)
+{
+	const char *const targets[][2] = {
+		{"http://h/x?k=v", "/x?k=v"},
+		{"HTTPS://H:80/x", "/x"},
+		{"http://h", "/"},
+		{"http://h?k=v", "/?k=v"},
+		{"/x?u=http://h/y", "/x?u=http://h/y"},
+	};
+
+	for (const auto &t : targets) {
+		struct RawConnection conn(base, addr);
+
+		send_and_wait(&conn, std::string("GET ") + t[0] +
+					     " HTTP/1.1\r\nHost: h\r\n\r\n");
+		EXPECT_STREQ(events.back().u.request.request->target, t[1]);
+	}
+}
+
+// Internal paths are not passed on to an upstream in any form.
+TEST_F(Frontend, InternalPathInAbsoluteFormIsNotReportedAsRequest)
+{
+	expect_direct_reply("GET http://h/-/status HTTP/1.1\r\nHost: h\r\n\r\n",
+			    "HTTP/1.1 200");
+	expect_direct_reply("POST http://h/-/grants HTTP/1.1\r\nHost: h\r\n"
+			    "Content-Length: 2\r\n\r\n{}",
+			    "HTTP/1.1 404");
+}
+
 TEST_F(Frontend, RefusalCarriesOutcomeReasonAndOtherEntry)
 {
 	struct RawConnection conn(base, addr);
