Remove tabs before header values of callers and upstreams

Callers that wrote a tab after a header's colon, which HTTP allows, got 400 bad_deadline, 403 no_organisation or another shard's owner: evhttp removes only spaces before a value.

Evidence: Frontend.BlanksAroundHeaderValuesAreRemoved failed before.

--- a/io/http_convert.c
+++ b/io/http_convert.c
@@ -70,7 +70,9 @@
 	     kv = kv->next.tqe_next)
 		if (!is_hop_header(kv->key) &&
 		    !is_listed_in_connection(req, kv->key))
-			payload_add_header(p, kv->key, kv->value);
+			payload_add_header(p, kv->key,
+					   kv->value +
+						   strspn(kv->value, " \t"));
 	payload_set_body(p, len ? evbuffer_pullup(in, -1) : NULL, len);
 	evbuffer_drain(in, len); /* the payload has its copy */
 }
--- a/tests/frontend_test.cpp
+++ b/tests/frontend_test.cpp
@@ -232,6 +232,20 @@
 			    "HTTP/1.1 404");
 }
 
+// A tab before a value once stayed in it: a deadline then was no number (400)
+// and an organisation unknown (403).
+TEST_F(Frontend, BlanksAroundHeaderValuesAreRemoved)
+{
+	struct RawConnection conn(base, addr);
+
+	send_and_wait(&conn, "GET /x HTTP/1.1\r\nHost: h\r\nX-A:\t500 \t\r\n"
+			     "X-B: \t 7\r\nX-C:8\r\n\r\n");
+	const struct payload *p = &events[0].u.request.request->payload;
+	EXPECT_STREQ(payload_header(p, "X-A"), "500");
+	EXPECT_STREQ(payload_header(p, "X-B"), "7");
+	EXPECT_STREQ(payload_header(p, "X-C"), "8");
+}
+
 TEST_F(Frontend, RefusalCarriesOutcomeReasonAndOtherEntry)
 {
 	struct RawConnection conn(base, addr);
