Don't report a gate's other manifest as the caller's error

Callers got 404 no_route, 403 no_organisation or 421 home_region for a proper request that their entry's manifest allows: the gate checks the route again against its own view, and a gate that is behind (or ahead) during a change of the manifest answered with that refusal, which the entry passed on, at once for a home region and at the deadline for the others.

Evidence: Router.RefusalByAnotherManifestAtTheGateIsNotTheCallersError failed before.

The entry has checked the request itself, so such a refusal can only mean that the two manifests differ. It is now no_manifest, a 503, and is retried until the deadline; where the entry is the one behind, it ends the request by its own check once it has the newer manifest.

--- a/core/router.c
+++ b/core/router.c
@@ -544,6 +544,17 @@
 	list_push_front(&r->held, &pr->held);
 }
 
+/*
+ * The entry has checked the request itself: a gate that calls it the caller's
+ * error has another manifest.
+ */
+static void correct_refusal(struct msg_answer *a)
+{
+	if (a->outcome == OUTCOME_NOT_RUN &&
+	    refusal_find(a->refusal)->http_code < 500)
+		a->refusal = REFUSAL_NO_MANIFEST;
+}
+
 void router_on_answer(struct router *r, struct ctx *c, incarnation_t from,
 		      struct msg_answer *a)
 {
@@ -556,6 +567,7 @@
 		a->answer = NULL;
 		return;
 	}
+	correct_refusal(a);
 	if (a->outcome == OUTCOME_UNKNOWN)
 		pr->may_have_run = true;
 	report_attempt_end(pr, c, attempt_end(a));
--- a/tests/router_test.cpp
+++ b/tests/router_test.cpp
@@ -524,6 +524,24 @@
 	EXPECT_EQ(n->router.count, 0u);
 }
 
+// A gate with another manifest than the entry's once made the entry deny a
+// proper request as the caller's error, at once or at the deadline.
+TEST_F(Router, RefusalByAnotherManifestAtTheGateIsNotTheCallersError)
+{
+	for (enum refusal r :
+	     {REFUSAL_NO_ROUTE, REFUSAL_NO_ORGANISATION, REFUSAL_HOME_REGION}) {
+		assign_owner("keyed", OTHER);
+		send_request("POST", "/keyed/k");
+		answer(next_forward(), OUTCOME_NOT_RUN, r);
+		advance(30 * NS_PER_MS);
+		struct msg_forward second = next_forward();
+		EXPECT_EQ(second.attempt, 2u);
+		answer(second, OUTCOME_NOT_RUN, r);
+		advance(TIMEOUT_MS * NS_PER_MS);
+		expect_reply(OUTCOME_NOT_RUN, REFUSAL_NO_MANIFEST);
+	}
+}
+
 TEST_F(Router, InvalidRequestsAreRejectedWithTheirReason)
 {
 	send_request("GET", "/nowhere");
