--- a/tests/kv_client_test.cpp
+++ b/tests/kv_client_test.cpp
@@ -2,9 +2,11 @@
 
 #include <functional>
 #include <map>
+#include <memory>
 #include <vector>
 
 #include "free_port.hpp"
+#include "raw_server.hpp"
 
 extern "C" {
 #include <event2/event.h>
@@ -255,3 +257,108 @@
 	kv_client_delete(client);
 	event_base_free(base);
 }
+
+/** A client of a store that answers with any bytes. */
+struct RawStore : public ::testing::Test {
+	std::unique_ptr<struct event_base, void (*)(struct event_base *)>
+		owned_base{event_base_new(), event_base_free};
+	struct event_base *base = owned_base.get();
+	RawServer server{base};
+	struct kv_client *client =
+		kv_client_new(base, server.addr.c_str(), on_end, this);
+	std::vector<enum store_end> ends;
+
+	~RawStore() override
+	{
+		kv_client_delete(client);
+	}
+	static void on_end(void *arg, struct ev_store_end *e)
+	{
+		((RawStore *)arg)->ends.push_back(e->end);
+	}
+	void start(enum store_call_kind kind)
+	{
+		struct act_store_call a = {};
+
+		a.kind = kind;
+		a.deadline_ns = clock_now_ns() + 60 * NS_PER_S;
+		list_init(&a.puts);
+		kv_client_call(client, &a);
+	}
+	/** Runs the loop until @n calls have ended, or for 10 s. */
+	void wait(size_t n)
+	{
+		uint64_t limit = clock_now_ns() + 10 * NS_PER_S;
+
+		while (ends.size() < n && clock_now_ns() < limit)
+			event_base_loop(base, EVLOOP_ONCE | EVLOOP_NONBLOCK);
+		ASSERT_EQ(ends.size(), n);
+	}
+	enum store_end call(enum store_call_kind kind)
+	{
+		size_t n = ends.size() + 1;
+
+		start(kind);
+		wait(n);
+		return ends.size() == n ? ends.back() : STORE_DONE;
+	}
+};
+
+static const char WRITTEN[] = "HTTP/1.1 200 OK\r\nContent-Length: 14\r\n\r\n"
+			      "{\"revision\":7}";
+
+/* An answer that ends early is none, whatever the call needs of it. */
+TEST_F(RawStore, AnswerCutAnywhereIsNoAnswer)
+{
+	const std::string whole = WRITTEN;
+
+	server.closes = true;
+	for (enum store_call_kind kind : {CALL_WRITE, CALL_LEASE_KEEP})
+		for (size_t len = 1; len < whole.size(); len++) {
+			server.on_request = [&](RawServer &s,
+						struct bufferevent *bev,
+						size_t) {
+				s.write(bev, whole.substr(0, len));
+			};
+			EXPECT_EQ(call(kind), STORE_NO_ANSWER)
+				<< whole.substr(0, len);
+		}
+}
+
+/* Only a final status says what became of a call. */
+TEST_F(RawStore, InvalidStatusIsNoAnswer)
+{
+	for (const char *status : {"1", "101", "103", "600"}) {
+		server.on_request = [&](RawServer &s, struct bufferevent *bev,
+					size_t) {
+			s.write(bev, std::string("HTTP/1.1 ") + status +
+					     " X\r\nContent-Length: 0\r\n\r\n");
+		};
+		EXPECT_EQ(call(CALL_LEASE_KEEP), STORE_NO_ANSWER) << status;
+	}
+}
+
+/* Bytes without end neither fill the memory nor last until the deadline. */
+TEST_F(RawStore, AnswerWithoutEndFailsEarlyAndBounded)
+{
+	static const struct {
+		const char *start, *repeated;
+	} streams[] = {
+		{"HTTP/1.1 200", "x"},
+		{"HTTP/1.1 200 OK\r\n", "X-More: x\r\n"},
+		{"HTTP/1.1 100 Continue\r\n\r\n",
+		 "HTTP/1.1 100 Continue\r\n\r\n"},
+		{"HTTP/1.1 200 OK\r\n\r\n", "x"},
+		{"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "0"},
+	};
+
+	for (const auto &s : streams) {
+		server.on_request = [&](RawServer &raw, struct bufferevent *bev,
+					size_t) { raw.write(bev, s.start); };
+		server.repeated = s.repeated;
+		server.written = 0;
+		EXPECT_EQ(call(CALL_WRITE), STORE_NO_ANSWER)
+			<< s.start << s.repeated;
+		EXPECT_LT(server.written, 64u << 20) << s.start << s.repeated;
+	}
+}
