--- a/tests/kv_client_test.cpp
+++ b/tests/kv_client_test.cpp
@@ -304,9 +304,60 @@
 	}
 };
 
+static const char BUSY[] = "HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n";
 static const char WRITTEN[] = "HTTP/1.1 200 OK\r\nContent-Length: 14\r\n\r\n"
 			      "{\"revision\":7}";
 
+/*
+ * A refusal that is written once more on a kept connection must not be taken
+ * for the answer to the next call, which takes effect.
+ */
+TEST_F(RawStore, RepeatedRefusalIsNotTheNextAnswer)
+{
+	struct bufferevent *refused = nullptr;
+
+	server.on_request = [&](RawServer &s, struct bufferevent *bev, size_t) {
+		if (!refused || bev == refused) {
+			s.write(bev, BUSY);
+			refused = bev;
+			return;
+		}
+		s.write_others(bev, BUSY);
+		s.write(bev, WRITTEN);
+	};
+	EXPECT_EQ(call(CALL_WRITE), STORE_REFUSED);
+	EXPECT_EQ(call(CALL_WRITE), STORE_DONE);
+}
+
+/* Bytes after a whole answer belong to no call. */
+TEST_F(RawStore, SurplusBytesAreNotTheNextAnswer)
+{
+	server.on_request = [](RawServer &s, struct bufferevent *bev,
+			       size_t n) {
+		s.write(bev, n == 1 ? std::string(WRITTEN) + BUSY : WRITTEN);
+	};
+	EXPECT_EQ(call(CALL_WRITE), STORE_DONE);
+	EXPECT_EQ(call(CALL_WRITE), STORE_DONE);
+}
+
+/* Nor are they the next page of a read. */
+TEST_F(RawStore, SurplusBytesAreNotTheNextPage)
+{
+	const std::string page = "{\"items\":[{\"key\":\"op/"
+				 "a\"}],\"truncated\":true,\"asOf\":7}";
+	const std::string last = "{\"items\":[],\"asOf\":7}";
+
+	server.on_request = [&](RawServer &s, struct bufferevent *bev, size_t) {
+		std::string text;
+
+		for (const std::string &body : {page, last})
+			text += "HTTP/1.1 200 OK\r\nContent-Length: " +
+				std::to_string(body.size()) + "\r\n\r\n" + body;
+		s.write(bev, text);
+	};
+	EXPECT_EQ(call(CALL_READ_ALL), STORE_NO_ANSWER);
+}
+
 /* An answer that ends early is none, whatever the call needs of it. */
 TEST_F(RawStore, AnswerCutAnywhereIsNoAnswer)
 {
