Take no answer of the store for complete that lacks its fields

A 200 with a body that lacked ok, now, revision or items was taken for a write that took effect, or for a list without documents.

Evidence: StoreClient.AnswerWithoutItsFieldsIsUnknown failed before. AnswerCutAnywhereIsUnknown shows that an answer cut at any byte is unknown; it passed before.

--- a/io/store_client.c
+++ b/io/store_client.c
@@ -166,6 +166,18 @@
 	list_push_back(&ev->docs, &d->link);
 }
 
+static bool is_complete(const struct store_call *c, const json_t *root)
+{
+	const json_t *ok = json_object_get(root, "ok");
+
+	if (!json_is_boolean(ok) ||
+	    !json_is_integer(json_object_get(root, "now")) ||
+	    !json_is_array(json_object_get(root, "items")))
+		return false;
+	return c->act.kind != STORE_CAS || json_is_false(ok) ||
+	       json_is_integer(json_object_get(root, "revision"));
+}
+
 static void read_answer(struct store_call *c, json_t *root, struct ev_store *ev)
 {
 	json_t *items = json_object_get(root, "items");
@@ -202,7 +214,7 @@
 		root = json_loadb((char *)evbuffer_pullup(in, -1), len, 0,
 				  NULL);
 	}
-	if (root)
+	if (is_complete(c, root))
 		read_answer(c, root, &ev);
 	json_decref(root);
 	complete_call(c, &ev);
