Bound the answers that evhttp reads from the store

Bytes without end filled the memory of a node until the call's deadline.

Evidence: StoreClient.AnswerWithoutEndFailsEarlyAndBounded failed before (no end within 10 s, the deadline 60 s away).

--- a/io/store_client.c
+++ b/io/store_client.c
@@ -9,12 +9,14 @@
 #include "core/mem.h"
 #include "core/text.h"
 #include "io/addr.h"
+#include "io/answer_limit.h"
 #include "io/base64.h"
 #include "io/clock.h"
 #include "io/log.h"
 #include "wire/codec.h"
 
-#define KEY_MAX_BYTES 96
+#define KEY_MAX_BYTES	 96
+#define ANSWER_MAX_BYTES (64u << 20)
 
 static const char *const key_prefixes[DOC_KIND_COUNT] = {
 	[DOC_MANIFEST] = "d/manifest/", [DOC_ROSTER] = "d/roster/",
@@ -42,6 +44,7 @@
 	struct list link;
 	struct store_client *client;
 	struct evhttp_connection *conn;
+	struct answer_limit limit;
 	struct event *timer;
 	struct act_store act; /* owns act.doc */
 };
@@ -287,6 +290,7 @@
 	c->timer = evtimer_new(s->base, on_timeout, c);
 	evtimer_add(c->timer, &tv);
 	c->conn = evhttp_connection_base_new(s->base, NULL, s->ip, s->port);
+	answer_limit_init(&c->limit, c->conn, ANSWER_MAX_BYTES);
 	req = evhttp_request_new(on_answer, c);
 	o = call_json(&c->act, now);
 	body = json_dumps(o, JSON_COMPACT);
--- a/tests/store_client_test.cpp
+++ b/tests/store_client_test.cpp
@@ -86,3 +86,25 @@
 		       answer("{\"ok\":true,\"now\":7,\"items\":[]}")),
 		  STATUS_UNKNOWN);
 }
+
+/* Bytes without end neither fill the memory nor last until the deadline. */
+TEST_F(StoreClient, AnswerWithoutEndFailsEarlyAndBounded)
+{
+	static const struct {
+		const char *start, *repeated;
+	} streams[] = {
+		{"HTTP/1.1 200", "x"},
+		{"HTTP/1.1 200 OK\r\n", "X-More: x\r\n"},
+		{"HTTP/1.1 100 Continue\r\n\r\n",
+		 "HTTP/1.1 100 Continue\r\n\r\n"},
+		{"HTTP/1.1 200 OK\r\n\r\n", "x"},
+	};
+
+	for (const auto &s : streams) {
+		server.repeated = s.repeated;
+		server.written = 0;
+		EXPECT_EQ(call(STORE_LIST, s.start), STATUS_UNKNOWN)
+			<< s.start << s.repeated;
+		EXPECT_LT(server.written, 256u << 20) << s.start << s.repeated;
+	}
+}
