--- a/io/answer_limit.c
+++ b/io/answer_limit.c
@@ -6,9 +6,9 @@
 
 #include "io/log.h"
 
-#define HEAD_MAX_BYTES (64u << 10)
-/* Bytes received for each byte of a body, with the framing of its chunks. */
-#define FRAMING_FACTOR 2
+#define HEAD_MAX_BYTES	(64u << 10)
+/* Allowed framing of chunks, as a part of the body's limit. */
+#define FRAMING_DIVISOR 4
 
 /* evhttp fails the request when it finds the socket closed. */
 static void on_input_change(struct evbuffer *b,
@@ -30,7 +30,7 @@
 		       size_t body_max)
 {
 	l->http = http;
-	l->max_bytes = HEAD_MAX_BYTES + FRAMING_FACTOR * body_max;
+	l->max_bytes = HEAD_MAX_BYTES + body_max + body_max / FRAMING_DIVISOR;
 	l->received = 0;
 	evhttp_connection_set_max_headers_size(http, HEAD_MAX_BYTES);
 	evhttp_connection_set_max_body_size(http, (ev_ssize_t)body_max);
--- a/io/store_client.c
+++ b/io/store_client.c
@@ -16,7 +16,7 @@
 #include "wire/codec.h"
 
 #define KEY_MAX_BYTES	 96
-#define ANSWER_MAX_BYTES (64u << 20)
+#define ANSWER_MAX_BYTES (16u << 20)
 
 static const char *const key_prefixes[DOC_KIND_COUNT] = {
 	[DOC_MANIFEST] = "d/manifest/", [DOC_ROSTER] = "d/roster/",
