End a call of the command line at its timeout

jackdaw did not return, and its memory grew, while a server sent bytes without end or one now and then: evhttp's timeout starts anew with each read, and no limit was set.

Evidence: HttpCall.SlowAnswerWithoutEndIsEndedByTheTimeout, HeadWithoutEndIsEnded and BodyWithoutEndIsEnded did not end before (8 s allowed, the timeout is 1.5 s).

Each call has a timer of its own, as http_call() promises, and the limits of io/answer_limit.c. BodyCutShortIsNoAnswer passed before.

--- a/cli/http_call.c
+++ b/cli/http_call.c
@@ -9,8 +9,10 @@
 #include "core/list.h"
 #include "core/mem.h"
 #include "io/addr.h"
+#include "io/answer_limit.h"
 
 #define CONCURRENT_CALLS_MAX 64
+#define ANSWER_MAX_BYTES     (16u << 20)
 
 struct http_batch {
 	struct event_base *base;
@@ -23,7 +25,7 @@
 };
 
 /*
- * One call; it ends in on_answer(), also after its timeout. Its connection is
+ * One call; it ends in on_answer() or on_timeout(). Its connection is
  * freed after the loop, because libevent does not allow that inside the
  * connection's own callback.
  */
@@ -32,6 +34,9 @@
 	struct http_batch *batch;
 	struct http_get *get;
 	struct evhttp_connection *conn;
+	struct answer_limit limit;
+	struct evhttp_request *req;
+	struct event *timer;
 };
 
 static void start_pending(struct http_batch *b);
@@ -53,25 +58,34 @@
 	struct call *c = arg;
 	struct http_batch *b = c->batch;
 
+	event_del(c->timer);
 	c->get->text = answer_text(req);
 	b->running--;
 	start_pending(b);
 }
 
+/* A timeout of evhttp would start anew with each byte of an answer. */
+static void on_timeout(evutil_socket_t fd, short what, void *arg)
+{
+	struct call *c = arg;
+	struct http_batch *b = c->batch;
+
+	(void)fd;
+	(void)what;
+	evhttp_cancel_request(c->req);
+	b->running--;
+	start_pending(b);
+}
+
 static struct evhttp_connection *connect_to(struct event_base *base,
-					    const char *addr, int timeout_ms)
+					    const char *addr)
 {
-	struct timeval tv = {.tv_sec = timeout_ms / 1000,
-			     .tv_usec = timeout_ms % 1000 * 1000};
-	struct evhttp_connection *conn;
 	char ip[JD_ADDR_MAX];
 	uint16_t port;
 
 	if (!addr_split(addr, ip, sizeof(ip), &port))
 		return NULL;
-	conn = evhttp_connection_base_new(base, NULL, ip, port);
-	evhttp_connection_set_timeout_tv(conn, &tv);
-	return conn;
+	return evhttp_connection_base_new(base, NULL, ip, port);
 }
 
 static void add_headers(struct evhttp_request *req, const char *addr)
@@ -85,9 +99,9 @@
 static void start_call(struct http_batch *b, struct http_get *get,
 		       const char *body)
 {
-	struct evhttp_connection *conn =
-		connect_to(b->base, get->addr, b->timeout_ms);
-	struct evhttp_request *req;
+	struct evhttp_connection *conn = connect_to(b->base, get->addr);
+	struct timeval tv = {.tv_sec = b->timeout_ms / 1000,
+			     .tv_usec = b->timeout_ms % 1000 * 1000};
 	struct call *c;
 
 	if (!conn)
@@ -96,15 +110,23 @@
 	c->batch = b;
 	c->get = get;
 	c->conn = conn;
+	answer_limit_init(&c->limit, conn, ANSWER_MAX_BYTES);
+	c->timer = evtimer_new(b->base, on_timeout, c);
+	evtimer_add(c->timer, &tv);
 	list_push_back(&b->calls, &c->link);
-	req = evhttp_request_new(on_answer, c);
-	add_headers(req, get->addr);
+	c->req = evhttp_request_new(on_answer, c);
+	add_headers(c->req, get->addr);
 	if (body)
-		evbuffer_add(evhttp_request_get_output_buffer(req), body,
+		evbuffer_add(evhttp_request_get_output_buffer(c->req), body,
 			     strlen(body));
 	b->running++;
-	evhttp_make_request(conn, req, body ? EVHTTP_REQ_POST : EVHTTP_REQ_GET,
-			    get->path);
+	/* On failure evhttp frees the request without a callback. */
+	if (evhttp_make_request(conn, c->req,
+				body ? EVHTTP_REQ_POST : EVHTTP_REQ_GET,
+				get->path) != 0) {
+		event_del(c->timer);
+		b->running--;
+	}
 }
 
 static void start_pending(struct http_batch *b)
@@ -127,6 +149,7 @@
 
 	list_for_each_entry_safe(c, tmp, &b->calls, link) {
 		evhttp_connection_free(c->conn);
+		event_free(c->timer);
 		free(c);
 	}
 	event_base_free(b->base);
