Await an answer of the store while its parts keep coming

Cause: a read had 0.9 s for the whole answer. A document of about 1 MB needs that long on a link of 10 Mbit/s, so each read was given up shortly before its end and begun anew, for good; a node that restarted then had no manifest at all. A call is now given up when the next part of its answer does not come for 1 s, or after 10 s more than its deadline.

--- a/tests/kv_client_test.cpp
+++ b/tests/kv_client_test.cpp
@@ -267,6 +267,13 @@
 	struct kv_client *client =
 		kv_client_new(base, server.addr.c_str(), on_end, this);
 	std::vector<enum store_end> ends;
+	size_t record_count = 0;
+	uint64_t patience_ns = 120 * NS_PER_S; /* a call's deadline is then */
+	struct Part {
+		struct bufferevent *bev;
+		std::string text;
+	};
+	std::vector<std::unique_ptr<Part>> parts; /* to be written */
 
 	~RawStore() override
 	{
@@ -274,14 +281,47 @@
 	}
 	static void on_end(void *arg, struct ev_store_end *e)
 	{
-		((RawStore *)arg)->ends.push_back(e->end);
+		auto *s = (RawStore *)arg;
+		const struct record *r;
+
+		s->ends.push_back(e->end);
+		list_for_each_entry(r, &e->records, link)
+			s->record_count++;
+	}
+	static void write_part(evutil_socket_t, short, void *arg)
+	{
+		RawServer::write(((Part *)arg)->bev, ((Part *)arg)->text);
+	}
+	/** Writes @text after @ms. */
+	void write_later(struct bufferevent *bev, const std::string &text,
+			 int ms)
+	{
+		struct timeval tv = {ms / 1000, ms % 1000 * 1000};
+
+		parts.push_back(std::make_unique<Part>(Part{bev, text}));
+		event_base_once(base, -1, EV_TIMEOUT, write_part,
+				parts.back().get(), &tv);
+	}
+	/** Writes one record over @ms, without the last @missing bytes. */
+	void write_record_over(struct bufferevent *bev, int ms, size_t missing)
+	{
+		const std::string body =
+			"{\"items\":[{\"key\":\"op/evacuate/z1\","
+			"\"value\":\"e30=\",\"revision\":7}],\"asOf\":9}";
+
+		RawServer::write(bev, "HTTP/1.1 200 OK\r\nContent-Length: " +
+					      std::to_string(body.size()) +
+					      "\r\n\r\n");
+		for (size_t i = 0; i + missing < body.size(); i++)
+			write_later(bev, body.substr(i, 1),
+				    (int)(i * (size_t)ms / body.size()));
 	}
 	void start(enum store_call_kind kind)
 	{
 		struct act_store_call a = {};
 
 		a.kind = kind;
-		a.deadline_ns = clock_now_ns() + 120 * NS_PER_S;
+		a.deadline_ns = clock_now_ns() + patience_ns;
 		list_init(&a.puts);
 		kv_client_call(client, &a);
 	}
@@ -413,3 +453,32 @@
 		EXPECT_LT(server.written, 32u << 20) << s.start << s.repeated;
 	}
 }
+
+/*
+ * Guards against reads of a large configuration over a slow link that never
+ * succeed: each was given up at its deadline and begun anew.
+ */
+TEST_F(RawStore, AnswerIsAwaitedWhileItsPartsKeepComing)
+{
+	patience_ns = 200 * NS_PER_MS;
+	server.on_request = [&](RawServer &, struct bufferevent *bev, size_t) {
+		write_record_over(bev, 1500, 0);
+	};
+	EXPECT_EQ(call(CALL_READ_ALL), STORE_DONE);
+	EXPECT_EQ(record_count, 1u);
+	EXPECT_EQ(server.requests, 1u);
+}
+
+/* An answer that stops midway is not awaited for long. */
+TEST_F(RawStore, AnswerThatStopsMidwayIsGivenUp)
+{
+	uint64_t before = clock_now_ns();
+
+	patience_ns = 200 * NS_PER_MS;
+	server.on_request = [&](RawServer &, struct bufferevent *bev, size_t) {
+		write_record_over(bev, 300, 20);
+	};
+	EXPECT_EQ(call(CALL_READ_ALL), STORE_NO_ANSWER);
+	EXPECT_EQ(record_count, 0u);
+	EXPECT_LT(clock_now_ns() - before, 3 * NS_PER_S);
+}
