http_server: log and count requests rejected before routing

A request that the server rejected by itself (syntax, header limit, header timeout, upgrade) left no log line and no count, so of the answers 400, 408 and 431 that callers saw none could be traced to its cause.

Each rejection now writes event=request_rejected with the reason, the parser's error and the sizes read, and http_server_get_stats() returns counts by reason, of delivered and oversized requests and of connections closed at the idle timeout. No decision changes.

RejectionIsLoggedAndCounted did not build before.

--- a/io/http_server.c
+++ b/io/http_server.c
@@ -12,6 +12,7 @@
 #include "core/text.h"
 #include "io/addr.h"
 #include "io/clock.h"
+#include "io/log.h"
 #include "io/socket_opts.h"
 
 #define EXCHANGE_BUCKETS     1024
@@ -23,6 +24,7 @@
 #define HEADER_DEFAULT_BYTES (32u << 10)
 #define BODY_DEFAULT_BYTES   (1u << 20)
 #define TIMEOUT_DEFAULT_MS   60000
+#define LOGGED_TARGET_MAX    100
 
 /* A request, until its answer is in the connection's output buffer. */
 struct exchange {
@@ -58,7 +60,7 @@
 	unsigned char *body;
 	size_t body_len;
 	bool oversized;
-	int reject_code; /* HTTP status if the request is rejected; 0: 400 */
+	bool over_header_limit;
 };
 
 struct http_server {
@@ -69,8 +71,24 @@
 	struct list hash[EXCHANGE_BUCKETS];
 	uint64_t next_id;
 	uint32_t pending;
+	struct http_server_stats stats;
 };
 
+static const struct {
+	const char *name;
+	int code; /* HTTP status */
+} rejects[HTTP_REJECT_COUNT] = {
+	[HTTP_REJECT_SYNTAX] = {"syntax", 400},
+	[HTTP_REJECT_UPGRADE] = {"upgrade", 400},
+	[HTTP_REJECT_HEADER_LIMIT] = {"header_limit", 431},
+	[HTTP_REJECT_HEADER_TIMEOUT] = {"header_timeout", 408},
+};
+
+const char *http_reject_name(enum http_reject r)
+{
+	return rejects[r].name;
+}
+
 static void exchange_delete(struct exchange *x)
 {
 	list_remove(&x->link);
@@ -98,7 +116,7 @@
 	c->header_bytes = 0;
 	c->in_value = false;
 	c->oversized = false;
-	c->reject_code = 0;
+	c->over_header_limit = false;
 	c->header_deadline_ns = 0;
 }
 
@@ -169,7 +187,7 @@
 	c->header_bytes += len;
 	if (c->header_bytes <= c->server->opts.limits.header_bytes)
 		return false;
-	c->reject_code = 431;
+	c->over_header_limit = true;
 	return true;
 }
 
@@ -292,6 +310,8 @@
 		return 0;
 	}
 	x->delivered = true;
+	c->server->stats.delivered++;
+	c->server->stats.oversized += oversized;
 	c->server->opts.on_request(c->server->opts.arg, x->id, r, oversized);
 	if (c->exchange_count >= PIPELINE_MAX)
 		http_parser_pause(p, 1);
@@ -362,13 +382,28 @@
 		bufferevent_disable(c->bev, EV_READ);
 }
 
+static void log_reject(const struct server_conn *c, enum http_reject why)
+{
+	log_event(LOG_WARN,
+		  "event=request_rejected code=%d why=%s parser=%s "
+		  "header_bytes=%zu header_limit=%lu body_bytes=%zu pending=%u "
+		  "target=\"%.*s\"",
+		  rejects[why].code, rejects[why].name,
+		  http_errno_name(HTTP_PARSER_ERRNO(&c->parser)),
+		  c->header_bytes,
+		  (unsigned long)c->server->opts.limits.header_bytes,
+		  c->body_len, c->exchange_count, LOGGED_TARGET_MAX,
+		  c->url ? c->url : "");
+}
+
 /* Stops reading and answers with an error, after earlier requests. */
-static void reject(struct server_conn *c)
+static void reject(struct server_conn *c, enum http_reject why)
 {
-	struct http_answer *a =
-		http_answer_new(c->reject_code ? c->reject_code : 400);
+	struct http_answer *a = http_answer_new(rejects[why].code);
 	struct exchange *x;
 
+	c->server->stats.rejected[why]++;
+	log_reject(c, why);
 	request_reset(c);
 	bufferevent_disable(c->bev, EV_READ);
 	x = exchange_new(c);
@@ -398,8 +433,14 @@
 			continue;
 		}
 		evbuffer_drain(in, parsed);
-		if (err != HPE_OK || c->parser.upgrade) {
-			reject(c);
+		if (err != HPE_OK) {
+			reject(c, c->over_header_limit
+					  ? HTTP_REJECT_HEADER_LIMIT
+					  : HTTP_REJECT_SYNTAX);
+			return;
+		}
+		if (c->parser.upgrade) {
+			reject(c, HTTP_REJECT_UPGRADE);
 			return;
 		}
 	}
@@ -463,9 +504,9 @@
 			continue;
 		if (c->header_deadline_ns && now > c->header_deadline_ns &&
 		    !c->closing) {
-			c->reject_code = 408;
-			reject(c);
+			reject(c, HTTP_REJECT_HEADER_TIMEOUT);
 		} else if (now > c->idle_deadline_ns) {
+			s->stats.idle_closed++;
 			conn_delete(c);
 		}
 	}
@@ -565,3 +606,9 @@
 			evbuffer_get_length(bufferevent_get_output(c->bev)) > 0;
 	return s->pending + writing;
 }
+
+const struct http_server_stats *
+http_server_get_stats(const struct http_server *s)
+{
+	return &s->stats;
+}
--- a/io/http_server.h
+++ b/io/http_server.h
@@ -22,6 +22,22 @@
 	uint64_t idle_timeout_ms;   /* without a request */
 };
 
+/** Why a request was rejected by the server itself. */
+enum http_reject {
+	HTTP_REJECT_SYNTAX,	    /* the parser stopped: 400 */
+	HTTP_REJECT_UPGRADE,	    /* it asks for another protocol: 400 */
+	HTTP_REJECT_HEADER_LIMIT,   /* 431 */
+	HTTP_REJECT_HEADER_TIMEOUT, /* 408 */
+	HTTP_REJECT_COUNT,
+};
+
+struct http_server_stats {
+	uint64_t rejected[HTTP_REJECT_COUNT];
+	uint64_t delivered;   /* requests passed to on_request */
+	uint64_t oversized;   /* those of them whose body was dropped */
+	uint64_t idle_closed; /* connections closed at the idle timeout */
+};
+
 struct http_server_opts {
 	struct event_base *base;
 	const char *addr;
@@ -57,4 +73,10 @@
 /** Unanswered requests and connections with unwritten answers. */
 uint32_t http_server_pending(const struct http_server *s);
 
+const struct http_server_stats *
+http_server_get_stats(const struct http_server *s);
+
+/** Name of @r as in logs and metrics. */
+const char *http_reject_name(enum http_reject r);
+
 #endif
--- a/tests/http_server_test.cpp
+++ b/tests/http_server_test.cpp
@@ -10,6 +10,7 @@
 #include "core/mem.h"
 #include "io/clock.h"
 #include "io/http_server.h"
+#include "io/log.h"
 }
 
 struct ReceivedRequest {
@@ -254,3 +255,34 @@
 	run_loop(50);
 	EXPECT_EQ(requests.size(), 40u);
 }
+
+/*
+ * Requests that the server rejected by itself left neither a log line nor a
+ * count, so refused callers could not be traced.
+ */
+TEST_F(HttpServerTest, RejectionIsLoggedAndCounted)
+{
+	char *text = NULL;
+	size_t len = 0;
+	FILE *out = open_memstream(&text, &len);
+	const struct http_server_stats *st = http_server_get_stats(s);
+
+	log_set_output(out);
+	send_text("GET /a HTTP/1.1\r\nX: " + std::string(2000, 'x'));
+	close(fd);
+	connect_to_server();
+	send_text("GET /b HTTP/x.1\r\n");
+	log_set_output(NULL);
+	fclose(out);
+	std::string log(text, len);
+
+	free(text);
+	EXPECT_EQ(st->rejected[HTTP_REJECT_HEADER_LIMIT], 1u);
+	EXPECT_EQ(st->rejected[HTTP_REJECT_SYNTAX], 1u);
+	EXPECT_NE(log.find("event=request_rejected code=431 why=header_limit"),
+		  std::string::npos);
+	EXPECT_NE(log.find("event=request_rejected code=400 why=syntax "
+			   "parser=HPE_"),
+		  std::string::npos);
+	EXPECT_NE(log.find("target=\"/b\""), std::string::npos);
+}
