tests: shapes of proper and of broken requests

Proper requests split at every byte and pipelined up to 100 deep, with and without bodies, answered late and from inside the callback, and requests of ambiguous framing, which must stay rejected.

--- a/tests/http_server_test.cpp
+++ b/tests/http_server_test.cpp
@@ -11,12 +11,14 @@
 #include "io/clock.h"
 #include "io/http_server.h"
 #include "io/log.h"
+#include "io/socket_opts.h"
 }
 
 struct ReceivedRequest {
 	uint64_t caller;
 	std::string method, target, body;
 	bool oversized;
+	std::string headers; /* "name=value;" for each */
 };
 
 struct HttpServerTest : public ::testing::Test {
@@ -26,6 +28,8 @@
 	std::vector<uint64_t> gone_callers;
 	std::string addr = free_addr();
 	uint64_t reply_on_caller_disconnected = 0;
+	bool reply_at_once = false; /* from inside on_request */
+	bool reply_closes = false;
 	int fd = -1;
 
 	HttpServerTest()
@@ -58,11 +62,18 @@
 	{
 		auto *t = (HttpServerTest *)arg;
 
+		const struct header *h;
+		std::string headers;
+
+		list_for_each_entry(h, &r->payload.headers, link)
+			headers += std::string(h->name) + "=" + h->value + ";";
 		t->requests.push_back({caller, r->method, r->target,
 				       std::string((char *)r->payload.body,
 						   r->payload.body_len),
-				       oversized});
+				       oversized, headers});
 		http_request_unref(r);
+		if (t->reply_at_once)
+			t->reply(caller, 200, "ok", t->reply_closes);
 	}
 	static void on_caller_disconnected(void *arg, uint64_t caller)
 	{
@@ -76,7 +87,10 @@
 	{
 		struct sockaddr_in a = {};
 
+		if (fd >= 0)
+			close(fd);
 		fd = socket(AF_INET, SOCK_STREAM, 0);
+		socket_set_opts(fd); /* no delay between pieces */
 		a.sin_family = AF_INET;
 		a.sin_port = htons((uint16_t)atoi(
 			addr.substr(addr.find(':') + 1).c_str()));
@@ -89,6 +103,14 @@
 			  (ssize_t)text.size());
 		run_loop(50);
 	}
+	/* Sends @text and runs the loop until it has nothing more to do. */
+	void send_now(const std::string &text)
+	{
+		EXPECT_EQ(write(fd, text.data(), text.size()),
+			  (ssize_t)text.size());
+		for (int i = 0; i < 6; i++)
+			event_base_loop(base, EVLOOP_NONBLOCK);
+	}
 	void run_loop(int ms)
 	{
 		struct timeval tv = {0, ms * 1000};
@@ -269,7 +291,6 @@
 
 	log_set_output(out);
 	send_text("GET /a HTTP/1.1\r\nX: " + std::string(2000, 'x'));
-	close(fd);
 	connect_to_server();
 	send_text("GET /b HTTP/x.1\r\n");
 	log_set_output(NULL);
@@ -286,3 +307,114 @@
 		  std::string::npos);
 	EXPECT_NE(log.find("target=\"/b\""), std::string::npos);
 }
+
+struct Shape {
+	const char *text;
+	const char *method, *target, *headers, *body;
+};
+
+static const Shape proper_shapes[] = {
+	{"GET /a?b=c HTTP/1.1\r\nHost: h\r\n\r\n", "GET", "/a?b=c", "Host=h;",
+	 ""},
+	{"\r\n\r\nGET /a HTTP/1.1\r\nHost: h\r\n\r\n", "GET", "/a", "Host=h;",
+	 ""},
+	{"GET /a HTTP/1.1\r\nX:\r\nhOST:h\r\nY: \r\n\r\n", "GET", "/a",
+	 "X=;hOST=h;Y=;", ""},
+	{"GET /|{}\"^`[]%zz\xc3\xa9?x=|{}\"^\xff HTTP/1.1\r\nHost: h\r\n\r\n",
+	 "GET", "/|{}\"^`[]%zz\xc3\xa9?x=|{}\"^\xff", "Host=h;", ""},
+	{"GET /a HTTP/1.1\r\nHost: h\r\nX: \x80\xff\tq\r\n\r\n", "GET", "/a",
+	 "Host=h;X=\x80\xff\tq;", ""},
+	{"GET /a HTTP/1.0\r\nHost: h\r\nConnection: keep-alive\r\n\r\n", "GET",
+	 "/a", "Host=h;Connection=keep-alive;", ""},
+	{"M-SEARCH /a HTTP/1.1\r\nHost: h\r\n\r\n", "M-SEARCH", "/a", "Host=h;",
+	 ""},
+	{"POST /b HTTP/1.1\r\nHost: h\r\nContent-Length:  003 \r\n\r\nabc",
+	 "POST", "/b", NULL, "abc"},
+	{"PUT /b HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: Chunked\r\n\r\n"
+	 "3;x=y;z=\"q\"\r\nabc\r\n0002 ; a\r\nde\r\n0;last\r\n\r\n",
+	 "PUT", "/b", NULL, "abcde"},
+};
+
+/* Guards against 400 to requests that arrive in any number of pieces. */
+TEST_F(HttpServerTest, ProperRequestsAreDeliveredHoweverTheyAreSplit)
+{
+	reply_at_once = true;
+	for (const auto &shape : proper_shapes) {
+		std::string text = shape.text;
+
+		for (size_t at = 1; at <= text.size(); at++) {
+			requests.clear();
+			send_now(text.substr(0, at));
+			if (at < text.size())
+				send_now(text.substr(at));
+			ASSERT_EQ(requests.size(), 1u) << text << " at " << at;
+			EXPECT_EQ(requests[0].method, shape.method);
+			EXPECT_EQ(requests[0].target, shape.target);
+			EXPECT_EQ(requests[0].body, shape.body);
+			if (shape.headers) {
+				EXPECT_EQ(requests[0].headers, shape.headers);
+			}
+		}
+	}
+	EXPECT_EQ(http_server_get_stats(s)->rejected[HTTP_REJECT_SYNTAX], 0u);
+}
+
+/* Guards against 400 to requests of deep pipelines. */
+TEST_F(HttpServerTest, PipelinesOfAnyDepthAreAnsweredInFull)
+{
+	for (bool at_once : {false, true})
+		for (const auto &shape : proper_shapes)
+			for (size_t depth : {1, 31, 32, 33, 64, 65, 100}) {
+				std::string text;
+
+				for (size_t i = 0; i < depth; i++)
+					text += shape.text;
+				requests.clear();
+				reply_at_once = at_once;
+				send_now(text);
+				for (size_t i = 0; i < requests.size(); i++) {
+					reply(requests[i].caller, 200, "x");
+					send_now("");
+				}
+				EXPECT_EQ(requests.size(), depth) << shape.text;
+			}
+	EXPECT_EQ(http_server_get_stats(s)->rejected[HTTP_REJECT_SYNTAX], 0u);
+	EXPECT_EQ(http_server_pending(s), 0u);
+}
+
+/* Requests whose framing is ambiguous or broken stay rejected. */
+TEST_F(HttpServerTest, BrokenRequestsAreRejected)
+{
+	const char *const broken[] = {
+		"POST /c HTTP/1.1\r\nContent-Length: 4\r\n"
+		"Transfer-Encoding: chunked\r\n\r\n",
+		"POST /c HTTP/1.1\r\nTransfer-Encoding: chunked\r\n"
+		"Content-Length: 4\r\n\r\n",
+		"POST /c HTTP/1.1\r\nTransfer-Encoding: identity\r\n\r\n",
+		"POST /c HTTP/1.1\r\nTransfer-Encoding: chunked, gzip\r\n\r\n",
+		"POST /c HTTP/1.1\r\nTransfer-Encoding: xchunked\r\n\r\n",
+		"POST /c HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n",
+		"POST /c HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n-1\r\n",
+		"POST /c HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n"
+		"11111111111111111\r\n",
+		"POST /c HTTP/1.1\r\nContent-Length: 3\r\n"
+		"Content-Length: 4\r\n\r\nabcd",
+		"POST /c HTTP/1.1\r\nContent-Length: 3x\r\n\r\nabc",
+		"POST /c HTTP/1.1\r\nContent-Length: -3\r\n\r\nabc",
+		"POST /c HTTP/1.1\r\nContent-Length: 3 3\r\n\r\nabc",
+		"POST /c HTTP/1.1\r\nContent-Length:\r\n\r\n",
+		"GET ?x HTTP/1.1\r\n\r\n",
+		"\x16\x03\x01",
+	};
+
+	for (const char *text : broken) {
+		bool closed = false;
+
+		connect_to_server();
+		send_now(text);
+		EXPECT_EQ(read_answers(&closed).substr(0, 12), "HTTP/1.1 400")
+			<< text;
+		EXPECT_TRUE(closed);
+	}
+	EXPECT_TRUE(requests.empty());
+}
