http_server: remove blanks behind header values

Callers whose requests had a blank or tab behind a header's value got an error: 404, as "h " matched no route's host, or 400, as "4000 " was no deadline and "77 " no key. Such blanks are not part of a value (RFC 9110, 5.5), but http_parser removes only those in front of it.

The value is trimmed where the header is stored, so the host, the id, the numbers and what is forwarded are all read alike.

BlanksAroundHeaderValuesAreRemoved failed before.

--- a/io/http_server.c
+++ b/io/http_server.c
@@ -159,8 +159,19 @@
 	(*to)[old_len + len] = '\0';
 }
 
+/* The parser leaves blanks behind a header's value. */
+static void trim_end(char *text)
+{
+	size_t len = strlen(text);
+
+	while (len && (text[len - 1] == ' ' || text[len - 1] == '\t'))
+		text[--len] = '\0';
+}
+
 static void flush_header(struct server_conn *c)
 {
+	if (c->value)
+		trim_end(c->value);
 	if (c->field && c->request)
 		payload_add_header(&c->request->payload, c->field,
 				   c->value ? c->value : "");
--- a/tests/http_server_test.cpp
+++ b/tests/http_server_test.cpp
@@ -418,3 +418,15 @@
 	}
 	EXPECT_TRUE(requests.empty());
 }
+
+/*
+ * Blanks behind a value became part of it, so the host matched no route (404)
+ * and numbers were refused (400).
+ */
+TEST_F(HttpServerTest, BlanksAroundHeaderValuesAreRemoved)
+{
+	send_now("GET /a HTTP/1.1\r\nHost: \t h \t \r\nX:a b\t\r\nY: \t "
+		 "\r\nConnection: close\t\r\n\r\n");
+	ASSERT_EQ(requests.size(), 1u);
+	EXPECT_EQ(requests[0].headers, "Host=h;X=a b;Y=;Connection=close;");
+}
