http_server: ignore offers to upgrade, answer CONNECT with 501

A request with Connection: Upgrade and Upgrade: h2c or websocket was passed on and answered, and then followed by a 400 and a close of our own. To the caller that 400 was the answer to the next request on the connection; what was pipelined behind was lost. http_parser stops behind such a request and parse_input() took that for an error.

A server may ignore the offer and go on with HTTP/1.1 (RFC 9110, 7.8): the parser's flag is cleared in on_headers(), before it acts on it. CONNECT, which had the same two answers (404 and 400), is no method of the router and gets one 501, undelivered.

OfferToUpgradeIsIgnored and ConnectIsRejectedOnce failed before.

--- a/io/http_server.c
+++ b/io/http_server.c
@@ -60,7 +60,7 @@
 	unsigned char *body;
 	size_t body_len;
 	bool oversized;
-	bool over_header_limit;
+	enum http_reject reject_as; /* if the parser stops */
 };
 
 struct http_server {
@@ -79,7 +79,7 @@
 	int code; /* HTTP status */
 } rejects[HTTP_REJECT_COUNT] = {
 	[HTTP_REJECT_SYNTAX] = {"syntax", 400},
-	[HTTP_REJECT_UPGRADE] = {"upgrade", 400},
+	[HTTP_REJECT_METHOD] = {"method", 501},
 	[HTTP_REJECT_HEADER_LIMIT] = {"header_limit", 431},
 	[HTTP_REJECT_HEADER_TIMEOUT] = {"header_timeout", 408},
 };
@@ -116,7 +116,7 @@
 	c->header_bytes = 0;
 	c->in_value = false;
 	c->oversized = false;
-	c->over_header_limit = false;
+	c->reject_as = HTTP_REJECT_SYNTAX;
 	c->header_deadline_ns = 0;
 }
 
@@ -198,7 +198,7 @@
 	c->header_bytes += len;
 	if (c->header_bytes <= c->server->opts.limits.header_bytes)
 		return false;
-	c->over_header_limit = true;
+	c->reject_as = HTTP_REJECT_HEADER_LIMIT;
 	return true;
 }
 
@@ -251,6 +251,12 @@
 	const struct http_server_limits *l = &c->server->opts.limits;
 
 	flush_header(c);
+	if (p->method == HTTP_CONNECT) {
+		c->reject_as = HTTP_REJECT_METHOD;
+		return -1;
+	}
+	/* A server may ignore the offer; HTTP/1.1 goes on. */
+	p->upgrade = 0;
 	if (p->content_length != UINT64_MAX &&
 	    p->content_length > l->body_bytes)
 		c->oversized = true;
@@ -445,13 +451,7 @@
 		}
 		evbuffer_drain(in, parsed);
 		if (err != HPE_OK) {
-			reject(c, c->over_header_limit
-					  ? HTTP_REJECT_HEADER_LIMIT
-					  : HTTP_REJECT_SYNTAX);
-			return;
-		}
-		if (c->parser.upgrade) {
-			reject(c, HTTP_REJECT_UPGRADE);
+			reject(c, c->reject_as);
 			return;
 		}
 	}
--- a/tests/http_server_test.cpp
+++ b/tests/http_server_test.cpp
@@ -430,3 +430,46 @@
 	ASSERT_EQ(requests.size(), 1u);
 	EXPECT_EQ(requests[0].headers, "Host=h;X=a b;Y=;Connection=close;");
 }
+
+/*
+ * A request that offered another protocol was delivered and then followed by a
+ * 400 and a close, although its caller would have gone on with HTTP/1.1.
+ */
+TEST_F(HttpServerTest, OfferToUpgradeIsIgnored)
+{
+	const char *const offers[] = {
+		"GET /u HTTP/1.1\r\nConnection: Upgrade, HTTP2-Settings\r\n"
+		"Upgrade: h2c\r\nHTTP2-Settings: AAMAAABk\r\n\r\n",
+		"GET /u HTTP/1.1\r\nConnection: keep-alive, Upgrade\r\n"
+		"Upgrade: websocket\r\n\r\n",
+		"POST /u HTTP/1.1\r\nConnection: Upgrade\r\nUpgrade: h2c\r\n"
+		"Content-Length: 3\r\n\r\nabc",
+	};
+
+	for (const char *offer : offers) {
+		bool closed = true;
+
+		requests.clear();
+		send_now(std::string(offer) + GET_B);
+		ASSERT_EQ(requests.size(), 2u);
+		EXPECT_EQ(requests[0].target, "/u");
+		EXPECT_EQ(requests[1].target, "/b");
+		reply(requests[0].caller, 200, "x");
+		reply(requests[1].caller, 200, "x");
+		EXPECT_EQ(read_answers(&closed).find("HTTP/1.1 400"),
+			  std::string::npos);
+		EXPECT_FALSE(closed);
+	}
+}
+
+/* CONNECT was delivered and then followed by a 400. */
+TEST_F(HttpServerTest, ConnectIsRejectedOnce)
+{
+	std::string text;
+
+	send_now("CONNECT h:80 HTTP/1.1\r\nHost: h:80\r\n\r\n");
+	EXPECT_TRUE(requests.empty());
+	text = read_answers();
+	EXPECT_EQ(text.substr(0, 12), "HTTP/1.1 501");
+	EXPECT_EQ(text.find("HTTP/1.1", 12), std::string::npos);
+}
