http_server: deliver nothing behind a request that closes

Requests pipelined behind one with Connection: close (or HTTP/1.0), or behind one that was answered at once with a close, were delivered and run when they arrived in the same read. Their callers got no answer: the connection closes after the first. As what lies behind a closing answer counts as unread, they sent them again, so a request could run twice.

The loop in parse_input() stops at last_request and closing, but the parser goes on to the end of what it was given, and the next on_complete() overwrote last_request. on_complete() now pauses the parser there.

NothingIsDeliveredBehindTheLastRequest and NothingIsDeliveredBehindAnAnswerThatCloses failed before.

--- a/io/http_server.c
+++ b/io/http_server.c
@@ -47,7 +47,7 @@
 	uint32_t exchange_count;
 	uint64_t idle_deadline_ns;
 	uint64_t header_deadline_ns; /* 0: no request has begun */
-	bool last_request; /* the request read last asked for a close */
+	bool last_request; /* nothing after the request read last is read */
 	bool closing; /* nothing is read; closed once the output is written */
 	/* The request being read. */
 	struct http_request *request;
@@ -330,7 +330,7 @@
 	c->server->stats.delivered++;
 	c->server->stats.oversized += oversized;
 	c->server->opts.on_request(c->server->opts.arg, x->id, r, oversized);
-	if (c->exchange_count >= PIPELINE_MAX)
+	if (c->last_request || c->closing || c->exchange_count >= PIPELINE_MAX)
 		http_parser_pause(p, 1);
 	return 0;
 }
--- a/tests/http_server_test.cpp
+++ b/tests/http_server_test.cpp
@@ -473,3 +473,48 @@
 	EXPECT_EQ(text.substr(0, 12), "HTTP/1.1 501");
 	EXPECT_EQ(text.find("HTTP/1.1", 12), std::string::npos);
 }
+
+/*
+ * Requests behind one that closes the connection were run although their
+ * callers never got an answer and sent them again.
+ */
+TEST_F(HttpServerTest, NothingIsDeliveredBehindTheLastRequest)
+{
+	const char *const last[] = {
+		"GET /l HTTP/1.1\r\nConnection: close\r\n\r\n",
+		"GET /l HTTP/1.0\r\n\r\n",
+		"POST /l HTTP/1.1\r\nConnection: close\r\n"
+		"Content-Length: 3\r\n\r\nabc",
+		"POST /l HTTP/1.1\r\nConnection: close\r\n"
+		"Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n",
+	};
+
+	for (const char *text : last) {
+		bool closed = false;
+		std::string answers;
+
+		connect_to_server();
+		requests.clear();
+		send_now(std::string(text) + GET_A + GET_B);
+		ASSERT_EQ(requests.size(), 1u);
+		EXPECT_EQ(requests[0].target, "/l");
+		reply(requests[0].caller, 200, "x");
+		answers = read_answers(&closed);
+		EXPECT_EQ(answers.find("HTTP/1.1 200"), 0u);
+		EXPECT_EQ(answers.find("HTTP/1.1", 1), std::string::npos);
+		EXPECT_TRUE(closed);
+	}
+}
+
+/* The same where the answer closes the connection, as in a planned stop. */
+TEST_F(HttpServerTest, NothingIsDeliveredBehindAnAnswerThatCloses)
+{
+	bool closed = false;
+
+	reply_at_once = true;
+	reply_closes = true;
+	send_now(std::string(GET_A) + GET_B + GET_B);
+	EXPECT_EQ(requests.size(), 1u);
+	read_answers(&closed);
+	EXPECT_TRUE(closed);
+}
