http_server: don't read trailers as headers

Fields behind a chunked body were added to the request's headers: one named like the deadline or the host took effect where the head had none, and all but the last were passed on. A caller's checksum trailer named so could end in 400 or 404. Trailers must not be merged unless known to be safe (RFC 9110, 6.5.1); they are dropped now, and still count towards the header limit.

TrailersAreNotHeaders failed before.

--- a/io/http_server.c
+++ b/io/http_server.c
@@ -56,6 +56,7 @@
 	char *field;
 	char *value;
 	bool in_value; /* value belongs to the header named by field */
+	bool in_body;  /* the headers are complete */
 	size_t header_bytes;
 	unsigned char *body;
 	size_t body_len;
@@ -115,6 +116,7 @@
 	c->body_len = 0;
 	c->header_bytes = 0;
 	c->in_value = false;
+	c->in_body = false;
 	c->oversized = false;
 	c->reject_as = HTTP_REJECT_SYNTAX;
 	c->header_deadline_ns = 0;
@@ -218,6 +220,8 @@
 
 	if (exceeds_header_limit(c, len))
 		return 1;
+	if (c->in_body) /* a trailer */
+		return 0;
 	if (c->in_value)
 		flush_header(c);
 	append(&c->field, at, len);
@@ -230,6 +234,8 @@
 
 	if (exceeds_header_limit(c, len))
 		return 1;
+	if (c->in_body)
+		return 0;
 	c->in_value = true;
 	append(&c->value, at, len);
 	return 0;
@@ -251,6 +257,7 @@
 	const struct http_server_limits *l = &c->server->opts.limits;
 
 	flush_header(c);
+	c->in_body = true;
 	if (p->method == HTTP_CONNECT) {
 		c->reject_as = HTTP_REJECT_METHOD;
 		return -1;
--- a/tests/http_server_test.cpp
+++ b/tests/http_server_test.cpp
@@ -518,3 +518,20 @@
 	read_answers(&closed);
 	EXPECT_TRUE(closed);
 }
+
+/*
+ * A trailer was read as a header, so one named like the deadline or the host
+ * took effect and was passed on.
+ */
+TEST_F(HttpServerTest, TrailersAreNotHeaders)
+{
+	send_now("POST /t HTTP/1.1\r\nTransfer-Encoding: chunked\r\n"
+		 "Trailer: Host, X\r\n\r\n3\r\nabc\r\n0\r\nHost: evil\r\n"
+		 "X-Deadline: 1\r\nX: y\r\n\r\n" +
+		 std::string(GET_A));
+	ASSERT_EQ(requests.size(), 2u);
+	EXPECT_EQ(requests[0].headers,
+		  "Transfer-Encoding=chunked;Trailer=Host, X;");
+	EXPECT_EQ(requests[0].body, "abc");
+	EXPECT_EQ(requests[1].headers, "Host=h;");
+}
