http_server: end the header timeout with the headers

A caller that needed longer than the header timeout to send a body got 408 in the middle of it, as the deadline set at the first byte was cleared only with the complete request. It now ends with the headers. A body is bounded by its size, and by the idle timeout from its last byte on: 408, counted apart.

HeaderTimeoutEndsWithTheHeaders failed before. BodyThatStopsIsAnsweredWith408 shows that such callers are still cut.

--- a/io/http_server.c
+++ b/io/http_server.c
@@ -46,7 +46,7 @@
 	struct list exchanges;
 	uint32_t exchange_count;
 	uint64_t idle_deadline_ns;
-	uint64_t header_deadline_ns; /* 0: no request has begun */
+	uint64_t header_deadline_ns; /* 0: no headers are being read */
 	bool last_request; /* nothing after the request read last is read */
 	bool closing; /* nothing is read; closed once the output is written */
 	/* The request being read. */
@@ -83,6 +83,7 @@
 	[HTTP_REJECT_METHOD] = {"method", 501},
 	[HTTP_REJECT_HEADER_LIMIT] = {"header_limit", 431},
 	[HTTP_REJECT_HEADER_TIMEOUT] = {"header_timeout", 408},
+	[HTTP_REJECT_BODY_TIMEOUT] = {"body_timeout", 408},
 };
 
 const char *http_reject_name(enum http_reject r)
@@ -152,6 +153,12 @@
 	return clock_now_ns() + ms * NS_PER_MS;
 }
 
+static void restart_idle_timeout(struct server_conn *c)
+{
+	c->idle_deadline_ns =
+		ms_from_now(c->server->opts.limits.idle_timeout_ms);
+}
+
 static void append(char **to, const char *at, size_t len)
 {
 	size_t old_len = *to ? strlen(*to) : 0;
@@ -258,6 +265,8 @@
 
 	flush_header(c);
 	c->in_body = true;
+	c->header_deadline_ns = 0;
+	restart_idle_timeout(c);
 	if (p->method == HTTP_CONNECT) {
 		c->reject_as = HTTP_REJECT_METHOD;
 		return -1;
@@ -275,6 +284,7 @@
 {
 	struct server_conn *c = p->data;
 
+	restart_idle_timeout(c);
 	if (c->oversized)
 		return 0;
 	if (c->body_len + len > c->server->opts.limits.body_bytes) {
@@ -326,8 +336,7 @@
 	x->head = p->method == HTTP_HEAD;
 	x->close = !keep;
 	c->last_request = !keep;
-	c->idle_deadline_ns =
-		ms_from_now(c->server->opts.limits.idle_timeout_ms);
+	restart_idle_timeout(c);
 	/* The caller has closed already; the EOF event follows. */
 	if (socket_is_closed(bufferevent_getfd(c->bev))) {
 		http_request_unref(r);
@@ -502,13 +511,30 @@
 	list_push_back(&s->conns, &c->link);
 	http_parser_init(&c->parser, HTTP_REQUEST);
 	c->parser.data = c;
-	c->idle_deadline_ns = ms_from_now(s->opts.limits.idle_timeout_ms);
+	restart_idle_timeout(c);
 	bufferevent_setcb(c->bev, on_read, on_write, on_event, c);
 	bufferevent_setwatermark(c->bev, EV_READ, 0, READ_BUFFER_BYTES);
 	bufferevent_enable(c->bev, EV_READ | EV_WRITE);
 }
 
-/* Enforces the header timeout and the idle timeout. */
+/* Enforces the timeouts of @c, which may be freed. */
+static void check_timeouts(struct server_conn *c, uint64_t now)
+{
+	if (!list_empty(&c->exchanges))
+		return;
+	if (c->header_deadline_ns && now > c->header_deadline_ns &&
+	    !c->closing) {
+		reject(c, HTTP_REJECT_HEADER_TIMEOUT);
+	} else if (now > c->idle_deadline_ns) {
+		if (c->in_body && !c->closing) {
+			reject(c, HTTP_REJECT_BODY_TIMEOUT);
+			return;
+		}
+		c->server->stats.idle_closed++;
+		conn_delete(c);
+	}
+}
+
 static void on_timeout_check(evutil_socket_t fd, short what, void *arg)
 {
 	struct http_server *s = arg;
@@ -517,17 +543,8 @@
 
 	(void)fd;
 	(void)what;
-	list_for_each_entry_safe(c, tmp, &s->conns, link) {
-		if (!list_empty(&c->exchanges))
-			continue;
-		if (c->header_deadline_ns && now > c->header_deadline_ns &&
-		    !c->closing) {
-			reject(c, HTTP_REJECT_HEADER_TIMEOUT);
-		} else if (now > c->idle_deadline_ns) {
-			s->stats.idle_closed++;
-			conn_delete(c);
-		}
-	}
+	list_for_each_entry_safe(c, tmp, &s->conns, link)
+		check_timeouts(c, now);
 }
 
 struct http_server *http_server_new(const struct http_server_opts *o,
@@ -607,7 +624,7 @@
 	c = x->conn;
 	x->close |= close;
 	x->answer = encode_answer(a, x->head, x->close);
-	c->idle_deadline_ns = ms_from_now(s->opts.limits.idle_timeout_ms);
+	restart_idle_timeout(c);
 	flush_answers(c);
 	/* Deferred: the parser must not run inside its own callbacks. */
 	if (!c->closing && evbuffer_get_length(bufferevent_get_input(c->bev)))
--- a/io/http_server.h
+++ b/io/http_server.h
@@ -18,8 +18,8 @@
 struct http_server_limits {
 	uint64_t header_bytes;
 	uint64_t body_bytes;
-	uint64_t header_timeout_ms; /* from a request's first byte */
-	uint64_t idle_timeout_ms;   /* without a request */
+	uint64_t header_timeout_ms; /* from first byte to end of headers */
+	uint64_t idle_timeout_ms;   /* without a request, or a byte of a body */
 };
 
 /** Why a request was rejected by the server itself. */
@@ -28,6 +28,7 @@
 	HTTP_REJECT_METHOD,	    /* CONNECT: 501 */
 	HTTP_REJECT_HEADER_LIMIT,   /* 431 */
 	HTTP_REJECT_HEADER_TIMEOUT, /* 408 */
+	HTTP_REJECT_BODY_TIMEOUT,   /* 408 */
 	HTTP_REJECT_COUNT,
 };
 
--- a/tests/http_server_test.cpp
+++ b/tests/http_server_test.cpp
@@ -99,14 +99,18 @@
 	}
 	void send_text(const std::string &text)
 	{
-		EXPECT_EQ(write(fd, text.data(), text.size()),
+		EXPECT_EQ(send(fd, text.data(), text.size(), MSG_NOSIGNAL),
 			  (ssize_t)text.size());
 		run_loop(50);
 	}
+	void set_limits(struct http_server_limits l)
+	{
+		http_server_set_limits(s, &l);
+	}
 	/* Sends @text and runs the loop until it has nothing more to do. */
 	void send_now(const std::string &text)
 	{
-		EXPECT_EQ(write(fd, text.data(), text.size()),
+		EXPECT_EQ(send(fd, text.data(), text.size(), MSG_NOSIGNAL),
 			  (ssize_t)text.size());
 		for (int i = 0; i < 6; i++)
 			event_base_loop(base, EVLOOP_NONBLOCK);
@@ -535,3 +539,28 @@
 	EXPECT_EQ(requests[0].body, "abc");
 	EXPECT_EQ(requests[1].headers, "Host=h;");
 }
+
+/*
+ * The header timeout counted to the end of the body, so a caller that took
+ * longer to send one got 408.
+ */
+TEST_F(HttpServerTest, HeaderTimeoutEndsWithTheHeaders)
+{
+	send_text("POST /s HTTP/1.1\r\nContent-Length: 3\r\n\r\na");
+	run_loop(450);
+	send_text("b");
+	run_loop(450);
+	send_text("c");
+	ASSERT_EQ(requests.size(), 1u);
+	EXPECT_EQ(requests[0].body, "abc");
+}
+
+TEST_F(HttpServerTest, BodyThatStopsIsAnsweredWith408)
+{
+	bool closed = false;
+
+	send_text("POST /s HTTP/1.1\r\nContent-Length: 3\r\n\r\na");
+	run_loop(1300);
+	EXPECT_EQ(read_answers(&closed).substr(0, 12), "HTTP/1.1 408");
+	EXPECT_TRUE(closed);
+}
