http_server: no idle timeout once a request has begun

A request whose first bytes came late in the idle time lost its connection without an answer if its headers were not complete by the idle deadline, which ran on beside the header timeout. Only one of the two runs now.

IdleTimeoutEndsWithARequestsFirstByte failed before.

--- a/io/http_server.c
+++ b/io/http_server.c
@@ -520,18 +520,17 @@
 /* Enforces the timeouts of @c, which may be freed. */
 static void check_timeouts(struct server_conn *c, uint64_t now)
 {
-	if (!list_empty(&c->exchanges))
+	uint64_t deadline_ns = c->header_deadline_ns ? c->header_deadline_ns
+						     : c->idle_deadline_ns;
+
+	if (now <= deadline_ns || !list_empty(&c->exchanges))
 		return;
-	if (c->header_deadline_ns && now > c->header_deadline_ns &&
-	    !c->closing) {
-		reject(c, HTTP_REJECT_HEADER_TIMEOUT);
-	} else if (now > c->idle_deadline_ns) {
-		if (c->in_body && !c->closing) {
-			reject(c, HTTP_REJECT_BODY_TIMEOUT);
-			return;
-		}
+	if (c->closing || !c->request) {
 		c->server->stats.idle_closed++;
 		conn_delete(c);
+	} else {
+		reject(c, c->in_body ? HTTP_REJECT_BODY_TIMEOUT
+				     : HTTP_REJECT_HEADER_TIMEOUT);
 	}
 }
 
--- a/tests/http_server_test.cpp
+++ b/tests/http_server_test.cpp
@@ -564,3 +564,19 @@
 	EXPECT_EQ(read_answers(&closed).substr(0, 12), "HTTP/1.1 408");
 	EXPECT_TRUE(closed);
 }
+
+/*
+ * The idle timeout closed a connection without an answer although a request
+ * had begun to arrive.
+ */
+TEST_F(HttpServerTest, IdleTimeoutEndsWithARequestsFirstByte)
+{
+	set_limits({1000, 100, 5000, 700});
+	connect_to_server();
+	run_loop(350);
+	send_text("GET /i HTTP/1.1\r\n");
+	run_loop(800);
+	send_text("\r\n");
+	ASSERT_EQ(requests.size(), 1u);
+	EXPECT_EQ(requests[0].target, "/i");
+}
