http_server: read what has arrived before a timeout is applied

After a pause of the process (frozen, suspended or short of processor) headers that had arrived in time were answered with 408: one read takes 4 KiB, and the timeout was checked before the next. A connection with unread bytes is now left to the next check.

HeadersThatArrivedDuringAPauseAreRead failed before: 408 after 4096 bytes.

--- a/io/http_server.c
+++ b/io/http_server.c
@@ -525,6 +525,9 @@
 
 	if (now <= deadline_ns || !list_empty(&c->exchanges))
 		return;
+	/* Bytes that arrived in time may wait after a pause of the process. */
+	if (!c->closing && !socket_is_idle(bufferevent_getfd(c->bev)))
+		return;
 	if (c->closing || !c->request) {
 		c->server->stats.idle_closed++;
 		conn_delete(c);
--- a/tests/http_server_test.cpp
+++ b/tests/http_server_test.cpp
@@ -580,3 +580,19 @@
 	ASSERT_EQ(requests.size(), 1u);
 	EXPECT_EQ(requests[0].target, "/i");
 }
+
+/*
+ * Headers that had arrived during a pause of the process were answered with
+ * 408 when they took more than one read.
+ */
+TEST_F(HttpServerTest, HeadersThatArrivedDuringAPauseAreRead)
+{
+	std::string long_header = "X: " + std::string(40000, 'x') + "\r\n\r\n";
+
+	set_limits({50000, 100, 300, 700});
+	send_now("GET /p HTTP/1.1\r\n");
+	usleep(600000);
+	send_now(long_header);
+	ASSERT_EQ(requests.size(), 1u);
+	EXPECT_EQ(requests[0].target, "/p");
+}
