http_server: judge a request by the limits it began under

New limits took effect in the middle of a request. One whose headers or body were within the limits when it was sent got 431 or 413 if smaller ones arrived before its end. One that was over the old body limit, or over the default of a node that had no config yet, got 413 although the config that allows it was in force when it was complete. Callers don't repeat either.

The larger of the limits at its beginning and now counts. A body that has been dropped already but would fit now is answered with 503, which callers repeat (why=old_limits).

LimitsOfARequestsBeginningStayAllowed and BodyDroppedUnderASmallerLimitIsAnsweredWith503 failed before.

--- a/io/http_server.c
+++ b/io/http_server.c
@@ -51,6 +51,7 @@
 	bool closing; /* nothing is read; closed once the output is written */
 	/* The request being read. */
 	struct http_request *request;
+	struct http_server_limits begun_limits; /* when it began */
 	char *url;
 	size_t url_len;
 	char *field;
@@ -60,6 +61,7 @@
 	size_t header_bytes;
 	unsigned char *body;
 	size_t body_len;
+	uint64_t body_received; /* bytes, dropped ones too */
 	bool oversized;
 	enum http_reject reject_as; /* if the parser stops */
 };
@@ -84,6 +86,7 @@
 	[HTTP_REJECT_HEADER_LIMIT] = {"header_limit", 431},
 	[HTTP_REJECT_HEADER_TIMEOUT] = {"header_timeout", 408},
 	[HTTP_REJECT_BODY_TIMEOUT] = {"body_timeout", 408},
+	[HTTP_REJECT_OLD_LIMITS] = {"old_limits", 503},
 };
 
 const char *http_reject_name(enum http_reject r)
@@ -115,6 +118,7 @@
 	c->body = NULL;
 	c->url_len = 0;
 	c->body_len = 0;
+	c->body_received = 0;
 	c->header_bytes = 0;
 	c->in_value = false;
 	c->in_body = false;
@@ -198,14 +202,31 @@
 	request_reset(c);
 	c->header_deadline_ns =
 		ms_from_now(c->server->opts.limits.header_timeout_ms);
+	c->begun_limits = c->server->opts.limits;
 	c->request = http_request_new("", "");
 	return 0;
 }
 
+static uint64_t header_limit(const struct server_conn *c)
+{
+	uint64_t begun = c->begun_limits.header_bytes;
+	uint64_t now = c->server->opts.limits.header_bytes;
+
+	return begun > now ? begun : now;
+}
+
+static uint64_t body_limit(const struct server_conn *c)
+{
+	uint64_t begun = c->begun_limits.body_bytes;
+	uint64_t now = c->server->opts.limits.body_bytes;
+
+	return begun > now ? begun : now;
+}
+
 static bool exceeds_header_limit(struct server_conn *c, size_t len)
 {
 	c->header_bytes += len;
-	if (c->header_bytes <= c->server->opts.limits.header_bytes)
+	if (c->header_bytes <= header_limit(c))
 		return false;
 	c->reject_as = HTTP_REJECT_HEADER_LIMIT;
 	return true;
@@ -261,7 +282,6 @@
 static int on_headers(http_parser *p)
 {
 	struct server_conn *c = p->data;
-	const struct http_server_limits *l = &c->server->opts.limits;
 
 	flush_header(c);
 	c->in_body = true;
@@ -274,7 +294,7 @@
 	/* A server may ignore the offer; HTTP/1.1 goes on. */
 	p->upgrade = 0;
 	if (p->content_length != UINT64_MAX &&
-	    p->content_length > l->body_bytes)
+	    p->content_length > body_limit(c))
 		c->oversized = true;
 	send_continue(c);
 	return 0;
@@ -285,9 +305,10 @@
 	struct server_conn *c = p->data;
 
 	restart_idle_timeout(c);
+	c->body_received += len;
 	if (c->oversized)
 		return 0;
-	if (c->body_len + len > c->server->opts.limits.body_bytes) {
+	if (c->body_received > body_limit(c)) {
 		c->oversized = true;
 		free(c->body);
 		c->body = NULL;
@@ -314,53 +335,6 @@
 	return x;
 }
 
-static int on_complete(http_parser *p)
-{
-	struct server_conn *c = p->data;
-	struct http_request *r = c->request;
-	struct exchange *x = exchange_new(c);
-	bool oversized = c->oversized;
-	bool keep = http_should_keep_alive(p);
-
-	mem_copy_str(r->method, http_method_str(p->method), sizeof(r->method));
-	free(r->target);
-	r->target = c->url;
-	c->url = NULL;
-	if (c->body_len) {
-		r->payload.body = c->body;
-		r->payload.body_len = c->body_len;
-		c->body = NULL;
-	}
-	c->request = NULL;
-	request_reset(c);
-	x->head = p->method == HTTP_HEAD;
-	x->close = !keep;
-	c->last_request = !keep;
-	restart_idle_timeout(c);
-	/* The caller has closed already; the EOF event follows. */
-	if (socket_is_closed(bufferevent_getfd(c->bev))) {
-		http_request_unref(r);
-		return 0;
-	}
-	x->delivered = true;
-	c->server->stats.delivered++;
-	c->server->stats.oversized += oversized;
-	c->server->opts.on_request(c->server->opts.arg, x->id, r, oversized);
-	if (c->last_request || c->closing || c->exchange_count >= PIPELINE_MAX)
-		http_parser_pause(p, 1);
-	return 0;
-}
-
-static const http_parser_settings parser_settings = {
-	.on_message_begin = on_begin,
-	.on_url = on_url,
-	.on_header_field = on_field,
-	.on_header_value = on_value,
-	.on_headers_complete = on_headers,
-	.on_body = on_body,
-	.on_message_complete = on_complete,
-};
-
 static const char *reason_phrase(int code)
 {
 	switch (code) {
@@ -419,30 +393,103 @@
 {
 	log_event(LOG_WARN,
 		  "event=request_rejected code=%d why=%s parser=%s "
-		  "header_bytes=%zu header_limit=%lu body_bytes=%zu pending=%u "
-		  "target=\"%.*s\"",
+		  "header_bytes=%zu header_limit=%lu body_bytes=%lu "
+		  "body_limit=%lu pending=%u target=\"%.*s\"",
 		  rejects[why].code, rejects[why].name,
 		  http_errno_name(HTTP_PARSER_ERRNO(&c->parser)),
-		  c->header_bytes,
-		  (unsigned long)c->server->opts.limits.header_bytes,
-		  c->body_len, c->exchange_count, LOGGED_TARGET_MAX,
+		  c->header_bytes, (unsigned long)header_limit(c),
+		  (unsigned long)c->body_received, (unsigned long)body_limit(c),
+		  c->exchange_count - 1, LOGGED_TARGET_MAX,
 		  c->url ? c->url : "");
 }
 
+/* Answers the request being read, whose exchange is @x. */
+static void set_reject_answer(struct exchange *x, enum http_reject why)
+{
+	struct http_answer *a = http_answer_new(rejects[why].code);
+
+	x->conn->server->stats.rejected[why]++;
+	log_reject(x->conn, why);
+	x->answer = encode_answer(a, x->head, x->close);
+	http_answer_delete(a);
+}
+
+static void deliver(struct exchange *x, struct http_request *r, bool oversized)
+{
+	struct http_server *s = x->conn->server;
+
+	/* The caller has closed already; the EOF event follows. */
+	if (socket_is_closed(bufferevent_getfd(x->conn->bev))) {
+		http_request_unref(r);
+		return;
+	}
+	x->delivered = true;
+	s->stats.delivered++;
+	s->stats.oversized += oversized;
+	s->opts.on_request(s->opts.arg, x->id, r, oversized);
+}
+
+/* Takes the request that has been read completely out of @c. */
+static struct http_request *take_request(struct server_conn *c)
+{
+	struct http_request *r = c->request;
+
+	mem_copy_str(r->method, http_method_str(c->parser.method),
+		     sizeof(r->method));
+	free(r->target);
+	r->target = c->url;
+	c->url = NULL;
+	if (c->body_len) {
+		r->payload.body = c->body;
+		r->payload.body_len = c->body_len;
+		c->body = NULL;
+	}
+	c->request = NULL;
+	request_reset(c);
+	return r;
+}
+
+static int on_complete(http_parser *p)
+{
+	struct server_conn *c = p->data;
+	struct exchange *x = exchange_new(c);
+	bool oversized = c->oversized;
+
+	x->head = p->method == HTTP_HEAD;
+	x->close = !http_should_keep_alive(p);
+	c->last_request = x->close;
+	restart_idle_timeout(c);
+	if (oversized && c->body_received <= body_limit(c)) {
+		set_reject_answer(x, HTTP_REJECT_OLD_LIMITS);
+		request_reset(c);
+		flush_answers(c);
+	} else {
+		deliver(x, take_request(c), oversized);
+	}
+	if (c->last_request || c->closing || c->exchange_count >= PIPELINE_MAX)
+		http_parser_pause(p, 1);
+	return 0;
+}
+
+static const http_parser_settings parser_settings = {
+	.on_message_begin = on_begin,
+	.on_url = on_url,
+	.on_header_field = on_field,
+	.on_header_value = on_value,
+	.on_headers_complete = on_headers,
+	.on_body = on_body,
+	.on_message_complete = on_complete,
+};
+
 /* Stops reading and answers with an error, after earlier requests. */
 static void reject(struct server_conn *c, enum http_reject why)
 {
-	struct http_answer *a = http_answer_new(rejects[why].code);
-	struct exchange *x;
+	struct exchange *x = exchange_new(c);
 
-	c->server->stats.rejected[why]++;
-	log_reject(c, why);
+	x->close = true;
+	set_reject_answer(x, why);
 	request_reset(c);
 	bufferevent_disable(c->bev, EV_READ);
-	x = exchange_new(c);
-	x->close = true;
-	x->answer = encode_answer(a, false, true);
-	http_answer_delete(a);
 	flush_answers(c);
 }
 
--- a/io/http_server.h
+++ b/io/http_server.h
@@ -29,6 +29,7 @@
 	HTTP_REJECT_HEADER_LIMIT,   /* 431 */
 	HTTP_REJECT_HEADER_TIMEOUT, /* 408 */
 	HTTP_REJECT_BODY_TIMEOUT,   /* 408 */
+	HTTP_REJECT_OLD_LIMITS,	    /* over limits since raised: 503 */
 	HTTP_REJECT_COUNT,
 };
 
@@ -60,6 +61,10 @@
 				    struct status *st);
 void http_server_delete(struct http_server *s);
 
+/**
+ * A request that has begun may use the old or the new limit, whichever is
+ * larger.
+ */
 void http_server_set_limits(struct http_server *s,
 			    const struct http_server_limits *l);
 
--- a/tests/http_server_test.cpp
+++ b/tests/http_server_test.cpp
@@ -596,3 +596,63 @@
 	ASSERT_EQ(requests.size(), 1u);
 	EXPECT_EQ(requests[0].target, "/p");
 }
+
+/*
+ * A config with smaller limits that arrived in the middle of a request ended it
+ * with 431 or 413, though it was within those in force when it was sent.
+ */
+TEST_F(HttpServerTest, LimitsOfARequestsBeginningStayAllowed)
+{
+	std::string body(90, 'x');
+
+	send_now("POST /l HTTP/1.1\r\nX: " + std::string(300, 'x'));
+	set_limits({100, 10, 5000, 5000});
+	send_now(std::string(300, 'x') + "\r\nContent-Length: 90\r\n\r\n" +
+		 body);
+	ASSERT_EQ(requests.size(), 1u);
+	EXPECT_FALSE(requests[0].oversized);
+	EXPECT_EQ(requests[0].body, body);
+	reply(requests[0].caller, 200, "x");
+	read_answers();
+	send_now("POST /l HTTP/1.1\r\nContent-Length: 11\r\n\r\n" +
+		 std::string(11, 'x'));
+	ASSERT_EQ(requests.size(), 2u);
+	EXPECT_TRUE(requests[1].oversized);
+}
+
+/*
+ * A body over the old limit that was complete only after a larger one had come
+ * into force was answered with 413, after which callers don't try again.
+ */
+TEST_F(HttpServerTest, BodyDroppedUnderASmallerLimitIsAnsweredWith503)
+{
+	bool closed = true;
+
+	for (const char *head : {"Content-Length: 150\r\n\r\n",
+				 "Transfer-Encoding: chunked\r\n\r\n96\r\n"}) {
+		bool chunked = *head == 'T';
+
+		set_limits({1000, 100, 5000, 5000});
+		send_now(std::string("POST /l HTTP/1.1\r\n") + head +
+			 std::string(120, 'x'));
+		set_limits({1000, 200, 5000, 5000});
+		send_now(std::string(30, 'x') +
+			 (chunked ? "\r\n0\r\n\r\n" : ""));
+		EXPECT_TRUE(requests.empty());
+		EXPECT_EQ(read_answers(&closed).substr(0, 12), "HTTP/1.1 503");
+		EXPECT_FALSE(closed);
+	}
+	send_now(GET_A);
+	EXPECT_EQ(requests.size(), 1u);
+}
+
+TEST_F(HttpServerTest, HeadersUpToTheLimitAreAccepted)
+{
+	for (size_t over : {0, 1}) {
+		connect_to_server();
+		send_now("GET /a HTTP/1.1\r\nX: " +
+			 std::string(997 + over, 'x') + "\r\n\r\n");
+		EXPECT_EQ(requests.size(), 1u);
+	}
+	EXPECT_EQ(read_answers().substr(0, 12), "HTTP/1.1 431");
+}
