http_server: a longer timeout holds for open connections

A connection's idle deadline was set with the timeout in force when its last answer was written. After a config with a longer one, callers that kept to it found the connection closed, or closing as their request arrived. Deadlines are moved when a timeout grows; when it shrinks, those that were set remain.

LongerIdleTimeoutHoldsForOpenConnections failed before.

--- a/io/http_server.c
+++ b/io/http_server.c
@@ -636,10 +636,20 @@
 	free(s);
 }
 
+/* Moves a deadline of a connection if its timeout has grown. */
+static void extend_deadline(uint64_t *deadline_ns, uint64_t old_ms,
+			    uint64_t new_ms)
+{
+	if (*deadline_ns && new_ms > old_ms)
+		*deadline_ns += (new_ms - old_ms) * NS_PER_MS;
+}
+
 void http_server_set_limits(struct http_server *s,
 			    const struct http_server_limits *l)
 {
+	struct http_server_limits old = s->opts.limits;
 	struct http_server_limits *to = &s->opts.limits;
+	struct server_conn *c;
 
 	*to = *l;
 	if (!to->header_bytes)
@@ -650,6 +660,12 @@
 		to->header_timeout_ms = TIMEOUT_DEFAULT_MS;
 	if (!to->idle_timeout_ms)
 		to->idle_timeout_ms = TIMEOUT_DEFAULT_MS;
+	list_for_each_entry(c, &s->conns, link) {
+		extend_deadline(&c->header_deadline_ns, old.header_timeout_ms,
+				to->header_timeout_ms);
+		extend_deadline(&c->idle_deadline_ns, old.idle_timeout_ms,
+				to->idle_timeout_ms);
+	}
 }
 
 static struct exchange *exchange_find(struct http_server *s, uint64_t id)
--- a/io/http_server.h
+++ b/io/http_server.h
@@ -63,7 +63,7 @@
 
 /**
  * A request that has begun may use the old or the new limit, whichever is
- * larger.
+ * larger; deadlines are moved if a timeout grows.
  */
 void http_server_set_limits(struct http_server *s,
 			    const struct http_server_limits *l);
--- a/tests/http_server_test.cpp
+++ b/tests/http_server_test.cpp
@@ -646,6 +646,20 @@
 	EXPECT_EQ(requests.size(), 1u);
 }
 
+/* Connections were closed by the idle timeout in force before. */
+TEST_F(HttpServerTest, LongerIdleTimeoutHoldsForOpenConnections)
+{
+	bool closed = true;
+
+	send_now(GET_A);
+	reply(requests[0].caller, 200, "x");
+	set_limits({1000, 100, 300, 5000});
+	run_loop(999);
+	run_loop(200);
+	read_answers(&closed);
+	EXPECT_FALSE(closed);
+}
+
 TEST_F(HttpServerTest, HeadersUpToTheLimitAreAccepted)
 {
 	for (size_t over : {0, 1}) {
