--- /dev/null
+++ b/tests/request_decode_test.cpp
@@ -0,0 +1,87 @@
+#include "jd_test.hpp"
+
+extern "C" {
+#include "platform/requests.h"
+}
+
+static const char ID[] = "Jackdawpaddle-Request-Id";
+static const char DEADLINE[] = "Jackdawpaddle-Request-Deadline";
+static const char SHARD[] = "Jackdawpaddle-Shard-Key";
+
+struct RequestDecodeTest : public ::testing::Test {
+	struct caller_request out = {};
+
+	~RequestDecodeTest() override
+	{
+		http_request_unref(out.request);
+	}
+	void
+	decode(const char *target,
+	       std::initializer_list<std::pair<const char *, const char *>> in)
+	{
+		struct http_request *r = http_request_new("GET", target);
+
+		http_request_unref(out.request);
+		for (auto &h : in)
+			payload_add_header(&r->payload, h.first, h.second);
+		request_decode(r, 1, false, NS_PER_S, &out);
+	}
+	const char *header(const char *name)
+	{
+		return payload_header(&out.request->payload, name);
+	}
+};
+
+/*
+ * A host with a port or a final dot matched no route, so the request was
+ * answered with 404.
+ */
+TEST_F(RequestDecodeTest, HostIsReadWithoutPortAndFinalDot)
+{
+	const std::pair<const char *, const char *> cases[] = {
+		{"a.example", "a.example"},
+		{"a.example:8080", "a.example"},
+		{"a.example:", "a.example"},
+		{"a.example.", "a.example"},
+		{"a.example.:80", "a.example"},
+		{"[::1]", "[::1]"},
+		{"[::1]:80", "[::1]"},
+		{"10.0.0.1:80", "10.0.0.1"},
+		{"", ""},
+		{".", ""},
+		/* No proper host: matches no route that has one. */
+		{"a.example:x", ""},
+		{"a.example:80:80", ""},
+		{"[::1", ""},
+		{"[::1]x", ""},
+	};
+
+	for (auto &c : cases) {
+		decode("/a", {{"Host", c.first}});
+		EXPECT_STREQ(out.host, c.second) << c.first;
+		EXPECT_STREQ(header("Host"), c.first);
+	}
+}
+
+/* A host longer than any route's must not match a route by its beginning. */
+TEST_F(RequestDecodeTest, HostTooLongForARouteIsNotCutShort)
+{
+	decode("/a", {{"Host", std::string(300, 'h').c_str()}});
+	EXPECT_STREQ(out.host, "");
+}
+
+TEST_F(RequestDecodeTest, HeaderNamesAreReadInAnyCase)
+{
+	decode("/a", {{"HOST", "h"},
+		      {"jackdawpaddle-request-id", "77"},
+		      {"JACKDAWPADDLE-REQUEST-DEADLINE", "10"},
+		      {"jackdawpaddle-SHARD-key", "007"}});
+	EXPECT_STREQ(out.host, "h");
+	EXPECT_STREQ(out.id, "77");
+	EXPECT_EQ(out.deadline_ns, NS_PER_S + 10 * NS_PER_MS);
+	EXPECT_TRUE(out.keyed);
+	EXPECT_EQ(out.shard, 7u);
+	EXPECT_EQ(header(ID), nullptr);
+	EXPECT_EQ(header(DEADLINE), nullptr);
+	EXPECT_STREQ(header(SHARD), "007");
+}
