--- a/tests/request_decode_test.cpp
+++ b/tests/request_decode_test.cpp
@@ -70,6 +70,35 @@
 	EXPECT_STREQ(out.host, "");
 }
 
+/*
+ * A request with an absolute target, which every server must accept, was
+ * answered with 404.
+ */
+TEST_F(RequestDecodeTest, AbsoluteTargetGivesHostAndPath)
+{
+	const struct {
+		const char *target, *path, *host_header, *host;
+	} cases[] = {
+		{"http://a.example/p/q?r", "/p/q?r", "a.example", "a.example"},
+		{"HTTP://A.example:80/", "/", "A.example:80", "A.example"},
+		{"https://a.example", "/", "a.example", "a.example"},
+		{"http://a.example?r=/x", "/?r=/x", "a.example", "a.example"},
+		{"http://u:p@a.example/p", "/p", "a.example", "a.example"},
+		{"http://[::1]:80/p@q", "/p@q", "[::1]:80", "[::1]"},
+		{"/p/http://x/", "/p/http://x/", "other", "other"},
+	};
+
+	for (auto &c : cases) {
+		decode(c.target, {{"X", "y"}, {"hOst", "other"}});
+		EXPECT_STREQ(out.request->target, c.path) << c.target;
+		EXPECT_STREQ(header("Host"), c.host_header) << c.target;
+		EXPECT_STREQ(out.host, c.host) << c.target;
+		EXPECT_STREQ(header("X"), "y");
+	}
+	decode("http://a.example/p", {});
+	EXPECT_STREQ(header("Host"), "a.example");
+}
+
 TEST_F(RequestDecodeTest, HeaderNamesAreReadInAnyCase)
 {
 	decode("/a", {{"HOST", "h"},
