--- a/tests/request_decode_test.cpp
+++ b/tests/request_decode_test.cpp
@@ -114,3 +114,43 @@
 	EXPECT_EQ(header(DEADLINE), nullptr);
 	EXPECT_STREQ(header(SHARD), "007");
 }
+
+/*
+ * A deadline that was no whole number of up to one day in milliseconds was
+ * answered with 400, after which callers don't try again.
+ */
+TEST_F(RequestDecodeTest, DeadlineIsReadAsCallersComputeIt)
+{
+	const uint64_t day_ns = 86400 * NS_PER_S;
+	const std::pair<const char *, uint64_t> cases[] = {
+		{"4000", 4 * NS_PER_S},
+		{"0", 0},
+		{"4000.5", 4 * NS_PER_S},
+		{"0.9", 0},
+		{"7.", 7 * NS_PER_MS},
+		{"-1", 0},
+		{"-12.5", 0},
+		{"86400000", day_ns},
+		{"86400001", day_ns},
+		{"99999999999999999999999999", day_ns},
+	};
+
+	for (auto &c : cases) {
+		decode("/a", {{DEADLINE, c.first}});
+		EXPECT_FALSE(out.bad_deadline) << c.first;
+		EXPECT_EQ(out.deadline_ns, NS_PER_S + c.second) << c.first;
+	}
+	decode("/a", {{DEADLINE, ""}});
+	EXPECT_FALSE(out.bad_deadline);
+	EXPECT_EQ(out.deadline_ns, 0u);
+}
+
+TEST_F(RequestDecodeTest, DeadlineThatIsNoNumberIsBad)
+{
+	for (const char *bad : {"soon", "4 s", "1e3", "+4", "--4", "-", ".",
+				".5", "4,5", "4.5.6", "0x10", "4000 5000"}) {
+		decode("/a", {{DEADLINE, bad}});
+		EXPECT_TRUE(out.bad_deadline) << bad;
+		EXPECT_EQ(out.deadline_ns, 0u);
+	}
+}
