http_server: keep the parser's header limit above the config's

http_parser rejects headers of more than 80 KiB by itself, separators included. Callers within a larger limit of the config, or within a smaller one but with many short headers, got 400, and too many bytes of separators gave 400, not 431. The parser's limit now follows the config's and only ever grows; its overflow counts as header_limit.

LargeHeaderLimitHolds and LargeHeaderLimitHoldsForShortHeaders failed before: parser=HPE_HEADER_OVERFLOW at 81903 and 32763 bytes.

--- a/io/http_server.c
+++ b/io/http_server.c
@@ -25,6 +25,8 @@
 #define BODY_DEFAULT_BYTES   (1u << 20)
 #define TIMEOUT_DEFAULT_MS   60000
 #define LOGGED_TARGET_MAX    100
+/* The parser counts separators, too: "a:\r\n" for each byte of a name. */
+#define PARSER_HEADER_FACTOR 5
 
 /* A request, until its answer is in the connection's output buffer. */
 struct exchange {
@@ -514,7 +516,9 @@
 		}
 		evbuffer_drain(in, parsed);
 		if (err != HPE_OK) {
-			reject(c, c->reject_as);
+			reject(c, err == HPE_HEADER_OVERFLOW
+					  ? HTTP_REJECT_HEADER_LIMIT
+					  : c->reject_as);
 			return;
 		}
 	}
@@ -636,6 +640,23 @@
 	free(s);
 }
 
+/*
+ * Keeps the parser's own limit, which holds for the process and is never
+ * lowered, above that on callers' headers.
+ */
+static void raise_parser_limit(uint64_t header_bytes)
+{
+	static uint64_t limit = HTTP_MAX_HEADER_SIZE;
+	uint64_t needed = header_bytes < UINT32_MAX / PARSER_HEADER_FACTOR
+				  ? header_bytes * PARSER_HEADER_FACTOR
+				  : UINT32_MAX;
+
+	if (needed <= limit)
+		return;
+	limit = needed;
+	http_parser_set_max_header_size((uint32_t)limit);
+}
+
 /* Moves a deadline of a connection if its timeout has grown. */
 static void extend_deadline(uint64_t *deadline_ns, uint64_t old_ms,
 			    uint64_t new_ms)
@@ -660,6 +681,7 @@
 		to->header_timeout_ms = TIMEOUT_DEFAULT_MS;
 	if (!to->idle_timeout_ms)
 		to->idle_timeout_ms = TIMEOUT_DEFAULT_MS;
+	raise_parser_limit(to->header_bytes);
 	list_for_each_entry(c, &s->conns, link) {
 		extend_deadline(&c->header_deadline_ns, old.header_timeout_ms,
 				to->header_timeout_ms);
--- a/tests/http_server_test.cpp
+++ b/tests/http_server_test.cpp
@@ -670,3 +670,32 @@
 	}
 	EXPECT_EQ(read_answers().substr(0, 12), "HTTP/1.1 431");
 }
+
+/*
+ * The parser has a limit of its own, 80 KiB for all headers, and answered 400
+ * to requests within a larger limit of the config.
+ */
+TEST_F(HttpServerTest, LargeHeaderLimitHolds)
+{
+	set_limits({300000, 100, 5000, 5000});
+	send_text("GET /a HTTP/1.1\r\nX: " + std::string(250000, 'x') +
+		  "\r\n\r\n");
+	EXPECT_EQ(requests.size(), 1u);
+	send_text(GET_B);
+	EXPECT_EQ(requests.size(), 2u);
+}
+
+/* Many short headers take more bytes on the wire than names and values do. */
+TEST_F(HttpServerTest, LargeHeaderLimitHoldsForShortHeaders)
+{
+	std::string headers;
+
+	for (int i = 0; i < 60000; i++)
+		headers += "a:b\r\n";
+	set_limits({130000, 100, 5000, 5000});
+	for (size_t at = 0; at < headers.size(); at += 60000)
+		send_text((at ? "" : "GET /a HTTP/1.1\r\n") +
+			  headers.substr(at, 60000));
+	send_text("\r\n");
+	EXPECT_EQ(requests.size(), 1u);
+}
