http_server: answer unknown methods with 501

A proper request with a method that http_parser doesn't know (QUERY, UPDATE) got 400, as if it were malformed. The router can't pass such a method on, which is what 501 says (RFC 9110, 9.1). Bytes that can't be part of a method still get 400.

UnknownMethodIsAnsweredWith501 failed before.

--- a/io/http_server.c
+++ b/io/http_server.c
@@ -1,5 +1,6 @@
 #include "io/http_server.h"
 
+#include <ctype.h>
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/listener.h>
@@ -495,6 +496,22 @@
 	flush_answers(c);
 }
 
+/* The reason for which the parser stopped at the byte @at. */
+static enum http_reject parser_reject(const struct server_conn *c,
+				      enum http_errno err, char at)
+{
+	switch (err) {
+	case HPE_HEADER_OVERFLOW:
+		return HTTP_REJECT_HEADER_LIMIT;
+	case HPE_INVALID_METHOD:
+		return isalnum((unsigned char)at) || at == '-'
+			       ? HTTP_REJECT_METHOD
+			       : HTTP_REJECT_SYNTAX;
+	default:
+		return c->reject_as;
+	}
+}
+
 static void parse_input(struct server_conn *c)
 {
 	struct evbuffer *in = bufferevent_get_input(c->bev);
@@ -508,17 +525,15 @@
 		size_t parsed = http_parser_execute(
 			&c->parser, &parser_settings, data, len);
 		enum http_errno err = HTTP_PARSER_ERRNO(&c->parser);
+		char stopped_at = parsed < len ? data[parsed] : '\0';
 
+		evbuffer_drain(in, parsed);
 		if (err == HPE_PAUSED) {
 			http_parser_pause(&c->parser, 0);
-			evbuffer_drain(in, parsed);
 			continue;
 		}
-		evbuffer_drain(in, parsed);
 		if (err != HPE_OK) {
-			reject(c, err == HPE_HEADER_OVERFLOW
-					  ? HTTP_REJECT_HEADER_LIMIT
-					  : c->reject_as);
+			reject(c, parser_reject(c, err, stopped_at));
 			return;
 		}
 	}
--- a/io/http_server.h
+++ b/io/http_server.h
@@ -25,7 +25,7 @@
 /** Why a request was rejected by the server itself. */
 enum http_reject {
 	HTTP_REJECT_SYNTAX,	    /* the parser stopped: 400 */
-	HTTP_REJECT_METHOD,	    /* CONNECT: 501 */
+	HTTP_REJECT_METHOD,	    /* CONNECT or unknown: 501 */
 	HTTP_REJECT_HEADER_LIMIT,   /* 431 */
 	HTTP_REJECT_HEADER_TIMEOUT, /* 408 */
 	HTTP_REJECT_BODY_TIMEOUT,   /* 408 */
--- a/tests/http_server_test.cpp
+++ b/tests/http_server_test.cpp
@@ -699,3 +699,17 @@
 	send_text("\r\n");
 	EXPECT_EQ(requests.size(), 1u);
 }
+
+/* A method that the parser doesn't know is no reason to call it malformed. */
+TEST_F(HttpServerTest, UnknownMethodIsAnsweredWith501)
+{
+	for (const char *method :
+	     {"QUERY", "BREW", "get", "UPDATE", "GETS", "VERSION-CONTROL"}) {
+		connect_to_server();
+		send_now(std::string(method) +
+			 " /a HTTP/1.1\r\nHost: h\r\n\r\n");
+		EXPECT_EQ(read_answers().substr(0, 12), "HTTP/1.1 501")
+			<< method;
+	}
+	EXPECT_TRUE(requests.empty());
+}
