http_server: reject a request once

After a rejection behind unanswered requests each of their answers let the stopped parser run on what was left, which queued and counted one more rejection. Nothing is read after a rejection now.

RequestBehindPendingOnesIsRejectedOnce failed before: counted twice.

--- a/io/http_server.c
+++ b/io/http_server.c
@@ -490,6 +490,7 @@
 	struct exchange *x = exchange_new(c);
 
 	x->close = true;
+	c->last_request = true;
 	set_reject_answer(x, why);
 	request_reset(c);
 	bufferevent_disable(c->bev, EV_READ);
--- a/tests/http_server_test.cpp
+++ b/tests/http_server_test.cpp
@@ -713,3 +713,22 @@
 	}
 	EXPECT_TRUE(requests.empty());
 }
+
+/* Each answer to an earlier request made the server reject it once more. */
+TEST_F(HttpServerTest, RequestBehindPendingOnesIsRejectedOnce)
+{
+	bool closed = false;
+	std::string answers;
+
+	send_now(std::string(GET_A) + GET_B + "GET ?x HTTP/1.1\r\n\r\n" +
+		 GET_B);
+	ASSERT_EQ(requests.size(), 2u);
+	reply(requests[0].caller, 200, "x");
+	send_now("");
+	reply(requests[1].caller, 200, "x");
+	answers = read_answers(&closed);
+	EXPECT_NE(answers.find("HTTP/1.1 400"), std::string::npos);
+	EXPECT_TRUE(closed);
+	EXPECT_EQ(requests.size(), 2u);
+	EXPECT_EQ(http_server_get_stats(s)->rejected[HTTP_REJECT_SYNTAX], 1u);
+}
