http_server: send 100 Continue once earlier answers are written

100 Continue is held back while earlier requests of the connection are unanswered, but was not sent afterwards. A caller that waits for it before it sends its body waited in vain and got 408.

It is sent when the last earlier answer is written, unless the body has begun to arrive; callers with HTTP/1.0 get none (RFC 9110, 10.1.1).

ContinueFollowsTheAnswersToEarlierRequests failed before.

--- a/io/http_server.c
+++ b/io/http_server.c
@@ -59,8 +59,9 @@
 	size_t url_len;
 	char *field;
 	char *value;
-	bool in_value; /* value belongs to the header named by field */
-	bool in_body;  /* the headers are complete */
+	bool in_value;	   /* value belongs to the header named by field */
+	bool in_body;	   /* the headers are complete */
+	bool continue_due; /* its caller waits for "100 Continue" */
 	size_t header_bytes;
 	unsigned char *body;
 	size_t body_len;
@@ -125,6 +126,7 @@
 	c->header_bytes = 0;
 	c->in_value = false;
 	c->in_body = false;
+	c->continue_due = false;
 	c->oversized = false;
 	c->reject_as = HTTP_REJECT_SYNTAX;
 	c->header_deadline_ns = 0;
@@ -272,14 +274,21 @@
 	return 0;
 }
 
-/* Sends nothing while answers to earlier requests are outstanding. */
-static void send_continue(struct server_conn *c)
+static bool expects_continue(const struct server_conn *c)
 {
 	const char *v = payload_header(&c->request->payload, "Expect");
 
-	if (v && !strcasecmp(v, "100-continue") && list_empty(&c->exchanges))
-		evbuffer_add_printf(bufferevent_get_output(c->bev),
-				    "HTTP/1.1 100 Continue\r\n\r\n");
+	return v && !strcasecmp(v, "100-continue") && c->parser.http_minor;
+}
+
+/* Sends nothing while answers to earlier requests are outstanding. */
+static void send_continue(struct server_conn *c)
+{
+	if (!c->continue_due || !list_empty(&c->exchanges))
+		return;
+	c->continue_due = false;
+	evbuffer_add_printf(bufferevent_get_output(c->bev),
+			    "HTTP/1.1 100 Continue\r\n\r\n");
 }
 
 static int on_headers(http_parser *p)
@@ -299,6 +308,7 @@
 	if (p->content_length != UINT64_MAX &&
 	    p->content_length > body_limit(c))
 		c->oversized = true;
+	c->continue_due = expects_continue(c);
 	send_continue(c);
 	return 0;
 }
@@ -308,6 +318,7 @@
 	struct server_conn *c = p->data;
 
 	restart_idle_timeout(c);
+	c->continue_due = false;
 	c->body_received += len;
 	if (c->oversized)
 		return 0;
@@ -390,6 +401,8 @@
 	}
 	if (c->closing)
 		bufferevent_disable(c->bev, EV_READ);
+	else
+		send_continue(c);
 }
 
 static void log_reject(const struct server_conn *c, enum http_reject why)
--- a/tests/http_server_test.cpp
+++ b/tests/http_server_test.cpp
@@ -732,3 +732,27 @@
 	EXPECT_EQ(requests.size(), 2u);
 	EXPECT_EQ(http_server_get_stats(s)->rejected[HTTP_REJECT_SYNTAX], 1u);
 }
+
+/*
+ * A caller that waited for 100 Continue behind an unanswered request never got
+ * it, and 408 in the end.
+ */
+TEST_F(HttpServerTest, ContinueFollowsTheAnswersToEarlierRequests)
+{
+	std::string text;
+
+	send_now(std::string(GET_A) +
+		 "POST /e HTTP/1.1\r\nExpect: 100-Continue \r\n"
+		 "Content-Length: 3\r\n\r\n");
+	EXPECT_EQ(read_answers(), "");
+	reply(requests[0].caller, 200, "first");
+	text = read_answers();
+	EXPECT_EQ(text.find("HTTP/1.1 200"), 0u);
+	EXPECT_GT(text.find("HTTP/1.1 100"), text.find("first"));
+	EXPECT_NE(text.find("HTTP/1.1 100"), std::string::npos);
+	send_now("abc");
+	ASSERT_EQ(requests.size(), 2u);
+	EXPECT_EQ(requests[1].body, "abc");
+	reply(requests[1].caller, 200, "second");
+	EXPECT_EQ(read_answers().find("HTTP/1.1 200"), 0u);
+}
