http_server: close after the answers to all delivered requests

An answer that closes the connection, as all do in a planned stop, discarded the answers to requests pipelined behind it, which had been passed on and were being run: their callers saw the connection end without an answer. It also discarded one behind it that was ready.

No further request is read then, and the connection is closed after the last of those delivered, whose answer says so.

CloseWaitsForAnswersToDeliveredRequests and CloseFollowsAnswersGivenOutOfOrder failed before.

--- a/io/http_server.c
+++ b/io/http_server.c
@@ -729,6 +729,13 @@
 	return NULL;
 }
 
+/* Reads no further request; closes after the answer to the last one. */
+static void close_after_pending(struct server_conn *c)
+{
+	c->last_request = true;
+	list_entry(c->exchanges.prev, struct exchange, link)->close = true;
+}
+
 void http_server_reply(struct http_server *s, uint64_t caller,
 		       const struct http_answer *a, bool close)
 {
@@ -738,7 +745,8 @@
 	if (!x || x->answer)
 		return;
 	c = x->conn;
-	x->close |= close;
+	if (close)
+		close_after_pending(c);
 	x->answer = encode_answer(a, x->head, x->close);
 	restart_idle_timeout(c);
 	flush_answers(c);
--- a/io/http_server.h
+++ b/io/http_server.h
@@ -70,8 +70,9 @@
 
 /**
  * Answers the request @caller with the headers and body of @a, unchanged, and
- * a Content-Length. @close: the connection is closed after the answer. Ignored
- * if the caller's connection has been closed.
+ * a Content-Length. @close: no further request of the connection is read, and
+ * it is closed after the answers to those delivered. Ignored if the caller's
+ * connection has been closed.
  */
 void http_server_reply(struct http_server *s, uint64_t caller,
 		       const struct http_answer *a, bool close);
--- a/tests/http_server_test.cpp
+++ b/tests/http_server_test.cpp
@@ -756,3 +756,44 @@
 	reply(requests[1].caller, 200, "second");
 	EXPECT_EQ(read_answers().find("HTTP/1.1 200"), 0u);
 }
+
+/*
+ * An answer that closes the connection, as in a planned stop, discarded the
+ * answers to requests behind it that were being run.
+ */
+TEST_F(HttpServerTest, CloseWaitsForAnswersToDeliveredRequests)
+{
+	bool closed = true;
+	std::string text;
+
+	send_now(std::string(GET_A) + GET_A + GET_A);
+	ASSERT_EQ(requests.size(), 3u);
+	reply(requests[1].caller, 200, "second", true);
+	reply(requests[0].caller, 200, "first", true);
+	text = read_answers(&closed);
+	EXPECT_NE(text.find("first"), std::string::npos);
+	EXPECT_NE(text.find("second"), std::string::npos);
+	EXPECT_EQ(text.find("Connection: close"), std::string::npos);
+	EXPECT_FALSE(closed);
+	EXPECT_TRUE(gone_callers.empty());
+	send_now(GET_B);
+	EXPECT_EQ(requests.size(), 3u);
+	reply(requests[2].caller, 200, "third");
+	text = read_answers(&closed);
+	EXPECT_NE(text.find("third"), std::string::npos);
+	EXPECT_NE(text.find("Connection: close"), std::string::npos);
+	EXPECT_TRUE(closed);
+}
+
+TEST_F(HttpServerTest, CloseFollowsAnswersGivenOutOfOrder)
+{
+	bool closed = false;
+	std::string text;
+
+	send_now(std::string(GET_A) + GET_B);
+	reply(requests[1].caller, 200, "second");
+	reply(requests[0].caller, 200, "first", true);
+	text = read_answers(&closed);
+	EXPECT_NE(text.find("second"), std::string::npos);
+	EXPECT_TRUE(closed);
+}
