tests: random pipelines, and a half-closed caller

Random pipelines of proper requests in pieces of any length, answered in any order, each delivered unchanged and answered in its place. A half-closed connection is taken for a closed one.

--- a/tests/http_server_test.cpp
+++ b/tests/http_server_test.cpp
@@ -1,5 +1,6 @@
 #include "jd_test.hpp"
 
+#include <random>
 #include <vector>
 
 #include "free_port.hpp"
@@ -797,3 +798,82 @@
 	EXPECT_NE(text.find("second"), std::string::npos);
 	EXPECT_TRUE(closed);
 }
+
+/*
+ * A half-closed connection can't be told from a closed one, so its request is
+ * not run: callers that left must not cost an upstream its time.
+ */
+TEST_F(HttpServerTest, RequestOnHalfClosedConnectionIsNotDelivered)
+{
+	bool closed = false;
+
+	ASSERT_EQ(write(fd, GET_A, sizeof(GET_A) - 1),
+		  (ssize_t)sizeof(GET_A) - 1);
+	shutdown(fd, SHUT_WR);
+	EXPECT_EQ(read_answers(&closed), "");
+	EXPECT_TRUE(closed);
+	EXPECT_TRUE(requests.empty());
+}
+
+static size_t count_text(const std::string &text, const char *what)
+{
+	size_t n = 0;
+
+	for (size_t at = text.find(what); at != std::string::npos;
+	     at = text.find(what, at + 1))
+		n++;
+	return n;
+}
+
+/* Guards against rejections that depend on the order of reads and answers. */
+TEST_F(HttpServerTest, RandomPipelinesAreAnsweredInOrder)
+{
+	const size_t shape_count = sizeof(proper_shapes) / sizeof(Shape);
+	std::mt19937 rng(20261204);
+
+	for (int run = 0; run < 40; run++) {
+		std::vector<const Shape *> sent;
+		std::vector<size_t> unanswered;
+		std::string text, answers;
+		size_t delivered = 0;
+
+		requests.clear();
+		for (size_t n = rng() % 80 + 1; n; n--) {
+			sent.push_back(&proper_shapes[rng() % shape_count]);
+			text += sent.back()->text;
+		}
+		while (!text.empty() || !unanswered.empty()) {
+			size_t len = rng() % (rng() % 8 ? 40 : 4000);
+
+			len = std::min(len, text.size());
+			send_now(text.substr(0, len));
+			text.erase(0, len);
+			for (; delivered < requests.size(); delivered++)
+				unanswered.push_back(delivered);
+			for (size_t n = rng() % 4; n && !unanswered.empty();
+			     n--) {
+				size_t i = rng() % unanswered.size();
+				std::string body =
+					"<" + std::to_string(unanswered[i]) +
+					">";
+
+				reply(requests[unanswered[i]].caller, 200,
+				      body.c_str());
+				unanswered.erase(unanswered.begin() + (long)i);
+			}
+			send_now("");
+			for (; delivered < requests.size(); delivered++)
+				unanswered.push_back(delivered);
+		}
+		answers = read_answers();
+		ASSERT_EQ(requests.size(), sent.size());
+		ASSERT_EQ(count_text(answers, "HTTP/1.1 200"), sent.size());
+		for (size_t i = 0, at = 0; i < sent.size(); i++) {
+			EXPECT_EQ(requests[i].target, sent[i]->target);
+			EXPECT_EQ(requests[i].body, sent[i]->body);
+			at = answers.find("<" + std::to_string(i) + ">", at);
+			ASSERT_NE(at, std::string::npos) << run << " " << i;
+		}
+	}
+	EXPECT_EQ(http_server_pending(s), 0u);
+}
