http_server: notice that a caller leaves behind its last request

After a rejection the server stopped reading, and behind a request with Connection: close it stopped once its buffer was full. When the caller then closed the connection, its earlier requests went on running at the upstream and the connection stayed until they were answered. Bytes behind the last request are now read and dropped until the answer closes the connection.

CloseIsNoticedBehindTheLastRequest failed before.

--- a/io/http_server.c
+++ b/io/http_server.c
@@ -497,7 +497,7 @@
 	.on_message_complete = on_complete,
 };
 
-/* Stops reading and answers with an error, after earlier requests. */
+/* Answers with an error and closes, after earlier requests. */
 static void reject(struct server_conn *c, enum http_reject why)
 {
 	struct exchange *x = exchange_new(c);
@@ -506,7 +506,6 @@
 	c->last_request = true;
 	set_reject_answer(x, why);
 	request_reset(c);
-	bufferevent_disable(c->bev, EV_READ);
 	flush_answers(c);
 }
 
@@ -555,8 +554,13 @@
 
 static void on_read(struct bufferevent *bev, void *arg)
 {
-	(void)bev;
-	parse_input(arg);
+	struct server_conn *c = arg;
+	struct evbuffer *in = bufferevent_get_input(bev);
+
+	parse_input(c);
+	/* Read on, as only that shows when the caller closes. */
+	if (c->last_request)
+		evbuffer_drain(in, evbuffer_get_length(in));
 }
 
 static void on_event(struct bufferevent *bev, short what, void *arg)
--- a/tests/http_server_test.cpp
+++ b/tests/http_server_test.cpp
@@ -877,3 +877,34 @@
 	}
 	EXPECT_EQ(http_server_pending(s), 0u);
 }
+
+/*
+ * The server no longer noticed that a caller had left once it had rejected or
+ * not read what lay behind requests of that caller that were still being run.
+ */
+TEST_F(HttpServerTest, CloseIsNoticedBehindTheLastRequest)
+{
+	const std::string behind[] = {
+		"GET ?x HTTP/1.1\r\n\r\n",
+		"GET /l HTTP/1.1\r\nConnection: close\r\n\r\n",
+	};
+	const std::string more(50000, 'x');
+
+	for (const auto &text : behind) {
+		requests.clear();
+		gone_callers.clear();
+		connect_to_server();
+		send_now(std::string(GET_A) + text);
+		ASSERT_FALSE(requests.empty());
+		for (int i = 0; i < 10; i++) {
+			(void)!send(fd, more.data(), more.size(),
+				    MSG_DONTWAIT | MSG_NOSIGNAL);
+			run_loop(5);
+		}
+		close(fd);
+		fd = -1;
+		run_loop(50);
+		EXPECT_EQ(gone_callers.size(), requests.size());
+		EXPECT_EQ(http_server_pending(s), 0u);
+	}
+}
