Refusals show the manifest in force and the one known

A caller's 404 or 400 gave no hint whether the manifest was old, missing or right, and a 3xx or 4xx of an upstream left no line at all. request_refused now has host, path, versions, revisions and the store's state; answers of 300 to 499 are logged as request_denied, apart from the many request_end lines, so that the limit of lines does not drop them. The session's notes of what others know move to the directory for this; nothing is decided differently.

--- a/core/directory.h
+++ b/core/directory.h
@@ -84,6 +84,9 @@
 	revision_t revision;	   /* all changes up to this one were applied */
 	struct manifest *manifest; /* NULL until one was read */
 	revision_t manifest_revision;
+	/* Of the newest manifest known to exist; greater: it is to be read. */
+	revision_t manifest_wanted;
+	revision_t peer_revision; /* the highest that another node reported */
 	struct list nodes;	  /* of struct dir_node */
 	struct list keymaps;	  /* of struct dir_keymap */
 	struct list evacuated;	  /* of struct dir_evacuation */
--- a/core/dispatch.c
+++ b/core/dispatch.c
@@ -53,6 +53,8 @@
 #define RETRY_AFTER_MIN_NS	 (100 * NS_PER_MS)
 /* For requests refused on arrival, and for keys without an owner. */
 #define RETRY_AFTER_DEFAULT_NS	 (400 * NS_PER_MS)
+/* Bytes of a refused request's path that are logged. */
+#define LOGGED_PATH_MAX		 128
 
 void dispatch_init(struct dispatch *d)
 {
@@ -156,6 +158,35 @@
 	budget_for(d, c, p->service)->called_by_services = true;
 }
 
+/* Shows whether a newer manifest might have allowed the request. */
+static void log_refusal(struct mesh_ctx *c, const struct caller_request *r,
+			enum refusal why)
+{
+	const char *target = r->request->target;
+	size_t path_len = strcspn(target, "?");
+	long store_age_ms = -1;
+
+	if (path_len > LOGGED_PATH_MAX)
+		path_len = LOGGED_PATH_MAX;
+	if (c->store_answered_ns)
+		store_age_ms =
+			(long)((c->now_ns - c->store_answered_ns) / NS_PER_MS);
+	mesh_log(c->out, LOG_INFO,
+		 "event=request_refused id=%s why=%s code=%d host=\"%s\" "
+		 "path=\"%.*s\" keyed=%d config=%lu config_revision=%lu "
+		 "config_wanted=%lu revision=%lu peer_revision=%lu "
+		 "store_down=%d store_age_ms=%ld",
+		 r->id, refusal_find(why)->name, refusal_find(why)->http_code,
+		 r->host, (int)path_len, target, r->keyed,
+		 (unsigned long)(c->dir.manifest ? c->dir.manifest->version
+						 : 0),
+		 (unsigned long)c->dir.manifest_revision,
+		 (unsigned long)c->dir.manifest_wanted,
+		 (unsigned long)c->dir.revision,
+		 (unsigned long)c->dir.peer_revision, c->store_down,
+		 store_age_ms);
+}
+
 /* Replies to a request that was not accepted. */
 static void refuse_request(struct dispatch *d, struct mesh_ctx *c,
 			   const struct caller_request *r, enum refusal why)
@@ -171,8 +202,7 @@
 	mem_copy_str(a->id, r->id, sizeof(a->id));
 	d->outcomes[OUTCOME_NOT_RUN]++;
 	d->reasons[why]++;
-	mesh_log(c->out, LOG_INFO, "event=request_refused id=%s why=%s code=%d",
-		 r->id, refusal_find(why)->name, a->code);
+	log_refusal(c, r, why);
 }
 
 static void record_outcome(struct dispatch *d, struct mesh_ctx *c,
@@ -182,6 +212,7 @@
 	uint64_t took_ns = c->now_ns - p->received_ns;
 	bool good = outcome == OUTCOME_DONE && code < 500 &&
 		    c->now_ns <= p->objective_at_ns;
+	const char *event = "request_end";
 
 	d->outcomes[outcome]++;
 	histogram_add(&d->latency, took_ns);
@@ -189,15 +220,18 @@
 						.organisation = "",
 						.now_ns = c->now_ns,
 						.good = good});
-	if (good)
+	/* With a name of their own, the rarer 3xx and 4xx stay in the log. */
+	if (code >= 300 && code < 500)
+		event = "request_denied";
+	else if (good)
 		return;
 	mesh_log(c->out, LOG_INFO,
-		 "event=request_end id=%s route=%s service=%s outcome=%s "
+		 "event=%s id=%s route=%s service=%s outcome=%s "
 		 "code=%d why=%s node=%s attempts=%u ms=%lu left_ms=%ld "
 		 "config=%lu revision=%lu",
-		 p->caller_id, p->route, p->service, outcome_name(outcome),
-		 code, refusal_find(p->refusal)->name, p->gate_node, p->attempt,
-		 (unsigned long)(took_ns / NS_PER_MS),
+		 event, p->caller_id, p->route, p->service,
+		 outcome_name(outcome), code, refusal_find(p->refusal)->name,
+		 p->gate_node, p->attempt, (unsigned long)(took_ns / NS_PER_MS),
 		 (long)((int64_t)(p->deadline_ns - c->now_ns) /
 			(int64_t)NS_PER_MS),
 		 (unsigned long)(c->dir.manifest ? c->dir.manifest->version
--- a/core/mesh_ctx.h
+++ b/core/mesh_ctx.h
@@ -34,6 +34,7 @@
 	 * renewals and requests for a new lease are sent.
 	 */
 	bool store_down;
+	uint64_t store_answered_ns; /* when it last answered a call; 0: never */
 	/* Valid only while an event is handled: */
 	uint64_t now_ns;
 	struct mesh_actions *out;
--- a/core/session.c
+++ b/core/session.c
@@ -270,7 +270,7 @@
 	bool failed = end == STORE_REFUSED || end == STORE_NO_ANSWER;
 
 	if (!failed) {
-		s->last_answer_ns = c->now_ns;
+		c->store_answered_ns = c->now_ns;
 		/* A watch from before the outage may never be answered. */
 		if (c->store_down && s->watch.op) {
 			s->watch.op = 0;
@@ -323,9 +323,9 @@
 void session_on_revision(struct session *s, struct mesh_ctx *c,
 			 revision_t revision)
 {
-	if (revision > s->peer_revision)
-		s->peer_revision = revision;
-	if (s->peer_revision <= c->dir.revision) {
+	if (revision > c->dir.peer_revision)
+		c->dir.peer_revision = revision;
+	if (c->dir.peer_revision <= c->dir.revision) {
 		s->behind_since_ns = 0;
 		return;
 	}
@@ -342,7 +342,7 @@
 }
 
 /* Nodes don't send manifests: notes the revision, to read it from the store. */
-static void extract_manifests(struct session *s, struct list *records)
+static void extract_manifests(struct directory *d, struct list *records)
 {
 	struct record *r, *tmp;
 
@@ -350,8 +350,8 @@
 		if (r->kind != RECORD_MANIFEST)
 			continue;
 		if (!r->removed && !r->invalid &&
-		    r->revision > s->manifest_wanted)
-			s->manifest_wanted = r->revision;
+		    r->revision > d->manifest_wanted)
+			d->manifest_wanted = r->revision;
 		list_remove(&r->link);
 		record_delete(r);
 	}
@@ -367,14 +367,14 @@
 	if (!c->dir.loaded || m->to <= c->dir.revision ||
 	    m->from > c->dir.revision)
 		return;
-	extract_manifests(s, &m->records);
+	extract_manifests(&c->dir, &m->records);
 	directory_apply(&c->dir, &m->records, false, m->to, c->now_ns, c->out);
 }
 
 bool session_watches(const struct session *s, const struct mesh_ctx *c)
 {
 	return s->registered && c->dir.loaded && !c->store_down &&
-	       c->now_ns < s->last_answer_ns + STORE_HEALTHY_NS &&
+	       c->now_ns < c->store_answered_ns + STORE_HEALTHY_NS &&
 	       relay_is_watcher(c);
 }
 
@@ -413,7 +413,7 @@
 static bool wants_any_read(const struct session *s, const struct mesh_ctx *c)
 {
 	return s->want_read_all || s->want_read_own ||
-	       c->dir.manifest_revision < s->manifest_wanted;
+	       c->dir.manifest_revision < c->dir.manifest_wanted;
 }
 
 /* Reads no more than needed: a large fleet has many records. */
--- a/core/session.h
+++ b/core/session.h
@@ -40,13 +40,10 @@
 	struct node_card card;	  /* as it has to be in the store */
 	bool card_dirty;	  /* it has changed since it was last sent */
 	uint64_t first_card_ns;	  /* a card without upstream waits until then */
-	uint64_t last_answer_ns;  /* when the store last answered a call */
 	uint64_t cards_settled_ns; /* until then the fleet's size is unknown */
 	uint64_t last_failure_ns;  /* when the store last failed a call */
-	revision_t peer_revision;  /* the highest that another node reported */
-	/* Since when peer_revision exceeds the directory's; 0: it does not. */
+	/* Since when other nodes know a newer revision; 0: none does. */
 	uint64_t behind_since_ns;
-	revision_t manifest_wanted; /* least revision to read; 0: none */
 	uint64_t calls[CALL_LEASE_END + 1]; /* by enum store_call_kind */
 	uint64_t failures;		    /* of calls of any module */
 };
--- a/tests/dispatch_test.cpp
+++ b/tests/dispatch_test.cpp
@@ -66,6 +66,11 @@
 		m->version = 1;
 		c.dir.manifest = m;
 	}
+	struct route *route()
+	{
+		return list_entry(c.dir.manifest->routes.next, struct route,
+				  link);
+	}
 	void add_gate(const char *name, const char *region, uint64_t boot)
 	{
 		struct record *r = record_new(RECORD_CARD, name);
@@ -208,3 +213,62 @@
 	EXPECT_FALSE(directory_usable(&c.dir, near, c.now_ns));
 	EXPECT_EQ(d.retries, 1u) << "retried at the other gate";
 }
+
+/* Without these fields, a 404 of an old manifest looks like a caller's error.
+ */
+TEST_F(DispatchTest, ARefusalShowsWhichManifestIsInForceAndWhichIsKnown)
+{
+	struct caller_request r = {};
+	struct mesh_action *a;
+	std::string line;
+
+	mem_copy_str(route()->path, "/a/", sizeof(route()->path));
+	c.dir.manifest_revision = 7;
+	c.dir.manifest_wanted = 9;
+	c.store_down = true;
+	c.store_answered_ns = c.now_ns - 40 * NS_PER_MS;
+	mem_copy_str(r.id, "q", sizeof(r.id));
+	mem_copy_str(r.host, "h", sizeof(r.host));
+	r.request = http_request_new("GET", "/b/1?secret");
+	dispatch_on_request(&d, &c, &local, &r);
+	http_request_unref(r.request);
+	while ((a = mesh_actions_pop(&out))) {
+		if (a->kind == MA_LOG)
+			line = a->u.log.line;
+		mesh_action_delete(a);
+	}
+	EXPECT_NE(line.find("event=request_refused id=q why=no_route code=404 "
+			    "host=\"h\" path=\"/b/1\""),
+		  std::string::npos)
+		<< line;
+	EXPECT_NE(line.find("config=1 config_revision=7 config_wanted=9"),
+		  std::string::npos)
+		<< line;
+	EXPECT_NE(line.find("store_down=1 store_age_ms=40"), std::string::npos)
+		<< line;
+}
+
+/* An upstream's 3xx or 4xx is good by its time, yet callers report it. */
+TEST_F(DispatchTest, AnUpstreamsClientErrorIsLogged)
+{
+	struct request_id id;
+	struct msg_answer ans = {};
+	struct mesh_action *a;
+	std::string line;
+	uint64_t to = send(&id);
+
+	ans.id = id;
+	ans.attempt = 1;
+	ans.outcome = OUTCOME_DONE;
+	ans.answer = http_answer_new(404);
+	dispatch_on_answer(&d, &c, &local, to, &ans);
+	while ((a = mesh_actions_pop(&out))) {
+		if (a->kind == MA_LOG)
+			line = a->u.log.line;
+		mesh_action_delete(a);
+	}
+	EXPECT_NE(line.find("event=request_denied id=q route=status"),
+		  std::string::npos)
+		<< line;
+	EXPECT_NE(line.find("code=404"), std::string::npos) << line;
+}
