A route that can't be taken leaves the rest of the configuration in force

Callers would see 404 on every route added since, for good: one field that the decoder could not hold (a service or region name of 32 bytes, more than eight parts, a weight that is a fraction, a part without a service) made it refuse the whole configuration, and the log did not name the field.

Routes and services are now taken one by one. A route that can't be served as configured stays, marked as invalid, and answers 503 invalid_route: left out, its requests would go to the service of a shorter prefix. An unknown type may not run twice; fractions are taken for weights, limits and priorities.

The new tests of records_test failed before: ARouteThatCantBeTakenLeavesTheOthersInForce, ARouteWithoutAUsableHostOrPrefixIsLeftOut, UnusualButUsableFieldsAreTaken and LimitsMayBeFractionsOrMissing.

--- a/core/dispatch.c
+++ b/core/dispatch.c
@@ -563,6 +563,8 @@
 				     r->request->target);
 	if (!*route)
 		return REFUSAL_NO_ROUTE;
+	if ((*route)->invalid)
+		return REFUSAL_INVALID_ROUTE;
 	if (r->oversized)
 		return REFUSAL_TOO_LARGE;
 	if (r->bad_deadline)
--- a/core/manifest.h
+++ b/core/manifest.h
@@ -66,6 +66,7 @@
 	struct region_set home_regions;
 	uint32_t objective_ppm; /* share of requests that must be good */
 	uint64_t objective_ms;	/* time limit of a good request */
+	bool invalid; /* matches requests, but can't be served as configured */
 };
 
 struct organisation {
--- a/core/refusal.h
+++ b/core/refusal.h
@@ -27,6 +27,7 @@
 	REFUSAL_CONNECTION_LOST,  /* after the first byte was written */
 	REFUSAL_NO_ANSWER,	  /* sent; none within the deadline */
 	REFUSAL_ANSWER_TOO_LARGE, /* dropped; the request has run */
+	REFUSAL_INVALID_ROUTE,	  /* it can't be served as configured */
 	REFUSAL_COUNT,
 };
 
--- a/tests/dispatch_test.cpp
+++ b/tests/dispatch_test.cpp
@@ -272,3 +272,14 @@
 		<< line;
 	EXPECT_NE(line.find("code=404"), std::string::npos) << line;
 }
+
+/* The caller's request is right, so it may come back: no 4xx. */
+TEST_F(DispatchTest, ARequestOnAnInvalidRouteIsAskedToComeBack)
+{
+	struct request_id id;
+
+	route()->invalid = true;
+	EXPECT_EQ(send(&id), 0u);
+	EXPECT_EQ(d.reasons[REFUSAL_INVALID_ROUTE], 1u);
+	EXPECT_EQ(refusal_find(REFUSAL_INVALID_ROUTE)->http_code, 503);
+}
--- a/tests/records_test.cpp
+++ b/tests/records_test.cpp
@@ -1,6 +1,7 @@
 #include "jd_test.hpp"
 
 #include <rapidcheck/gtest.h>
+#include <string>
 
 extern "C" {
 #include "core/mem.h"
@@ -127,3 +128,118 @@
 	json_decref(o);
 	free(value);
 }
+
+/* A configuration whose route r2 is @route, beside the sound r1. */
+static struct manifest *decode_with_route(const std::string &route)
+{
+	std::string text = "{\"version\":\"0000000D\",\"routes\":["
+			   "{\"name\":\"r1\",\"host\":\"a.example\","
+			   "\"pathPrefix\":\"/x/\",\"type\":\"idempotent\","
+			   "\"service\":\"s1\"}," +
+			   route + "],\"services\":[{\"name\":\"s1\"}]}";
+
+	return config_decode(text.data(), text.size());
+}
+
+static std::string route_with(const std::string &fields)
+{
+	return "{\"name\":\"r2\",\"host\":\"a.example\","
+	       "\"pathPrefix\":\"/x/y/\",\"type\":\"idempotent\"," +
+	       fields + "}";
+}
+
+/*
+ * One route that can't be taken made the node keep the old configuration, and
+ * answer 404 on all new routes, for good.
+ */
+TEST(Records, ARouteThatCantBeTakenLeavesTheOthersInForce)
+{
+	const std::string longer(JD_NAME_MAX, 's');
+	std::string many;
+
+	for (int i = 0; i <= ROUTE_SPLITS_MAX; i++)
+		many += std::string(i ? "," : "") +
+			"{\"service\":\"s1\",\"weight\":1}";
+	for (const std::string &fields : {
+		     "\"service\":\"" + longer + "\"",
+		     std::string("\"service\":null"),
+		     std::string("\"service\":7"),
+		     "\"trafficSplit\":[" + many + "]",
+		     std::string("\"trafficSplit\":[{\"service\":\"s1\","
+				 "\"weight\":0}]"),
+		     std::string("\"trafficSplit\":[{\"weight\":3}]"),
+		     "\"service\":\"s1\",\"allowedRegions\":[\"" + longer +
+			     "\"]",
+		     std::string("\"service\":\"s1\","
+				 "\"allowedRegions\":\"north\""),
+	     }) {
+		struct manifest *m = decode_with_route(route_with(fields));
+		const struct route *r;
+
+		ASSERT_NE(m, nullptr) << fields;
+		EXPECT_EQ(m->version, 13u);
+		r = manifest_match_host(m, "a.example", "/x/1");
+		ASSERT_NE(r, nullptr) << fields;
+		EXPECT_STREQ(r->service, "s1");
+		EXPECT_FALSE(r->invalid);
+		/* It must not fall to the route with the shorter prefix. */
+		r = manifest_match_host(m, "a.example", "/x/y/1");
+		ASSERT_NE(r, nullptr) << fields;
+		EXPECT_STREQ(r->name, "r2") << fields;
+		EXPECT_TRUE(r->invalid) << fields;
+		manifest_delete(m);
+	}
+}
+
+TEST(Records, ARouteWithoutAUsableHostOrPrefixIsLeftOut)
+{
+	const std::string longer(200, 'a');
+
+	for (const std::string &route :
+	     {std::string("null"), std::string("7"),
+	      std::string("{\"name\":\"r2\",\"host\":null,"
+			  "\"pathPrefix\":\"/z/\",\"service\":\"s1\"}"),
+	      "{\"name\":\"r2\",\"host\":\"a.example\",\"pathPrefix\":\"/" +
+		      longer + "/\",\"service\":\"s1\"}"}) {
+		struct manifest *m = decode_with_route(route);
+
+		ASSERT_NE(m, nullptr) << route;
+		EXPECT_NE(manifest_match_host(m, "a.example", "/x/1"), nullptr);
+		EXPECT_EQ(manifest_match_host(m, "a.example", "/z/1"), nullptr);
+		manifest_delete(m);
+	}
+}
+
+TEST(Records, UnusualButUsableFieldsAreTaken)
+{
+	struct manifest *m = decode_with_route(route_with(
+		"\"type\":\"streamed\",\"timeoutS\":null,"
+		"\"allowedRegions\":null,\"priority\":1.0,\"trafficSplit\":["
+		"{\"service\":\"s1\",\"weight\":0.75},"
+		"{\"service\":\"s2\",\"weight\":0.25},"
+		"{\"service\":\"s3\",\"weight\":0}]"));
+	const struct route *r;
+
+	ASSERT_NE(m, nullptr);
+	r = manifest_match_host(m, "a.example", "/x/y/1");
+	ASSERT_NE(r, nullptr);
+	EXPECT_FALSE(r->invalid);
+	EXPECT_EQ(r->idempotent, 0u) << "an unknown type may not run twice";
+	EXPECT_GT(r->timeout_ms, 0u);
+	EXPECT_EQ(r->priority, 1u);
+	ASSERT_EQ(r->split_count, 2u);
+	EXPECT_EQ(r->splits[0].weight, 3 * r->splits[1].weight);
+	manifest_delete(m);
+}
+
+TEST(Records, LimitsMayBeFractionsOrMissing)
+{
+	std::string text = "{\"version\":\"1\",\"routes\":[],"
+			   "\"limits\":{\"maxBodyBytes\":2048.0}}";
+	struct manifest *m = config_decode(text.data(), text.size());
+
+	ASSERT_NE(m, nullptr);
+	EXPECT_EQ(m->limits.body_bytes, 2048u);
+	EXPECT_EQ(m->limits.header_bytes, 0u);
+	manifest_delete(m);
+}
