No final refusal by a manifest that is known to be outdated

Callers got 404, 413 or 400 no_key from a node that had been told of a newer manifest and had not read it yet.

Such a request is now refused with 503 old_manifest, as the newer manifest may allow it. Changes behind a gap, which can't be applied, still show that there is a newer manifest, so it is read at once instead of after a report.

Tests that failed before: DispatchTest.AnOldManifestGivesNoFinalRefusal and RelayTest.ChangesBehindAGapStillShowThatTheManifestIsOld. The test that the manifest is read beside other reads passed before, too.

--- a/core/directory.c
+++ b/core/directory.c
@@ -114,6 +114,11 @@
 	return NULL;
 }
 
+bool directory_manifest_outdated(const struct directory *d)
+{
+	return d->manifest_revision < d->manifest_wanted;
+}
+
 bool directory_dc_evacuated(const struct directory *d, const char *dc)
 {
 	return find_evacuation(d, dc) != NULL;
--- a/core/directory.h
+++ b/core/directory.h
@@ -125,6 +125,9 @@
 const struct dir_keymap *directory_keymap(const struct directory *d,
 					  const char *service);
 
+/** True when a newer manifest is known to exist, but was not read yet. */
+bool directory_manifest_outdated(const struct directory *d);
+
 bool directory_dc_evacuated(const struct directory *d, const char *dc);
 
 /**
--- a/core/dispatch.c
+++ b/core/dispatch.c
@@ -552,6 +552,16 @@
 	return p;
 }
 
+/*
+ * A refusal that callers take as final must not come from a manifest that is
+ * known to be outdated.
+ */
+static enum refusal final_refusal(const struct mesh_ctx *c, enum refusal why)
+{
+	return directory_manifest_outdated(&c->dir) ? REFUSAL_OLD_MANIFEST
+						    : why;
+}
+
 static enum refusal admission_refusal(const struct dispatch *d,
 				      const struct mesh_ctx *c,
 				      const struct caller_request *r,
@@ -562,11 +572,11 @@
 	*route = manifest_match_host(c->dir.manifest, r->host,
 				     r->request->target);
 	if (!*route)
-		return REFUSAL_NO_ROUTE;
+		return final_refusal(c, REFUSAL_NO_ROUTE);
 	if ((*route)->invalid)
 		return REFUSAL_INVALID_ROUTE;
 	if (r->oversized)
-		return REFUSAL_TOO_LARGE;
+		return final_refusal(c, REFUSAL_TOO_LARGE);
 	if (r->bad_deadline)
 		return REFUSAL_BAD_DEADLINE;
 	if (d->closed)
@@ -594,7 +604,7 @@
 		window_budget_earn(&budget_for(d, c, p->service)->window,
 				   c->now_ns);
 	if (p->keyed && !r->keyed) {
-		end_without_answer(d, c, p, REFUSAL_NO_KEY);
+		end_without_answer(d, c, p, final_refusal(c, REFUSAL_NO_KEY));
 		return;
 	}
 	if (c->now_ns + ANSWER_RESERVE_NS >= p->deadline_ns) {
--- a/core/refusal.c
+++ b/core/refusal.c
@@ -24,6 +24,7 @@
 	[REFUSAL_NO_ANSWER] = {"no_answer", 504, false},
 	[REFUSAL_ANSWER_TOO_LARGE] = {"answer_too_large", 502, false},
 	[REFUSAL_INVALID_ROUTE] = {"invalid_route", 503, false},
+	[REFUSAL_OLD_MANIFEST] = {"old_manifest", 503, true},
 };
 
 const struct refusal_info *refusal_find(enum refusal r)
--- a/core/refusal.h
+++ b/core/refusal.h
@@ -28,6 +28,7 @@
 	REFUSAL_NO_ANSWER,	  /* sent; none within the deadline */
 	REFUSAL_ANSWER_TOO_LARGE, /* dropped; the request has run */
 	REFUSAL_INVALID_ROUTE,	  /* it can't be served as configured */
+	REFUSAL_OLD_MANIFEST,	  /* a newer one, not read yet, may allow it */
 	REFUSAL_COUNT,
 };
 
--- a/core/session.c
+++ b/core/session.c
@@ -341,7 +341,10 @@
 		s->want_changes = true;
 }
 
-/* Nodes don't send manifests: notes the revision, to read it from the store. */
+/*
+ * Nodes don't send manifests: notes the revision, to read it from the store.
+ * That holds also for changes that can't be applied because of a gap.
+ */
 static void extract_manifests(struct directory *d, struct list *records)
 {
 	struct record *r, *tmp;
@@ -360,14 +363,15 @@
 void session_on_changes(struct session *s, struct mesh_ctx *c,
 			struct msg_changes *m)
 {
+	if (!c->dir.loaded)
+		return;
+	extract_manifests(&c->dir, &m->records);
 	/*
-	 * Changes before @m->from are missing: a later load report shows that
-	 * this node is behind, and it then reads from the store.
+	 * If changes before @m->from are missing, a later load report shows
+	 * that this node is behind, and it then reads from the store.
 	 */
-	if (!c->dir.loaded || m->to <= c->dir.revision ||
-	    m->from > c->dir.revision)
+	if (m->to <= c->dir.revision || m->from > c->dir.revision)
 		return;
-	extract_manifests(&c->dir, &m->records);
 	directory_apply(&c->dir, &m->records, false, m->to, c->now_ns, c->out);
 }
 
@@ -413,7 +417,7 @@
 static bool wants_any_read(const struct session *s, const struct mesh_ctx *c)
 {
 	return s->want_read_all || s->want_read_own ||
-	       c->dir.manifest_revision < c->dir.manifest_wanted;
+	       directory_manifest_outdated(&c->dir);
 }
 
 /* Reads no more than needed: a large fleet has many records. */
--- a/tests/relay_test.cpp
+++ b/tests/relay_test.cpp
@@ -267,3 +267,60 @@
 	records_delete(&e.records);
 	message_delete(m);
 }
+
+/*
+ * A node that missed changes can't apply later ones, yet it must learn from
+ * them that there is a newer manifest: its own may answer 404 wrongly.
+ */
+TEST_F(RelayTest, ChangesBehindAGapStillShowThatTheManifestIsOld)
+{
+	struct message *m = changes(60, 70);
+	struct record *r = record_new(RECORD_MANIFEST, "");
+
+	add_nodes(20, 7);
+	session.want_read_all = false;
+	r->revision = 66;
+	list_push_back(&m->u.changes.records, &r->link);
+	session_on_changes(&session, &c, &m->u.changes);
+	EXPECT_EQ(c.dir.revision, 50u);
+	EXPECT_TRUE(directory_manifest_outdated(&c.dir));
+	session_work(&session, &c);
+	ASSERT_NE(session.read.op, 0u);
+	EXPECT_EQ(session.read_kind, CALL_READ_MANIFEST);
+	message_delete(m);
+}
+
+/* Reads of the node's own records must not keep it on an old manifest. */
+TEST_F(RelayTest, TheManifestIsReadAlsoWhileCardsAreReadAgainAndAgain)
+{
+	int manifest_reads = 0;
+
+	add_nodes(20, 7);
+	session.want_read_all = false;
+	session.lease = 7;
+	session.registered = session.fresh = true;
+	c.dir.manifest_wanted = 66;
+	for (int i = 0; i < 300; i++) {
+		struct ev_store_end e = {};
+
+		c.now_ns += 10 * NS_PER_MS;
+		/* Each write of the card meets a conflict. */
+		session.card_dirty = true;
+		session_work(&session, &c);
+		for (struct session_call *call :
+		     {&session.read, &session.put}) {
+			if (!call->op)
+				continue;
+			manifest_reads +=
+				call == &session.read &&
+				session.read_kind == CALL_READ_MANIFEST;
+			list_init(&e.records);
+			e.op = call->op;
+			e.end = call == &session.read ? STORE_DONE
+						      : STORE_CONFLICT;
+			e.revision = 50;
+			session_on_end(&session, &c, &e);
+		}
+	}
+	EXPECT_GT(manifest_reads, 0);
+}
