An invalid manifest is read once and makes the one in force outdated

A node that was told of a manifest which it can't decode read it again twice a second for good, and answered 404 by the one before as if that were the newest. The revision of the invalid one is now kept: no more reads, and no final refusal until a valid one comes. Found by reading; the new case of directory_test failed to compile before, as the state did not exist.

--- a/core/directory.c
+++ b/core/directory.c
@@ -116,7 +116,14 @@
 
 bool directory_manifest_outdated(const struct directory *d)
 {
-	return d->manifest_revision < d->manifest_wanted;
+	return d->manifest_revision < d->manifest_wanted ||
+	       d->manifest_revision < d->manifest_invalid;
+}
+
+bool directory_wants_manifest(const struct directory *d)
+{
+	return d->manifest_revision < d->manifest_wanted &&
+	       d->manifest_invalid < d->manifest_wanted;
 }
 
 bool directory_dc_evacuated(const struct directory *d, const char *dc)
@@ -246,6 +253,9 @@
 			 "event=record_ignored why=invalid kind=%d name=%s "
 			 "revision=%lu",
 			 r->kind, r->name, (unsigned long)r->revision);
+		if (r->kind == RECORD_MANIFEST &&
+		    r->revision > d->manifest_invalid)
+			d->manifest_invalid = r->revision;
 		return;
 	}
 	switch (r->kind) {
--- a/core/directory.h
+++ b/core/directory.h
@@ -84,8 +84,8 @@
 	revision_t revision;	   /* all changes up to this one were applied */
 	struct manifest *manifest; /* NULL until one was read */
 	revision_t manifest_revision;
-	/* Of the newest manifest known to exist; greater: it is to be read. */
-	revision_t manifest_wanted;
+	revision_t manifest_wanted;  /* of the newest one known to exist */
+	revision_t manifest_invalid; /* of the newest one that isn't valid */
 	revision_t peer_revision; /* the highest that another node reported */
 	struct list nodes;	  /* of struct dir_node */
 	struct list keymaps;	  /* of struct dir_keymap */
@@ -125,9 +125,12 @@
 const struct dir_keymap *directory_keymap(const struct directory *d,
 					  const char *service);
 
-/** True when a newer manifest is known to exist, but was not read yet. */
+/** True when a newer manifest than the one in force is known to exist. */
 bool directory_manifest_outdated(const struct directory *d);
 
+/** True when it is to be read from the store. */
+bool directory_wants_manifest(const struct directory *d);
+
 bool directory_dc_evacuated(const struct directory *d, const char *dc);
 
 /**
--- a/core/session.c
+++ b/core/session.c
@@ -352,8 +352,7 @@
 	list_for_each_entry_safe(r, tmp, records, link) {
 		if (r->kind != RECORD_MANIFEST)
 			continue;
-		if (!r->removed && !r->invalid &&
-		    r->revision > d->manifest_wanted)
+		if (!r->removed && r->revision > d->manifest_wanted)
 			d->manifest_wanted = r->revision;
 		list_remove(&r->link);
 		record_delete(r);
@@ -417,7 +416,7 @@
 static bool wants_any_read(const struct session *s, const struct mesh_ctx *c)
 {
 	return s->want_read_all || s->want_read_own ||
-	       directory_manifest_outdated(&c->dir);
+	       directory_wants_manifest(&c->dir);
 }
 
 /* Reads no more than needed: a large fleet has many records. */
--- a/tests/directory_test.cpp
+++ b/tests/directory_test.cpp
@@ -80,6 +80,29 @@
 	EXPECT_EQ(d.manifest->version, 7u);
 }
 
+/*
+ * An invalid manifest is not read again and again, and the one in force counts
+ * as outdated until a valid one comes: it can't say which routes exist.
+ */
+TEST_F(DirectoryTest, AnInvalidManifestIsReadOnceAndMakesTheLastOneOutdated)
+{
+	add_config(7, 10);
+	apply(true, 10);
+	EXPECT_FALSE(directory_manifest_outdated(&d));
+	d.manifest_wanted = 11;
+	EXPECT_TRUE(directory_wants_manifest(&d));
+	EXPECT_TRUE(directory_manifest_outdated(&d));
+	add(RECORD_MANIFEST, "", 11)->invalid = true;
+	apply(false, 0);
+	EXPECT_FALSE(directory_wants_manifest(&d));
+	EXPECT_TRUE(directory_manifest_outdated(&d));
+	add_config(8, 12);
+	apply(false, 0);
+	EXPECT_EQ(d.manifest->version, 8u);
+	EXPECT_FALSE(directory_wants_manifest(&d));
+	EXPECT_FALSE(directory_manifest_outdated(&d));
+}
+
 TEST_F(DirectoryTest, RecordsMissingFromACompleteReadAreRemoved)
 {
 	add_card("a", 3);
