Simulated storms of manifests beside faults

The fleet in virtual time gets messages that are lost, nodes cut off from the others, a store that rejects single nodes, a compacted history and manifests that take time on the store's link. New versions come in quick succession; each node without a fault of its own must have each version within the bound, and routes that all versions have never get a 3xx or 4xx.

--- a/tests/mesh_sim.hpp
+++ b/tests/mesh_sim.hpp
@@ -65,6 +65,11 @@
 	double clock_drift_max = 0.02; /* of upstreams; 0.02: 2 % slow */
 	double lost_call_share = 0;    /* of store calls: no answer */
 	double late_write_share = 0;   /* of writes: run seconds later */
+	double lost_message_share = 0; /* of messages between nodes */
+	/* Transfer of one manifest, as the store's history keeps each. */
+	uint64_t manifest_transfer_ns = 0;
+	/* The same on the store's link, which all nodes share. */
+	uint64_t manifest_link_ns = 0;
 };
 
 struct Upstream {
@@ -99,6 +104,8 @@
 		uint64_t boot = 0;
 		uint64_t frozen_until_ns = 0;
 		uint64_t store_cut_until_ns = 0; /* store does not answer */
+		uint64_t store_refuses_until_ns = 0;
+		uint64_t peers_cut_until_ns = 0; /* no messages of nodes */
 		uint64_t tick_at_ns = UINT64_MAX;
 		std::map<uint64_t, uint64_t> calls; /* call -> run number */
 	};
@@ -120,7 +127,10 @@
 	std::map<uint64_t, uint64_t> lease_ttl;
 	std::vector<std::pair<uint64_t, std::string>> removals;
 	std::vector<Watch> watches;
+	std::vector<uint64_t> manifest_revisions;
 	uint64_t revision = 1;
+	uint64_t compacted = 0;	   /* history up to this revision is dropped */
+	uint64_t link_free_ns = 0; /* when the store's link is idle again */
 	uint64_t next_id = 1;
 	bool store_down = false;
 	std::map<uint64_t, int> replies;	   /* by caller: their number */
@@ -217,6 +227,24 @@
 		wake_watches();
 	}
 
+	/* Names of routes that put_manifest() adds to the four others. */
+	std::vector<std::string> more_routes;
+
+	static void add_route(struct manifest *m, const char *name,
+			      const char *service, bool idempotent)
+	{
+		struct route *rt = manifest_add_route(m);
+
+		mem_copy_str(rt->name, name, sizeof(rt->name));
+		mem_copy_str(rt->host, "h", sizeof(rt->host));
+		text_format(rt->path, sizeof(rt->path), "/%s/", name);
+		mem_copy_str(rt->service, service, sizeof(rt->service));
+		rt->idempotent = idempotent ? UINT32_MAX : 0;
+		rt->max_attempts = 2;
+		rt->objective_ms = 600;
+		rt->timeout_ms = 2000;
+	}
+
 	void put_manifest(uint64_t version)
 	{
 		struct record *r = record_new(RECORD_MANIFEST, "");
@@ -232,21 +260,13 @@
 		mem_copy_str(s->name, "keyed", sizeof(s->name));
 		s->keyed = true;
 		s->cold_per_s = 16;
-		for (int i = 0; i < 4; i++) {
-			struct route *rt = manifest_add_route(m);
-
-			mem_copy_str(rt->name, names[i], sizeof(rt->name));
-			mem_copy_str(rt->host, "h", sizeof(rt->host));
-			text_format(rt->path, sizeof(rt->path), "/%s/",
-				    names[i]);
-			mem_copy_str(rt->service, i < 2 ? "plain" : "keyed",
-				     sizeof(rt->service));
-			rt->idempotent = i % 2 ? UINT32_MAX : 0;
-			rt->max_attempts = 2;
-			rt->objective_ms = 600;
-			rt->timeout_ms = 2000;
-		}
+		for (int i = 0; i < 4; i++)
+			add_route(m, names[i], i < 2 ? "plain" : "keyed",
+				  i % 2);
+		for (auto &more : more_routes)
+			add_route(m, more.c_str(), "plain", true);
 		r->u.manifest = m;
+		manifest_revisions.push_back(revision + 1);
 		put(std::to_string(RECORD_MANIFEST) + "/", r, 0);
 	}
 
@@ -262,6 +282,47 @@
 
 	/* ---- the store ---- */
 
+	/* Drops the history; watches in progress are cut. */
+	void compact()
+	{
+		std::vector<Watch> cut;
+
+		compacted = revision;
+		cut.swap(watches);
+		for (auto &w : cut) {
+			struct ev_store_end e = {};
+
+			e.op = w.op;
+			e.end = STORE_NO_ANSWER;
+			list_init(&e.records);
+			answer_store_call(w.node, w.boot, e, SIM_MS);
+		}
+	}
+
+	/* How long the manifests in the answer to a call take. */
+	uint64_t transfer_ns(const struct act_store_call &a)
+	{
+		uint64_t count = 0;
+
+		switch (a.kind) {
+		case CALL_READ_ALL:
+		case CALL_READ_MANIFEST:
+			count = 1;
+			break;
+		case CALL_WATCH_ALL:
+			for (uint64_t r : manifest_revisions)
+				count += r > a.after;
+			break;
+		default:
+			break;
+		}
+		if (!count)
+			return 0;
+		link_free_ns = std::max(link_free_ns, now) +
+			       count * opts.manifest_link_ns;
+		return link_free_ns - now + count * opts.manifest_transfer_ns;
+	}
+
 	void remove(const std::string &key)
 	{
 		auto it = items.find(key);
@@ -391,14 +452,20 @@
 			struct ev_store_end e = {};
 
 			if (procs[w.node].store_cut_until_ns > now ||
+			    procs[w.node].store_refuses_until_ns > now ||
 			    store_down) {
 				watches.push_back(w);
 				continue;
 			}
+			struct act_store_call call = {};
+
+			call.kind = CALL_WATCH_ALL;
+			call.after = w.after;
 			e.op = w.op;
 			e.end = STORE_DONE;
 			fill_records(&e, w.after, false);
-			answer_store_call(w.node, w.boot, e, 4 * SIM_MS);
+			answer_store_call(w.node, w.boot, e,
+					  4 * SIM_MS + transfer_ns(call));
 		}
 	}
 
@@ -458,6 +525,12 @@
 				 });
 			answer_store_call(node, boot, e, deadline);
 			return;
+		} else if (procs[node].store_refuses_until_ns > now) {
+			e.end = STORE_REFUSED;
+			answer_store_call(node, boot, e, 4 * SIM_MS);
+		} else if (a->kind == CALL_WATCH_ALL && a->after < compacted) {
+			e.end = STORE_NO_HISTORY;
+			answer_store_call(node, boot, e, 4 * SIM_MS);
 		} else if (a->kind == CALL_WATCH_ALL && a->after >= revision) {
 			watches.push_back({node, boot, a->op, a->after});
 			schedule(a->deadline_ns, [this, node, boot, call] {
@@ -477,15 +550,18 @@
 				}
 			});
 		} else {
+			uint64_t took = transfer_ns(call);
+
 			e.end = execute(call, puts->list, &e);
+			if (!lost)
+				took += (4 + random_below(8)) * SIM_MS;
+			lost |= took > deadline;
 			if (lost) {
 				records_delete(&e.records);
 				e.end = STORE_NO_ANSWER;
 			}
 			answer_store_call(node, boot, e,
-					  lost ? deadline
-					       : (4 + random_below(8)) *
-							  SIM_MS);
+					  lost ? deadline : took);
 		}
 	}
 
@@ -696,6 +772,10 @@
 
 			owned->m = a->u.send.message;
 			a->u.send.message = nullptr;
+			if (procs[i].peers_cut_until_ns > now ||
+			    (opts.lost_message_share > 0 &&
+			     random_unit() < opts.lost_message_share))
+				break;
 			schedule(now + (1 + random_below(12)) * SIM_MS,
 				 [this, owned, to] {
 					 struct message *m = owned->m;
@@ -745,7 +825,8 @@
 		struct mesh_event ev = {};
 
 		for (int i = 0; i < opts.nodes; i++) {
-			if (name(i) != to || !procs[i].mesh)
+			if (name(i) != to || !procs[i].mesh ||
+			    procs[i].peers_cut_until_ns > now)
 				continue;
 			ev.kind = ME_MESSAGE;
 			ev.u.message = m;
--- a/tests/mesh_test.cpp
+++ b/tests/mesh_test.cpp
@@ -337,3 +337,241 @@
 			return;
 	}
 }
+
+/*
+ * Operators' changes in quick succession beside faults. Routes that all
+ * versions have are requested at each node, and each node that has been
+ * without faults for CALM_NS must have every version apply_ns after it.
+ */
+struct ManifestStorm {
+	static constexpr uint64_t CALM_NS = 4 * NS_PER_S;
+
+	MeshSim sim;
+	uint64_t apply_ns = 3 * NS_PER_S;
+	std::vector<uint64_t> disturbed_until;
+	std::vector<std::pair<uint64_t, uint64_t>> versions; /* when, which */
+	uint64_t store_disturbed_until = 0;
+	uint64_t version = 1;
+	uint64_t next_version_ns = 0;
+	uint64_t version_interval_ns = NS_PER_S;
+	std::vector<std::string> stale;
+	std::vector<uint64_t> callers;
+	uint64_t checks = 0; /* of a calm node */
+
+	explicit ManifestStorm(const MeshSimOpts &o)
+	    : sim(o), disturbed_until(static_cast<size_t>(o.nodes))
+	{
+		sim.run_for(8 * NS_PER_S);
+	}
+
+	void put_next_version()
+	{
+		char name[32];
+
+		version += 1 + sim.random_below(4);
+		text_format(name, sizeof(name), "v%lu", (unsigned long)version);
+		sim.more_routes = {name};
+		sim.put_manifest(version);
+		versions.emplace_back(sim.now, version);
+		next_version_ns = sim.now + version_interval_ns / 4 +
+				  sim.random_below(version_interval_ns);
+	}
+
+	bool is_calm(int i) const
+	{
+		return sim.procs[i].mesh &&
+		       sim.now > disturbed_until[i] + CALM_NS &&
+		       sim.now > store_disturbed_until + CALM_NS;
+	}
+
+	void check_versions()
+	{
+		uint64_t want = 1;
+
+		for (auto &v : versions)
+			if (v.first + apply_ns <= sim.now)
+				want = v.second;
+		for (int i = 0; i < sim.opts.nodes; i++) {
+			const struct manifest *m;
+
+			if (!is_calm(i))
+				continue;
+			checks++;
+			m = sim.procs[i].mesh->ctx.dir.manifest;
+			if (m && m->version >= want)
+				continue;
+			stale.push_back(
+				"at " + std::to_string(sim.now / SIM_MS) +
+				" ms: " + sim.name(i) + " has version " +
+				std::to_string(m ? m->version : 0) + ", not " +
+				std::to_string(want));
+		}
+	}
+
+	enum Fault {
+		PEERS_CUT,
+		FROZEN,
+		KILLED,
+		COMPACTED,
+		NODE_FAULTS,
+		STORE_CUT = NODE_FAULTS,
+		STORE_REFUSES,
+		ALL_CUT,
+		STORE_DOWN,
+		ALL_FAULTS,
+	};
+
+	/* A fault of node @i or of the store, for up to @ns. */
+	void inject(uint64_t fault, int i, uint64_t ns)
+	{
+		MeshSim::Process &p = sim.procs[i];
+
+		switch (fault) {
+		case PEERS_CUT:
+			p.peers_cut_until_ns = sim.now + ns;
+			break;
+		case FROZEN:
+			p.frozen_until_ns = sim.now + ns;
+			break;
+		case KILLED:
+			sim.kill_process(i);
+			ns = ns / 4;
+			sim.schedule(sim.now + ns, [this, i] {
+				if (!sim.procs[i].mesh)
+					sim.start_process(i);
+			});
+			break;
+		case COMPACTED:
+			sim.compact();
+			return;
+		case STORE_CUT:
+			p.store_cut_until_ns = sim.now + ns;
+			break;
+		case STORE_REFUSES:
+			p.store_refuses_until_ns = sim.now + ns;
+			break;
+		case ALL_CUT:
+			p.store_cut_until_ns = sim.now + ns;
+			p.peers_cut_until_ns = sim.now + ns;
+			break;
+		case STORE_DOWN:
+			sim.store_down = true;
+			ns = ns / 2;
+			sim.schedule(sim.now + ns,
+				     [this] { sim.store_down = false; });
+			store_disturbed_until =
+				std::max(store_disturbed_until, sim.now + ns);
+			return;
+		}
+		disturbed_until[i] = std::max(disturbed_until[i], sim.now + ns);
+	}
+
+	void run(uint64_t ns, uint64_t fault_interval_ns, uint64_t faults)
+	{
+		uint64_t next_fault = sim.now;
+		uint64_t n = static_cast<uint64_t>(sim.opts.nodes);
+
+		for (uint64_t end = sim.now + ns; sim.now < end &&
+						  sim.violations.empty() &&
+						  stale.empty();) {
+			if (sim.now >= next_version_ns)
+				put_next_version();
+			if (sim.now >= next_fault) {
+				inject(sim.random_below(faults),
+				       (int)sim.random_below(n),
+				       sim.random_below(6 * NS_PER_S));
+				next_fault =
+					sim.now +
+					sim.random_below(2 * fault_interval_ns);
+			}
+			callers.push_back(sim.send_request(
+				(int)sim.random_below(n),
+				sim.random_below(2) ? "read" : "keyset",
+				(uint32_t)sim.random_below(KEYMAP_KEYS)));
+			sim.run_for(20 * SIM_MS);
+			check_versions();
+		}
+	}
+
+	std::string denied() const
+	{
+		std::string all;
+
+		for (uint64_t caller : callers) {
+			auto it = sim.codes.find(caller);
+
+			if (it != sim.codes.end() && it->second >= 300 &&
+			    it->second < 500)
+				all += std::to_string(it->second) + " ";
+		}
+		return all;
+	}
+};
+
+struct StormOpts {
+	MeshSimOpts mesh;
+	uint64_t faults;   /* the first ones of ManifestStorm::Fault */
+	uint64_t apply_ns; /* bound for nodes without a fault of their own */
+};
+
+static void storm_at_random(uint64_t seed, const StormOpts &o)
+{
+	MeshSimOpts opts = o.mesh;
+
+	opts.seed = seed;
+	opts.nodes = 16;
+	opts.lost_message_share = 0.02;
+	ManifestStorm storm(opts);
+
+	storm.apply_ns = o.apply_ns;
+	storm.run(30 * NS_PER_S, NS_PER_S, o.faults);
+	EXPECT_NO_VIOLATIONS(storm.sim) << "seed " << seed;
+	EXPECT_EQ(joined(storm.stale), "") << "seed " << seed;
+	EXPECT_EQ(storm.denied(), "") << "seed " << seed;
+	EXPECT_GT(storm.checks, 1000u) << "seed " << seed;
+}
+
+/* JD_MESH_SEED and JD_MESH_RUNS play other seeds. */
+static void storms_at_random(const StormOpts &o)
+{
+	const char *first = getenv("JD_MESH_SEED");
+	const char *count = getenv("JD_MESH_RUNS");
+	uint64_t from = first ? strtoull(first, NULL, 10) : 1;
+	uint64_t runs = count ? strtoull(count, NULL, 10) : 1;
+
+	for (uint64_t seed = from; seed < from + runs; seed++) {
+		storm_at_random(seed, o);
+		if (::testing::Test::HasFailure())
+			return;
+	}
+}
+
+/* A node on an old manifest answers 404 on routes that callers may use. */
+TEST(Mesh, NoNodeStaysOnAnOldManifestWhenOthersAreCutOffOrRestart)
+{
+	storms_at_random({.mesh = {},
+			  .faults = ManifestStorm::NODE_FAULTS,
+			  .apply_ns = 3 * NS_PER_S});
+}
+
+/* The same with manifests so large that one takes long to transfer. */
+TEST(Mesh, NoNodeStaysOnAnOldLargeManifestWhenOthersAreCutOffOrRestart)
+{
+	StormOpts o = {.mesh = {},
+		       .faults = ManifestStorm::NODE_FAULTS,
+		       .apply_ns = 3 * NS_PER_S};
+
+	o.mesh.manifest_transfer_ns = 400 * NS_PER_MS;
+	storms_at_random(o);
+}
+
+/* While the store rejects nodes, the others may take longer. */
+TEST(Mesh, NoNodeStaysOnAnOldManifestWhenTheStoreRejectsOthers)
+{
+	StormOpts o = {.mesh = {},
+		       .faults = ManifestStorm::ALL_FAULTS,
+		       .apply_ns = 8 * NS_PER_S};
+
+	o.mesh.manifest_transfer_ns = 400 * NS_PER_MS;
+	storms_at_random(o);
+}
