--- a/core/session.c
+++ b/core/session.c
@@ -270,7 +270,7 @@
 	bool failed = end == STORE_REFUSED || end == STORE_NO_ANSWER;
 
 	if (!failed) {
-		s->last_answer_ns = c->now_ns;
+		c->store_answered_ns = c->now_ns;
 		/* A watch from before the outage may never be answered. */
 		if (c->store_down && s->watch.op) {
 			s->watch.op = 0;
@@ -323,9 +323,9 @@
 void session_on_revision(struct session *s, struct mesh_ctx *c,
 			 revision_t revision)
 {
-	if (revision > s->peer_revision)
-		s->peer_revision = revision;
-	if (s->peer_revision <= c->dir.revision) {
+	if (revision > c->dir.peer_revision)
+		c->dir.peer_revision = revision;
+	if (c->dir.peer_revision <= c->dir.revision) {
 		s->behind_since_ns = 0;
 		return;
 	}
@@ -342,17 +342,16 @@
 }
 
 /* Applies the manifest of @r if its delta fits; else notes that it is newer. */
-static void on_manifest_change(struct session *s, struct mesh_ctx *c,
-			       const struct record *r)
+static void on_manifest_change(struct mesh_ctx *c, const struct record *r)
 {
 	struct directory *d = &c->dir;
 	struct list records;
 	struct record *full;
 
-	if (r->removed || r->invalid || r->revision <= d->manifest_revision)
+	if (r->removed || r->revision <= d->manifest_revision)
 		return;
-	if (r->revision > s->manifest_wanted)
-		s->manifest_wanted = r->revision;
+	if (r->revision > d->manifest_wanted)
+		d->manifest_wanted = r->revision;
 	if (!r->delta || !d->manifest || r->delta->base != d->manifest_revision)
 		return;
 	full = record_new(RECORD_MANIFEST, r->name);
@@ -373,16 +372,15 @@
 	records_delete(&records);
 }
 
-/* Takes the manifests out of @records. */
-static void extract_manifests(struct session *s, struct mesh_ctx *c,
-			      struct list *records)
+/* Takes the manifests out of @records, also of changes behind a gap. */
+static void extract_manifests(struct mesh_ctx *c, struct list *records)
 {
 	struct record *r, *tmp;
 
 	list_for_each_entry_safe(r, tmp, records, link) {
 		if (r->kind != RECORD_MANIFEST)
 			continue;
-		on_manifest_change(s, c, r);
+		on_manifest_change(c, r);
 		list_remove(&r->link);
 		record_delete(r);
 	}
@@ -393,10 +391,10 @@
 {
 	if (!c->dir.loaded)
 		return;
-	extract_manifests(s, c, &m->records);
+	extract_manifests(c, &m->records);
 	/*
-	 * Changes before @m->from are missing: a later load report shows that
-	 * this node is behind, and it then reads from the store.
+	 * If changes before @m->from are missing, a later load report shows
+	 * that this node is behind, and it then reads from the store.
 	 */
 	if (m->to <= c->dir.revision || m->from > c->dir.revision)
 		return;
@@ -406,7 +404,7 @@
 bool session_watches(const struct session *s, const struct mesh_ctx *c)
 {
 	return s->registered && c->dir.loaded && !c->store_down &&
-	       c->now_ns < s->last_answer_ns + STORE_HEALTHY_NS &&
+	       c->now_ns < c->store_answered_ns + STORE_HEALTHY_NS &&
 	       relay_is_watcher(c);
 }
 
@@ -445,7 +443,7 @@
 static bool wants_any_read(const struct session *s, const struct mesh_ctx *c)
 {
 	return s->want_read_all || s->want_read_own ||
-	       c->dir.manifest_revision < s->manifest_wanted;
+	       directory_wants_manifest(&c->dir);
 }
 
 /* Reads no more than needed: a large fleet has many records. */
