--- a/core/http.c
+++ b/core/http.c
@@ -5,6 +5,7 @@
 #include <strings.h>
 
 #include "core/mem.h"
+#include "core/text.h"
 
 void payload_init(struct payload *p)
 {
@@ -76,6 +77,26 @@
 	payload_set_body(to, from->body, from->body_len);
 }
 
+const char *http_target_authority(const char *target)
+{
+	static const char *const schemes[] = {"http://", "https://"};
+
+	for (size_t i = 0; i < sizeof(schemes) / sizeof(*schemes); i++)
+		if (!strncasecmp(target, schemes[i], strlen(schemes[i])))
+			return target + strlen(schemes[i]);
+	return NULL;
+}
+
+char *http_target_path(const char *target)
+{
+	const char *path = http_target_authority(target);
+
+	if (!path)
+		return text_new("%s", target);
+	path += strcspn(path, "/?#");
+	return text_new("%s%s", *path == '/' ? "" : "/", path);
+}
+
 struct http_request *http_request_new(const char *method, const char *target)
 {
 	struct http_request *r = mem_new(struct http_request);
--- a/core/http.h
+++ b/core/http.h
@@ -46,6 +46,14 @@
 /** Adds the headers of @from to @to and replaces its body. */
 void payload_copy(struct payload *to, const struct payload *from);
 
+/**
+ * What follows the scheme of a target in absolute form ("http://host/path");
+ * NULL for a target in origin form ("/path").
+ */
+const char *http_target_authority(const char *target);
+/** Path and query of a target in either form; free() it. */
+char *http_target_path(const char *target);
+
 /** A request with one reference. */
 struct http_request *http_request_new(const char *method, const char *target);
 /** Drops a reference; the last one frees @r. NULL is ignored. */
--- a/core/refusal.h
+++ b/core/refusal.h
@@ -9,7 +9,7 @@
 	REFUSAL_BAD_REQUEST,
 	REFUSAL_NO_ROUTE,
 	REFUSAL_NO_KEY,
-	REFUSAL_BAD_DEADLINE,	 /* its header is not a number in range */
+	REFUSAL_BAD_DEADLINE,	 /* its header is not a number */
 	REFUSAL_NO_ORGANISATION, /* not in the manifest */
 	REFUSAL_TOO_LARGE,
 	REFUSAL_HOME_REGION, /* may not be served in this region */
--- a/io/frontend.c
+++ b/io/frontend.c
@@ -195,7 +195,7 @@
 
 static void on_http_request(struct evhttp_request *req, void *arg)
 {
-	char *target = http_target_from_evhttp(req);
+	char *target = http_target_path(evhttp_request_get_uri(req));
 
 	if (!strncmp(target, "/-/", 3))
 		handle_internal(arg, req, target + 2);
--- a/io/http_convert.c
+++ b/io/http_convert.c
@@ -88,19 +88,6 @@
 	return false;
 }
 
-char *http_target_from_evhttp(struct evhttp_request *req)
-{
-	const char *uri = evhttp_request_get_uri(req);
-	const char *path;
-
-	if (strncasecmp(uri, "http://", strlen("http://")) != 0 &&
-	    strncasecmp(uri, "https://", strlen("https://")) != 0)
-		return text_new("%s", uri);
-	path = strstr(uri, "://") + strlen("://");
-	path += strcspn(path, "/?#");
-	return text_new("%s%s", *path == '/' ? "" : "/", path);
-}
-
 struct http_request *http_request_from_evhttp(struct evhttp_request *req)
 {
 	enum evhttp_cmd_type type = evhttp_request_get_command(req);
@@ -111,7 +98,7 @@
 
 		if (methods[i].type != type)
 			continue;
-		target = http_target_from_evhttp(req);
+		target = http_target_path(evhttp_request_get_uri(req));
 		r = http_request_new(methods[i].name, target);
 		free(target);
 		payload_from_evhttp(&r->payload, req);
--- a/io/http_convert.h
+++ b/io/http_convert.h
@@ -6,12 +6,6 @@
 
 #include "core/http.h"
 
-/**
- * Returns the path and query of a request's target, which may be in absolute
- * form; free() it.
- */
-char *http_target_from_evhttp(struct evhttp_request *req);
-
 /**
  * Returns the caller's request, freed with http_request_unref(); NULL for an
  * unsupported method. Empties the body of @req.
--- a/tests/http_server_test.cpp
+++ b/tests/http_server_test.cpp
@@ -699,6 +699,8 @@
 		send_text((at ? "" : "GET /a HTTP/1.1\r\n") +
 			  headers.substr(at, 60000));
 	send_text("\r\n");
+	for (int i = 0; i < 100 && requests.empty(); i++)
+		run_loop(50);
 	EXPECT_EQ(requests.size(), 1u);
 }
 
