--- a/io/base64.c
+++ b/io/base64.c
@@ -30,19 +30,24 @@
 	return out;
 }
 
-static int digit_value(char c)
-{
-	const char *p = c ? strchr(alphabet, c) : NULL;
+#define NO_DIGIT 0xff
 
-	return p ? (int)(p - alphabet) : -1;
+/* Values of the digits, by character. */
+static void fill_values(unsigned char values[256])
+{
+	memset(values, NO_DIGIT, 256);
+	for (unsigned char i = 0; i < 64; i++)
+		values[(unsigned char)alphabet[i]] = i;
 }
 
 unsigned char *base64_decode(const char *text, size_t *len)
 {
 	size_t n = strlen(text);
+	unsigned char values[256];
 	unsigned char *out;
 	size_t o = 0;
 
+	fill_values(values);
 	while (n && text[n - 1] == '=')
 		n--;
 	out = mem_zalloc(n / 4 * 3 + 3, 1);
@@ -50,13 +55,15 @@
 		uint32_t v = 0;
 
 		for (size_t k = 0; k < 4; k++) {
-			int d = i + k < n ? digit_value(text[i + k]) : 0;
+			unsigned char d =
+				i + k < n ? values[(unsigned char)text[i + k]]
+					  : 0;
 
-			if (d < 0) {
+			if (d == NO_DIGIT) {
 				free(out);
 				return NULL;
 			}
-			v = v << 6 | (uint32_t)d;
+			v = v << 6 | d;
 		}
 		out[o++] = (unsigned char)(v >> 16);
 		out[o++] = (unsigned char)(v >> 8);
