--- a/tests/records_test.cpp
+++ b/tests/records_test.cpp
@@ -243,3 +243,45 @@
 	EXPECT_EQ(m->limits.header_bytes, 0u);
 	manifest_delete(m);
 }
+
+/*
+ * A node that lags behind several versions of a large configuration would
+ * decode each of them, and serve nothing meanwhile.
+ */
+TEST(Records, OnlyTheNewestOfSeveralConfigurationsIsDecoded)
+{
+	json_t *items = json_array();
+	struct list records;
+	const struct record *r;
+	int manifests = 0, others = 0;
+
+	list_init(&records);
+	for (int v : {7, 9, 8}) {
+		std::string text = "{\"version\":\"" + std::to_string(v) +
+				   "\",\"routes\":[]}";
+		char *value = base64_encode(text.data(), text.size());
+
+		json_array_append_new(items, json_pack("{s:s,s:i,s:s}", "key",
+						       "op/config", "revision",
+						       20 + v, "value", value));
+		json_array_append_new(items,
+				      json_pack("{s:s,s:i,s:b}", "key",
+						"op/evacuate/z1", "revision",
+						30 + v, "removed", v % 2));
+		free(value);
+	}
+	records_from_items(items, &records);
+	list_for_each_entry(r, &records, link) {
+		others += r->kind != RECORD_MANIFEST;
+		if (r->kind != RECORD_MANIFEST)
+			continue;
+		manifests++;
+		ASSERT_NE(r->u.manifest, nullptr);
+		EXPECT_EQ(r->u.manifest->version, 9u);
+		EXPECT_EQ(r->revision, 29u);
+	}
+	EXPECT_EQ(manifests, 1);
+	EXPECT_EQ(others, 3);
+	records_delete(&records);
+	json_decref(items);
+}
