--- a/core/manifest.c
+++ b/core/manifest.c
@@ -195,7 +195,7 @@
 	char lower[sizeof(((struct route *)0)->host)];
 	size_t len = 0;
 
-	for (; host[len] && len < sizeof(lower); len++)
+	for (; len < sizeof(lower) && host[len]; len++)
 		lower[len] = (char)(host[len] >= 'A' && host[len] <= 'Z'
 					    ? host[len] + ('a' - 'A')
 					    : host[len]);
