--- a/core/manifest_delta.c
+++ b/core/manifest_delta.c
@@ -91,6 +91,7 @@
 	hash_u64(h, r->idempotent);
 	hash_u64(h, r->timeout_ms);
 	hash_u64(h, r->objective_ms);
+	hash_u64(h, r->invalid);
 	for (uint32_t i = 0; i < r->home_regions.count; i++)
 		hash_str(h, r->home_regions.names[i]);
 	hash_u64(h, r->home_regions.count);
--- a/tests/manifest_codec_test.cpp
+++ b/tests/manifest_codec_test.cpp
@@ -42,6 +42,7 @@
 		r->home_regions.count = 1;
 		mem_copy_str(r->home_regions.names[0], "south", JD_NAME_MAX);
 		r->priority = 2;
+		r->invalid = true;
 		r->idempotent = UINT32_MAX;
 		b->limits.idle_timeout_ms = 15000;
 		rec->revision = 20;
--- a/tests/manifest_delta_test.cpp
+++ b/tests/manifest_delta_test.cpp
@@ -127,6 +127,9 @@
 	r->priority = 3;
 	EXPECT_NE(manifest_digest(m), before);
 	r->priority = 0;
+	r->invalid = true;
+	EXPECT_NE(manifest_digest(m), before);
+	r->invalid = false;
 	r->max_attempts++;
 	EXPECT_NE(manifest_digest(m), before);
 	r->max_attempts--;
--- a/tests/mesh_test.cpp
+++ b/tests/mesh_test.cpp
@@ -338,6 +338,61 @@
 	}
 }
 
+/*
+ * Guards against nodes that stay on an old manifest, and answer 404 on new
+ * routes: when each node read each version from the store, the store's link did
+ * not carry it, and reads that ran into their deadline were repeated.
+ */
+TEST(Mesh, VersionsOfALargeManifestReachAllNodesOverANarrowLinkOfTheStore)
+{
+	MeshSimOpts opts;
+	uint64_t late = 0;
+
+	opts.nodes = 24;
+	opts.manifest_link_ns = 60 * SIM_MS;
+	MeshSim sim(opts);
+	sim.run_for(15 * NS_PER_S);
+	for (uint64_t v = 2; v < 12; v++) {
+		sim.put_manifest(v);
+		sim.run_for(1100 * SIM_MS);
+		/* The version before the last two is older than 2.2 s. */
+		for (int i = 0; i < opts.nodes; i++)
+			late += sim.procs[i].mesh->ctx.dir.manifest->version +
+					2 <
+				v;
+	}
+	EXPECT_EQ(late, 0u);
+	EXPECT_NO_VIOLATIONS(sim);
+}
+
+/*
+ * Guards against 404 on new routes at nodes that the store rejects for seconds:
+ * they learned from others that there was a newer manifest, but could read it
+ * only from the store.
+ */
+TEST(Mesh, ANodeThatTheStoreRejectsGetsASmallChangeFromAWatcher)
+{
+	MeshSimOpts opts;
+	uint64_t caller;
+
+	opts.nodes = 20;
+	MeshSim sim(opts);
+	sim.run_for(8 * NS_PER_S);
+	for (int i = 4; i < 12; i++)
+		sim.procs[i].store_refuses_until_ns = sim.now + 9 * NS_PER_S;
+	sim.run_for(NS_PER_S);
+	sim.more_routes = {"added"};
+	sim.put_manifest(2);
+	sim.run_for(3 * NS_PER_S);
+	for (int i = 0; i < opts.nodes; i++)
+		EXPECT_EQ(sim.procs[i].mesh->ctx.dir.manifest->version, 2u)
+			<< i;
+	caller = sim.send_request(5, "added", 0);
+	sim.run_for(2 * NS_PER_S);
+	EXPECT_EQ(sim.codes[caller], 200);
+	EXPECT_NO_VIOLATIONS(sim);
+}
+
 /*
  * Operators' changes in quick succession beside faults. Routes that all
  * versions have are requested at each node, and each node that has been
--- a/wire/manifest_codec.c
+++ b/wire/manifest_codec.c
@@ -36,6 +36,7 @@
 	PACK_U32_OF(struct route, idempotent),
 	PACK_U64_OF(struct route, timeout_ms),
 	PACK_U64_OF(struct route, objective_ms),
+	PACK_BOOL_OF(struct route, invalid),
 };
 static const struct pack_table route_table = PACK_TABLE(route_fields);
 
