Replace a watch that is never answered by a read

By reading, in the review of how a large configuration travels: the answer of a watch holds each version since its revision, and one beyond 8 MiB is given up (platform/kv_client.c). The watch was begun anew at the same revision, with a longer answer each time, until another node reported a newer revision; if all watchers meet this, none does.

--- a/core/session.c
+++ b/core/session.c
@@ -23,6 +23,11 @@
 /* The delay between requests for a lease grows up to this. */
 #define LEASE_RETRY_MAX_NS	(1000 * NS_PER_MS)
 #define READ_INTERVAL_NS	(500 * NS_PER_MS)
+/*
+ * If this many watches in a row get no answer, all records are read instead:
+ * the changes may be more than one answer can carry.
+ */
+#define UNANSWERED_WATCHES_MAX	2
 /* If other nodes know a newer revision for this long, the watch may be lost. */
 #define BEHIND_MAX_NS		(400 * NS_PER_MS)
 /* Nodes stop relying on a watcher this long after the store's last answer. */
@@ -126,6 +131,10 @@
 static void on_watch(struct session *s, struct mesh_ctx *c,
 		     struct ev_store_end *e)
 {
+	if (e->end == STORE_NO_ANSWER)
+		s->unanswered_watches++;
+	else
+		s->unanswered_watches = 0;
 	switch (e->end) {
 	case STORE_DONE:
 		relay_forward_changes(c, c->dir.revision, e);
@@ -144,6 +153,8 @@
 	default:
 		/* Perhaps only the connection was lost: continue from here. */
 		s->watch.next_ns = c->now_ns + CALL_RETRY_NS;
+		if (s->unanswered_watches >= UNANSWERED_WATCHES_MAX)
+			s->want_read_all = true;
 		break;
 	}
 }
--- a/core/session.h
+++ b/core/session.h
@@ -29,7 +29,8 @@
 	bool want_read_all;		/* the directory may be incomplete */
 	bool want_read_own; /* cards or keymaps may be out of date */
 	bool want_changes;  /* poll once, though other nodes watch for it */
-	uint64_t lease;	    /* 0: none */
+	uint32_t unanswered_watches; /* since the last one that was answered */
+	uint64_t lease;		     /* 0: none */
 	uint64_t lease_retry_delay_ns; /* before the next request for one */
 	uint64_t lease_ttl_ns;
 	uint64_t lease_deadline_ns; /* counts from when the renewal was sent */
--- a/tests/relay_test.cpp
+++ b/tests/relay_test.cpp
@@ -464,3 +464,36 @@
 	}
 	EXPECT_GT(manifest_reads, 0);
 }
+
+/*
+ * Guards against a watch whose answer is too long to be received, and that is
+ * begun anew at the same revision each time.
+ */
+TEST_F(RelayTest, AWatchThatIsNeverAnsweredIsReplacedByARead)
+{
+	add_nodes(20, 0);
+	session.want_read_all = false;
+	session.lease = 7;
+	session.registered = session.fresh = true;
+	session.keep.next_ns = UINT64_MAX;
+	for (int i = 0; i < 2; i++) {
+		struct ev_store_end e = {};
+
+		EXPECT_FALSE(session.want_read_all);
+		c.now_ns += NS_PER_S;
+		session_note_call_end(&session, &c, STORE_DONE);
+		session_work(&session, &c);
+		ASSERT_NE(session.watch.op, 0u);
+		list_init(&e.records);
+		e.op = session.watch.op;
+		e.end = STORE_NO_ANSWER;
+		session_note_call_end(&session, &c, e.end);
+		session_on_end(&session, &c, &e);
+	}
+	EXPECT_TRUE(session.want_read_all);
+	session_note_call_end(&session, &c, STORE_DONE);
+	c.now_ns += NS_PER_S;
+	session_work(&session, &c);
+	EXPECT_EQ(session.read_kind, CALL_READ_ALL);
+	EXPECT_EQ(session.watch.op, 0u);
+}
