Test: a retry inside the refusal's callback, and the rest of a body

The router sends the retry of a refused request from inside the callback of the refusal, which frees the connection that the refusal came on; RetryFromInsideTheEndOfTheRefusedCall runs this under the address sanitizer. RestOfABodyFollowsAnEarlyAnswer shows that a request that follows an early answer is written after the rest of the long body before it.

--- a/tests/http_client_test.cpp
+++ b/tests/http_client_test.cpp
@@ -29,6 +29,7 @@
 	};
 	std::vector<Result> results;
 	std::function<void()> between;
+	std::function<void()> at_end; /* of the next call */
 
 	HttpClientTest()
 	{
@@ -57,6 +58,11 @@
 				 ? std::string((char *)r->answer->payload.body,
 					       r->answer->payload.body_len)
 				 : ""});
+		std::function<void()> next;
+
+		next.swap(t->at_end);
+		if (next)
+			next();
 	}
 	/* Has the kernel pick the port, which no other process can take. */
 	void start_listening()
@@ -492,6 +498,67 @@
 	close(first);
 }
 
+/* The router retries a refused request while it handles the refusal. */
+TEST_F(HttpClientTest, RetryFromInsideTheEndOfTheRefusedCall)
+{
+	start_listening();
+	call(1, "a");
+	int first = accept_connection();
+
+	at_end = [this] { start_call(2, "a"); };
+	send_text(first, refusal_text("a"));
+	EXPECT_EQ(http_client_connects(c), 2u);
+	int second = accept_connection();
+
+	ASSERT_GE(second, 0);
+	send_text(second, answer_text("a", "ran"));
+	ASSERT_EQ(results.size(), 2u);
+	EXPECT_EQ(results[1].body, "ran");
+	close(first);
+	close(second);
+}
+
+/*
+ * An upstream may answer before it has read a long body and read on later: the
+ * next request must not take the place of the rest of that body.
+ */
+TEST_F(HttpClientTest, RestOfABodyFollowsAnEarlyAnswer)
+{
+	const std::string body(8u << 20, 'x');
+	struct client_call post = {};
+	std::string got;
+	char buf[65536];
+
+	start_listening();
+	post.call = 1;
+	post.addr = addr.c_str();
+	post.deadline_ns = clock_now_ns() + 5 * NS_PER_S;
+	post.write_before_ns = post.deadline_ns;
+	post.request = http_request_new("POST", "/");
+	payload_add_header(&post.request->payload, "Id", "a");
+	payload_set_body(&post.request->payload, body.data(), body.size());
+	http_client_call(c, &post);
+	http_request_unref(post.request);
+	run_loop(30);
+	int fd = accept_connection();
+
+	send_text(fd, refusal_text("a"));
+	ASSERT_EQ(results.size(), 1u);
+	start_call(2, "b");
+	for (uint64_t end_ns = clock_now_ns() + 5 * NS_PER_S;
+	     clock_now_ns() < end_ns && got.find("Id: b") == got.npos;) {
+		ssize_t n = recv(fd, buf, sizeof(buf), MSG_DONTWAIT);
+
+		if (n > 0)
+			got.append(buf, (size_t)n);
+		event_base_loop(base, EVLOOP_ONCE | EVLOOP_NONBLOCK);
+	}
+	EXPECT_EQ(got.find("\r\n\r\n" + body + "GET / HTTP/1.1\r\n"),
+		  got.find("\r\n\r\n"));
+	EXPECT_NE(got.find("Id: b"), got.npos);
+	close(fd);
+}
+
 /*
  * Nothing tells the answers to requests without an identifying value apart, so
  * a repeated refusal was the answer to the next of them.
