Log why a request was not sent to the upstream

A call that ends as not sent left no log line, so a failed connect, a connect timeout and a connection that was not idle could not be told apart. They are now: event=request_not_sent why=...

--- a/io/http_client.c
+++ b/io/http_client.c
@@ -539,11 +539,18 @@
 	uint64_t now = clock_now_ns();
 
 	if (now >= cn->call.write_before_ns || now >= cn->call.deadline_ns) {
+		log_event(LOG_WARN,
+			  "event=request_not_sent why=too_late addr=%s",
+			  cn->addr);
 		finish_call(cn, CLIENT_NOT_SENT, true);
 		return;
 	}
 	/* Bytes before the first request answer none. */
 	if (!is_quiet(cn)) {
+		log_event(LOG_WARN,
+			  "event=request_not_sent why=connection_not_idle "
+			  "addr=%s",
+			  cn->addr);
 		finish_call(cn, CLIENT_NOT_SENT, false);
 		return;
 	}
@@ -568,6 +575,8 @@
 	if (!cn->connected) {
 		bool refused = EVUTIL_SOCKET_ERROR() == ECONNREFUSED;
 
+		log_event(LOG_WARN, "event=request_not_sent why=\"%s\" addr=%s",
+			  strerror(EVUTIL_SOCKET_ERROR()), cn->addr);
 		finish_call(cn, refused ? CLIENT_REFUSED : CLIENT_NOT_SENT,
 			    false);
 		return;
@@ -586,6 +595,10 @@
 	(void)what;
 	if (!cn->call.request)
 		return;
+	if (!cn->wrote)
+		log_event(LOG_WARN, "event=request_not_sent why=%s addr=%s",
+			  cn->connected ? "too_late" : "connect_timeout",
+			  cn->addr);
 	finish_call(cn, cn->wrote ? CLIENT_TIMED_OUT : CLIENT_NOT_SENT, false);
 }
 
