A connection made while the process stalled is not a failed one

What callers saw: by the test, requests ended as not sent (upstream_down) and their connections were closed, although the upstream had accepted them in time, whenever the process did not run for longer than the connect timeout of 400 ms (a freeze, or a busy VM).

Cause: after a stall the timer is due in the same turn of the loop in which the connection is found open. The callback of the connection is deferred, so the timer's came first and ended the call.

Why it works: the timer doesn't end a call whose connection is open; the deferred callback runs next and checks the deadline. The timer is set to the deadline once, so it can't spin.

--- a/io/http_client.c
+++ b/io/http_client.c
@@ -7,6 +7,7 @@
 #include <stdlib.h>
 #include <string.h>
 #include <strings.h>
+#include <sys/socket.h>
 #include <xxhash.h>
 
 #include "core/mem.h"
@@ -587,6 +588,16 @@
 		finish_call(cn, end_without_answer(cn), false);
 }
 
+/* True if the connection is open, even if its callback has not run yet. */
+static bool is_established(const struct client_conn *cn)
+{
+	struct sockaddr_storage peer;
+	socklen_t len = sizeof(peer);
+
+	return getpeername(bufferevent_getfd(cn->bev), (struct sockaddr *)&peer,
+			   &len) == 0;
+}
+
 static void on_timer(evutil_socket_t fd, short what, void *arg)
 {
 	struct client_conn *cn = arg;
@@ -595,6 +606,12 @@
 	(void)what;
 	if (!cn->call.request)
 		return;
+	/* After a stall of the process, the timer comes before the callback. */
+	if (!cn->connected && clock_now_ns() < cn->call.deadline_ns &&
+	    is_established(cn)) {
+		set_timer(cn, cn->call.deadline_ns);
+		return;
+	}
 	if (!cn->wrote)
 		log_event(LOG_WARN, "event=request_not_sent why=%s addr=%s",
 			  cn->connected ? "too_late" : "connect_timeout",
