--- a/io/http_client.c
+++ b/io/http_client.c
@@ -7,6 +7,7 @@
 #include <stdlib.h>
 #include <string.h>
 #include <strings.h>
+#include <sys/socket.h>
 #include <xxhash.h>
 
 #include "core/mem.h"
@@ -539,11 +540,18 @@
 	uint64_t now = clock_now_ns();
 
 	if (now >= cn->call.write_before_ns || now >= cn->call.deadline_ns) {
+		log_event(LOG_WARN,
+			  "event=request_not_sent why=too_late addr=%s",
+			  cn->addr);
 		finish_call(cn, CLIENT_NOT_SENT, true);
 		return;
 	}
 	/* Bytes before the first request answer none. */
 	if (!is_quiet(cn)) {
+		log_event(LOG_WARN,
+			  "event=request_not_sent why=connection_not_idle "
+			  "addr=%s",
+			  cn->addr);
 		finish_call(cn, CLIENT_NOT_SENT, false);
 		return;
 	}
@@ -568,6 +576,8 @@
 	if (!cn->connected) {
 		bool refused = EVUTIL_SOCKET_ERROR() == ECONNREFUSED;
 
+		log_event(LOG_WARN, "event=request_not_sent why=\"%s\" addr=%s",
+			  strerror(EVUTIL_SOCKET_ERROR()), cn->addr);
 		finish_call(cn, refused ? CLIENT_REFUSED : CLIENT_NOT_SENT,
 			    false);
 		return;
@@ -578,6 +588,16 @@
 		finish_call(cn, end_without_answer(cn), false);
 }
 
+/* True if the connection is open, even if its callback has not run yet. */
+static bool is_established(const struct client_conn *cn)
+{
+	struct sockaddr_storage peer;
+	socklen_t len = sizeof(peer);
+
+	return getpeername(bufferevent_getfd(cn->bev), (struct sockaddr *)&peer,
+			   &len) == 0;
+}
+
 static void on_timer(evutil_socket_t fd, short what, void *arg)
 {
 	struct client_conn *cn = arg;
@@ -586,6 +606,16 @@
 	(void)what;
 	if (!cn->call.request)
 		return;
+	/* After a stall of the process, the timer comes before the callback. */
+	if (!cn->connected && clock_now_ns() < cn->call.deadline_ns &&
+	    is_established(cn)) {
+		set_timer(cn, cn->call.deadline_ns);
+		return;
+	}
+	if (!cn->wrote)
+		log_event(LOG_WARN, "event=request_not_sent why=%s addr=%s",
+			  cn->connected ? "too_late" : "connect_timeout",
+			  cn->addr);
 	finish_call(cn, cn->wrote ? CLIENT_TIMED_OUT : CLIENT_NOT_SENT, false);
 }
 
