Soak proxy: end a connection one end of which has failed

Soaks ended with unserved_at_end above 0: a node that had not restarted got no answer from a restarted one until the end of the run. The proxy kept the connection whose target was gone, and swallowed what its caller sent: it waited until the failed end had taken all its bytes. evbuffer_drain() fails on the output of a bufferevent, which is frozen, and bytes that came later were queued there as well.

ProxyTest.CallerIsClosedAfterTheTargetHasClosed failed before.

A failed end now counts as having nothing to send, and what is sent to it is dropped.

--- a/chaos/proxy.c
+++ b/chaos/proxy.c
@@ -27,6 +27,7 @@
 	struct list chunks; /* of struct chunk, in order */
 	struct bufferevent *to;
 	bool from_target;
+	bool failed; /* nothing can be written to that end any more */
 };
 
 /** A connection of a caller and the one to the target that belongs to it. */
@@ -97,10 +98,11 @@
 	return 0;
 }
 
-static bool has_unsent(const struct proxied_conn *c)
+static bool has_unsent(const struct direction *d)
 {
-	return evbuffer_get_length(bufferevent_get_output(c->caller)) ||
-	       evbuffer_get_length(bufferevent_get_output(c->target));
+	return !d->failed &&
+	       (!list_empty(&d->chunks) ||
+		evbuffer_get_length(bufferevent_get_output(d->to)));
 }
 
 /* Forwards what is due. Frees @c once an end has closed and all is sent. */
@@ -113,8 +115,8 @@
 				? target_due
 				: caller_due;
 
-	if (c->ended && list_empty(&c->to_target.chunks) &&
-	    list_empty(&c->to_caller.chunks) && !has_unsent(c)) {
+	if (c->ended && !has_unsent(&c->to_target) &&
+	    !has_unsent(&c->to_caller)) {
 		conn_delete(c);
 		return;
 	}
@@ -139,8 +141,14 @@
 {
 	struct proxied_conn *c = arg;
 	struct direction *d = bev == c->target ? &c->to_caller : &c->to_target;
-	struct chunk *n = mem_new(struct chunk);
+	struct evbuffer *in = bufferevent_get_input(bev);
+	struct chunk *n;
 
+	if (d->failed) {
+		evbuffer_drain(in, evbuffer_get_length(in));
+		return;
+	}
+	n = mem_new(struct chunk);
 	n->bytes = evbuffer_new();
 	bufferevent_read_buffer(bev, n->bytes);
 	n->due_ns = clock_now_ns();
@@ -164,12 +172,11 @@
 	struct proxied_conn *c = arg;
 
 	if (what & BEV_EVENT_ERROR) {
-		/* Nothing can be written to this end any more. */
-		struct evbuffer *out = bufferevent_get_output(bev);
+		struct direction *d =
+			bev == c->caller ? &c->to_caller : &c->to_target;
 
-		evbuffer_drain(out, evbuffer_get_length(out));
-		chunks_delete(bev == c->caller ? &c->to_caller.chunks
-					       : &c->to_target.chunks);
+		d->failed = true;
+		chunks_delete(&d->chunks);
 	}
 	if (!(what & (BEV_EVENT_EOF | BEV_EVENT_ERROR)))
 		return;
