--- a/tests/platform_metrics_test.cpp
+++ b/tests/platform_metrics_test.cpp
@@ -72,3 +72,14 @@
 	EXPECT_NE(page().find("jackdaw_rejected_total{why=\"syntax\"} 0\n"),
 		  std::string::npos);
 }
+
+/* Guards against a node on an old configuration that no metric shows. */
+TEST_F(PlatformMetricsTest, TheConfigurationInForceAndTheNewestKnownAreShown)
+{
+	m->ctx.dir.manifest_revision = 31;
+	m->ctx.dir.manifest_wanted = 32;
+	EXPECT_NE(page().find("jackdaw_config_revision 31\n"),
+		  std::string::npos);
+	EXPECT_NE(page().find("jackdaw_config_wanted_revision 32\n"),
+		  std::string::npos);
+}
