Deltas reach small regions and survive other builds; only reads are awaited

The first two watchers by name now send it to all.

relay_test's FirstWatchersOfASmallRegionSendTheDeltaToAll failed before.

--- a/core/manifest.c
+++ b/core/manifest.c
@@ -94,7 +94,7 @@
 	return c;
 }
 
-struct route *manifest_add_route(struct manifest *m)
+struct route *route_new(void)
 {
 	struct route *r = mem_new(struct route);
 
@@ -104,7 +104,15 @@
 	r->max_body_bytes = ROUTE_BODY_DEFAULT_BYTES;
 	r->objective_ppm = ROUTE_OBJECTIVE_DEFAULT_PPM;
 	r->objective_ms = ROUTE_OBJECTIVE_DEFAULT_MS;
+	list_init(&r->link);
 	list_init(&r->by_prefix);
+	return r;
+}
+
+struct route *manifest_add_route(struct manifest *m)
+{
+	struct route *r = route_new();
+
 	list_push_back(&m->routes, &r->link);
 	drop_index(m);
 	return r;
--- a/core/manifest.h
+++ b/core/manifest.h
@@ -130,6 +130,9 @@
 void manifest_delete(struct manifest *m);
 struct manifest *manifest_copy(const struct manifest *m);
 
+/** A route with its default values, in no list; free() it. */
+struct route *route_new(void);
+
 /** Each appends an item with its default values, for the caller to fill in. */
 struct route *manifest_add_route(struct manifest *m);
 struct organisation *manifest_add_organisation(struct manifest *m);
--- a/core/manifest_delta.c
+++ b/core/manifest_delta.c
@@ -50,7 +50,7 @@
 
 struct route *manifest_delta_add_route(struct manifest_delta *d)
 {
-	struct route *r = mem_new(struct route);
+	struct route *r = route_new();
 
 	list_push_back(&d->changed, &r->link);
 	return r;
--- a/core/relay.c
+++ b/core/relay.c
@@ -24,7 +24,8 @@
 	return live < RELAY_NODES_MIN;
 }
 
-bool relay_is_watcher(const struct mesh_ctx *c)
+/* True if @c's node is among the first watchers of its region, by name. */
+static bool is_first_watcher(const struct mesh_ctx *c)
 {
 	const struct dir_node *n;
 	uint32_t before = 0;
@@ -32,7 +33,12 @@
 	list_for_each_entry(n, &c->dir.nodes, link)
 		before += n->watches && is_live_in_region(c, n) &&
 			  strcmp(n->name, c->opts->node) < 0;
-	return before < WATCHERS_PER_REGION || relay_all_watch(c);
+	return before < WATCHERS_PER_REGION;
+}
+
+bool relay_is_watcher(const struct mesh_ctx *c)
+{
+	return is_first_watcher(c) || relay_all_watch(c);
 }
 
 static void send_changes(struct mesh_ctx *c, const struct dir_node *n,
@@ -82,7 +88,7 @@
 
 	if (list_empty(&e->records))
 		return;
-	to_watchers = add_manifest_delta(c, &e->records) && !relay_all_watch(c);
+	to_watchers = add_manifest_delta(c, &e->records) && is_first_watcher(c);
 	list_for_each_entry(n, &c->dir.nodes, link)
 		if (directory_same_region(&c->dir, n) &&
 		    (!n->watches || to_watchers) &&
--- a/tests/directory_test.cpp
+++ b/tests/directory_test.cpp
@@ -96,6 +96,10 @@
 	apply(false, 0);
 	EXPECT_FALSE(directory_wants_manifest(&d));
 	EXPECT_TRUE(directory_manifest_outdated(&d));
+	/* As a watcher sees it, which nobody has told of it before. */
+	d.manifest_wanted = 0;
+	EXPECT_TRUE(directory_manifest_outdated(&d));
+	d.manifest_wanted = 11;
 	add_config(8, 12);
 	apply(false, 0);
 	EXPECT_EQ(d.manifest->version, 8u);
--- a/tests/dispatch_test.cpp
+++ b/tests/dispatch_test.cpp
@@ -97,6 +97,7 @@
 		n->load.limit = 10;
 		n->load.service_ns = 200 * NS_PER_MS;
 	}
+	bool oversized = false; /* of the requests to send */
 	/* Sends one request; returns the boot of the gate that got it. */
 	uint64_t send(struct request_id *id)
 	{
@@ -107,6 +108,7 @@
 		r.caller = ++next_caller;
 		mem_copy_str(r.id, "q", sizeof(r.id));
 		mem_copy_str(r.host, "h", sizeof(r.host));
+		r.oversized = oversized;
 		r.request = http_request_new("GET", "/x");
 		dispatch_on_request(&d, &c, &local, &r);
 		http_request_unref(r.request);
@@ -307,8 +309,14 @@
 		true;
 	EXPECT_EQ(send(&id), 0u);
 	EXPECT_EQ(d.reasons[REFUSAL_OLD_MANIFEST], 2u);
+	oversized = true;
+	EXPECT_EQ(send(&id), 0u);
+	EXPECT_EQ(d.reasons[REFUSAL_OLD_MANIFEST], 3u);
 	c.dir.manifest_revision = 9;
 	EXPECT_EQ(send(&id), 0u);
+	EXPECT_EQ(d.reasons[REFUSAL_TOO_LARGE], 1u);
+	oversized = false;
+	EXPECT_EQ(send(&id), 0u);
 	EXPECT_EQ(d.reasons[REFUSAL_NO_KEY], 1u);
 	EXPECT_EQ(d.reasons[REFUSAL_NO_ROUTE], 1u);
 }
--- a/tests/kv_client_test.cpp
+++ b/tests/kv_client_test.cpp
@@ -482,3 +482,16 @@
 	EXPECT_EQ(record_count, 0u);
 	EXPECT_LT(clock_now_ns() - before, 3 * NS_PER_S);
 }
+
+/* The answer to a renewal that takes too long is of no use for the lease. */
+TEST_F(RawStore, OnlyAnswersWithRecordsAreAwaitedPastTheDeadline)
+{
+	uint64_t before = clock_now_ns();
+
+	patience_ns = 200 * NS_PER_MS;
+	server.on_request = [&](RawServer &, struct bufferevent *bev, size_t) {
+		write_record_over(bev, 3000, 0);
+	};
+	EXPECT_EQ(call(CALL_LEASE_KEEP), STORE_NO_ANSWER);
+	EXPECT_LT(clock_now_ns() - before, NS_PER_S);
+}
--- a/tests/manifest_codec_test.cpp
+++ b/tests/manifest_codec_test.cpp
@@ -4,6 +4,7 @@
 #include "core/mem.h"
 #include "core/message.h"
 #include "wire/codec.h"
+#include "wire/mesh_codec.h"
 }
 
 static struct manifest *new_manifest(uint64_t version)
@@ -42,8 +43,14 @@
 		r->home_regions.count = 1;
 		mem_copy_str(r->home_regions.names[0], "south", JD_NAME_MAX);
 		r->priority = 2;
+		r->max_attempts = 3;
+		r->timeout_ms = 1100;
+		r->objective_ms = 700;
 		r->invalid = true;
 		r->idempotent = UINT32_MAX;
+		b->limits.header_bytes = 16384;
+		b->limits.body_bytes = 1000;
+		b->limits.header_timeout_ms = 3000;
 		b->limits.idle_timeout_ms = 15000;
 		rec->revision = 20;
 		rec->delta = manifest_delta_between(a, 10, b, 20);
@@ -79,6 +86,37 @@
 	message_delete(got);
 }
 
+/* Guards against the loss of all changes for a delta of a later build. */
+TEST_F(ManifestCodecTest, UnknownDeltaLeavesTheNewsOfTheManifest)
+{
+	struct list records;
+	msgpack_sbuffer sb;
+	msgpack_packer pk;
+	msgpack_unpacked u;
+	size_t off = 0;
+	size_t pos;
+	struct record *r;
+
+	list_init(&records);
+	msgpack_sbuffer_init(&sb);
+	msgpack_packer_init(&pk, &sb, msgpack_sbuffer_write);
+	mesh_pack_records(&pk, &m->u.changes.records);
+	/* The delta's base, 10, becomes nil. */
+	pos = std::string(sb.data, sb.size).find("\x94\x98\x0a");
+	ASSERT_NE(pos, std::string::npos);
+	sb.data[pos + 2] = (char)0xc0;
+	msgpack_unpacked_init(&u);
+	ASSERT_EQ(msgpack_unpack_next(&u, sb.data, sb.size, &off),
+		  MSGPACK_UNPACK_SUCCESS);
+	ASSERT_TRUE(mesh_unpack_records(&u.data, &records));
+	r = list_entry(records.next, struct record, link);
+	EXPECT_EQ(r->delta, nullptr);
+	EXPECT_EQ(r->revision, 20u);
+	records_delete(&records);
+	msgpack_unpacked_destroy(&u);
+	msgpack_sbuffer_destroy(&sb);
+}
+
 TEST_F(ManifestCodecTest, TruncatedInputIsRejected)
 {
 	struct status st;
--- a/tests/manifest_delta_test.cpp
+++ b/tests/manifest_delta_test.cpp
@@ -1,7 +1,9 @@
 #include "jd_test.hpp"
 
+#include <functional>
 #include <rapidcheck/gtest.h>
 #include <string>
+#include <vector>
 
 extern "C" {
 #include "core/manifest_delta.h"
@@ -112,27 +114,52 @@
 	manifest_delete(b);
 }
 
-TEST(ManifestDelta, EveryFieldOfARouteCounts)
+/*
+ * Guards against a change that no delta shows, and that a node then never
+ * takes.
+ */
+TEST(ManifestDelta, EveryFieldThatALeasedFleetUsesCounts)
 {
 	struct manifest *m = new_manifest(1);
 	struct route *r = add_route(m, 1, 1000);
+	struct service *s = list_entry(m->services.next, struct service, link);
 	uint64_t before = manifest_digest(m);
-
-	r->split_count = 1;
-	EXPECT_NE(manifest_digest(m), before);
-	r->split_count = 0;
-	r->home_regions.count = 1;
-	EXPECT_NE(manifest_digest(m), before);
-	r->home_regions.count = 0;
-	r->priority = 3;
-	EXPECT_NE(manifest_digest(m), before);
-	r->priority = 0;
-	r->invalid = true;
-	EXPECT_NE(manifest_digest(m), before);
-	r->invalid = false;
-	r->max_attempts++;
-	EXPECT_NE(manifest_digest(m), before);
-	r->max_attempts--;
-	EXPECT_EQ(manifest_digest(m), before);
+	std::vector<std::function<void()>> changes = {
+		[&] { m->version++; },
+		[&] { m->limits.header_bytes++; },
+		[&] { m->limits.body_bytes++; },
+		[&] { m->limits.header_timeout_ms++; },
+		[&] { m->limits.idle_timeout_ms++; },
+		[&] { r->name[0] = 'x'; },
+		[&] { r->service[0] = 'x'; },
+		[&] { r->host[0] = 'x'; },
+		[&] { r->path[1] = 'x'; },
+		[&] { r->split_count = 1; },
+		[&] { r->priority++; },
+		[&] { r->max_attempts++; },
+		[&] { r->idempotent++; },
+		[&] { r->timeout_ms++; },
+		[&] { r->objective_ms++; },
+		[&] { r->home_regions.count = 1; },
+		[&] { r->invalid = true; },
+		[&] { s->name[0] = 'x'; },
+		[&] { s->keyed = true; },
+		[&] { s->cold_per_s++; },
+		[&] { s->max_connections++; },
+	};
+
+	for (size_t i = 0; i < changes.size(); i++) {
+		struct route saved_route = *r;
+		struct service saved_service = *s;
+		struct caller_limits saved_limits = m->limits;
+
+		changes[i]();
+		EXPECT_NE(manifest_digest(m), before) << "change " << i;
+		*r = saved_route;
+		*s = saved_service;
+		m->limits = saved_limits;
+		m->version = 1;
+		ASSERT_EQ(manifest_digest(m), before) << "change " << i;
+	}
 	manifest_delete(m);
 }
--- a/tests/relay_test.cpp
+++ b/tests/relay_test.cpp
@@ -497,3 +497,35 @@
 	EXPECT_EQ(session.read_kind, CALL_READ_ALL);
 	EXPECT_EQ(session.watch.op, 0u);
 }
+
+/*
+ * Guards against late nodes in a small region: all of its nodes watch, and with
+ * a large document each one's own watch takes long on a slow link.
+ */
+TEST_F(RelayManifestTest, FirstWatchersOfASmallRegionSendTheDeltaToAll)
+{
+	for (int own : {0, 4}) {
+		struct ev_store_end e = {};
+		struct mesh_action *a;
+		int sent = 0;
+
+		directory_done(&c.dir);
+		directory_init(&c.dir, "r0");
+		c.dir.loaded = true;
+		add_nodes(6, own);
+		for (int i = 0; i < 6; i++)
+			node(i)->watches = true;
+		add_manifest();
+		list_init(&e.records);
+		push_manifest(&e.records, 2, 2803, 51);
+		e.revision = 51;
+		relay_forward_changes(&c, 50, &e);
+		records_delete(&e.records);
+		while ((a = mesh_actions_pop(&out))) {
+			sent += a->kind == MA_SEND &&
+				a->u.send.message->kind == MSG_CHANGES;
+			mesh_action_delete(a);
+		}
+		EXPECT_EQ(sent, own == 0 ? 5 : 0) << own;
+	}
+}
--- a/wire/mesh_codec.c
+++ b/wire/mesh_codec.c
@@ -248,8 +248,9 @@
 {
 	if (r->kind == RECORD_MANIFEST && o &&
 	    o->type == MSGPACK_OBJECT_ARRAY) {
+		/* NULL for one of a later build: the document is read then. */
 		r->delta = unpack_manifest_delta(o);
-		return r->delta != NULL;
+		return true;
 	}
 	if (!has_content(r))
 		return true;
