A revision holds the store's era

Types only, nothing fills the era in yet: revision_t becomes one number of era and revision, compared as before, and the end of a store call says in which era the store answered.

--- a/core/mesh_io.h
+++ b/core/mesh_io.h
@@ -60,6 +60,7 @@
 struct ev_store_end {
 	uint64_t op;
 	enum store_end end;
+	uint64_t era;	     /* of the store in the answer; 0: none stated */
 	revision_t revision; /* of the store; after a write: of the write */
 	uint64_t lease;
 	uint64_t ttl_ns;
--- a/core/types.h
+++ b/core/types.h
@@ -34,9 +34,38 @@
 /** Version of a shard's ownership: every change of owner raises it. */
 typedef uint64_t epoch_t;
 
-/** Revision of the store: every write of a document raises it. */
+/**
+ * A point in the store's history: its era in the upper REVISION_ERA_BITS, below
+ * them its revision, which every write raises. A store that comes back from an
+ * older copy gives revisions out again in a higher era, so that points of any
+ * two eras compare as one number. Era 0: the store states none.
+ */
 typedef uint64_t revision_t;
 
+#define REVISION_ERA_BITS    16
+#define REVISION_NUMBER_BITS (64 - REVISION_ERA_BITS)
+#define REVISION_NUMBER_MAX  ((UINT64_C(1) << REVISION_NUMBER_BITS) - 1)
+
+/* To log a revision as ERA.NUMBER, with REVISION_ARGS(). */
+#define REVISION_FMT	 "%lu.%lu"
+#define REVISION_ARGS(r) revision_era(r), revision_number(r)
+
+static inline revision_t revision_make(uint64_t era, uint64_t number)
+{
+	return (revision_t)(era << REVISION_NUMBER_BITS |
+			    (number & REVISION_NUMBER_MAX));
+}
+
+static inline unsigned long revision_era(revision_t r)
+{
+	return (unsigned long)(r >> REVISION_NUMBER_BITS);
+}
+
+static inline unsigned long revision_number(revision_t r)
+{
+	return (unsigned long)(r & REVISION_NUMBER_MAX);
+}
+
 /** Identifies a request among nodes: the entry and its own counter. */
 struct request_id {
 	incarnation_t node;
