Answers of the store carry its era into every revision

A store that comes back from an older copy gives revisions out again; it says so only in the header Store-Era of its answers. The client ignored the header, so revisions of two histories compared as one.

The client joins the era of each answer with its revisions (asOf, items, events, writes) and takes it off where a revision is sent. A call whose revision is of an earlier era than the newest seen is not sent: its condition could hold by chance (a write ends as a conflict, a watch without history). A watch answered in a later era than its revision skips what that era has up to it: it ends without history. Pages of two eras are no answer. A revision below 1 or above 48 bits, or an era above 16 bits, is a malformed answer; a text that is no number counts as no era and is logged once.

"Newest configuration of several" (records_from_items) compares revisions of one answer, so of one era; its test now decodes in era 2.

The page of SurplusBytesAreNotTheNextPage gets a revision, as it is now required of each item.

--- a/core/types.h
+++ b/core/types.h
@@ -44,6 +44,7 @@
 
 #define REVISION_ERA_BITS    16
 #define REVISION_NUMBER_BITS (64 - REVISION_ERA_BITS)
+#define REVISION_ERA_MAX     ((UINT64_C(1) << REVISION_ERA_BITS) - 1)
 #define REVISION_NUMBER_MAX  ((UINT64_C(1) << REVISION_NUMBER_BITS) - 1)
 
 /* To log a revision as ERA.NUMBER, with REVISION_ARGS(). */
--- a/tests/kv_client_test.cpp
+++ b/tests/kv_client_test.cpp
@@ -267,6 +267,8 @@
 	struct kv_client *client =
 		kv_client_new(base, server.addr.c_str(), on_end, this);
 	std::vector<enum store_end> ends;
+	std::vector<uint64_t> eras, revisions;
+	std::vector<uint64_t> record_revisions;
 	size_t record_count = 0;
 	uint64_t patience_ns = 120 * NS_PER_S; /* a call's deadline is then */
 	struct Part {
@@ -285,8 +287,12 @@
 		const struct record *r;
 
 		s->ends.push_back(e->end);
-		list_for_each_entry(r, &e->records, link)
+		s->eras.push_back(e->era);
+		s->revisions.push_back(e->revision);
+		list_for_each_entry(r, &e->records, link) {
 			s->record_count++;
+			s->record_revisions.push_back(r->revision);
+		}
 	}
 	static void write_part(evutil_socket_t, short, void *arg)
 	{
@@ -316,12 +322,19 @@
 			write_later(bev, body.substr(i, 1),
 				    (int)(i * (size_t)ms / body.size()));
 	}
-	void start(enum store_call_kind kind)
+	void start(enum store_call_kind kind, revision_t revision = 0)
 	{
 		struct act_store_call a = {};
 
 		a.kind = kind;
 		a.deadline_ns = clock_now_ns() + patience_ns;
+		a.after = revision;
+		if (kind == CALL_WRITE) {
+			a.expect_count = 2;
+			a.expect[0].kind = RECORD_KEYMAP;
+			a.expect[0].revision = revision;
+			a.expect[1].kind = RECORD_CARD;
+		}
 		list_init(&a.puts);
 		kv_client_call(client, &a);
 	}
@@ -334,14 +347,32 @@
 			event_base_loop(base, EVLOOP_ONCE | EVLOOP_NONBLOCK);
 		ASSERT_EQ(ends.size(), n);
 	}
-	enum store_end call(enum store_call_kind kind)
+	enum store_end call(enum store_call_kind kind, revision_t revision = 0)
 	{
 		size_t n = ends.size() + 1;
 
-		start(kind);
+		start(kind, revision);
 		wait(n);
 		return ends.size() == n ? ends.back() : STORE_DONE;
 	}
+	/** Answers all calls with @body and, unless empty, @era. */
+	void answer_in_era(const std::string &era, const std::string &body,
+			   const std::string &status = "200 OK")
+	{
+		server.on_request = [=](RawServer &s, struct bufferevent *bev,
+					size_t) {
+			s.write(bev, answer_of(era, body, status));
+		};
+	}
+	static std::string answer_of(const std::string &era,
+				     const std::string &body,
+				     const std::string &status = "200 OK")
+	{
+		return "HTTP/1.1 " + status + "\r\n" +
+		       (era.empty() ? "" : "Store-Era: " + era + "\r\n") +
+		       "Content-Length: " + std::to_string(body.size()) +
+		       "\r\n\r\n" + body;
+	}
 };
 
 static const char BUSY[] = "HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n";
@@ -384,7 +415,8 @@
 TEST_F(RawStore, SurplusBytesAreNotTheNextPage)
 {
 	const std::string page = "{\"items\":[{\"key\":\"op/"
-				 "a\"}],\"truncated\":true,\"asOf\":7}";
+				 "a\",\"revision\":5}],\"truncated\":true,"
+				 "\"asOf\":7}";
 	const std::string last = "{\"items\":[],\"asOf\":7}";
 
 	server.on_request = [&](RawServer &s, struct bufferevent *bev, size_t) {
@@ -495,3 +527,140 @@
 	EXPECT_EQ(call(CALL_LEASE_KEEP), STORE_NO_ANSWER);
 	EXPECT_LT(clock_now_ns() - before, NS_PER_S);
 }
+
+static const std::string ONE_ITEM =
+	"{\"items\":[{\"key\":\"op/evacuate/z1\",\"value\":\"e30=\","
+	"\"revision\":7}],\"asOf\":9}";
+static const std::string ONE_EVENT =
+	"{\"events\":[{\"key\":\"op/evacuate/z1\",\"value\":\"e30=\","
+	"\"revision\":7}],\"asOf\":9}";
+
+/*
+ * A store that has come back from an older copy gives revisions out again: each
+ * one is taken together with the era of its answer.
+ */
+TEST_F(RawStore, RevisionsCarryTheEraOfTheAnswer)
+{
+	answer_in_era("3", ONE_ITEM);
+	EXPECT_EQ(call(CALL_READ_ALL), STORE_DONE);
+	EXPECT_EQ(revisions.back(), revision_make(3, 9));
+	ASSERT_EQ(record_revisions.size(), 1u);
+	EXPECT_EQ(record_revisions.back(), revision_make(3, 7));
+	answer_in_era("3", ONE_EVENT);
+	EXPECT_EQ(call(CALL_WATCH_ALL, revision_make(3, 6)), STORE_DONE);
+	EXPECT_EQ(revisions.back(), revision_make(3, 9));
+	EXPECT_EQ(record_revisions.back(), revision_make(3, 7));
+	answer_in_era("4", "{\"revision\":5}");
+	EXPECT_EQ(call(CALL_WRITE), STORE_DONE);
+	EXPECT_EQ(revisions.back(), revision_make(4, 5));
+}
+
+TEST_F(RawStore, EveryAnswerStatesItsEra)
+{
+	for (const char *status :
+	     {"200 OK", "404 No Lease", "410 Gone", "412 Changed", "429 Busy",
+	      "503 Busy", "403 Forbidden"}) {
+		answer_in_era("6", "{}", status);
+		call(CALL_LEASE_KEEP);
+		EXPECT_EQ(eras.back(), 6u) << status;
+	}
+}
+
+TEST_F(RawStore, AnAnswerWithoutAnEraIsOfEraZero)
+{
+	for (const char *era : {"", "x", "-1", "1x", "1.5"}) {
+		answer_in_era(era, ONE_ITEM);
+		EXPECT_EQ(call(CALL_READ_ALL), STORE_DONE) << era;
+		EXPECT_EQ(eras.back(), 0u) << era;
+		EXPECT_EQ(revisions.back(), 9u) << era;
+	}
+}
+
+/* A number that a revision can't hold must not wrap to a lower one. */
+TEST_F(RawStore, NumbersOutOfRangeAreNoAnswer)
+{
+	for (const char *era : {"65536", "99999999999999999999999"}) {
+		answer_in_era(era, ONE_ITEM);
+		EXPECT_EQ(call(CALL_READ_ALL), STORE_NO_ANSWER) << era;
+	}
+	for (const char *n :
+	     {"-1", "0", "281474976710656", "9223372036854775807", "1e99",
+	      "\"7\"", "null", "99999999999999999999"}) {
+		const std::string value = n;
+
+		answer_in_era("1", "{\"revision\":" + value + "}");
+		EXPECT_EQ(call(CALL_WRITE), STORE_NO_ANSWER) << n;
+		answer_in_era("1", "{\"items\":[],\"asOf\":" + value + "}");
+		EXPECT_EQ(call(CALL_READ_ALL), STORE_NO_ANSWER) << n;
+		answer_in_era("1", "{\"events\":[{\"key\":\"op/evacuate/z\","
+				   "\"revision\":" +
+					   value + "}],\"asOf\":9}");
+		EXPECT_EQ(call(CALL_WATCH_ALL, revision_make(1, 1)),
+			  STORE_NO_ANSWER)
+			<< n;
+	}
+	EXPECT_EQ(record_count, 0u);
+}
+
+/*
+ * Guards against a write whose condition holds by chance, as the revision was
+ * given out again, and against a watch that skips what the new era has up to
+ * the revision of the old one.
+ */
+TEST_F(RawStore, ACallWithARevisionOfAnEarlierEraIsNotSent)
+{
+	answer_in_era("2", ONE_ITEM);
+	EXPECT_EQ(call(CALL_READ_ALL), STORE_DONE);
+	answer_in_era("2", "{\"revision\":12}");
+	size_t requests = server.requests;
+
+	EXPECT_EQ(call(CALL_WRITE, revision_make(1, 7)), STORE_CONFLICT);
+	EXPECT_EQ(eras.back(), 2u);
+	EXPECT_EQ(call(CALL_WATCH_ALL, revision_make(1, 7)), STORE_NO_HISTORY);
+	EXPECT_EQ(server.requests, requests);
+	EXPECT_EQ(call(CALL_WRITE, revision_make(2, 7)), STORE_DONE);
+	EXPECT_EQ(call(CALL_WRITE, 0), STORE_DONE) << "the key is absent";
+	EXPECT_EQ(server.requests, requests + 2);
+}
+
+/* The store went back after the watch was sent: it lacks earlier changes. */
+TEST_F(RawStore, AWatchAnsweredInALaterEraHasNoHistory)
+{
+	answer_in_era("2", ONE_EVENT);
+	EXPECT_EQ(call(CALL_WATCH_ALL, revision_make(1, 6)), STORE_NO_HISTORY);
+	EXPECT_EQ(record_count, 0u);
+}
+
+/* The first page may show what the store has forgotten by the second. */
+TEST_F(RawStore, PagesOfTwoErasAreNoAnswer)
+{
+	server.on_request = [&](RawServer &s, struct bufferevent *bev,
+				size_t n) {
+		s.write(bev, answer_of(std::to_string(n),
+				       n == 1 ? "{\"items\":[{\"key\":\"op/"
+						"evacuate/z1\",\"revision\":"
+						"5}],\"truncated\":true,"
+						"\"asOf\":7}"
+					      : ONE_ITEM));
+	};
+	EXPECT_EQ(call(CALL_READ_ALL), STORE_NO_ANSWER);
+	EXPECT_EQ(server.requests, 2u);
+}
+
+TEST_F(RawStore, OnlyTheNumberOfARevisionIsSent)
+{
+	std::string seen;
+
+	server.on_request = [&](RawServer &s, struct bufferevent *bev, size_t) {
+		seen = s.last_request;
+		s.write(bev, answer_of("5", "{\"revision\":12}"));
+	};
+	EXPECT_EQ(call(CALL_WRITE, revision_make(5, 77)), STORE_DONE);
+	EXPECT_NE(seen.find("\"revision\":77}"), std::string::npos) << seen;
+	server.on_request = [&](RawServer &s, struct bufferevent *bev, size_t) {
+		seen = s.last_request;
+		s.write(bev, answer_of("5", ONE_EVENT));
+	};
+	EXPECT_EQ(call(CALL_WATCH_ALL, revision_make(5, 77)), STORE_DONE);
+	EXPECT_NE(seen.find("after=77&"), std::string::npos) << seen;
+}
--- a/tests/raw_server.hpp
+++ b/tests/raw_server.hpp
@@ -26,6 +26,7 @@
 	std::string repeated; // written without end after the first answer
 	bool closes = false;  // after each answer
 	size_t requests = 0;
+	std::string last_request; // as far as read at once
 	size_t connections = 0;
 	size_t written = 0; // of the endless answers
 	std::string addr;
@@ -94,7 +95,9 @@
 		Conn *c = (Conn *)arg;
 		struct evbuffer *in = bufferevent_get_input(bev);
 
-		evbuffer_drain(in, evbuffer_get_length(in));
+		c->server->last_request.resize(evbuffer_get_length(in));
+		evbuffer_remove(in, &c->server->last_request[0],
+				c->server->last_request.size());
 		c->asked = true;
 		c->server->on_request(*c->server, bev, ++c->server->requests);
 		if (c->server->closes &&
--- a/tests/records_test.cpp
+++ b/tests/records_test.cpp
@@ -73,7 +73,7 @@
 {
 	json_t *o = json_pack("{s:s,s:i}", "key", "servers/i-1", "revision", 3);
 
-	EXPECT_EQ(record_from_item(o), nullptr);
+	EXPECT_EQ(record_from_item(o, 0), nullptr);
 	json_decref(o);
 }
 
@@ -81,7 +81,7 @@
 {
 	json_t *o = json_pack("{s:s,s:i,s:b}", "key", "op/evacuate/z1",
 			      "revision", 9, "removed", 1);
-	struct record *r = record_from_item(o);
+	struct record *r = record_from_item(o, 0);
 
 	ASSERT_NE(r, nullptr);
 	EXPECT_EQ(r->kind, RECORD_EVACUATION);
@@ -105,7 +105,7 @@
 	record_key(r->kind, r->name, key, sizeof(key));
 	o = json_pack("{s:s,s:i,s:s}", "key", key, "revision", 5, "value",
 		      value);
-	decoded = record_from_item(o);
+	decoded = record_from_item(o, 0);
 	ASSERT_NE(decoded, nullptr);
 	EXPECT_FALSE(decoded->invalid);
 	EXPECT_EQ(decoded->u.card.boot, 44u);
@@ -120,7 +120,7 @@
 	char *value = base64_encode("junk", 4);
 	json_t *o = json_pack("{s:s,s:i,s:s}", "key", "own/node/n1", "revision",
 			      5, "value", value);
-	struct record *r = record_from_item(o);
+	struct record *r = record_from_item(o, 0);
 
 	ASSERT_NE(r, nullptr);
 	EXPECT_TRUE(r->invalid);
@@ -270,7 +270,7 @@
 						30 + v, "removed", v % 2));
 		free(value);
 	}
-	records_from_items(items, &records);
+	records_from_items(items, 2, &records);
 	list_for_each_entry(r, &records, link) {
 		others += r->kind != RECORD_MANIFEST;
 		if (r->kind != RECORD_MANIFEST)
@@ -278,7 +278,7 @@
 		manifests++;
 		ASSERT_NE(r->u.manifest, nullptr);
 		EXPECT_EQ(r->u.manifest->version, 9u);
-		EXPECT_EQ(r->revision, 29u);
+		EXPECT_EQ(r->revision, revision_make(2, 29));
 	}
 	EXPECT_EQ(manifests, 1);
 	EXPECT_EQ(others, 3);
