Nodes pass the store's era on beside the bare revision

Revisions that nodes exchange (load reports, answers, changes, record headers, deltas of the manifest) had no era, so that a node could not tell a peer's knowledge of before a restore from that after it.

The field that exists keeps the bare number, as older builds compare it with their own, and drop all later revisions once they have taken one with an era in its upper bits. The era follows in an optional field at the end of the table, which older builds ignore; in their bytes it is missing and stays 0. The fields of MSG_LOAD (version of the manifest in force) and of MSG_RENEW and MSG_RENEWED (era of the lease) are added the same way.

In manifest_codec_test the searched head of a delta has ten fields instead of eight.

--- a/tests/manifest_codec_test.cpp
+++ b/tests/manifest_codec_test.cpp
@@ -52,8 +52,9 @@
 		b->limits.body_bytes = 1000;
 		b->limits.header_timeout_ms = 3000;
 		b->limits.idle_timeout_ms = 15000;
-		rec->revision = 20;
-		rec->delta = manifest_delta_between(a, 10, b, 20);
+		rec->revision = revision_make(3, 20);
+		rec->delta = manifest_delta_between(a, revision_make(3, 10), b,
+						    rec->revision);
 		list_push_back(&m->u.changes.records, &rec->link);
 		wire_encode_message(m, &buf);
 	}
@@ -76,7 +77,8 @@
 	ASSERT_NE(got, nullptr);
 	r = list_entry(got->u.changes.records.next, struct record, link);
 	ASSERT_NE(r->delta, nullptr);
-	EXPECT_EQ(r->delta->base, 10u);
+	EXPECT_EQ(r->delta->base, revision_make(3, 10));
+	EXPECT_EQ(r->delta->revision, revision_make(3, 20));
 	out = manifest_delta_apply(r->delta, a);
 	ASSERT_NE(out, nullptr);
 	EXPECT_EQ(manifest_digest(out), manifest_digest(b));
@@ -101,8 +103,8 @@
 	msgpack_sbuffer_init(&sb);
 	msgpack_packer_init(&pk, &sb, msgpack_sbuffer_write);
 	mesh_pack_records(&pk, &m->u.changes.records);
-	/* The delta's base, 10, becomes nil. */
-	pos = std::string(sb.data, sb.size).find("\x94\x98\x0a");
+	/* The number of the delta's base, 10, becomes nil. */
+	pos = std::string(sb.data, sb.size).find("\x94\x9a\x0a");
 	ASSERT_NE(pos, std::string::npos);
 	sb.data[pos + 2] = (char)0xc0;
 	msgpack_unpacked_init(&u);
@@ -111,7 +113,7 @@
 	ASSERT_TRUE(mesh_unpack_records(&u.data, &records));
 	r = list_entry(records.next, struct record, link);
 	EXPECT_EQ(r->delta, nullptr);
-	EXPECT_EQ(r->revision, 20u);
+	EXPECT_EQ(r->revision, revision_make(3, 20));
 	records_delete(&records);
 	msgpack_unpacked_destroy(&u);
 	msgpack_sbuffer_destroy(&sb);
--- a/tests/mesh_codec_test.cpp
+++ b/tests/mesh_codec_test.cpp
@@ -106,7 +106,7 @@
 	removed->removed = true;
 	config->u.manifest = manifest_new();
 	for (struct record *it : {card, map, removed, config}) {
-		it->revision = 8;
+		it->revision = revision_make(2, 8);
 		list_push_back(&m->u.changes.records, &it->link);
 	}
 	wire_encode_message(m, &b);
@@ -116,7 +116,7 @@
 	EXPECT_EQ(decoded->u.changes.to, 9u);
 	r = list_entry(decoded->u.changes.records.next, struct record, link);
 	EXPECT_STREQ(r->u.card.peer_addr, "10.0.0.1:7");
-	EXPECT_EQ(r->revision, 8u);
+	EXPECT_EQ(r->revision, revision_make(2, 8));
 	r = list_entry(r->link.next, struct record, link);
 	EXPECT_EQ(keymap_find(r->u.keymap, 99)->fence, 12u);
 	r = list_entry(r->link.next, struct record, link);
@@ -131,3 +131,56 @@
 	free(b.data);
 	message_delete(m);
 }
+
+/* The records of a build whose revisions have no era. */
+TEST(MeshCodec, ARecordHeaderWithoutAnEraIsOfEraZero)
+{
+	static const struct pack_field fields[] = {
+		PACK_ENUM_OF(struct record, kind, RECORD_KIND_COUNT),
+		PACK_STR_OF(struct record, name),
+		PACK_U64_OF(struct record, revision),
+		PACK_BOOL_OF(struct record, removed),
+		PACK_BOOL_OF(struct record, invalid),
+	};
+	static const struct pack_table old_table = PACK_TABLE(fields);
+	struct record *r = record_new(RECORD_EVACUATION, "dc1");
+	struct record old = {};
+	struct list records;
+	msgpack_sbuffer sb;
+	msgpack_packer pk;
+	msgpack_unpacked u;
+	size_t off = 0;
+
+	r->revision = revision_make(4, 8);
+	list_init(&records);
+	msgpack_sbuffer_init(&sb);
+	msgpack_packer_init(&pk, &sb, msgpack_sbuffer_write);
+	msgpack_pack_array(&pk, 1);
+	msgpack_pack_array(&pk, 2);
+	r->revision = 8;
+	pack_struct(&pk, r, &old_table);
+	msgpack_pack_nil(&pk);
+	msgpack_unpacked_init(&u);
+	ASSERT_EQ(msgpack_unpack_next(&u, sb.data, sb.size, &off),
+		  MSGPACK_UNPACK_SUCCESS);
+	EXPECT_TRUE(mesh_unpack_records(&u.data, &records));
+	EXPECT_EQ(list_entry(records.next, struct record, link)->revision, 8u);
+	records_delete(&records);
+	msgpack_unpacked_destroy(&u);
+	msgpack_sbuffer_clear(&sb);
+	/* And the other way round. */
+	r->revision = revision_make(4, 8);
+	list_init(&records);
+	list_push_back(&records, &r->link);
+	mesh_pack_records(&pk, &records);
+	msgpack_unpacked_init(&u);
+	off = 0;
+	ASSERT_EQ(msgpack_unpack_next(&u, sb.data, sb.size, &off),
+		  MSGPACK_UNPACK_SUCCESS);
+	EXPECT_TRUE(unpack_struct(unpack_at(unpack_at(&u.data, 0), 0), &old,
+				  &old_table));
+	EXPECT_EQ(old.revision, 8u);
+	msgpack_unpacked_destroy(&u);
+	msgpack_sbuffer_destroy(&sb);
+	records_delete(&records);
+}
--- a/wire/codec.c
+++ b/wire/codec.c
@@ -88,38 +88,45 @@
 	PACK_U64_OF(struct msg_answer, id.counter),
 	PACK_U32_OF(struct msg_answer, attempt),
 	PACK_ENUM_OF(struct msg_answer, outcome, OUTCOME_COUNT),
-	PACK_U64_OF(struct msg_answer, revision),
+	PACK_NUMBER_OF(struct msg_answer, revision),
 	PACK_ENUM_OF(struct msg_answer, refusal, REFUSAL_COUNT),
 	PACK_U64_OF(struct msg_answer, retry_after_ns),
 	PACK_GATE_LOAD(struct msg_answer),
 	PACK_BOOL_OF(struct msg_answer, internal_route),
+	PACK_ERA_OF(struct msg_answer, revision),
 };
 
 static const struct pack_field load_fields[] = {
 	PACK_STR_OF(struct msg_load, node),
 	PACK_U64_OF(struct msg_load, sent_ns),
-	PACK_U64_OF(struct msg_load, revision),
+	PACK_NUMBER_OF(struct msg_load, revision),
 	PACK_BOOL_OF(struct msg_load, leaving),
 	PACK_BOOL_OF(struct msg_load, watches),
 	PACK_BOOL_OF(struct msg_load, wants_report),
 	PACK_GATE_LOAD(struct msg_load),
+	PACK_ERA_OF(struct msg_load, revision),
+	PACK_U64_OF(struct msg_load, manifest_version),
 };
 
 static const struct pack_field renew_fields[] = {
 	PACK_U64_OF(struct msg_renew, lease),
 	PACK_U64_OF(struct msg_renew, sent_ns),
 	PACK_STR_OF(struct msg_renew, reply_to),
+	PACK_U64_OF(struct msg_renew, era),
 };
 
 static const struct pack_field renewed_fields[] = {
 	PACK_U64_OF(struct msg_renewed, lease),
 	PACK_U64_OF(struct msg_renewed, sent_ns),
 	PACK_BOOL_OF(struct msg_renewed, ended),
+	PACK_U64_OF(struct msg_renewed, era),
 };
 
 static const struct pack_field changes_fields[] = {
-	PACK_U64_OF(struct msg_changes, from),
-	PACK_U64_OF(struct msg_changes, to),
+	PACK_NUMBER_OF(struct msg_changes, from),
+	PACK_NUMBER_OF(struct msg_changes, to),
+	PACK_ERA_OF(struct msg_changes, from),
+	PACK_ERA_OF(struct msg_changes, to),
 };
 
 static const struct pack_field cancel_fields[] = {
@@ -136,12 +143,12 @@
 	[MSG_RELEASE] = PACK_TABLE(release_fields),
 	[MSG_HOT_KEYS] = PACK_TABLE(hot_keys_fields),
 	[MSG_FORWARD] = PACK_TABLE(forward_fields),
-	[MSG_ANSWER] = PACK_TABLE(answer_fields),
+	[MSG_ANSWER] = PACK_TABLE_WITH_OPTIONAL(answer_fields, 1),
 	[MSG_CANCEL] = PACK_TABLE(cancel_fields),
-	[MSG_LOAD] = PACK_TABLE(load_fields),
-	[MSG_RENEW] = PACK_TABLE(renew_fields),
-	[MSG_RENEWED] = PACK_TABLE(renewed_fields),
-	[MSG_CHANGES] = PACK_TABLE(changes_fields),
+	[MSG_LOAD] = PACK_TABLE_WITH_OPTIONAL(load_fields, 2),
+	[MSG_RENEW] = PACK_TABLE_WITH_OPTIONAL(renew_fields, 1),
+	[MSG_RENEWED] = PACK_TABLE_WITH_OPTIONAL(renewed_fields, 1),
+	[MSG_CHANGES] = PACK_TABLE_WITH_OPTIONAL(changes_fields, 2),
 };
 
 static void pack_payload(msgpack_packer *pk, const struct payload *p)
--- a/wire/manifest_codec.c
+++ b/wire/manifest_codec.c
@@ -15,16 +15,19 @@
 };
 
 static const struct pack_field delta_fields[] = {
-	PACK_U64_OF(struct manifest_delta, base),
-	PACK_U64_OF(struct manifest_delta, revision),
+	PACK_NUMBER_OF(struct manifest_delta, base),
+	PACK_NUMBER_OF(struct manifest_delta, revision),
 	PACK_U64_OF(struct manifest_delta, version),
 	PACK_U64_OF(struct manifest_delta, digest),
 	PACK_U64_OF(struct manifest_delta, limits.header_bytes),
 	PACK_U64_OF(struct manifest_delta, limits.body_bytes),
 	PACK_U64_OF(struct manifest_delta, limits.header_timeout_ms),
 	PACK_U64_OF(struct manifest_delta, limits.idle_timeout_ms),
+	PACK_ERA_OF(struct manifest_delta, base),
+	PACK_ERA_OF(struct manifest_delta, revision),
 };
-static const struct pack_table delta_table = PACK_TABLE(delta_fields);
+static const struct pack_table delta_table =
+	PACK_TABLE_WITH_OPTIONAL(delta_fields, 2);
 
 static const struct pack_field route_fields[] = {
 	PACK_STR_OF(struct route, name),
--- a/wire/mesh_codec.c
+++ b/wire/mesh_codec.c
@@ -193,11 +193,13 @@
 static const struct pack_field record_fields[] = {
 	PACK_ENUM_OF(struct record, kind, RECORD_KIND_COUNT),
 	PACK_STR_OF(struct record, name),
-	PACK_U64_OF(struct record, revision),
+	PACK_NUMBER_OF(struct record, revision),
 	PACK_BOOL_OF(struct record, removed),
 	PACK_BOOL_OF(struct record, invalid),
+	PACK_ERA_OF(struct record, revision),
 };
-static const struct pack_table record_table = PACK_TABLE(record_fields);
+static const struct pack_table record_table =
+	PACK_TABLE_WITH_OPTIONAL(record_fields, 1);
 
 static bool has_content(const struct record *r)
 {
--- a/wire/pack.c
+++ b/wire/pack.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include "core/mem.h"
+#include "core/types.h"
 
 void pack_str(msgpack_packer *pk, const char *s)
 {
@@ -36,6 +37,13 @@
 	case PACK_STR:
 		pack_str(pk, p);
 		break;
+	case PACK_NUMBER:
+		msgpack_pack_uint64(pk,
+				    revision_number(*(const revision_t *)p));
+		break;
+	case PACK_ERA:
+		msgpack_pack_uint64(pk, revision_era(*(const revision_t *)p));
+		break;
 	}
 }
 
@@ -94,6 +102,12 @@
 			return false;
 		*(int *)p = (int)v;
 		return true;
+	case PACK_NUMBER:
+		*(revision_t *)p = v;
+		return v <= REVISION_NUMBER_MAX;
+	case PACK_ERA:
+		*(revision_t *)p = revision_make(v, *(revision_t *)p);
+		return v <= REVISION_ERA_MAX;
 	case PACK_STR:
 		break;
 	}
@@ -104,9 +118,9 @@
 		   const struct pack_table *t)
 {
 	if (!o || o->type != MSGPACK_OBJECT_ARRAY ||
-	    o->via.array.size < t->count)
+	    o->via.array.size < t->required)
 		return false;
-	for (size_t i = 0; i < t->count; i++)
+	for (size_t i = 0; i < t->count && i < o->via.array.size; i++)
 		if (!unpack_value(&o->via.array.ptr[i],
 				  (char *)obj + t->fields[i].offset,
 				  &t->fields[i]))
--- a/wire/pack.h
+++ b/wire/pack.h
@@ -12,8 +12,10 @@
 	PACK_U64,
 	PACK_U32,
 	PACK_BOOL,
-	PACK_ENUM, /* an int; limit is the first invalid value */
-	PACK_STR,  /* a char array; limit is its size in bytes */
+	PACK_ENUM,   /* an int; limit is the first invalid value */
+	PACK_STR,    /* a char array; limit is its size in bytes */
+	PACK_NUMBER, /* a revision_t without its era */
+	PACK_ERA,    /* the era of a revision_t; follows its PACK_NUMBER */
 };
 
 struct pack_field {
@@ -25,6 +27,8 @@
 struct pack_table {
 	const struct pack_field *fields;
 	size_t count;
+	/* The fields after these were added later: they may be missing. */
+	size_t required;
 };
 
 #define PACK_U64_OF(type, member)                                              \
@@ -47,9 +51,21 @@
 	{                                                                      \
 		PACK_STR, offsetof(type, member), sizeof(((type *)0)->member)  \
 	}
-#define PACK_TABLE(fields)                                                     \
+/* Two fields of one revision: other builds know only its number. */
+#define PACK_NUMBER_OF(type, member)                                           \
 	{                                                                      \
-		fields, sizeof(fields) / sizeof(*(fields))                     \
+		PACK_NUMBER, offsetof(type, member), 0                         \
+	}
+#define PACK_ERA_OF(type, member)                                              \
+	{                                                                      \
+		PACK_ERA, offsetof(type, member), 0                            \
+	}
+#define PACK_TABLE(fields) PACK_TABLE_WITH_OPTIONAL(fields, 0)
+/* The last @n fields are optional. */
+#define PACK_TABLE_WITH_OPTIONAL(fields, n)                                    \
+	{                                                                      \
+		fields, sizeof(fields) / sizeof(*(fields)),                    \
+			sizeof(fields) / sizeof(*(fields)) - (n)               \
 	}
 
 /** Packs the fields of @obj as one array, in the table's order. */
@@ -57,7 +73,8 @@
 		 const struct pack_table *t);
 /**
  * Fills @obj; false if @o is no array or a field is missing or invalid, then
- * with part of the fields. Items after the table's last field are ignored.
+ * with part of the fields. Optional fields that are missing stay as they are in
+ * @obj. Items after the table's last field are ignored.
  */
 bool unpack_struct(const msgpack_object *o, void *obj,
 		   const struct pack_table *t);
