Directory orders records by the store's era, manifests by version

A revision has the era in its upper bits now; revisions of other nodes without one count as of the receiver's era (directory_order). Manifests are ordered by the operators' version: an equal one only moves the revision that deltas apply to, an older one is noted as read (manifest_seen) and never taken. Load reports carry the version in force: a node that knows of a later one answers old_manifest where it would answer 404, and does not become ready if it never was. An evacuation that the first reads of a new era lack is kept until the era is settled, then a read decides.

Ruled out: comparing with a reset of all revisions at a new era; a late answer of the earlier era would then pass for newer.

directory_test: ARestoredOlderVersionIsNotTakenNorReadAgain, AnEvacuationLostByTheStoreEndsOnlyWhenTheEraIsSettled and AnotherNodesNewerVersionMakesTheManifestOutdated fail on the code before.

--- a/core/directory.c
+++ b/core/directory.c
@@ -114,15 +114,53 @@
 	return NULL;
 }
 
+bool directory_note_era(struct directory *d, uint64_t era, uint64_t settled_ns)
+{
+	if (era <= d->era)
+		return false;
+	d->era = era;
+	d->era_settled_ns = settled_ns;
+	return true;
+}
+
+bool directory_settled(const struct directory *d, uint64_t now_ns)
+{
+	return now_ns >= d->era_settled_ns;
+}
+
+revision_t directory_order(const struct directory *d, revision_t r)
+{
+	return r && !revision_era(r) ? revision_make(d->era, r) : r;
+}
+
+/* Of the newest document read, which the one in force may have refused. */
+static revision_t newest_manifest_read(const struct directory *d)
+{
+	return d->manifest_seen > d->manifest_revision ? d->manifest_seen
+						       : d->manifest_revision;
+}
+
+void directory_note_version(struct directory *d, uint64_t version)
+{
+	if (version > d->manifest_version_known)
+		d->manifest_version_known = version;
+}
+
+bool directory_version_behind(const struct directory *d)
+{
+	return d->manifest && d->manifest->version < d->manifest_version_known;
+}
+
 bool directory_manifest_outdated(const struct directory *d)
 {
-	return d->manifest_revision < d->manifest_wanted ||
-	       d->manifest_revision < d->manifest_invalid;
+	return newest_manifest_read(d) < d->manifest_wanted ||
+	       d->manifest_revision < d->manifest_invalid ||
+	       directory_version_behind(d);
 }
 
 bool directory_wants_manifest(const struct directory *d)
 {
-	return d->manifest_revision < d->manifest_wanted &&
+	return newest_manifest_read(d) < d->manifest_wanted &&
 	       d->manifest_invalid < d->manifest_wanted;
 }
 
@@ -134,25 +172,29 @@
 static void apply_manifest(struct directory *d, struct record *r,
 			   struct mesh_actions *out)
 {
-	if (r->removed || r->revision <= d->manifest_revision)
+	if (r->removed || r->revision <= newest_manifest_read(d))
 		return;
-	d->manifest_revision = r->revision;
+	d->manifest_seen = r->revision;
 	if (d->manifest && r->u.manifest->version < d->manifest->version) {
 		mesh_log(out, LOG_WARN,
 			 "event=config_refused why=older version=%lu "
-			 "in_force=%lu",
+			 "in_force=%lu revision=" REVISION_FMT,
 			 (unsigned long)r->u.manifest->version,
-			 (unsigned long)d->manifest->version);
+			 (unsigned long)d->manifest->version,
+			 REVISION_ARGS(r->revision));
 		return;
 	}
+	d->manifest_revision = r->revision;
+	if (d->manifest && r->u.manifest->version == d->manifest->version)
+		return;
 	manifest_delete(d->manifest);
 	d->manifest = r->u.manifest;
 	r->u.manifest = NULL;
 	manifest_build_index(d->manifest);
 	mesh_log(out, LOG_INFO,
-		 "event=config_in_force version=%lu revision=%lu",
+		 "event=config_in_force version=%lu revision=" REVISION_FMT,
 		 (unsigned long)d->manifest->version,
-		 (unsigned long)r->revision);
+		 REVISION_ARGS(r->revision));
 	mesh_actions_add(out, MA_LIMITS)->u.limits = d->manifest->limits;
 }
 
@@ -161,6 +203,8 @@
 {
 	struct dir_evacuation *e = find_evacuation(d, r->name);
 
+	if (e && !r->removed && r->revision > e->revision)
+		e->revision = r->revision;
 	if (r->removed == !e)
 		return;
 	if (r->removed) {
@@ -169,11 +213,13 @@
 	} else {
 		e = mem_new(struct dir_evacuation);
 		mem_copy_str(e->name, r->name, sizeof(e->name));
+		e->revision = r->revision;
 		list_push_back(&d->evacuated, &e->link);
 	}
 	mesh_log(out, LOG_INFO,
-		 "event=data_centre_state data_centre=%s out=%d revision=%lu",
-		 r->name, !r->removed, (unsigned long)r->revision);
+		 "event=data_centre_state data_centre=%s out=%d "
+		 "revision=" REVISION_FMT,
+		 r->name, !r->removed, REVISION_ARGS(r->revision));
 }
 
 static struct dir_node *find_or_add_node(struct directory *d, const char *name)
@@ -252,8 +298,8 @@
 	if (r->invalid) {
 		mesh_log(out, LOG_WARN,
 			 "event=record_ignored why=invalid kind=%d name=%s "
-			 "revision=%lu",
-			 r->kind, r->name, (unsigned long)r->revision);
+			 "revision=" REVISION_FMT,
+			 r->kind, r->name, REVISION_ARGS(r->revision));
 		if (r->kind == RECORD_MANIFEST &&
 		    r->revision > d->manifest_invalid)
 			d->manifest_invalid = r->revision;
@@ -288,15 +334,25 @@
 	return false;
 }
 
-/* A read does not report removals: a record missing from it was removed. */
+/*
+ * A read does not report removals: a record missing from it was removed, or
+ * lost with the end of an era. In a new one the operators get time to write it
+ * again.
+ */
 static void drop_unlisted_evacuations(struct directory *d,
-				      const struct list *records)
+				      const struct list *records,
+				      revision_t revision, uint64_t now_ns)
 {
 	struct dir_evacuation *e, *et;
 
 	list_for_each_entry_safe(e, et, &d->evacuated, link) {
 		if (is_listed(records, RECORD_EVACUATION, e->name))
 			continue;
+		if (revision_era(e->revision) < revision_era(revision) &&
+		    !directory_settled(d, now_ns)) {
+			d->evacuations_kept = true;
+			continue;
+		}
 		list_remove(&e->link);
 		free(e);
 	}
@@ -330,7 +386,8 @@
 	if (complete && revision < d->revision)
 		return;
 	if (complete) {
-		drop_unlisted_evacuations(d, records);
+		d->evacuations_kept = false;
+		drop_unlisted_evacuations(d, records, revision, now_ns);
 		drop_unlisted_cards(d, records, revision, now_ns);
 	}
 	list_for_each_entry(r, records, link)
@@ -361,6 +418,7 @@
 	struct dir_node *n = l->node[0] ? directory_node(d, l->node)
 					: directory_by_boot(d, from);
 
+	directory_note_version(d, l->manifest_version);
 	if (!n)
 		return NULL;
 	if (n->boot != from) {
--- a/core/directory.h
+++ b/core/directory.h
@@ -77,15 +77,22 @@
 struct dir_evacuation {
 	struct list link;
 	char name[JD_NODE_NAME_MAX];
+	revision_t revision; /* at which the store last had it */
 };
 
 struct directory {
-	bool loaded;		   /* a complete read was applied */
-	revision_t revision;	   /* all changes up to this one were applied */
-	struct manifest *manifest; /* NULL until one was read */
-	revision_t manifest_revision;
-	revision_t manifest_wanted;  /* of the newest one known to exist */
-	revision_t manifest_invalid; /* of the newest one that isn't valid */
+	bool loaded;	     /* a complete read was applied */
+	revision_t revision; /* all changes up to this one were applied */
+	uint64_t era;	     /* highest that the store has stated */
+	/* By then all authority over keys from earlier eras has ended. */
+	uint64_t era_settled_ns;
+	bool evacuations_kept;	      /* some that this era's store lacks */
+	struct manifest *manifest;    /* NULL until one was read */
+	revision_t manifest_revision; /* of the one in force */
+	revision_t manifest_seen;     /* of the newest one, even if older */
+	revision_t manifest_wanted;   /* of the newest one known to exist */
+	revision_t manifest_invalid;  /* of the newest one that isn't valid */
+	uint64_t manifest_version_known; /* newest that another node has */
 	revision_t peer_revision; /* the highest that another node reported */
 	struct list nodes;	  /* of struct dir_node */
 	struct list keymaps;	  /* of struct dir_keymap */
@@ -101,6 +108,27 @@
 void directory_init(struct directory *d, const char *region);
 void directory_done(struct directory *d);
 
+/**
+ * Notes the era that an answer of the store states. Returns true if it has
+ * risen; what was granted in earlier eras has then ended by @settled_ns.
+ */
+bool directory_note_era(struct directory *d, uint64_t era, uint64_t settled_ns);
+
+/** True when no authority over keys from an earlier era is left. */
+bool directory_settled(const struct directory *d, uint64_t now_ns);
+
+/**
+ * The revision @r of another node's message, in this node's order: one without
+ * an era is taken to be of the present one.
+ */
+revision_t directory_order(const struct directory *d, revision_t r);
+
+/** Notes that another node has a manifest of @version. */
+void directory_note_version(struct directory *d, uint64_t version);
+
+/** True when another node is known to have a later version in force. */
+bool directory_version_behind(const struct directory *d);
+
 /**
  * Applies records of a watch or, if @complete, of a read of all records: one
  * missing from @records was then removed. Records older than the known ones
--- a/core/mesh.c
+++ b/core/mesh.c
@@ -57,9 +57,16 @@
 	free(m);
 }
 
+/*
+ * A store that came back from an older copy may show an older manifest than
+ * other nodes have in force: a new process must not begin with that one.
+ */
 bool mesh_ready(const struct mesh *m)
 {
-	return m->stop == MESH_RUNS && m->ctx.dir.loaded && m->ctx.dir.manifest;
+	const struct directory *d = &m->ctx.dir;
+
+	return m->stop == MESH_RUNS && d->loaded && d->manifest &&
+	       (m->was_ready || !directory_version_behind(d));
 }
 
 static struct local_gate local_gate(struct mesh *m)
@@ -362,6 +369,7 @@
 	m->ctx.out = out;
 	dispatch_event(m, ev);
 	work(m);
+	m->was_ready |= mesh_ready(m);
 }
 
 /* Lowers @next to @at if that is earlier. */
--- a/core/mesh.h
+++ b/core/mesh.h
@@ -26,6 +26,7 @@
 	struct keyplan keyplan;
 	struct gatekeeper gate;
 	struct dispatch dispatch;
+	bool was_ready; /* it has accepted callers' requests */
 	enum mesh_stop stop;
 	uint64_t close_ns;  /* MESH_CLOSED begins */
 	uint64_t refuse_ns; /* callers' requests are refused from then on */
--- a/core/reports.c
+++ b/core/reports.c
@@ -34,6 +34,8 @@
 	l->leaving = s->leaving;
 	l->watches = s->watches;
 	l->wants_report = n->probe_due;
+	if (c->dir.manifest)
+		l->manifest_version = c->dir.manifest->version;
 	gatekeeper_fill_load(s->gate, c, s->holder, &l->load);
 	mesh_send(c, n->boot, n->card.peer_addr, msg);
 	n->load_sent_ns = c->now_ns;
--- a/tests/directory_test.cpp
+++ b/tests/directory_test.cpp
@@ -107,6 +107,96 @@
 	EXPECT_FALSE(directory_manifest_outdated(&d));
 }
 
+/*
+ * Guards against CONFIG after the store came back from an older copy: its
+ * revisions are given out again, so that the newer version has the smaller one.
+ */
+TEST_F(DirectoryTest, ANewerVersionOfALaterEraIsTakenAtASmallerRevision)
+{
+	add_config(11, revision_make(1, 19));
+	apply(true, revision_make(1, 19));
+	add_config(14, revision_make(2, 15));
+	apply(true, revision_make(2, 16));
+	EXPECT_EQ(d.manifest->version, 14u);
+	EXPECT_EQ(d.revision, revision_make(2, 16));
+	/* A late answer of the earlier era changes nothing. */
+	add_config(12, revision_make(1, 25));
+	apply(true, revision_make(1, 25));
+	EXPECT_EQ(d.manifest->version, 14u);
+	EXPECT_EQ(d.revision, revision_make(2, 16));
+}
+
+TEST_F(DirectoryTest, ARestoredOlderVersionIsNotTakenNorReadAgain)
+{
+	add_config(11, revision_make(1, 19));
+	apply(true, revision_make(1, 19));
+	d.manifest_wanted = revision_make(2, 14);
+	EXPECT_TRUE(directory_wants_manifest(&d));
+	add_config(4, revision_make(2, 14));
+	apply(true, revision_make(2, 15));
+	EXPECT_EQ(d.manifest->version, 11u);
+	/* Deltas apply to the manifest in force. */
+	EXPECT_EQ(d.manifest_revision, revision_make(1, 19));
+	EXPECT_FALSE(directory_wants_manifest(&d));
+	EXPECT_FALSE(directory_manifest_outdated(&d));
+	/* The operators write the one in force again. */
+	add_config(11, revision_make(2, 16));
+	apply(false, revision_make(2, 16));
+	EXPECT_EQ(d.manifest_revision, revision_make(2, 16));
+}
+
+TEST_F(DirectoryTest, AnotherNodesNewerVersionMakesTheManifestOutdated)
+{
+	struct msg_load l = {};
+
+	add_config(4, revision_make(2, 14));
+	apply(true, revision_make(2, 15));
+	l.manifest_version = 4;
+	directory_on_load_report(&d, 77, &l, NS_PER_S);
+	EXPECT_FALSE(directory_manifest_outdated(&d));
+	l.manifest_version = 11;
+	directory_on_load_report(&d, 77, &l, NS_PER_S);
+	EXPECT_TRUE(directory_manifest_outdated(&d));
+	EXPECT_FALSE(directory_wants_manifest(&d)) << "the store lacks it";
+	add_config(12, revision_make(2, 16));
+	apply(false, revision_make(2, 16));
+	EXPECT_FALSE(directory_manifest_outdated(&d));
+}
+
+TEST_F(DirectoryTest, AnEvacuationLostByTheStoreEndsOnlyWhenTheEraIsSettled)
+{
+	add(RECORD_EVACUATION, "dc", revision_make(1, 18));
+	add(RECORD_EVACUATION, "dc2", revision_make(1, 5));
+	apply(true, revision_make(1, 19));
+	directory_note_era(&d, 2, 7 * NS_PER_S);
+	add(RECORD_EVACUATION, "dc2", revision_make(2, 5));
+	apply(true, revision_make(2, 15));
+	EXPECT_TRUE(directory_dc_evacuated(&d, "dc"));
+	EXPECT_TRUE(d.evacuations_kept);
+	/* One that the new era has shown ends as ever. */
+	add(RECORD_EVACUATION, "dc2", revision_make(2, 16))->removed = true;
+	apply(false, revision_make(2, 16));
+	EXPECT_FALSE(directory_dc_evacuated(&d, "dc2"));
+	directory_apply(&d, &records, true, revision_make(2, 17), 7 * NS_PER_S,
+			&out);
+	EXPECT_FALSE(directory_dc_evacuated(&d, "dc"));
+	EXPECT_FALSE(d.evacuations_kept);
+}
+
+TEST_F(DirectoryTest, AnEvacuationWrittenAgainInTheNewEraIsKept)
+{
+	add(RECORD_EVACUATION, "dc", revision_make(1, 18));
+	apply(true, revision_make(1, 19));
+	directory_note_era(&d, 2, 7 * NS_PER_S);
+	apply(true, revision_make(2, 15));
+	add(RECORD_EVACUATION, "dc", revision_make(2, 16));
+	apply(false, revision_make(2, 16));
+	add(RECORD_EVACUATION, "dc", revision_make(2, 16));
+	directory_apply(&d, &records, true, revision_make(2, 17), 8 * NS_PER_S,
+			&out);
+	EXPECT_TRUE(directory_dc_evacuated(&d, "dc"));
+}
+
 TEST_F(DirectoryTest, RecordsMissingFromACompleteReadAreRemoved)
 {
 	add_card("a", 3);
