Session registers anew when the store's era rises

A restored store has lost leases and gives their ids out again: a renewal that it confirms may be of another node's lease, and this node's authority would count on. A watch from a revision that the new history has passed is answered without the changes before it.

Any answer of a later era ends the lease, the watch and the write of the card in progress; the node reads all records, gets a lease, writes its card without a condition of the earlier era, and reads after registering, spread over 5 ms a node, at most 2 s. Answers of an earlier era than the present one count as none.

--- a/core/mesh.c
+++ b/core/mesh.c
@@ -114,7 +114,8 @@
 {
 	struct act_store_call *a;
 
-	if (m->ctx.store_down)
+	/* In another era the store has given its id to another node. */
+	if (m->ctx.store_down || (r->era && r->era != m->ctx.dir.era))
 		return;
 	for (int i = 0; i < PEER_RENEWALS_MAX; i++) {
 		if (m->peer_renewal_op[i])
@@ -138,10 +139,14 @@
 		m->peer_renewal_op[i] = 0;
 		if (e->end != STORE_DONE && e->end != STORE_NO_LEASE)
 			return true;
+		if (m->peer_renewals[i].era &&
+		    m->peer_renewals[i].era != e->era)
+			return true;
 		msg = message_new(MSG_RENEWED);
 		msg->u.renewed.lease = m->peer_renewals[i].lease;
 		msg->u.renewed.sent_ns = m->peer_renewals[i].sent_ns;
 		msg->u.renewed.ended = e->end == STORE_NO_LEASE;
+		msg->u.renewed.era = e->era;
 		mesh_send(&m->ctx, m->peer_renewal_to[i],
 			  m->peer_renewals[i].reply_to, msg);
 		return true;
@@ -196,6 +201,7 @@
 static void on_store(struct mesh *m, struct ev_store_end *e)
 {
 	session_note_call_end(&m->session, &m->ctx, e->end);
+	session_note_era(&m->session, &m->ctx, e);
 	if (!session_on_end(&m->session, &m->ctx, e) &&
 	    !holder_on_end(&m->holder, &m->ctx, e) &&
 	    !keyplan_on_end(&m->keyplan, &m->ctx, e))
--- a/core/session.c
+++ b/core/session.c
@@ -36,6 +36,15 @@
 #define WATCHER_CHECK_NS	(200 * NS_PER_MS)
 /* Renewals within one lease time. */
 #define RENEWALS_PER_LEASE	6
+/* Clocks of two nodes may differ by this part of a lease's time. */
+#define LEASE_DRIFT_DIVISOR	50
+#define ERA_SETTLE_MARGIN_NS	(100 * NS_PER_MS)
+/*
+ * When the store comes back from an older copy, all nodes of a fleet read and
+ * register at once: each starts at random within this time for each node.
+ */
+#define RESTORED_PER_NODE_NS	(5 * NS_PER_MS)
+#define RESTORED_SPREAD_MAX_NS	(2 * NS_PER_S)
 
 void session_init(struct session *s, const struct mesh_opts *o)
 {
@@ -74,6 +83,71 @@
 	s->lease_new.next_ns = c->now_ns;
 }
 
+static uint64_t restored_delay_ns(struct mesh_ctx *c)
+{
+	const struct dir_node *n;
+	uint64_t spread_ns = 0;
+
+	list_for_each_entry(n, &c->dir.nodes, link)
+		spread_ns += RESTORED_PER_NODE_NS;
+	if (spread_ns > RESTORED_SPREAD_MAX_NS)
+		spread_ns = RESTORED_SPREAD_MAX_NS;
+	return spread_ns ? rng_next(&c->rng) % spread_ns : 0;
+}
+
+/* Calls in progress are ignored: their answers would be of another history. */
+static void restart_in_era(struct session *s, struct mesh_ctx *c)
+{
+	uint64_t start_ns = c->now_ns + restored_delay_ns(c);
+
+	s->want_read_all = true;
+	s->want_changes = false;
+	s->card_revision = 0;
+	s->watch.op = 0;
+	s->put.op = 0;
+	s->watch.next_ns = start_ns;
+	s->put.next_ns = start_ns;
+	s->read.next_ns = start_ns;
+	s->behind_since_ns = 0;
+	if (!s->lease)
+		return;
+	lose_lease(s, c, "store_restored");
+	s->keep.op = 0;
+	s->lease_new.next_ns = start_ns;
+}
+
+static bool executed(enum store_end end)
+{
+	return end != STORE_REFUSED && end != STORE_NO_ANSWER;
+}
+
+bool session_note_era(struct session *s, struct mesh_ctx *c,
+		      struct ev_store_end *e)
+{
+	struct directory *d = &c->dir;
+	uint64_t before = d->era;
+	bool first = !before && !d->loaded && !s->lease;
+	uint64_t lease_ns = c->opts->lease_ns;
+	uint64_t settled_ns = c->now_ns + lease_ns +
+			      lease_ns / LEASE_DRIFT_DIVISOR +
+			      ERA_SETTLE_MARGIN_NS;
+	bool risen = directory_note_era(d, e->era, settled_ns) && !first;
+
+	if (risen) {
+		mesh_log(c->out, LOG_WARN,
+			 "event=store_restored era=%lu before=%lu "
+			 "revision=" REVISION_FMT,
+			 (unsigned long)e->era, (unsigned long)before,
+			 REVISION_ARGS(d->revision));
+		restart_in_era(s, c);
+	}
+	if (e->era != d->era && executed(e->end)) {
+		e->end = STORE_NO_ANSWER;
+		records_delete(&e->records);
+	}
+	return risen;
+}
+
 static void apply_read(struct session *s, struct mesh_ctx *c,
 		       struct ev_store_end *e)
 {
@@ -110,8 +184,9 @@
 	s->read.next_ns = c->now_ns + READ_INTERVAL_NS;
 	apply_read(s, c, e);
 	if (first && c->dir.loaded)
-		mesh_log(c->out, LOG_INFO, "event=store_read revision=%lu",
-			 (unsigned long)e->revision);
+		mesh_log(c->out, LOG_INFO,
+			 "event=store_read revision=" REVISION_FMT,
+			 REVISION_ARGS(e->revision));
 }
 
 static uint64_t watch_pause_ns(const struct session *s,
@@ -145,8 +220,9 @@
 		break;
 	case STORE_NO_HISTORY:
 		mesh_log(c->out, LOG_INFO,
-			 "event=watch_restarted why=no_history revision=%lu",
-			 (unsigned long)c->dir.revision);
+			 "event=watch_restarted why=no_history "
+			 "revision=" REVISION_FMT,
+			 REVISION_ARGS(c->dir.revision));
 		s->want_read_all = true;
 		s->watch.next_ns = c->now_ns;
 		break;
@@ -172,6 +248,7 @@
 	}
 	s->lease_retry_delay_ns = 0;
 	s->lease = e->lease;
+	s->lease_era = c->dir.era;
 	s->lease_ttl_ns = e->ttl_ns;
 	s->lease_deadline_ns = s->lease_new.sent_ns + e->ttl_ns;
 	s->keep.next_ns = c->now_ns + e->ttl_ns / RENEWALS_PER_LEASE;
@@ -210,6 +287,7 @@
 	m = message_new(MSG_RENEW);
 	m->u.renew.lease = s->lease;
 	m->u.renew.sent_ns = c->now_ns;
+	m->u.renew.era = s->lease_era;
 	mem_copy_str(m->u.renew.reply_to, c->opts->peer_addr,
 		     sizeof(m->u.renew.reply_to));
 	mesh_send(c, best->boot, best->card.peer_addr, m);
@@ -237,7 +315,8 @@
 void session_on_renewed(struct session *s, struct mesh_ctx *c,
 			const struct msg_renewed *m)
 {
-	if (!s->lease || m->lease != s->lease)
+	/* Lease ids are given out again in another era. */
+	if (!s->lease || m->lease != s->lease || m->era != s->lease_era)
 		return;
 	if (m->ended) {
 		lose_lease(s, c, "ended");
@@ -257,9 +336,10 @@
 			s->want_read_own = true;
 			s->read.next_ns = c->now_ns;
 			mesh_log(c->out, LOG_INFO,
-				 "event=registered lease=%lu revision=%lu",
+				 "event=registered lease=%lu "
+				 "revision=" REVISION_FMT,
 				 (unsigned long)s->lease,
-				 (unsigned long)e->revision);
+				 REVISION_ARGS(e->revision));
 		}
 		break;
 	case STORE_NO_LEASE:
@@ -334,6 +414,7 @@
 void session_on_revision(struct session *s, struct mesh_ctx *c,
 			 revision_t revision)
 {
+	revision = directory_order(&c->dir, revision);
 	if (revision > c->dir.peer_revision)
 		c->dir.peer_revision = revision;
 	if (c->dir.peer_revision <= c->dir.revision) {
@@ -356,17 +437,21 @@
 static void on_manifest_change(struct mesh_ctx *c, const struct record *r)
 {
 	struct directory *d = &c->dir;
+	revision_t revision = directory_order(d, r->revision);
 	struct list records;
 	struct record *full;
 
-	if (r->removed || r->revision <= d->manifest_revision)
+	if (r->delta)
+		directory_note_version(d, r->delta->version);
+	if (r->removed || revision <= d->manifest_revision)
 		return;
-	if (r->revision > d->manifest_wanted)
-		d->manifest_wanted = r->revision;
-	if (!r->delta || !d->manifest || r->delta->base != d->manifest_revision)
+	if (revision > d->manifest_wanted)
+		d->manifest_wanted = revision;
+	if (!r->delta || !d->manifest ||
+	    directory_order(d, r->delta->base) != d->manifest_revision)
 		return;
 	full = record_new(RECORD_MANIFEST, r->name);
-	full->revision = r->revision;
+	full->revision = revision;
 	full->u.manifest = manifest_delta_apply(r->delta, d->manifest);
 	if (!full->u.manifest) {
 		mesh_log(c->out, LOG_WARN,
@@ -400,16 +485,26 @@
 void session_on_changes(struct session *s, struct mesh_ctx *c,
 			struct msg_changes *m)
 {
+	revision_t from = directory_order(&c->dir, m->from);
+	revision_t to = directory_order(&c->dir, m->to);
+	struct record *r;
+
 	if (!c->dir.loaded)
 		return;
 	extract_manifests(c, &m->records);
+	if (revision_era(to) > c->dir.era)
+		s->want_read_all = true;
 	/*
-	 * If changes before @m->from are missing, a later load report shows
-	 * that this node is behind, and it then reads from the store.
+	 * If changes before @from are missing, a later load report shows
+	 * that this node is behind, and it then reads from the store. Of
+	 * another era's changes nothing before them is known here.
 	 */
-	if (m->to <= c->dir.revision || m->from > c->dir.revision)
+	if (to <= c->dir.revision || from > c->dir.revision ||
+	    revision_era(to) != revision_era(c->dir.revision))
 		return;
-	directory_apply(&c->dir, &m->records, false, m->to, c->now_ns, c->out);
+	list_for_each_entry(r, &m->records, link)
+		r->revision = directory_order(&c->dir, r->revision);
+	directory_apply(&c->dir, &m->records, false, to, c->now_ns, c->out);
 }
 
 bool session_watches(const struct session *s, const struct mesh_ctx *c)
@@ -444,6 +539,9 @@
 
 	if (s->card_revision > known)
 		known = s->card_revision;
+	/* The directory has been read in this era, so it lacks the card. */
+	if (revision_era(known) != c->dir.era)
+		known = 0;
 	r->u.card = s->card;
 	list_push_back(&a->puts, &r->link);
 	a->lease = s->lease;
@@ -486,8 +584,15 @@
 	a->deadline_ns = c->now_ns + a->wait_ns + WATCH_DEADLINE_SLACK_NS;
 }
 
+/* The store now has all evacuations that the operators have written again. */
+static bool evacuations_due(const struct mesh_ctx *c)
+{
+	return c->dir.evacuations_kept && directory_settled(&c->dir, c->now_ns);
+}
+
 void session_work(struct session *s, struct mesh_ctx *c)
 {
+	s->want_read_all |= evacuations_due(c);
 	if (wants_any_read(s, c) && !c->store_down && due(&s->read, c->now_ns))
 		start_read(s, c);
 	if (!s->lease && due(&s->lease_new, c->now_ns))
@@ -518,6 +623,8 @@
 {
 	uint64_t next = UINT64_MAX;
 
+	if (c->dir.evacuations_kept && c->dir.era_settled_ns < next)
+		next = c->dir.era_settled_ns;
 	include_due(&next, &s->lease_new, !s->lease);
 	include_due(&next, &s->keep, s->lease != 0);
 	if (c->store_down)
--- a/core/session.h
+++ b/core/session.h
@@ -31,6 +31,7 @@
 	bool want_changes;  /* poll once, though other nodes watch for it */
 	uint32_t unanswered_watches; /* since the last one that was answered */
 	uint64_t lease;		     /* 0: none */
+	uint64_t lease_era;	     /* of the store when it gave the lease */
 	uint64_t lease_retry_delay_ns; /* before the next request for one */
 	uint64_t lease_ttl_ns;
 	uint64_t lease_deadline_ns; /* counts from when the renewal was sent */
@@ -59,6 +60,15 @@
 void session_note_call_end(struct session *s, struct mesh_ctx *c,
 			   enum store_end end);
 
+/**
+ * Notes the era of the store that answered any call. An answer of an earlier
+ * era than the present one becomes STORE_NO_ANSWER: it tells nothing of this
+ * era. Returns true if the era has risen: the node then registers anew and
+ * reads all records.
+ */
+bool session_note_era(struct session *s, struct mesh_ctx *c,
+		      struct ev_store_end *e);
+
 /** True if the call was made by this module. */
 bool session_on_end(struct session *s, struct mesh_ctx *c,
 		    struct ev_store_end *e);
