Keys keep one owner when the store comes back from an older copy

Two upstreams could hold one key, the second with a fence that isn't above the first one's.

All authority of an earlier era was confirmed before the restore. So each process waits for one lease time with clock drift after it first saw the era (era_settled_ns), and until then writes no keymap: nothing is dealt, adopted, balanced or moved. A row with a fence of an earlier era is granted only if it was granted by this process without a break when the era rose and the new era's keymap shows it with the same fence; its owner writes any other with a new fence when the era is settled. Fences of an era are above era << 32. A keymap with such a fence proves that its writer has waited, so a process that starts later need not. A keymap that the store lost is written again with new fences. Rows of a write of unknown result stay ungranted until a write of the new era.

The bytes of a granted row are counted with its fence, which has 10 digits and more now: 139 rows of one upstream fit into an answer, 155 before.

Ruled out: early moves of rows that are held across the restore; with any write before the era is settled a keymap would no longer prove that it is, and a late write of the earlier era could meet its revision again.

--- a/core/directory.c
+++ b/core/directory.c
@@ -128,6 +128,17 @@
 	return now_ns >= d->era_settled_ns;
 }
 
+uint64_t directory_fence_base(const struct directory *d)
+{
+	return keymap_fence_base(d->era);
+}
+
+bool directory_keymap_current(const struct directory *d,
+			      const struct dir_keymap *k)
+{
+	return revision_era(k->revision) == d->era;
+}
+
 revision_t directory_order(const struct directory *d, revision_t r)
 {
 	return r && !revision_era(r) ? revision_make(d->era, r) : r;
@@ -276,7 +287,7 @@
 	}
 }
 
-static void apply_keymap(struct directory *d, struct record *r)
+static void apply_keymap(struct directory *d, struct record *r, uint64_t now_ns)
 {
 	struct dir_keymap *k = find_keymap(d, r->name);
 
@@ -290,6 +301,11 @@
 	k->map = r->u.keymap;
 	k->revision = r->revision;
 	r->u.keymap = NULL;
+	/* Its writer has waited until the era was settled. */
+	if (directory_keymap_current(d, k) &&
+	    k->map->fence > directory_fence_base(d) &&
+	    !directory_settled(d, now_ns))
+		d->era_settled_ns = now_ns;
 }
 
 static void apply_record(struct directory *d, struct record *r, uint64_t now_ns,
@@ -316,7 +332,7 @@
 		apply_card(d, r, now_ns);
 		break;
 	case RECORD_KEYMAP:
-		apply_keymap(d, r);
+		apply_keymap(d, r, now_ns);
 		break;
 	case RECORD_KIND_COUNT:
 		break;
--- a/core/directory.h
+++ b/core/directory.h
@@ -117,6 +117,9 @@
 /** True when no authority over keys from an earlier era is left. */
 bool directory_settled(const struct directory *d, uint64_t now_ns);
 
+/** Fences that were given out in the present era are above this. */
+uint64_t directory_fence_base(const struct directory *d);
+
 /**
  * The revision @r of another node's message, in this node's order: one without
  * an era is taken to be of the present one.
@@ -153,6 +156,10 @@
 const struct dir_keymap *directory_keymap(const struct directory *d,
 					  const char *service);
 
+/** True if the store has shown @k in the present era. */
+bool directory_keymap_current(const struct directory *d,
+			      const struct dir_keymap *k);
+
 /** True when a newer manifest than the one in force is known to exist. */
 bool directory_manifest_outdated(const struct directory *d);
 
--- a/core/holder.c
+++ b/core/holder.c
@@ -11,8 +11,8 @@
 #define GRANT_MIN_NS		   (150 * NS_PER_MS)
 /* An answer may have 4096 bytes; further rows are left out of the grant. */
 #define GRANT_BYTES_MAX		   3900
-/* A row's two keys, fence and punctuation, without its handover. */
-#define GRANT_ROW_BYTES		   25
+/* A row's two keys and punctuation, without its fence and handover. */
+#define GRANT_ROW_BYTES		   18
 /* An announcement rarely takes longer than this to arrive. */
 #define ANNOUNCEMENT_TRANSIT_NS	   (100 * NS_PER_MS)
 #define WRITE_RETRY_NS		   (150 * NS_PER_MS)
@@ -37,6 +37,7 @@
 	list_init(&h->released);
 	list_init(&h->granted_previous);
 	list_init(&h->moving);
+	list_init(&h->carried);
 	h->earlier_grants_until_ns = now_ns + with_clock_drift(o->hold_max_ns);
 	h->heard_ns = now_ns;
 }
@@ -58,11 +59,16 @@
 	released_rows_delete(&h->released);
 	held_rows_delete(&h->granted_previous);
 	held_rows_delete(&h->moving);
+	held_rows_delete(&h->carried);
 }
 
+/* As the store's present era shows it; NULL if it has not yet. */
 static const struct dir_keymap *own_keymap(const struct mesh_ctx *c)
 {
-	return directory_keymap(&c->dir, c->opts->service);
+	const struct dir_keymap *k =
+		directory_keymap(&c->dir, c->opts->service);
+
+	return k && directory_keymap_current(&c->dir, k) ? k : NULL;
 }
 
 bool holder_leaving(const struct holder *h, const struct mesh_ctx *c)
@@ -161,18 +167,30 @@
 	return r->target[0] || holder_leaving(h, c);
 }
 
-/* The previous owner's handover is needed until the upstream has the row. */
-static bool upstream_has_row(const struct holder *h, const struct keyrow *r)
+/* True if a row of @rows with the fence of @r covers it. */
+static bool covers(const struct list *rows, const struct keyrow *r)
 {
 	const struct held_row *it;
 
-	list_for_each_entry(it, &h->held, link)
+	list_for_each_entry(it, rows, link)
 		if (it->from <= r->from && r->to <= it->to &&
 		    it->fence == r->fence)
 			return true;
 	return false;
 }
 
+/*
+ * A row that got its fence in an earlier era may have been moved since by a
+ * write that the store forgot, unless this node has held it throughout.
+ */
+static bool owner_certain(const struct holder *h, const struct mesh_ctx *c,
+			  const struct keyrow *r)
+{
+	uint64_t base = directory_fence_base(&c->dir);
+
+	return !base || r->fence > base || covers(&h->carried, r);
+}
+
 static void add_granted(struct list *rows, const struct keyrow *r)
 {
 	struct held_row *n = mem_new(struct held_row);
@@ -184,6 +202,15 @@
 	list_push_back(rows, &n->link);
 }
 
+static size_t decimal_digits(uint64_t n)
+{
+	size_t digits = 1;
+
+	while (n /= 10)
+		digits++;
+	return digits;
+}
+
 /*
  * Fills @rows with the rows that the upstream may hold and returns for how
  * long it may; 0 if no grant is possible now.
@@ -211,7 +238,8 @@
 		return 0;
 	list_for_each_entry(r, &k->map->rows, link) {
 		if (!holder_equal(&r->owner, &h->id) || must_release(h, c, r) ||
-		    overlaps(&h->moving, r->from, r->to))
+		    overlaps(&h->moving, r->from, r->to) ||
+		    !owner_certain(h, c, r))
 			continue;
 		if (bytes > GRANT_BYTES_MAX) {
 			rows_left_out++;
@@ -219,9 +247,11 @@
 		}
 		add_granted(rows, r);
 		last = list_entry(rows->prev, struct held_row, link);
-		if (upstream_has_row(h, r))
+		/* It is needed until the upstream has the row. */
+		if (covers(&h->held, r))
 			last->handover[0] = '\0';
-		bytes += GRANT_ROW_BYTES + strlen(last->handover);
+		bytes += GRANT_ROW_BYTES + decimal_digits(r->fence) +
+			 strlen(last->handover);
 	}
 	if (rows_left_out)
 		mesh_log(c->out, LOG_WARN,
@@ -421,6 +451,14 @@
 	return keys;
 }
 
+/* True if this node has to write the row again with a fence of this era. */
+static bool needs_fence(const struct holder *h, const struct mesh_ctx *c,
+			const struct keyrow *r)
+{
+	return h->known && !h->gone && holder_equal(&r->owner, &h->id) &&
+	       !must_release(h, c, r) && !owner_certain(h, c, r);
+}
+
 static uint32_t move_rows(struct holder *h, struct mesh_ctx *c,
 			  struct keymap *map)
 {
@@ -434,8 +472,14 @@
 		const struct holder_id *to;
 		bool current = holder_equal(&r->owner, &h->id);
 
-		if (strcmp(r->owner.node, c->opts->node) != 0 ||
-		    !not_held_here(h, c, r))
+		if (strcmp(r->owner.node, c->opts->node) != 0)
+			continue;
+		if (needs_fence(h, c, r)) {
+			keymap_move(map, r, &h->id, "");
+			keys += r->to - r->from + 1;
+			continue;
+		}
+		if (!not_held_here(h, c, r))
 			continue;
 		to = next_owner(h, c, r, &candidates);
 		if (!to || holder_equal(to, &r->owner))
@@ -456,7 +500,7 @@
 
 	list_for_each_entry(r, &map->rows, link)
 		if (!strcmp(r->owner.node, c->opts->node) &&
-		    not_held_here(h, c, r))
+		    (needs_fence(h, c, r) || not_held_here(h, c, r)))
 			return true;
 	return false;
 }
@@ -465,20 +509,22 @@
 			const struct dir_keymap *k)
 {
 	struct keymap *map = keymap_copy(k->map);
-	uint32_t keys = move_rows(h, c, map);
 	struct act_store_call *a;
 	struct record *rec;
+	uint32_t keys;
 	uint32_t keys_of_others;
 
+	keymap_raise_fence(map, directory_fence_base(&c->dir));
+	keys = move_rows(h, c, map);
 	if (!keys && !h->write_uncertain) {
 		keymap_delete(map);
 		return;
 	}
 	keys_of_others = move_rows_of_others(c, map);
 	mesh_log(c->out, LOG_INFO,
-		 "event=keys_moved keys=%u from=%s revision=%lu leaving=%d "
-		 "gone=%d for_others=%u",
-		 keys, h->id.instance, (unsigned long)k->revision,
+		 "event=keys_moved keys=%u from=%s revision=" REVISION_FMT
+		 " leaving=%d gone=%d for_others=%u",
+		 keys, h->id.instance, REVISION_ARGS(k->revision),
 		 holder_leaving(h, c), h->gone, keys_of_others);
 	keymap_merge_rows(map);
 	rec = record_new(RECORD_KEYMAP, map->service);
@@ -493,14 +539,31 @@
 	h->moved_keys += keys;
 }
 
+void holder_on_era(struct holder *h, const struct mesh_ctx *c)
+{
+	const struct held_row *r;
+
+	held_rows_delete(&h->carried);
+	if (c->now_ns >= h->granted_until_ns)
+		return;
+	list_for_each_entry(r, &h->granted, link) {
+		struct held_row *n = mem_dup(r, sizeof(*r));
+
+		list_push_back(&h->carried, &n->link);
+	}
+}
+
 bool holder_on_end(struct holder *h, struct mesh_ctx *c,
 		   const struct ev_store_end *e)
 {
 	if (!h->write_op || e->op != h->write_op)
 		return false;
 	h->write_op = 0;
-	h->next_write_ns =
-		e->end == STORE_DONE ? c->now_ns : c->now_ns + WRITE_RETRY_NS;
+	h->next_write_ns = c->now_ns;
+	/* At random, as all owners may write the keymap when an era settles. */
+	if (e->end != STORE_DONE)
+		h->next_write_ns +=
+			WRITE_RETRY_NS + rng_next(&c->rng) % WRITE_RETRY_NS;
 	return true;
 }
 
@@ -521,7 +584,11 @@
 	}
 	if (!k || c->store_down || h->write_op || c->now_ns < h->next_write_ns)
 		return;
-	if (h->write_uncertain && k->revision > h->write_revision) {
+	/* Until then an owner by the keymap may not be the last one. */
+	if (!directory_settled(&c->dir, c->now_ns))
+		return;
+	if (h->write_uncertain && k->revision > h->write_revision &&
+	    revision_era(k->revision) == revision_era(h->write_revision)) {
 		h->write_uncertain = false;
 		held_rows_delete(&h->moving);
 	}
--- a/core/holder.h
+++ b/core/holder.h
@@ -40,9 +40,14 @@
 	struct list held;     /* of struct held_row, in its announcement */
 	struct list released; /* of struct released_row */
 	struct list granted_previous; /* of struct held_row, answer before */
-	struct list moving;	      /* of struct held_row, in a write that may
-					 still take effect: not granted any more */
-	uint64_t write_op; /* the keymap's write in progress; 0: none */
+	/*
+	 * Of struct held_row: those of @granted that had not ended when the
+	 * store's era rose. No other node can have got them before.
+	 */
+	struct list carried;
+	struct list moving; /* of struct held_row, in a write that may
+			       still take effect: not granted any more */
+	uint64_t write_op;  /* the keymap's write in progress; 0: none */
 	uint64_t next_write_ns;
 	uint64_t next_probe_ns;
 	uint64_t write_wait_until_ns; /* a write not seen by then is repeated */
@@ -62,6 +67,9 @@
 /** Notes that nothing listens at the upstream's address: it has ended. */
 void holder_on_gone(struct holder *h, struct mesh_ctx *c);
 
+/** Notes that the store's era has risen: see docs/OWNERSHIP.md. */
+void holder_on_era(struct holder *h, const struct mesh_ctx *c);
+
 /** True if the call was made by this module. */
 bool holder_on_end(struct holder *h, struct mesh_ctx *c,
 		   const struct ev_store_end *e);
--- a/core/keymap.c
+++ b/core/keymap.c
@@ -130,6 +130,23 @@
 	mem_copy_str(row->handover, handover, sizeof(row->handover));
 }
 
+void keymap_raise_fence(struct keymap *m, uint64_t base)
+{
+	if (m->fence < base)
+		m->fence = base;
+}
+
+void keymap_renew_fences(struct keymap *m)
+{
+	struct keyrow *r;
+
+	m->fence++;
+	list_for_each_entry(r, &m->rows, link) {
+		r->fence = m->fence;
+		r->handover[0] = '\0';
+	}
+}
+
 void keymap_merge_rows(struct keymap *m)
 {
 	struct keyrow *r, *tmp;
--- a/core/keymap.h
+++ b/core/keymap.h
@@ -19,6 +19,17 @@
  */
 #define KEYMAP_ROWS_PER_UPSTREAM 16u
 
+/*
+ * Fences given out in an era of the store are above its base: a store that
+ * comes back from an older copy has forgotten the last ones before.
+ */
+#define KEYMAP_FENCE_ERA_BITS 32
+
+static inline uint64_t keymap_fence_base(uint64_t era)
+{
+	return era << KEYMAP_FENCE_ERA_BITS;
+}
+
 /** One lifetime of an upstream, and the node on the same VM. */
 struct holder_id {
 	char node[JD_NODE_NAME_MAX];
@@ -72,6 +83,12 @@
 void keymap_move(struct keymap *m, struct keyrow *row,
 		 const struct holder_id *to, const char *handover);
 
+/** Makes all fences that are given out from now on higher than @base. */
+void keymap_raise_fence(struct keymap *m, uint64_t base);
+
+/** Gives all rows a new fence; their owners stay, handovers are dropped. */
+void keymap_renew_fences(struct keymap *m);
+
 /** Merges adjacent rows with the same owner, fence, handover and target. */
 void keymap_merge_rows(struct keymap *m);
 
--- a/core/keyplan.c
+++ b/core/keyplan.c
@@ -100,12 +100,32 @@
 	struct act_store_call *a = mesh_store_call(c, CALL_WRITE);
 
 	mesh_expect_revision(a, RECORD_KEYMAP, service, 0);
+	keymap_raise_fence(map, directory_fence_base(&c->dir));
 	keymap_deal(map, candidates);
 	write_map(p, c, map, a);
 	p->deals++;
 	mesh_log(c->out, LOG_INFO, "event=keys_dealt service=%s", service);
 }
 
+/*
+ * Writes the newest keymap known, which a store that came back from an older
+ * copy lacks. No upstream holds keys by it any more.
+ */
+static void restore_map(struct keyplan *p, struct mesh_ctx *c,
+			const struct dir_keymap *k)
+{
+	struct keymap *map = keymap_copy(k->map);
+	struct act_store_call *a = mesh_store_call(c, CALL_WRITE);
+
+	mesh_expect_revision(a, RECORD_KEYMAP, map->service, 0);
+	keymap_raise_fence(map, directory_fence_base(&c->dir));
+	keymap_renew_fences(map);
+	write_map(p, c, map, a);
+	mesh_log(c->out, LOG_INFO,
+		 "event=keymap_restored service=%s known=" REVISION_FMT,
+		 map->service, REVISION_ARGS(k->revision));
+}
+
 static bool has_condition_on(const struct act_store_call *a, const char *node)
 {
 	for (uint32_t i = 0; i < a->expect_count; i++)
@@ -142,6 +162,7 @@
 			mesh_expect_revision(a, RECORD_KEYMAP, k->map->service,
 					     k->revision);
 			map = keymap_copy(k->map);
+			keymap_raise_fence(map, directory_fence_base(&c->dir));
 		}
 		if (!has_condition_on(a, r->owner.node)) {
 			if (a->expect_count > ORPHANED_NODES_MAX)
@@ -158,9 +179,10 @@
 	write_map(p, c, map, a);
 	p->adopted_keys += keys;
 	mesh_log(c->out, LOG_INFO,
-		 "event=keys_adopted service=%s keys=%u nodes=%u revision=%lu",
+		 "event=keys_adopted service=%s keys=%u nodes=%u "
+		 "revision=" REVISION_FMT,
 		 map->service, keys, a->expect_count - 1,
-		 (unsigned long)k->revision);
+		 REVISION_ARGS(k->revision));
 	return true;
 }
 
@@ -185,6 +207,7 @@
 	    any_target(k->map))
 		return;
 	map = keymap_copy(k->map);
+	keymap_raise_fence(map, directory_fence_base(&c->dir));
 	if (!keymap_balance(map, candidates)) {
 		keymap_delete(map);
 		return;
@@ -194,8 +217,8 @@
 	write_map(p, c, map, a);
 	p->balance_moves++;
 	mesh_log(c->out, LOG_INFO,
-		 "event=keys_balanced service=%s revision=%lu", map->service,
-		 (unsigned long)k->revision);
+		 "event=keys_balanced service=%s revision=" REVISION_FMT,
+		 map->service, REVISION_ARGS(k->revision));
 }
 
 /* A number that changes with the set of candidates. */
@@ -229,6 +252,10 @@
 		if (c->now_ns >= p->first_deal_ns + RANK_DELAY_NS * rank(c) &&
 		    c->now_ns >= p->candidates_since_ns + FIRST_DEAL_SETTLE_NS)
 			deal(p, c, service, &candidates);
+	} else if (!directory_keymap_current(&c->dir, k)) {
+		if (c->now_ns >=
+		    c->dir.era_settled_ns + RANK_DELAY_NS * rank(c))
+			restore_map(p, c, k);
 	} else if (!adopt(p, c, s, k, &candidates)) {
 		balance(p, c, k, &candidates);
 	}
@@ -257,6 +284,9 @@
 		return;
 	p->next_ns = c->now_ns + (is_calm(p, c) ? CHECK_INTERVAL_CALM_NS
 						: CHECK_INTERVAL_NS);
+	/* Until then a key may be held by a grant that the store forgot. */
+	if (!directory_settled(&c->dir, c->now_ns))
+		return;
 	if (c->store_down || !c->dir.manifest || !session_authority_ns(s))
 		return;
 	list_for_each_entry(sv, &c->dir.manifest->services, link)
--- a/core/mesh.c
+++ b/core/mesh.c
@@ -201,7 +201,8 @@
 static void on_store(struct mesh *m, struct ev_store_end *e)
 {
 	session_note_call_end(&m->session, &m->ctx, e->end);
-	session_note_era(&m->session, &m->ctx, e);
+	if (session_note_era(&m->session, &m->ctx, e))
+		holder_on_era(&m->holder, &m->ctx);
 	if (!session_on_end(&m->session, &m->ctx, e) &&
 	    !holder_on_end(&m->holder, &m->ctx, e) &&
 	    !keyplan_on_end(&m->keyplan, &m->ctx, e))
--- a/core/session.c
+++ b/core/session.c
@@ -127,7 +127,9 @@
 	struct directory *d = &c->dir;
 	uint64_t before = d->era;
 	bool first = !before && !d->loaded && !s->lease;
-	uint64_t lease_ns = c->opts->lease_ns;
+	uint64_t lease_ns = s->lease_ttl_ns > c->opts->lease_ns
+				    ? s->lease_ttl_ns
+				    : c->opts->lease_ns;
 	uint64_t settled_ns = c->now_ns + lease_ns +
 			      lease_ns / LEASE_DRIFT_DIVISOR +
 			      ERA_SETTLE_MARGIN_NS;
--- a/tests/keymap_test.cpp
+++ b/tests/keymap_test.cpp
@@ -67,6 +67,30 @@
 	EXPECT_TRUE(keymap_valid(map));
 }
 
+/* Also those that the store no longer knows of. */
+TEST_F(KeymapTest, FencesOfAnEraAreAboveAllOfEarlierEras)
+{
+	struct keymap_candidate *a = add_candidate("a");
+	struct keyrow *row;
+
+	keymap_raise_fence(map, keymap_fence_base(1));
+	keymap_deal(map, &candidates);
+	row = keymap_find(map, 0);
+	EXPECT_GT(row->fence, keymap_fence_base(1));
+	EXPECT_LT(row->fence, keymap_fence_base(2));
+	keymap_raise_fence(map, keymap_fence_base(2));
+	keymap_move(map, row, &a->id, "");
+	EXPECT_GT(row->fence, keymap_fence_base(2));
+	keymap_raise_fence(map, keymap_fence_base(1));
+	keymap_renew_fences(map);
+	EXPECT_GT(keymap_find(map, KEYMAP_KEYS - 1)->fence,
+		  keymap_fence_base(2));
+	EXPECT_TRUE(keymap_valid(map));
+	/* Fences are passed on as integers of a JSON document. */
+	EXPECT_LT(keymap_fence_base(UINT64_C(1) << REVISION_ERA_BITS),
+		  UINT64_C(1) << 53);
+}
+
 TEST_F(KeymapTest, MergedRowsStayShortEnoughToBalance)
 {
 	add_candidate("a");
--- /dev/null
+++ b/tests/keyplan_test.cpp
@@ -0,0 +1,205 @@
+#include "jd_test.hpp"
+
+#include <memory>
+
+extern "C" {
+#include "core/keyplan.h"
+#include "core/mem.h"
+}
+
+/* A registered node in a fleet whose nodes "n1" and "n2" serve keys. */
+struct KeyplanTest : public ::testing::Test {
+	struct mesh_opts opts = {};
+	struct mesh_ctx c = {};
+	struct mesh_actions out;
+	struct keyplan plan;
+	struct session session;
+
+	KeyplanTest()
+	{
+		mem_copy_str(opts.node, "n1", sizeof(opts.node));
+		mem_copy_str(opts.service, "s", sizeof(opts.service));
+		mesh_actions_init(&out);
+		directory_init(&c.dir, "r0");
+		c.opts = &opts;
+		c.out = &out;
+		c.now_ns = 100 * NS_PER_S;
+		keyplan_init(&plan, c.now_ns - 10 * NS_PER_S);
+		session_init(&session, &opts);
+		session.registered = session.fresh = true;
+		session.lease_deadline_ns = c.now_ns + 600 * NS_PER_S;
+		directory_note_era(&c.dir, 1, 0);
+	}
+	~KeyplanTest() override
+	{
+		directory_done(&c.dir);
+		mesh_actions_done(&out);
+	}
+	struct list records = {&records, &records};
+
+	struct record *add(enum record_kind kind, const char *name,
+			   revision_t revision)
+	{
+		struct record *r = record_new(kind, name);
+
+		r->revision = revision;
+		list_push_back(&records, &r->link);
+		return r;
+	}
+	void add_card(const char *name, revision_t revision)
+	{
+		struct node_card *card =
+			&add(RECORD_CARD, name, revision)->u.card;
+
+		mem_copy_str(card->service, "s", sizeof(card->service));
+		mem_copy_str(card->upstream.node, name,
+			     sizeof(card->upstream.node));
+		mem_copy_str(card->upstream.instance, "i-1",
+			     sizeof(card->upstream.instance));
+		card->upstream.born = 5;
+	}
+	void add_map(const char *owner, uint64_t fence, revision_t revision)
+	{
+		struct keymap *map = keymap_new("s");
+		struct keyrow *row = keymap_append_row(map, 0, KEYMAP_KEYS - 1);
+
+		mem_copy_str(row->owner.node, owner, sizeof(row->owner.node));
+		mem_copy_str(row->owner.instance, "i-1",
+			     sizeof(row->owner.instance));
+		row->owner.born = 5;
+		row->fence = map->fence = fence;
+		add(RECORD_KEYMAP, "s", revision)->u.keymap = map;
+	}
+	void add_manifest(revision_t revision)
+	{
+		struct manifest *m = manifest_new();
+		struct service *s = manifest_add_service(m);
+
+		m->version = 1;
+		mem_copy_str(s->name, "s", sizeof(s->name));
+		s->keyed = true;
+		add(RECORD_MANIFEST, "", revision)->u.manifest = m;
+	}
+	void read(revision_t revision)
+	{
+		directory_apply(&c.dir, &records, true, revision, c.now_ns,
+				&out);
+		records_delete(&records);
+	}
+	/* The keymap that is written within @ns; NULL: none. */
+	std::shared_ptr<struct keymap> written(uint64_t ns,
+					       revision_t *expected)
+	{
+		std::shared_ptr<struct keymap> map;
+		uint64_t end_ns = c.now_ns + ns;
+
+		while (c.now_ns < end_ns && !map) {
+			struct mesh_action *a;
+			struct dir_node *n;
+
+			c.now_ns += 50 * NS_PER_MS;
+			list_for_each_entry(n, &c.dir.nodes, link) {
+				n->heard_ns = n->revision ? c.now_ns : 0;
+				n->load.open = true;
+			}
+			keyplan_work(&plan, &c, &session);
+			while ((a = mesh_actions_pop(&out))) {
+				if (a->kind == MA_STORE_CALL) {
+					struct record *r =
+						list_entry(a->u.store.puts.next,
+							   struct record, link);
+
+					*expected =
+						a->u.store.expect[0].revision;
+					map.reset(keymap_copy(r->u.keymap),
+						  keymap_delete);
+				}
+				mesh_action_delete(a);
+			}
+		}
+		plan.op = 0;
+		return map;
+	}
+};
+
+static const uint64_t BASE1 = keymap_fence_base(1);
+static const uint64_t BASE2 = keymap_fence_base(2);
+
+/*
+ * Guards against two holders after a restore of the store: it has forgotten the
+ * card and the lease of a node whose upstream still holds keys.
+ */
+TEST_F(KeyplanTest, KeysAreAdoptedOnlyWhenTheEraIsSettled)
+{
+	revision_t expected = 0;
+
+	add_manifest(revision_make(1, 5));
+	add_card("n1", revision_make(1, 7));
+	add_card("n2", revision_make(1, 8));
+	add_map("n2", BASE1 + 1, revision_make(1, 9));
+	read(revision_make(1, 9));
+	EXPECT_EQ(written(NS_PER_S, &expected), nullptr);
+	directory_note_era(&c.dir, 2, c.now_ns + 7 * NS_PER_S);
+	add_manifest(revision_make(2, 5));
+	add_card("n1", revision_make(2, 7));
+	add_map("n2", BASE1 + 1, revision_make(2, 6));
+	read(revision_make(2, 7));
+	EXPECT_EQ(written(6800 * NS_PER_MS, &expected), nullptr);
+	auto map = written(3 * NS_PER_S, &expected);
+	ASSERT_NE(map, nullptr);
+	EXPECT_EQ(expected, revision_make(2, 6));
+	EXPECT_STREQ(keymap_find(map.get(), 0)->owner.node, "n1");
+	EXPECT_GT(keymap_find(map.get(), 0)->fence, BASE2);
+}
+
+/* The copy was taken before the first deal. */
+TEST_F(KeyplanTest, AKeymapThatTheStoreLostIsWrittenAgainWhenTheEraIsSettled)
+{
+	revision_t expected = 1;
+
+	add_manifest(revision_make(1, 5));
+	add_card("n1", revision_make(1, 7));
+	add_map("n1", BASE1 + 1, revision_make(1, 9));
+	read(revision_make(1, 9));
+	directory_note_era(&c.dir, 2, c.now_ns + 7 * NS_PER_S);
+	add_manifest(revision_make(2, 5));
+	add_card("n1", revision_make(2, 6));
+	read(revision_make(2, 7));
+	EXPECT_EQ(written(6800 * NS_PER_MS, &expected), nullptr);
+	auto map = written(3 * NS_PER_S, &expected);
+	ASSERT_NE(map, nullptr);
+	EXPECT_EQ(expected, 0u);
+	EXPECT_STREQ(keymap_find(map.get(), 0)->owner.node, "n1");
+	EXPECT_GT(keymap_find(map.get(), 0)->fence, BASE2);
+}
+
+TEST_F(KeyplanTest, AFirstKeymapIsDealtWhenTheEraIsSettled)
+{
+	revision_t expected = 1;
+
+	directory_note_era(&c.dir, 2, c.now_ns + 7 * NS_PER_S);
+	add_manifest(revision_make(2, 5));
+	add_card("n1", revision_make(2, 6));
+	read(revision_make(2, 7));
+	EXPECT_EQ(written(6800 * NS_PER_MS, &expected), nullptr);
+	auto map = written(3 * NS_PER_S, &expected);
+	ASSERT_NE(map, nullptr);
+	EXPECT_EQ(expected, 0u);
+	EXPECT_GT(keymap_find(map.get(), 0)->fence, BASE2);
+}
+
+/* All nodes were restarted in an era that is old. */
+TEST_F(KeyplanTest, AfterARestartOfTheFleetNothingWaitsInASettledEra)
+{
+	revision_t expected = 0;
+
+	directory_note_era(&c.dir, 2, c.now_ns + 7 * NS_PER_S);
+	add_manifest(revision_make(2, 5));
+	add_card("n1", revision_make(2, 6));
+	add_map("n2", BASE2 + 1, revision_make(2, 7));
+	read(revision_make(2, 7));
+	auto map = written(NS_PER_S, &expected);
+	ASSERT_NE(map, nullptr);
+	EXPECT_EQ(expected, revision_make(2, 7));
+	EXPECT_STREQ(keymap_find(map.get(), 0)->owner.node, "n1");
+}
