A restored card does not replace a live process

When a restored store showed the card of a node's process before, the live process's boot and reports were dropped: requests went to a boot that is gone until the node had written its card again. The first card of a new era no longer does so while the node's reports arrive. If the card is of a newer process after all, its reports name the node, or its card identifies it once the former process is silent.

directory_test ARestoredCardDoesNotReplaceALiveProcess.

--- a/core/directory.c
+++ b/core/directory.c
@@ -265,6 +265,21 @@
 	memset(&n->clock, 0, sizeof(n->clock));
 }
 
+/*
+ * True if @r may be a card of an earlier process of the live node @n: the first
+ * one that a restored store shows of it.
+ */
+static bool may_be_restored(const struct directory *d, const struct dir_node *n,
+			    const struct record *r, uint64_t now_ns)
+{
+	revision_t before = n->revision > n->absent_revision
+				    ? n->revision
+				    : n->absent_revision;
+
+	return revision_era(r->revision) > revision_era(before) &&
+	       n->heard_ns && directory_node_alive(d, n, now_ns);
+}
+
 static void apply_card(struct directory *d, const struct record *r,
 		       uint64_t now_ns)
 {
@@ -276,7 +291,8 @@
 		clear_card(n, r->revision, now_ns);
 		return;
 	}
-	if (r->u.card.boot != n->card.boot && r->u.card.boot != n->boot)
+	if (r->u.card.boot != n->card.boot && r->u.card.boot != n->boot &&
+	    !may_be_restored(d, n, r, now_ns))
 		reset_process_state(n);
 	n->revision = r->revision;
 	n->card = r->u.card;
@@ -427,6 +443,22 @@
 	d->apply_count++;
 }
 
+/*
+ * A silent node whose boot was kept although its card has another one: see
+ * may_be_restored().
+ */
+static struct dir_node *by_card_boot(const struct directory *d, uint64_t boot,
+				     uint64_t now_ns)
+{
+	struct dir_node *n;
+
+	list_for_each_entry(n, &d->nodes, link)
+		if (n->revision && n->card.boot == boot &&
+		    !directory_node_alive(d, n, now_ns))
+			return n;
+	return NULL;
+}
+
 struct dir_node *directory_on_load_report(struct directory *d, uint64_t from,
 					  const struct msg_load *l,
 					  uint64_t now_ns)
@@ -434,6 +466,8 @@
 	struct dir_node *n = l->node[0] ? directory_node(d, l->node)
 					: directory_by_boot(d, from);
 
+	if (!n)
+		n = by_card_boot(d, from, now_ns);
 	directory_note_version(d, l->manifest_version);
 	if (!n)
 		return NULL;
--- a/tests/directory_test.cpp
+++ b/tests/directory_test.cpp
@@ -327,6 +327,60 @@
 	EXPECT_TRUE(directory_usable(&d, n, 100 * NS_PER_S));
 }
 
+/*
+ * A store from an older copy shows the card of the process before: requests
+ * must go on to the one that sends reports.
+ */
+TEST_F(DirectoryTest, ARestoredCardDoesNotReplaceALiveProcess)
+{
+	struct msg_load l = {};
+	struct dir_node *n;
+	const uint64_t now = 2 * NS_PER_S;
+
+	add_card("a", revision_make(1, 8));
+	apply(true, revision_make(1, 9));
+	l.load.open = true;
+	n = directory_on_load_report(&d, revision_make(1, 8), &l, now);
+	ASSERT_NE(n, nullptr);
+	add_card("a", revision_make(2, 3));
+	directory_apply(&d, &records, true, revision_make(2, 5), now, &out);
+	records_delete(&records);
+	EXPECT_EQ(n->boot, revision_make(1, 8));
+	EXPECT_EQ(n->heard_ns, now);
+	EXPECT_EQ(n->revision, revision_make(2, 3));
+	/* It was the card of a new process all the same. */
+	EXPECT_EQ(directory_on_load_report(&d, revision_make(2, 3), &l, now),
+		  nullptr);
+	EXPECT_EQ(directory_on_load_report(&d, revision_make(2, 3), &l,
+					   now + DIR_SILENCE_MIN_NS),
+		  n);
+	EXPECT_EQ(n->boot, revision_make(2, 3));
+	/* Later cards are of the process that writes them. */
+	add_card("a", revision_make(2, 7));
+	apply(false, revision_make(2, 7));
+	EXPECT_EQ(n->boot, revision_make(2, 7));
+}
+
+/* As it has sent no card yet, and the restored one says otherwise. */
+TEST_F(DirectoryTest, ALiveNodesReportOutweighsItsRestoredCard)
+{
+	struct msg_load l = {};
+	struct list candidates;
+	struct dir_node *n;
+
+	add_card("a", revision_make(1, 8));
+	apply(true, revision_make(1, 9));
+	n = directory_on_load_report(&d, revision_make(1, 8), &l, NS_PER_S);
+	ASSERT_NE(n, nullptr);
+	add_card("a", revision_make(2, 3));
+	apply(true, revision_make(2, 5));
+	EXPECT_FALSE(directory_usable(&d, n, NS_PER_S));
+	list_init(&candidates);
+	directory_candidates(&d, "s", NS_PER_S, &candidates);
+	EXPECT_TRUE(list_empty(&candidates));
+	candidates_delete(&candidates);
+}
+
 TEST_F(DirectoryTest, AGateWithoutReportsIsUsableByItsCard)
 {
 	add_card("a", 3);
