--- a/core/message.h
+++ b/core/message.h
@@ -116,21 +116,21 @@
 	bool watches; /* the sender watches the store and sends MSG_CHANGES */
 	bool wants_report; /* the sender asks for a MSG_LOAD in return */
 	struct gate_load load;
-	uint64_t manifest_version; /* in force at the sender; 0: not stated */
+	uint64_t manifest_version; /* of the one in force; 0: not stated */
 };
 
 struct msg_renew {
 	uint64_t lease;	  /* its id at the store */
 	uint64_t sent_ns; /* sender's clock; echoed in MSG_RENEWED */
 	char reply_to[JD_ADDR_MAX];
-	uint64_t era; /* of the store when it gave the lease; 0: not stated */
+	uint64_t era; /* of the store that gave the lease; 0: not stated */
 };
 
 struct msg_renewed {
 	uint64_t lease;
 	uint64_t sent_ns; /* echoed from MSG_RENEW */
 	bool ended;	  /* the lease no longer exists at the store */
-	uint64_t era;	  /* of the store's answer; 0: not stated */
+	uint64_t era;	  /* of the store that answered; 0: not stated */
 };
 
 /** What a watch returned, for nodes of the region that do not watch. */
