--- a/core/directory.c
+++ b/core/directory.c
@@ -114,15 +114,64 @@
 	return NULL;
 }
 
+bool directory_note_era(struct directory *d, uint64_t era, uint64_t settled_ns)
+{
+	if (era <= d->era)
+		return false;
+	d->era = era;
+	d->era_settled_ns = settled_ns;
+	return true;
+}
+
+bool directory_settled(const struct directory *d, uint64_t now_ns)
+{
+	return now_ns >= d->era_settled_ns;
+}
+
+uint64_t directory_fence_base(const struct directory *d)
+{
+	return keymap_fence_base(d->era);
+}
+
+bool directory_keymap_current(const struct directory *d,
+			      const struct dir_keymap *k)
+{
+	return revision_era(k->revision) == d->era;
+}
+
+revision_t directory_order(const struct directory *d, revision_t r)
+{
+	return r && !revision_era(r) ? revision_make(d->era, r) : r;
+}
+
+/* Of the newest document read, which the one in force may have refused. */
+static revision_t newest_manifest_read(const struct directory *d)
+{
+	return d->manifest_seen > d->manifest_revision ? d->manifest_seen
+						       : d->manifest_revision;
+}
+
+void directory_note_version(struct directory *d, uint64_t version)
+{
+	if (version > d->manifest_version_known)
+		d->manifest_version_known = version;
+}
+
+bool directory_version_behind(const struct directory *d)
+{
+	return d->manifest && d->manifest->version < d->manifest_version_known;
+}
+
 bool directory_manifest_outdated(const struct directory *d)
 {
-	return d->manifest_revision < d->manifest_wanted ||
-	       d->manifest_revision < d->manifest_invalid;
+	return newest_manifest_read(d) < d->manifest_wanted ||
+	       d->manifest_revision < d->manifest_invalid ||
+	       directory_version_behind(d);
 }
 
 bool directory_wants_manifest(const struct directory *d)
 {
-	return d->manifest_revision < d->manifest_wanted &&
+	return newest_manifest_read(d) < d->manifest_wanted &&
 	       d->manifest_invalid < d->manifest_wanted;
 }
 
@@ -134,25 +183,29 @@
 static void apply_manifest(struct directory *d, struct record *r,
 			   struct mesh_actions *out)
 {
-	if (r->removed || r->revision <= d->manifest_revision)
+	if (r->removed || r->revision <= newest_manifest_read(d))
 		return;
-	d->manifest_revision = r->revision;
+	d->manifest_seen = r->revision;
 	if (d->manifest && r->u.manifest->version < d->manifest->version) {
 		mesh_log(out, LOG_WARN,
 			 "event=config_refused why=older version=%lu "
-			 "in_force=%lu",
+			 "in_force=%lu revision=" REVISION_FMT,
 			 (unsigned long)r->u.manifest->version,
-			 (unsigned long)d->manifest->version);
+			 (unsigned long)d->manifest->version,
+			 REVISION_ARGS(r->revision));
 		return;
 	}
+	d->manifest_revision = r->revision;
+	if (d->manifest && r->u.manifest->version == d->manifest->version)
+		return;
 	manifest_delete(d->manifest);
 	d->manifest = r->u.manifest;
 	r->u.manifest = NULL;
 	manifest_build_index(d->manifest);
 	mesh_log(out, LOG_INFO,
-		 "event=config_in_force version=%lu revision=%lu",
+		 "event=config_in_force version=%lu revision=" REVISION_FMT,
 		 (unsigned long)d->manifest->version,
-		 (unsigned long)r->revision);
+		 REVISION_ARGS(r->revision));
 	mesh_actions_add(out, MA_LIMITS)->u.limits = d->manifest->limits;
 }
 
@@ -161,6 +214,8 @@
 {
 	struct dir_evacuation *e = find_evacuation(d, r->name);
 
+	if (e && !r->removed && r->revision > e->revision)
+		e->revision = r->revision;
 	if (r->removed == !e)
 		return;
 	if (r->removed) {
@@ -169,11 +224,13 @@
 	} else {
 		e = mem_new(struct dir_evacuation);
 		mem_copy_str(e->name, r->name, sizeof(e->name));
+		e->revision = r->revision;
 		list_push_back(&d->evacuated, &e->link);
 	}
 	mesh_log(out, LOG_INFO,
-		 "event=data_centre_state data_centre=%s out=%d revision=%lu",
-		 r->name, !r->removed, (unsigned long)r->revision);
+		 "event=data_centre_state data_centre=%s out=%d "
+		 "revision=" REVISION_FMT,
+		 r->name, !r->removed, REVISION_ARGS(r->revision));
 }
 
 static struct dir_node *find_or_add_node(struct directory *d, const char *name)
@@ -208,6 +265,21 @@
 	memset(&n->clock, 0, sizeof(n->clock));
 }
 
+/*
+ * True if @r may be a card of an earlier process of the live node @n: the first
+ * one that a restored store shows of it.
+ */
+static bool may_be_restored(const struct directory *d, const struct dir_node *n,
+			    const struct record *r, uint64_t now_ns)
+{
+	revision_t before = n->revision > n->absent_revision
+				    ? n->revision
+				    : n->absent_revision;
+
+	return revision_era(r->revision) > revision_era(before) &&
+	       n->heard_ns && directory_node_alive(d, n, now_ns);
+}
+
 static void apply_card(struct directory *d, const struct record *r,
 		       uint64_t now_ns)
 {
@@ -219,7 +291,8 @@
 		clear_card(n, r->revision, now_ns);
 		return;
 	}
-	if (r->u.card.boot != n->card.boot && r->u.card.boot != n->boot)
+	if (r->u.card.boot != n->card.boot && r->u.card.boot != n->boot &&
+	    !may_be_restored(d, n, r, now_ns))
 		reset_process_state(n);
 	n->revision = r->revision;
 	n->card = r->u.card;
@@ -230,7 +303,7 @@
 	}
 }
 
-static void apply_keymap(struct directory *d, struct record *r)
+static void apply_keymap(struct directory *d, struct record *r, uint64_t now_ns)
 {
 	struct dir_keymap *k = find_keymap(d, r->name);
 
@@ -244,6 +317,11 @@
 	k->map = r->u.keymap;
 	k->revision = r->revision;
 	r->u.keymap = NULL;
+	/* Its writer has waited until the era was settled. */
+	if (directory_keymap_current(d, k) &&
+	    k->map->fence > directory_fence_base(d) &&
+	    !directory_settled(d, now_ns))
+		d->era_settled_ns = now_ns;
 }
 
 static void apply_record(struct directory *d, struct record *r, uint64_t now_ns,
@@ -252,8 +330,8 @@
 	if (r->invalid) {
 		mesh_log(out, LOG_WARN,
 			 "event=record_ignored why=invalid kind=%d name=%s "
-			 "revision=%lu",
-			 r->kind, r->name, (unsigned long)r->revision);
+			 "revision=" REVISION_FMT,
+			 r->kind, r->name, REVISION_ARGS(r->revision));
 		if (r->kind == RECORD_MANIFEST &&
 		    r->revision > d->manifest_invalid)
 			d->manifest_invalid = r->revision;
@@ -270,7 +348,7 @@
 		apply_card(d, r, now_ns);
 		break;
 	case RECORD_KEYMAP:
-		apply_keymap(d, r);
+		apply_keymap(d, r, now_ns);
 		break;
 	case RECORD_KIND_COUNT:
 		break;
@@ -288,15 +366,25 @@
 	return false;
 }
 
-/* A read does not report removals: a record missing from it was removed. */
+/*
+ * A read does not report removals: a record missing from it was removed, or
+ * lost with the end of an era. In a new one the operators get time to write it
+ * again.
+ */
 static void drop_unlisted_evacuations(struct directory *d,
-				      const struct list *records)
+				      const struct list *records,
+				      revision_t revision, uint64_t now_ns)
 {
 	struct dir_evacuation *e, *et;
 
 	list_for_each_entry_safe(e, et, &d->evacuated, link) {
 		if (is_listed(records, RECORD_EVACUATION, e->name))
 			continue;
+		if (revision_era(e->revision) < revision_era(revision) &&
+		    !directory_settled(d, now_ns)) {
+			d->evacuations_kept = true;
+			continue;
+		}
 		list_remove(&e->link);
 		free(e);
 	}
@@ -330,7 +418,8 @@
 	if (complete && revision < d->revision)
 		return;
 	if (complete) {
-		drop_unlisted_evacuations(d, records);
+		d->evacuations_kept = false;
+		drop_unlisted_evacuations(d, records, revision, now_ns);
 		drop_unlisted_cards(d, records, revision, now_ns);
 	}
 	list_for_each_entry(r, records, link)
@@ -354,6 +443,22 @@
 	d->apply_count++;
 }
 
+/*
+ * A silent node whose boot was kept although its card has another one: see
+ * may_be_restored().
+ */
+static struct dir_node *by_card_boot(const struct directory *d, uint64_t boot,
+				     uint64_t now_ns)
+{
+	struct dir_node *n;
+
+	list_for_each_entry(n, &d->nodes, link)
+		if (n->revision && n->card.boot == boot &&
+		    !directory_node_alive(d, n, now_ns))
+			return n;
+	return NULL;
+}
+
 struct dir_node *directory_on_load_report(struct directory *d, uint64_t from,
 					  const struct msg_load *l,
 					  uint64_t now_ns)
@@ -361,6 +466,9 @@
 	struct dir_node *n = l->node[0] ? directory_node(d, l->node)
 					: directory_by_boot(d, from);
 
+	if (!n)
+		n = by_card_boot(d, from, now_ns);
+	directory_note_version(d, l->manifest_version);
 	if (!n)
 		return NULL;
 	if (n->boot != from) {
--- a/tests/directory_test.cpp
+++ b/tests/directory_test.cpp
@@ -107,6 +107,96 @@
 	EXPECT_FALSE(directory_manifest_outdated(&d));
 }
 
+/*
+ * Guards against CONFIG after the store came back from an older copy: its
+ * revisions are given out again, so that the newer version has the smaller one.
+ */
+TEST_F(DirectoryTest, ANewerVersionOfALaterEraIsTakenAtASmallerRevision)
+{
+	add_config(11, revision_make(1, 19));
+	apply(true, revision_make(1, 19));
+	add_config(14, revision_make(2, 15));
+	apply(true, revision_make(2, 16));
+	EXPECT_EQ(d.manifest->version, 14u);
+	EXPECT_EQ(d.revision, revision_make(2, 16));
+	/* A late answer of the earlier era changes nothing. */
+	add_config(12, revision_make(1, 25));
+	apply(true, revision_make(1, 25));
+	EXPECT_EQ(d.manifest->version, 14u);
+	EXPECT_EQ(d.revision, revision_make(2, 16));
+}
+
+TEST_F(DirectoryTest, ARestoredOlderVersionIsNotTakenNorReadAgain)
+{
+	add_config(11, revision_make(1, 19));
+	apply(true, revision_make(1, 19));
+	d.manifest_wanted = revision_make(2, 14);
+	EXPECT_TRUE(directory_wants_manifest(&d));
+	add_config(4, revision_make(2, 14));
+	apply(true, revision_make(2, 15));
+	EXPECT_EQ(d.manifest->version, 11u);
+	/* Deltas apply to the manifest in force. */
+	EXPECT_EQ(d.manifest_revision, revision_make(1, 19));
+	EXPECT_FALSE(directory_wants_manifest(&d));
+	EXPECT_FALSE(directory_manifest_outdated(&d));
+	/* The operators write the one in force again. */
+	add_config(11, revision_make(2, 16));
+	apply(false, revision_make(2, 16));
+	EXPECT_EQ(d.manifest_revision, revision_make(2, 16));
+}
+
+TEST_F(DirectoryTest, AnotherNodesNewerVersionMakesTheManifestOutdated)
+{
+	struct msg_load l = {};
+
+	add_config(4, revision_make(2, 14));
+	apply(true, revision_make(2, 15));
+	l.manifest_version = 4;
+	directory_on_load_report(&d, 77, &l, NS_PER_S);
+	EXPECT_FALSE(directory_manifest_outdated(&d));
+	l.manifest_version = 11;
+	directory_on_load_report(&d, 77, &l, NS_PER_S);
+	EXPECT_TRUE(directory_manifest_outdated(&d));
+	EXPECT_FALSE(directory_wants_manifest(&d)) << "the store lacks it";
+	add_config(12, revision_make(2, 16));
+	apply(false, revision_make(2, 16));
+	EXPECT_FALSE(directory_manifest_outdated(&d));
+}
+
+TEST_F(DirectoryTest, AnEvacuationLostByTheStoreEndsOnlyWhenTheEraIsSettled)
+{
+	add(RECORD_EVACUATION, "dc", revision_make(1, 18));
+	add(RECORD_EVACUATION, "dc2", revision_make(1, 5));
+	apply(true, revision_make(1, 19));
+	directory_note_era(&d, 2, 7 * NS_PER_S);
+	add(RECORD_EVACUATION, "dc2", revision_make(2, 5));
+	apply(true, revision_make(2, 15));
+	EXPECT_TRUE(directory_dc_evacuated(&d, "dc"));
+	EXPECT_TRUE(d.evacuations_kept);
+	/* One that the new era has shown ends as ever. */
+	add(RECORD_EVACUATION, "dc2", revision_make(2, 16))->removed = true;
+	apply(false, revision_make(2, 16));
+	EXPECT_FALSE(directory_dc_evacuated(&d, "dc2"));
+	directory_apply(&d, &records, true, revision_make(2, 17), 7 * NS_PER_S,
+			&out);
+	EXPECT_FALSE(directory_dc_evacuated(&d, "dc"));
+	EXPECT_FALSE(d.evacuations_kept);
+}
+
+TEST_F(DirectoryTest, AnEvacuationWrittenAgainInTheNewEraIsKept)
+{
+	add(RECORD_EVACUATION, "dc", revision_make(1, 18));
+	apply(true, revision_make(1, 19));
+	directory_note_era(&d, 2, 7 * NS_PER_S);
+	apply(true, revision_make(2, 15));
+	add(RECORD_EVACUATION, "dc", revision_make(2, 16));
+	apply(false, revision_make(2, 16));
+	add(RECORD_EVACUATION, "dc", revision_make(2, 16));
+	directory_apply(&d, &records, true, revision_make(2, 17), 8 * NS_PER_S,
+			&out);
+	EXPECT_TRUE(directory_dc_evacuated(&d, "dc"));
+}
+
 TEST_F(DirectoryTest, RecordsMissingFromACompleteReadAreRemoved)
 {
 	add_card("a", 3);
@@ -237,6 +327,60 @@
 	EXPECT_TRUE(directory_usable(&d, n, 100 * NS_PER_S));
 }
 
+/*
+ * A store from an older copy shows the card of the process before: requests
+ * must go on to the one that sends reports.
+ */
+TEST_F(DirectoryTest, ARestoredCardDoesNotReplaceALiveProcess)
+{
+	struct msg_load l = {};
+	struct dir_node *n;
+	const uint64_t now = 2 * NS_PER_S;
+
+	add_card("a", revision_make(1, 8));
+	apply(true, revision_make(1, 9));
+	l.load.open = true;
+	n = directory_on_load_report(&d, revision_make(1, 8), &l, now);
+	ASSERT_NE(n, nullptr);
+	add_card("a", revision_make(2, 3));
+	directory_apply(&d, &records, true, revision_make(2, 5), now, &out);
+	records_delete(&records);
+	EXPECT_EQ(n->boot, revision_make(1, 8));
+	EXPECT_EQ(n->heard_ns, now);
+	EXPECT_EQ(n->revision, revision_make(2, 3));
+	/* It was the card of a new process all the same. */
+	EXPECT_EQ(directory_on_load_report(&d, revision_make(2, 3), &l, now),
+		  nullptr);
+	EXPECT_EQ(directory_on_load_report(&d, revision_make(2, 3), &l,
+					   now + DIR_SILENCE_MIN_NS),
+		  n);
+	EXPECT_EQ(n->boot, revision_make(2, 3));
+	/* Later cards are of the process that writes them. */
+	add_card("a", revision_make(2, 7));
+	apply(false, revision_make(2, 7));
+	EXPECT_EQ(n->boot, revision_make(2, 7));
+}
+
+/* As it has sent no card yet, and the restored one says otherwise. */
+TEST_F(DirectoryTest, ALiveNodesReportOutweighsItsRestoredCard)
+{
+	struct msg_load l = {};
+	struct list candidates;
+	struct dir_node *n;
+
+	add_card("a", revision_make(1, 8));
+	apply(true, revision_make(1, 9));
+	n = directory_on_load_report(&d, revision_make(1, 8), &l, NS_PER_S);
+	ASSERT_NE(n, nullptr);
+	add_card("a", revision_make(2, 3));
+	apply(true, revision_make(2, 5));
+	EXPECT_FALSE(directory_usable(&d, n, NS_PER_S));
+	list_init(&candidates);
+	directory_candidates(&d, "s", NS_PER_S, &candidates);
+	EXPECT_TRUE(list_empty(&candidates));
+	candidates_delete(&candidates);
+}
+
 TEST_F(DirectoryTest, AGateWithoutReportsIsUsableByItsCard)
 {
 	add_card("a", 3);
