Log how a configuration came and why it is late

A node that kept an old configuration left no trace of the reason.

Ruled out: more fields in store_trouble, which is limited to one line a second and so hides which calls fail.

relay_test covers the lines; relay, directory, dispatch and mesh tests pass.

--- a/core/directory.c
+++ b/core/directory.c
@@ -114,6 +114,15 @@
 	return NULL;
 }
 
+void directory_note_manifest(struct directory *d, revision_t revision,
+			     uint64_t now_ns)
+{
+	if (revision > d->manifest_wanted)
+		d->manifest_wanted = revision;
+	if (directory_manifest_outdated(d) && !d->manifest_late_since_ns)
+		d->manifest_late_since_ns = now_ns;
+}
+
 bool directory_manifest_outdated(const struct directory *d)
 {
 	return d->manifest_revision < d->manifest_wanted ||
@@ -131,12 +140,31 @@
 	return find_evacuation(d, dc) != NULL;
 }
 
+static const char *source_name(enum record_source source)
+{
+	switch (source) {
+	case SOURCE_READ:
+		return "read";
+	case SOURCE_WATCH:
+		return "watch";
+	case SOURCE_PEER:
+		return "delta";
+	}
+	return "?";
+}
+
 static void apply_manifest(struct directory *d, struct record *r,
-			   struct mesh_actions *out)
+			   uint64_t now_ns, struct mesh_actions *out)
 {
+	uint64_t late_ns = d->manifest_late_since_ns
+				   ? now_ns - d->manifest_late_since_ns
+				   : 0;
+
 	if (r->removed || r->revision <= d->manifest_revision)
 		return;
 	d->manifest_revision = r->revision;
+	if (!directory_manifest_outdated(d))
+		d->manifest_late_since_ns = 0;
 	if (d->manifest && r->u.manifest->version < d->manifest->version) {
 		mesh_log(out, LOG_WARN,
 			 "event=config_refused why=older version=%lu "
@@ -150,9 +178,11 @@
 	r->u.manifest = NULL;
 	manifest_build_index(d->manifest);
 	mesh_log(out, LOG_INFO,
-		 "event=config_in_force version=%lu revision=%lu",
+		 "event=config_in_force version=%lu revision=%lu via=%s "
+		 "known_ms=%lu",
 		 (unsigned long)d->manifest->version,
-		 (unsigned long)r->revision);
+		 (unsigned long)r->revision, source_name(d->source),
+		 (unsigned long)(late_ns / NS_PER_MS));
 	mesh_actions_add(out, MA_LIMITS)->u.limits = d->manifest->limits;
 }
 
@@ -261,7 +291,7 @@
 	}
 	switch (r->kind) {
 	case RECORD_MANIFEST:
-		apply_manifest(d, r, out);
+		apply_manifest(d, r, now_ns, out);
 		break;
 	case RECORD_EVACUATION:
 		apply_evacuation(d, r, out);
--- a/core/directory.h
+++ b/core/directory.h
@@ -66,6 +66,9 @@
 	uint64_t avoid_until_ns; /* no requests until then: it refused one */
 };
 
+/** How the records being applied came to this node. */
+enum record_source { SOURCE_READ, SOURCE_WATCH, SOURCE_PEER };
+
 /** Keymap of one service. */
 struct dir_keymap {
 	struct list link;
@@ -86,11 +89,14 @@
 	revision_t manifest_revision;
 	revision_t manifest_wanted;  /* of the newest one known to exist */
 	revision_t manifest_invalid; /* of the newest one that isn't valid */
-	revision_t peer_revision; /* the highest that another node reported */
-	struct list nodes;	  /* of struct dir_node */
-	struct list keymaps;	  /* of struct dir_keymap */
-	struct list evacuated;	  /* of struct dir_evacuation */
-	char region[JD_NAME_MAX]; /* of this node */
+	/* Since when a newer one is known to exist; 0: none is. */
+	uint64_t manifest_late_since_ns;
+	enum record_source source; /* of the records being applied */
+	revision_t peer_revision;  /* the highest that another node reported */
+	struct list nodes;	   /* of struct dir_node */
+	struct list keymaps;	   /* of struct dir_keymap */
+	struct list evacuated;	   /* of struct dir_evacuation */
+	char region[JD_NAME_MAX];  /* of this node */
 	bool urgent_reports; /* some node's probe_due or reply_due is set */
 	uint64_t report_interval_ns; /* between two rounds of load reports */
 	/* Rounds between two load reports to nodes of other regions. */
@@ -125,6 +131,10 @@
 const struct dir_keymap *directory_keymap(const struct directory *d,
 					  const char *service);
 
+/** Notes that there is a manifest at @revision. */
+void directory_note_manifest(struct directory *d, revision_t revision,
+			     uint64_t now_ns);
+
 /** True when a newer manifest than the one in force is known to exist. */
 bool directory_manifest_outdated(const struct directory *d);
 
--- a/core/mesh.c
+++ b/core/mesh.c
@@ -186,8 +186,22 @@
 	}
 }
 
+static void log_failed_call(struct mesh *m, const struct ev_store_end *e)
+{
+	const struct store_call_note *n = mesh_call_note(&m->ctx, e->op);
+
+	if (!n || (e->end != STORE_REFUSED && e->end != STORE_NO_ANSWER))
+		return;
+	mesh_log(m->ctx.out, LOG_WARN,
+		 "event=store_call_failed call=%s end=%s ms=%lu",
+		 store_call_name(n->kind),
+		 e->end == STORE_REFUSED ? "refused" : "no_answer",
+		 (unsigned long)((m->ctx.now_ns - n->sent_ns) / NS_PER_MS));
+}
+
 static void on_store(struct mesh *m, struct ev_store_end *e)
 {
+	log_failed_call(m, e);
 	session_note_call_end(&m->session, &m->ctx, e->end);
 	if (!session_on_end(&m->session, &m->ctx, e) &&
 	    !holder_on_end(&m->holder, &m->ctx, e) &&
--- a/core/mesh_ctx.c
+++ b/core/mesh_ctx.c
@@ -28,9 +28,35 @@
 	a->op = ++c->next_op;
 	a->kind = kind;
 	a->deadline_ns = c->now_ns + STORE_CALL_NS;
+	c->notes[a->op % MESH_CALLS_NOTED] = (struct store_call_note){
+		.op = a->op, .kind = kind, .sent_ns = c->now_ns};
 	return a;
 }
 
+const struct store_call_note *mesh_call_note(const struct mesh_ctx *c,
+					     uint64_t op)
+{
+	const struct store_call_note *n = &c->notes[op % MESH_CALLS_NOTED];
+
+	return op && n->op == op ? n : NULL;
+}
+
+const char *store_call_name(enum store_call_kind kind)
+{
+	static const char *const names[] = {
+		[CALL_READ_ALL] = "read_all",
+		[CALL_READ_OWN] = "read_own",
+		[CALL_READ_MANIFEST] = "read_manifest",
+		[CALL_WATCH_ALL] = "watch",
+		[CALL_WRITE] = "write",
+		[CALL_LEASE_NEW] = "lease_new",
+		[CALL_LEASE_KEEP] = "lease_keep",
+		[CALL_LEASE_END] = "lease_end",
+	};
+
+	return names[kind];
+}
+
 void mesh_expect_revision(struct act_store_call *a, enum record_kind kind,
 			  const char *name, revision_t revision)
 {
--- a/core/mesh_ctx.h
+++ b/core/mesh_ctx.h
@@ -24,11 +24,21 @@
 	uint32_t retry_slack; /* retries per window, fleet-wide */
 };
 
+#define MESH_CALLS_NOTED 32
+
+/** Of one of the latest store calls, to log how it ended. */
+struct store_call_note {
+	uint64_t op;
+	enum store_call_kind kind;
+	uint64_t sent_ns;
+};
+
 struct mesh_ctx {
 	const struct mesh_opts *opts;
 	struct directory dir;
 	struct rng rng;
 	uint64_t next_op;
+	struct store_call_note notes[MESH_CALLS_NOTED]; /* by op */
 	/*
 	 * The last store call failed: until one is answered, only lease
 	 * renewals and requests for a new lease are sent.
@@ -48,6 +58,13 @@
 struct act_store_call *mesh_store_call(struct mesh_ctx *c,
 				       enum store_call_kind kind);
 
+/** The note of call @op; NULL for one that was made too long ago. */
+const struct store_call_note *mesh_call_note(const struct mesh_ctx *c,
+					     uint64_t op);
+
+/** Lower-case name of a kind of store call. */
+const char *store_call_name(enum store_call_kind kind);
+
 /** Makes a write depend on a record's revision; 0: no such record exists. */
 void mesh_expect_revision(struct act_store_call *a, enum record_kind kind,
 			  const char *name, revision_t revision);
--- a/core/session.c
+++ b/core/session.c
@@ -32,6 +32,9 @@
 #define BEHIND_MAX_NS		(400 * NS_PER_MS)
 /* Nodes stop relying on a watcher this long after the store's last answer. */
 #define STORE_HEALTHY_NS	(1800 * NS_PER_MS)
+/* How long a newer manifest is known before the delay is logged. */
+#define MANIFEST_LATE_NS	NS_PER_S
+#define LATE_LOG_INTERVAL_NS	NS_PER_S
 /* How often a node without a watch checks whether it has to watch. */
 #define WATCHER_CHECK_NS	(200 * NS_PER_MS)
 /* Renewals within one lease time. */
@@ -103,6 +106,7 @@
 {
 	bool first = !c->dir.loaded;
 
+	c->dir.source = SOURCE_READ;
 	if (e->end != STORE_DONE) {
 		s->read.next_ns = c->now_ns + CALL_RETRY_NS;
 		return;
@@ -138,6 +142,7 @@
 	switch (e->end) {
 	case STORE_DONE:
 		relay_forward_changes(c, c->dir.revision, e);
+		c->dir.source = SOURCE_WATCH;
 		directory_apply(&c->dir, &e->records, false, e->revision,
 				c->now_ns, c->out);
 		s->want_changes = false;
@@ -361,8 +366,7 @@
 
 	if (r->removed || r->revision <= d->manifest_revision)
 		return;
-	if (r->revision > d->manifest_wanted)
-		d->manifest_wanted = r->revision;
+	directory_note_manifest(d, r->revision, c->now_ns);
 	if (!r->delta || !d->manifest || r->delta->base != d->manifest_revision)
 		return;
 	full = record_new(RECORD_MANIFEST, r->name);
@@ -379,6 +383,7 @@
 	}
 	list_init(&records);
 	list_push_back(&records, &full->link);
+	d->source = SOURCE_PEER;
 	directory_apply(d, &records, false, 0, c->now_ns, c->out);
 	records_delete(&records);
 }
@@ -402,6 +407,7 @@
 {
 	if (!c->dir.loaded)
 		return;
+	c->dir.source = SOURCE_PEER;
 	extract_manifests(c, &m->records);
 	/*
 	 * If changes before @m->from are missing, a later load report shows
@@ -486,8 +492,46 @@
 	a->deadline_ns = c->now_ns + a->wait_ns + WATCH_DEADLINE_SLACK_NS;
 }
 
+static const char *late_reason(const struct session *s,
+			       const struct mesh_ctx *c)
+{
+	if (c->dir.manifest_invalid >= c->dir.manifest_wanted)
+		return "invalid";
+	if (c->store_down)
+		return "store_down";
+	if (s->read.op)
+		return "read_in_progress";
+	return "read_due";
+}
+
+/* Logs that a known newer manifest is still not in force. */
+static void log_late_manifest(struct session *s, struct mesh_ctx *c)
+{
+	const struct directory *d = &c->dir;
+
+	if (!d->manifest_late_since_ns ||
+	    c->now_ns < d->manifest_late_since_ns + MANIFEST_LATE_NS ||
+	    c->now_ns < s->late_logged_ns + LATE_LOG_INTERVAL_NS)
+		return;
+	s->late_logged_ns = c->now_ns;
+	mesh_log(c->out, LOG_WARN,
+		 "event=config_late why=%s config_revision=%lu wanted=%lu "
+		 "known_ms=%lu call=%s call_ms=%lu store_age_ms=%lu",
+		 late_reason(s, c), (unsigned long)d->manifest_revision,
+		 (unsigned long)d->manifest_wanted,
+		 (unsigned long)((c->now_ns - d->manifest_late_since_ns) /
+				 NS_PER_MS),
+		 s->read.op ? store_call_name(s->read_kind) : "none",
+		 (unsigned long)(s->read.op ? (c->now_ns - s->read.sent_ns) /
+						      NS_PER_MS
+					    : 0),
+		 (unsigned long)((c->now_ns - c->store_answered_ns) /
+				 NS_PER_MS));
+}
+
 void session_work(struct session *s, struct mesh_ctx *c)
 {
+	log_late_manifest(s, c);
 	if (wants_any_read(s, c) && !c->store_down && due(&s->read, c->now_ns))
 		start_read(s, c);
 	if (!s->lease && due(&s->lease_new, c->now_ns))
--- a/core/session.h
+++ b/core/session.h
@@ -43,6 +43,7 @@
 	uint64_t first_card_ns;	  /* a card without upstream waits until then */
 	uint64_t cards_settled_ns; /* until then the fleet's size is unknown */
 	uint64_t last_failure_ns;  /* when the store last failed a call */
+	uint64_t late_logged_ns;   /* last event=config_late */
 	/* Since when other nodes know a newer revision; 0: none does. */
 	uint64_t behind_since_ns;
 	uint64_t calls[CALL_LEASE_END + 1]; /* by enum store_call_kind */
--- a/tests/relay_test.cpp
+++ b/tests/relay_test.cpp
@@ -1,5 +1,6 @@
 #include "jd_test.hpp"
 
+#include <algorithm>
 #include <string>
 
 extern "C" {
@@ -529,3 +530,53 @@
 		EXPECT_EQ(sent, own == 0 ? 5 : 0) << own;
 	}
 }
+
+/* The text of all log lines among the actions. */
+static std::string logged(struct mesh_actions *out)
+{
+	std::string text;
+	struct mesh_action *a;
+
+	while ((a = mesh_actions_pop(out))) {
+		if (a->kind == MA_LOG)
+			text += std::string(a->u.log.line) + "\n";
+		mesh_action_delete(a);
+	}
+	return text;
+}
+
+TEST_F(RelayManifestTest, LogsWhyAKnownManifestIsLateAndHowItCame)
+{
+	struct message *gap, *m;
+	std::string text;
+
+	add_nodes(20, 7);
+	add_manifest();
+	session.want_read_all = false;
+	m = forwarded_change(2803);
+	gap = changes(60, 70);
+	struct record *r = record_new(RECORD_MANIFEST, "");
+	r->revision = 52;
+	list_push_back(&gap->u.changes.records, &r->link);
+	session_on_changes(&session, &c, &gap->u.changes);
+	session_work(&session, &c);
+	logged(&out);
+	for (int i = 0; i < 22; i++) {
+		c.now_ns += 100 * NS_PER_MS;
+		session_work(&session, &c);
+	}
+	text = logged(&out);
+	EXPECT_NE(text.find("event=config_late why=read_in_progress"),
+		  std::string::npos)
+		<< text;
+	EXPECT_NE(text.find("call=read_manifest call_ms=2000"),
+		  std::string::npos)
+		<< text;
+	EXPECT_EQ(std::count(text.begin(), text.end(), '\n'), 2) << text;
+	session_on_changes(&session, &c, &m->u.changes);
+	text = logged(&out);
+	EXPECT_NE(text.find("via=delta known_ms=2200"), std::string::npos)
+		<< text;
+	message_delete(m);
+	message_delete(gap);
+}
