--- a/io/addr.c
+++ b/io/addr.c
@@ -10,9 +10,11 @@
 {
 	const char *colon = strrchr(addr, ':');
 	size_t len = colon ? (size_t)(colon - addr) : 0;
-	long n = colon ? strtol(colon + 1, NULL, 10) : 0;
+	const char *digits = colon ? colon + 1 : "";
+	unsigned long n = strtoul(digits, NULL, 10);
 
-	if (!len || len >= cap || n <= 0 || n > UINT16_MAX)
+	if (!len || len >= cap || !n || n > UINT16_MAX ||
+	    digits[strspn(digits, "0123456789")])
 		return false;
 	memcpy(ip, addr, len);
 	ip[len] = '\0';
--- a/tests/announcements_test.cpp
+++ b/tests/announcements_test.cpp
@@ -41,10 +41,17 @@
 	held_rows_delete(&b.released);
 }
 
+// valid_json with its part @from replaced by @to.
+static std::string with(const std::string &from, const std::string &to)
+{
+	std::string text = valid_json;
+
+	return text.replace(text.find(from), from.size(), to);
+}
+
 TEST(AnnouncementCodec, MalformedFieldsAreRefused)
 {
 	struct upstream_announcement b;
-	const std::string text = valid_json;
 	const std::pair<const char *, const char *> cases[] = {
 		{"\"draining\"", "\"resting\""},
 		{"\"slots\":12", "\"slots\":0"},
@@ -56,16 +63,119 @@
 		{"\"service\":\"s\"", "\"service\":4"},
 	};
 
-	for (auto &w : cases) {
-		std::string bad = text;
-
-		bad.replace(bad.find(w.first), strlen(w.first), w.second);
-		EXPECT_FALSE(decode(bad, &b)) << w.second;
-	}
+	for (auto &w : cases)
+		EXPECT_FALSE(decode(with(w.first, w.second), &b)) << w.second;
 	EXPECT_FALSE(decode("{", &b));
 	EXPECT_FALSE(decode("[]", &b));
 }
 
+// An odd announcement of another writer once passed as the upstream's own: a
+// number out of range was cast, a row was cut, and an address without a usable
+// port was called.
+TEST(AnnouncementCodec, OddEntriesOfAnotherWriterAreRefused)
+{
+	const std::string deep(1 << 20, '[');
+	const std::string deep_object = [] {
+		std::string s;
+
+		for (int i = 0; i < 100000; i++)
+			s += "{\"a\":";
+		return s;
+	}();
+	const std::string long_text(64, 'a');
+	std::string many_rows = "[";
+	struct upstream_announcement b;
+
+	for (int i = 0; i < 100000; i++)
+		many_rows += (i ? ",[1,1,7]" : "[1,1,7]");
+	many_rows += "]";
+	const std::pair<std::string, std::string> cases[] = {
+		{"\"born\":1700", "\"born\":1e400"},
+		{"\"born\":1700", "\"born\":1e308"},
+		{"\"born\":1700", "\"born\":1700.5"},
+		{"\"born\":1700", "\"born\":-1"},
+		{"\"born\":1700", "\"born\":9223372036854775807"},
+		{"\"born\":1700", "\"born\":9223372036854775808"},
+		{"\"born\":1700", "\"born\":18446744073709551616"},
+		{"\"born\":1700", "\"born\":1700,\"born\":1701"},
+		{"\"born\":1700", "\"born\":1700,\"x\":" + deep},
+		{"\"born\":1700", "\"born\":1700,\"x\":" + deep_object},
+		{"\"born\":1700", "\"born\":1700,\"x\":\"\xff\""},
+		{"\"sequence\":4", "\"sequence\":9223372036854775807"},
+		{"\"sequence\":4", "\"sequence\":4.5"},
+		{"\"sequence\":4", "\"sequence\":1e300"},
+		{"\"slots\":12", "\"slots\":4294967295"},
+		{"\"slots\":12", "\"slots\":65536"},
+		{"\"slots\":12", "\"slots\":-1"},
+		{"\"slots\":12", "\"slots\":1.5"},
+		{"\"warmupLeftS\":1.5", "\"warmupLeftS\":1e308"},
+		{"\"warmupLeftS\":1.5", "\"warmupLeftS\":1e11"},
+		{"\"warmupLeftS\":1.5", "\"warmupLeftS\":9223372036854775807"},
+		{"\"warmupLeftS\":1.5", "\"warmupLeftS\":\"1\""},
+		{"10.0.0.1:80", "10.0.0.1"},
+		{"10.0.0.1:80", "10.0.0.1:"},
+		{"10.0.0.1:80", "10.0.0.1:0"},
+		{"10.0.0.1:80", "10.0.0.1:65536"},
+		{"10.0.0.1:80", "10.0.0.1:99999"},
+		{"10.0.0.1:80", "10.0.0.1:-1"},
+		{"10.0.0.1:80", "10.0.0.1: 80"},
+		{"10.0.0.1:80", "10.0.0.1:80x"},
+		{"10.0.0.1:80", "10.0.0.1:x"},
+		{"10.0.0.1:80", "10.0.0.1:18446744073709551696"},
+		{"10.0.0.1:80", "10.0.0.256:80"},
+		{"10.0.0.1:80", "host:80"},
+		{"10.0.0.1:80", ":80"},
+		{"[[0,4095,7]]", "[[0,65536,7]]"},
+		{"[[0,4095,7]]", "[[-1,4095,7]]"},
+		{"[[0,4095,7]]", "[[0,4294967296,7]]"},
+		{"[[0,4095,7]]", "[[0,4095,-7]]"},
+		{"[[0,4095,7]]", "[[0,4095,7.5]]"},
+		{"[[0,4095,7]]", "[[0,4095]]"},
+		{"[[0,4095,7]]", "[[0,4095,\"5c0e\"]]"},
+		{"[[0,4095,7]]", "[[0,4095,7],7]"},
+		{"[[0,4095,7]]", "[{}]"},
+		{"[[0,4095,7]]", many_rows},
+		{"[[4096,8191,\"5c0e\"]]", "[[4096,8191]]"},
+		{"[[4096,8191,\"5c0e\"]]", "[[4096,8191,7]]"},
+		{"[[4096,8191,\"5c0e\"]]",
+		 "[[4096,8191,\"" + long_text + "\"]]"},
+		{"[[4096,8191,\"5c0e\"]]", many_rows},
+	};
+
+	for (auto &w : cases)
+		EXPECT_FALSE(decode(with(w.first, w.second), &b))
+			<< w.second.substr(0, 60);
+}
+
+TEST(AnnouncementCodec, NamesThatCantStandInAHeaderAreRefused)
+{
+	struct upstream_announcement b;
+
+	for (const std::string &id :
+	     {std::string(), std::string(64, 'i'),
+	      std::string("i-1\r\nHost: x"), std::string("i 1"),
+	      std::string("i-\xff")}) {
+		EXPECT_FALSE(announcement_decode(valid_json, strlen(valid_json),
+						 id.c_str(), &b))
+			<< id;
+		EXPECT_FALSE(announcement_decode_leave(id.c_str(), &b)) << id;
+	}
+	EXPECT_TRUE(announcement_decode_leave("i-1", &b));
+	EXPECT_TRUE(b.leaves);
+	EXPECT_STREQ(b.instance, "i-1");
+}
+
+// Clocks may show the warm-up as over a moment before the upstream does.
+TEST(AnnouncementCodec, ANegativeWarmupIsOver)
+{
+	struct upstream_announcement b;
+
+	ASSERT_TRUE(decode(with(":1.5", ":-0.001"), &b));
+	EXPECT_EQ(b.cold_left_ns, 0u);
+	held_rows_delete(&b.held);
+	held_rows_delete(&b.released);
+}
+
 RC_GTEST_PROP(AnnouncementCodec, ArbitraryBytesNeverCrash,
 	      (const std::string &bytes))
 {
