Nodes whose address can't be connected to get no socket

A card states where its node takes messages from others, and another writer of the store may state anything. peers_send() made a socket for any text: zmq_connect() failed unnoticed for most ("ip:99999"), and messages to it were kept for half a second and dropped, again and again. A name such as "node-2:7100" would be looked up on ZeroMQ's thread, which all nodes share (by its documentation; not measured here).

Neither before nor now did the process end or were messages to other nodes held up by a port out of range: the test sends one after them.

--- a/io/peers.c
+++ b/io/peers.c
@@ -6,7 +6,9 @@
 
 #include "core/mem.h"
 #include "core/text.h"
+#include "io/addr.h"
 #include "io/clock.h"
+#include "io/log.h"
 #include "wire/codec.h"
 #include "wire/compress.h"
 
@@ -229,15 +231,11 @@
 	free(p);
 }
 
-static struct peer *peer_find_or_add(struct peers *p, const char *addr)
+static struct peer *peer_new(struct peers *p, const char *addr)
 {
+	struct peer *peer = mem_new(struct peer);
 	char url[JD_ADDR_MAX + 8];
-	struct peer *peer;
 
-	list_for_each_entry(peer, &p->list, link)
-		if (!strcmp(peer->addr, addr))
-			return peer;
-	peer = mem_new(struct peer);
 	mem_copy_str(peer->addr, addr, sizeof(peer->addr));
 	list_init(&peer->pending);
 	peer->push = socket_new(p, ZMQ_PUSH);
@@ -251,6 +249,25 @@
 	return peer;
 }
 
+/*
+ * NULL for an address that can't be connected to. ZeroMQ would look up a name
+ * on its own thread, and all other nodes would wait for that.
+ */
+static struct peer *peer_find_or_add(struct peers *p, const char *addr)
+{
+	struct sockaddr_in sin;
+	struct peer *peer;
+
+	list_for_each_entry(peer, &p->list, link)
+		if (!strcmp(peer->addr, addr))
+			return peer;
+	if (addr_to_sockaddr(addr, &sin))
+		return peer_new(p, addr);
+	log_event(LOG_WARN, "event=message_not_sent why=address addr=\"%s\"",
+		  addr);
+	return NULL;
+}
+
 /* Keeps the bytes of @msg until the node is connected; false at the limit. */
 static bool keep_pending(struct peers *p, struct peer *peer, zmq_msg_t *msg,
 			 uint64_t now_ns)
@@ -295,6 +312,10 @@
 	zmq_msg_t msg;
 	bool ok;
 
+	if (!peer) {
+		p->stats.dropped++;
+		return false;
+	}
 	peer->idle_deadline_ns = now + IDLE_TIMEOUT_NS;
 	encode(m, compress, &msg);
 	ok = send_now(p, peer, &msg);
--- a/tests/peers_test.cpp
+++ b/tests/peers_test.cpp
@@ -149,6 +149,39 @@
 	});
 }
 
+// A node whose card another writer has written may state any address. Names
+// would be looked up on ZeroMQ's thread, which serves all nodes.
+TEST_F(Peers, AnAddressThatCantBeConnectedToIsNotTried)
+{
+	const std::string addrs[] = {
+		"",
+		"10.0.0.1",
+		"10.0.0.1:",
+		"10.0.0.1:0",
+		":7100",
+		"10.0.0.1:-1",
+		"10.0.0.1:99999",
+		"10.0.0.1:7100x",
+		"*:7100",
+		"node-2:7100",
+		"10.0.0.256:7100",
+		"\xff:7100",
+		"[::1]:1",
+		"10.0.0.1:7100;10.0.0.2:7100",
+		std::string(JD_ADDR_MAX - 1, ':'),
+	};
+	test_node a(base, NULL), b(base, NULL);
+	struct message *m = message_new(MSG_CANCEL);
+
+	for (const std::string &addr : addrs)
+		EXPECT_FALSE(peers_send(a.p, addr.c_str(), m, true)) << addr;
+	message_delete(m);
+	EXPECT_EQ(peers_get_stats(a.p)->open, 0u);
+	EXPECT_EQ(peers_get_stats(a.p)->dropped, std::size(addrs));
+	EXPECT_TRUE(send_cancel(&a, &b));
+	run_until([&] { return b.received.size() == 1; });
+}
+
 TEST_F(Peers, LargeBodyArrivesComplete)
 {
 	const size_t size = 4 << 20;
--- a/tests/platform_node_test.cpp
+++ b/tests/platform_node_test.cpp
@@ -58,16 +58,16 @@
 		} call = {base, ""};
 		struct timeval limit = {ANSWER_WAIT_MAX_S, 0};
 		struct sockaddr_in sin;
-		struct bufferevent *bev = bufferevent_socket_new(
-			base, -1, BEV_OPT_CLOSE_ON_FREE);
+		struct bufferevent *bev =
+			bufferevent_socket_new(base, -1, BEV_OPT_CLOSE_ON_FREE);
 
 		bufferevent_setcb(
 			bev,
 			[](struct bufferevent *b, void *arg) {
 				Call *c = (Call *)arg;
 				char buf[512];
-				size_t n = bufferevent_read(b, buf,
-							    sizeof(buf));
+				size_t n =
+					bufferevent_read(b, buf, sizeof(buf));
 
 				c->answer.append(buf, n);
 				event_base_loopbreak(c->base);
@@ -92,9 +92,8 @@
 		event_base_loopexit(base, &limit);
 		event_base_dispatch(base);
 		bufferevent_free(bev);
-		return call.answer.size() > 12
-			       ? atoi(call.answer.c_str() + 9)
-			       : 0;
+		return call.answer.size() > 12 ? atoi(call.answer.c_str() + 9)
+					       : 0;
 	}
 
 	int heartbeat(const std::string &body)
@@ -127,9 +126,9 @@
 	rows += "]";
 	EXPECT_EQ(heartbeat(body()), 200);
 	EXPECT_EQ(heartbeat(std::string(8 << 20, '[')), 413);
-	EXPECT_EQ(heartbeat(body(",\"x\":\"" + std::string(8 << 20, 'x') +
-				 "\"")),
-		  413);
+	EXPECT_EQ(
+		heartbeat(body(",\"x\":\"" + std::string(8 << 20, 'x') + "\"")),
+		413);
 	EXPECT_EQ(heartbeat(body(rows)), 413);
 	EXPECT_EQ(heartbeat(std::string(100000, '[')), 400);
 	EXPECT_EQ(heartbeat(""), 400);
