The stages of a planned stop fit into a short grace

A stopping node served on for 2.3 s, refused callers' requests from 2.9 s on and only looked at the end of its time after the first of these. With a grace of less than that the end came first: the process was killed while it still took requests, or ended without answers to those in progress.

The stages are now shares of the grace where it is short; with 6 s and more they are as before. Ruled out as a cause of the report with 6 s: requests are refused from 2.9 s on, and the end at 5.6 s lies in the last sixth of the grace.

The simulator's options have the time of a stop and of an upstream's work, and its upstreams stop work at the deadline that they are given.

--- a/core/mesh.c
+++ b/core/mesh.c
@@ -19,6 +19,10 @@
 #define STOP_REFUSE_NS		 (2900 * NS_PER_MS)
 /* Part of a planned stop's time kept for the end of the process. */
 #define STOP_MARGIN_NS		 (400 * NS_PER_MS)
+/* The same as shares of the time for a stop, which apply if it is short. */
+#define STOP_UNREADY_SHARE	 0.39
+#define STOP_REFUSE_SHARE	 0.49
+#define STOP_MARGIN_SHARE	 0.07
 /* Renewals in progress for other nodes; further requests are ignored. */
 #define PEER_RENEWALS_MAX	 16
 /* Ticks of a stopping node are at most this far apart. */
@@ -219,15 +223,28 @@
 	http_answer_delete(e->answer);
 }
 
+/* @max_ns, or less if the whole stop is short. */
+static uint64_t stop_part_ns(const struct mesh *m, uint64_t max_ns,
+			     double share)
+{
+	uint64_t part_ns = (uint64_t)((double)m->opts.stop_ns * share);
+
+	return part_ns < max_ns ? part_ns : max_ns;
+}
+
 static void start_stop(struct mesh *m)
 {
+	uint64_t now = m->ctx.now_ns;
+
 	if (m->stop != MESH_RUNS)
 		return;
 	m->stop = MESH_UNREADY;
 	m->dispatch.stopping = true;
-	m->close_ns = m->ctx.now_ns + STOP_UNREADY_NS;
-	m->refuse_ns = m->ctx.now_ns + STOP_REFUSE_NS;
-	m->end_ns = m->ctx.now_ns + m->opts.stop_ns - STOP_MARGIN_NS;
+	m->close_ns =
+		now + stop_part_ns(m, STOP_UNREADY_NS, STOP_UNREADY_SHARE);
+	m->refuse_ns = now + stop_part_ns(m, STOP_REFUSE_NS, STOP_REFUSE_SHARE);
+	m->end_ns = now + m->opts.stop_ns -
+		    stop_part_ns(m, STOP_MARGIN_NS, STOP_MARGIN_SHARE);
 	mesh_log(m->ctx.out, LOG_INFO, "event=stopping requests=%u",
 		 m->dispatch.count);
 }
--- a/tests/mesh_sim.hpp
+++ b/tests/mesh_sim.hpp
@@ -62,6 +62,8 @@
 	int nodes = 6; /* those with an odd index serve the keyed service */
 	uint64_t seed = 1;
 	uint64_t lease_ns = 6 * NS_PER_S;
+	uint64_t stop_ns = 6 * NS_PER_S; /* longest planned stop */
+	uint64_t work_ns = 0; /* of a request at its upstream; 0: random */
 	double clock_drift_max = 0.02; /* of upstreams; 0.02: 2 % slow */
 	double lost_call_share = 0;    /* of store calls: no answer */
 	double late_write_share = 0;   /* of writes: run seconds later */
@@ -143,6 +145,7 @@
 	uint64_t next_caller = 1;
 	uint64_t next_check = 0;
 	int served = 0;
+	int unknown = 0; /* own replies to requests that may have run */
 
 	explicit MeshSim(const MeshSimOpts &options)
 	    : opts(options), rng(options.seed)
@@ -625,7 +628,7 @@
 		mo.lease_ns = opts.lease_ns;
 		mo.hold_max_ns = SIM_HOLD_MAX_NS;
 		mo.announce_interval_ns = SIM_ANNOUNCE_INTERVAL_NS;
-		mo.stop_ns = 6 * NS_PER_S;
+		mo.stop_ns = opts.stop_ns;
 		mo.drain_ns = 2 * NS_PER_S;
 		mo.retry_ratio = 0.2;
 		mo.retry_window_ns = 10 * NS_PER_S;
@@ -984,7 +987,9 @@
 		Upstream &u = upstreams[i];
 		std::string id = a->caller_id;
 		uint64_t boot = procs[i].boot;
-		uint64_t took = (5 + random_below(200)) * SIM_MS;
+		uint64_t took = opts.work_ns ? opts.work_ns
+					     : (5 + random_below(200)) * SIM_MS;
+		int code = 200;
 		const char *shard =
 			payload_header(&a->request->payload, "shard");
 
@@ -1007,10 +1012,15 @@
 			if (refused_ids.count(id))
 				add_violation("ran after a refusal: " + id);
 			e.outcome = OUTCOME_DONE;
+			/* It stops work at the deadline that it is given. */
+			if (a->deadline_ns < now + took) {
+				took = a->deadline_ns - now;
+				code = 504;
+			}
 		}
 		uint64_t born = u.born;
 
-		schedule(now + took, [this, i, boot, e, born]() mutable {
+		schedule(now + took, [this, i, boot, e, born, code]() mutable {
 			struct mesh_event ev = {};
 
 			if (e.outcome == OUTCOME_DONE &&
@@ -1019,7 +1029,7 @@
 				e.refusal = REFUSAL_CONNECTION_LOST;
 			}
 			if (e.outcome == OUTCOME_DONE)
-				e.answer = http_answer_new(200);
+				e.answer = http_answer_new(code);
 			ev.kind = ME_UPSTREAM_END;
 			ev.u.upstream = e;
 			if (!procs[i].mesh || procs[i].boot != boot)
@@ -1067,6 +1077,7 @@
 		if (++replies[a->caller] > 1)
 			add_violation("two replies to " + id);
 		codes[a->caller] = a->code;
+		unknown += !a->answer && (a->code == 502 || a->code == 504);
 		served += a->code == 200;
 		if (!a->answer && (a->code == 503 || a->code == 429)) {
 			refused_ids.insert(id);
