Requests that a stopping node takes end before it does

Reported by other operators: in a planned stop, requests that came late in the grace were passed on and cut at its end without an answer, among them ones that may not be repeated.

Here requests are taken until 2.9 s of a grace of 6 s, as their callers have no other node before. One that takes longer than the 2.7 s left was broken off at 5.6 s: its caller got a 504 of the node, its upstream worked on.

The deadline of a request that is taken during a stop is now at most 0.1 s before the end of the process. The deadline goes with the request, so the gate refuses what it knows to take longer (503, not run), and the upstream stops work in time and its own answer reaches the caller. Requests that came before the signal keep their deadlines.

--- a/core/mesh.c
+++ b/core/mesh.c
@@ -23,6 +23,8 @@
 #define STOP_UNREADY_SHARE	 0.39
 #define STOP_REFUSE_SHARE	 0.49
 #define STOP_MARGIN_SHARE	 0.07
+/* Requests taken meanwhile end this long before the process, if not earlier. */
+#define STOP_ANSWER_NS		 (100 * NS_PER_MS)
 /* Renewals in progress for other nodes; further requests are ignored. */
 #define PEER_RENEWALS_MAX	 16
 /* Ticks of a stopping node are at most this far apart. */
@@ -249,6 +251,19 @@
 		 m->dispatch.count);
 }
 
+/*
+ * An upstream stops work at the deadline that it is given, so a request that a
+ * stopping node takes is answered before the process ends.
+ */
+static void limit_deadline(const struct mesh *m, struct caller_request *r)
+{
+	uint64_t latest_ns = m->end_ns - STOP_ANSWER_NS;
+
+	if (m->stop != MESH_RUNS &&
+	    (!r->deadline_ns || r->deadline_ns > latest_ns))
+		r->deadline_ns = latest_ns;
+}
+
 static void dispatch_event(struct mesh *m, struct mesh_event *ev)
 {
 	struct mesh_ctx *c = &m->ctx;
@@ -258,6 +273,7 @@
 	case ME_TICK:
 		break;
 	case ME_REQUEST:
+		limit_deadline(m, &ev->u.request);
 		dispatch_on_request(&m->dispatch, c, &g, &ev->u.request);
 		http_request_unref(ev->u.request.request);
 		break;
--- a/tests/planned_stop_test.cpp
+++ b/tests/planned_stop_test.cpp
@@ -53,3 +53,23 @@
 		expect_each_answered_once(sim, callers);
 	}
 }
+
+/*
+ * Requests that a stopping node took were once cut at its end while their
+ * upstreams worked on them, since their own deadlines were later.
+ */
+TEST(PlannedStop, RequestsTakenMeanwhileEndBeforeTheNode)
+{
+	for (uint64_t stop_ms : {1500, 2000, 3000, 4000}) {
+		MeshSimOpts opts;
+
+		SCOPED_TRACE(stop_ms);
+		opts.stop_ns = stop_ms * SIM_MS;
+		opts.work_ns = 1900 * SIM_MS;
+		MeshSim sim(opts);
+		std::vector<uint64_t> callers = stop_under_requests(sim);
+
+		EXPECT_EQ(sim.procs[0].mesh, nullptr);
+		expect_each_answered_once(sim, callers);
+	}
+}
