An upstream's answer at its deadline reaches the caller

A call to the upstream ended at the moment that the request states as its deadline. The upstream answers just then, so it was chance whether the caller got the upstream's answer or a 504 of the node. Within a planned stop the latter breaks a request off at which its upstream is at work.

The call now waits 10 ms longer than the deadline that it states; no byte of a request is written after that deadline, as before.

Requests.UpstreamMayAnswerAtItsDeadline (new function).

--- a/tests/requests_test.cpp
+++ b/tests/requests_test.cpp
@@ -88,6 +88,31 @@
 	http_request_unref(a.request);
 }
 
+/*
+ * An upstream that ends a request at its deadline says so; the node's own time
+ * was over at the same moment and gave an answer of the node instead.
+ */
+TEST(Requests, UpstreamMayAnswerAtItsDeadline)
+{
+	struct act_mesh_upstream_call a = {};
+	struct client_call call;
+
+	a.request = request({});
+	a.deadline_ns = 2 * NS_PER_S;
+	a.write_before_ns = 3 * NS_PER_S;
+	call_for_upstream(&a, NS_PER_S, &call);
+	EXPECT_STREQ(payload_header(&call.request->payload, DEADLINE), "1000");
+	EXPECT_GE(call.deadline_ns, a.deadline_ns + 5 * NS_PER_MS);
+	EXPECT_LE(call.deadline_ns, a.deadline_ns + 20 * NS_PER_MS);
+	EXPECT_EQ(call.write_before_ns, a.deadline_ns);
+	http_request_unref(call.request);
+	a.write_before_ns = NS_PER_S;
+	call_for_upstream(&a, NS_PER_S, &call);
+	EXPECT_EQ(call.write_before_ns, a.write_before_ns);
+	http_request_unref(call.request);
+	http_request_unref(a.request);
+}
+
 struct AnswerCase {
 	int code;
 	std::initializer_list<std::pair<const char *, const char *>> headers;
