A request's id is passed on whole or not at all

An id of more than 63 bytes was cut: the upstream ran a request with an id that no caller had sent, answers bore that id, and two requests with the same start could be taken for one on a connection.

Ids of up to 255 bytes are now kept. A longer one is left out; upstreams refuse a request without an id unrun. During an upgrade an older node drops a forward with an id of 64 bytes or more as invalid, so its entry gives it up.

RequestDecodeTest.AnIdIsKeptWholeOrNotAtAll; before, ids of 64 bytes and more came out with 63.

--- a/tests/request_decode_test.cpp
+++ b/tests/request_decode_test.cpp
@@ -32,6 +32,25 @@
 	}
 };
 
+/*
+ * An id of more than 63 bytes was cut, so the upstream ran a request with an
+ * id that no caller had sent, and the answer bore that id.
+ */
+TEST_F(RequestDecodeTest, AnIdIsKeptWholeOrNotAtAll)
+{
+	for (size_t len : {1, 63, 64, 200, 255}) {
+		std::string id(len, 'i');
+
+		decode("/a", {{ID, id.c_str()}});
+		EXPECT_EQ(std::string(out.id), id) << len;
+	}
+	for (size_t len : {256, 4000}) {
+		decode("/a", {{ID, std::string(len, 'i').c_str()}});
+		EXPECT_STREQ(out.id, "") << len;
+		EXPECT_EQ(header(ID), nullptr);
+	}
+}
+
 /*
  * A host with a port or a final dot matched no route, so the request was
  * answered with 404.
