Keys of a new era are adopted in the order of names

The era in the check of an uncertain write and in the condition of a card was redundant: rows without a fence of the era are written again anyway, and the directory has no card of an earlier era once it was read. Removing either failed no test, and the reasons are in docs/OWNERSHIP.md.

Tests that a removed mechanism had survived: a late answer of an earlier era, changes from another era, records without an era.

--- a/core/holder.c
+++ b/core/holder.c
@@ -587,8 +587,7 @@
 	/* Until then an owner by the keymap may not be the last one. */
 	if (!directory_settled(&c->dir, c->now_ns))
 		return;
-	if (h->write_uncertain && k->revision > h->write_revision &&
-	    revision_era(k->revision) == revision_era(h->write_revision)) {
+	if (h->write_uncertain && k->revision > h->write_revision) {
 		h->write_uncertain = false;
 		held_rows_delete(&h->moving);
 	}
--- a/core/keyplan.c
+++ b/core/keyplan.c
@@ -73,12 +73,18 @@
 	return wait_ns;
 }
 
-/* True if @node is unknown, or its card has been absent for @wait_ns. */
+/*
+ * True if @node is unknown, or its card has been absent for @wait_ns. In a new
+ * era the wait begins when it is settled: all nodes may adopt keys from then
+ * on.
+ */
 static bool orphaned(const struct mesh_ctx *c, const char *node,
 		     uint64_t wait_ns)
 {
 	const struct dir_node *n = directory_node(&c->dir, node);
 
+	if (c->now_ns < c->dir.era_settled_ns + wait_ns)
+		return false;
 	return !n || (!n->revision && c->now_ns >= n->absent_ns + wait_ns);
 }
 
--- a/core/session.c
+++ b/core/session.c
@@ -541,9 +541,6 @@
 
 	if (s->card_revision > known)
 		known = s->card_revision;
-	/* The directory has been read in this era, so it lacks the card. */
-	if (revision_era(known) != c->dir.era)
-		known = 0;
 	r->u.card = s->card;
 	list_push_back(&a->puts, &r->link);
 	a->lease = s->lease;
