A new process asks other nodes for their version before it is ready

A store that came back from an older copy shows an older manifest until the operators have written again. A process that started then became ready with it at once, before any load report could tell that others have a newer one in force.

After its first read it probes up to 8 nodes and waits for their reports, 0.4 s at most, if the store states an era at all.

--- a/core/directory.c
+++ b/core/directory.c
@@ -151,10 +151,13 @@
 						       : d->manifest_revision;
 }
 
-void directory_note_version(struct directory *d, uint64_t version)
+void directory_note_version(struct directory *d, uint64_t version,
+			    uint64_t now_ns)
 {
-	if (version > d->manifest_version_known)
-		d->manifest_version_known = version;
+	if (version < d->manifest_version_known)
+		return;
+	d->manifest_version_known = version;
+	d->version_heard_ns = now_ns;
 }
 
 bool directory_version_behind(const struct directory *d)
@@ -162,6 +165,12 @@
 	return d->manifest && d->manifest->version < d->manifest_version_known;
 }
 
+bool directory_live_version_behind(const struct directory *d, uint64_t now_ns)
+{
+	return directory_version_behind(d) &&
+	       now_ns < d->version_heard_ns + NODE_FORGET_NS;
+}
+
 bool directory_manifest_outdated(const struct directory *d)
 {
 	return newest_manifest_read(d) < d->manifest_wanted ||
@@ -468,7 +477,7 @@
 
 	if (!n)
 		n = by_card_boot(d, from, now_ns);
-	directory_note_version(d, l->manifest_version);
+	directory_note_version(d, l->manifest_version, now_ns);
 	if (!n)
 		return NULL;
 	if (n->boot != from) {
--- a/core/directory.h
+++ b/core/directory.h
@@ -92,7 +92,8 @@
 	revision_t manifest_seen;     /* of the newest one, even if older */
 	revision_t manifest_wanted;   /* of the newest one known to exist */
 	revision_t manifest_invalid;  /* of the newest one that isn't valid */
-	uint64_t manifest_version_known; /* newest that another node has */
+	uint64_t manifest_version_known; /* newest that another node had */
+	uint64_t version_heard_ns;	 /* when one last said that it had it */
 	revision_t peer_revision; /* the highest that another node reported */
 	struct list nodes;	  /* of struct dir_node */
 	struct list keymaps;	  /* of struct dir_keymap */
@@ -127,11 +128,15 @@
 revision_t directory_order(const struct directory *d, revision_t r);
 
 /** Notes that another node has a manifest of @version. */
-void directory_note_version(struct directory *d, uint64_t version);
+void directory_note_version(struct directory *d, uint64_t version,
+			    uint64_t now_ns);
 
-/** True when another node is known to have a later version in force. */
+/** True when another node has had a later version in force. */
 bool directory_version_behind(const struct directory *d);
 
+/** The same, if a live node has that version. */
+bool directory_live_version_behind(const struct directory *d, uint64_t now_ns);
+
 /**
  * Applies records of a watch or, if @complete, of a read of all records: one
  * missing from @records was then removed. Records older than the known ones
--- a/core/mesh.c
+++ b/core/mesh.c
@@ -21,6 +21,12 @@
 #define STOP_MARGIN_NS		 (400 * NS_PER_MS)
 /* Renewals in progress for other nodes; further requests are ignored. */
 #define PEER_RENEWALS_MAX	 16
+/*
+ * A new process asks so many nodes which version of the manifest they have, and
+ * waits at most for this time until it is ready.
+ */
+#define HEAR_PEERS_MAX		 8
+#define HEAR_PEERS_NS		 (400 * NS_PER_MS)
 /* Ticks of a stopping node are at most this far apart. */
 #define STOP_TICK_NS		 (20 * NS_PER_MS)
 /* Ticks are at least this far apart, even if overdue work can't start yet. */
@@ -57,16 +63,63 @@
 	free(m);
 }
 
+static bool has_records(const struct mesh *m)
+{
+	return m->ctx.dir.loaded && m->ctx.dir.manifest;
+}
+
+bool mesh_ready(const struct mesh *m)
+{
+	return m->stop == MESH_RUNS && has_records(m) && m->was_ready;
+}
+
+/* Returns false if there is no other node. */
+static bool ask_peers(struct directory *d, const char *own)
+{
+	struct dir_node *n;
+	uint32_t asked = 0;
+
+	list_for_each_entry(n, &d->nodes, link) {
+		if (asked == HEAR_PEERS_MAX)
+			break;
+		if (!n->revision || !strcmp(n->name, own))
+			continue;
+		n->probe_due = true;
+		asked++;
+	}
+	d->urgent_reports |= asked > 0;
+	return asked > 0;
+}
+
+static bool all_asked_heard(const struct directory *d)
+{
+	const struct dir_node *n;
+
+	list_for_each_entry(n, &d->nodes, link)
+		if (n->probe_due || n->probed_ns > n->heard_ns)
+			return false;
+	return true;
+}
+
 /*
  * A store that came back from an older copy may show an older manifest than
  * other nodes have in force: a new process must not begin with that one.
  */
-bool mesh_ready(const struct mesh *m)
+static void check_ready(struct mesh *m)
 {
-	const struct directory *d = &m->ctx.dir;
+	struct directory *d = &m->ctx.dir;
 
-	return m->stop == MESH_RUNS && d->loaded && d->manifest &&
-	       (m->was_ready || !directory_version_behind(d));
+	if (m->was_ready || !has_records(m))
+		return;
+	if (!m->hear_peers_ns) {
+		m->hear_peers_ns = m->ctx.now_ns;
+		/* A store without eras has never lost anything. */
+		if (d->era && ask_peers(d, m->opts.node))
+			m->hear_peers_ns += HEAR_PEERS_NS;
+	}
+	if (m->ctx.now_ns < m->hear_peers_ns && !all_asked_heard(d))
+		return;
+	m->was_ready = !directory_live_version_behind(d, m->ctx.now_ns);
 }
 
 static struct local_gate local_gate(struct mesh *m)
@@ -375,8 +428,8 @@
 	m->ctx.now_ns = ev->now_ns;
 	m->ctx.out = out;
 	dispatch_event(m, ev);
+	check_ready(m);
 	work(m);
-	m->was_ready |= mesh_ready(m);
 }
 
 /* Lowers @next to @at if that is earlier. */
@@ -394,6 +447,8 @@
 	include(&next, keyplan_next_ns(&m->keyplan));
 	include(&next, gatekeeper_next_ns(&m->gate));
 	include(&next, dispatch_next_ns(&m->dispatch));
+	if (!m->was_ready && m->hear_peers_ns > m->ctx.now_ns)
+		include(&next, m->hear_peers_ns);
 	if (m->stop != MESH_RUNS)
 		include(&next, m->ctx.now_ns + STOP_TICK_NS);
 	return next > m->ctx.now_ns + TICK_MIN_NS ? next
--- a/core/mesh.h
+++ b/core/mesh.h
@@ -26,7 +26,8 @@
 	struct keyplan keyplan;
 	struct gatekeeper gate;
 	struct dispatch dispatch;
-	bool was_ready; /* it has accepted callers' requests */
+	bool was_ready;		/* it has accepted callers' requests */
+	uint64_t hear_peers_ns; /* it is ready then; 0: no records yet */
 	enum mesh_stop stop;
 	uint64_t close_ns;  /* MESH_CLOSED begins */
 	uint64_t refuse_ns; /* callers' requests are refused from then on */
--- a/core/session.c
+++ b/core/session.c
@@ -444,7 +444,7 @@
 	struct record *full;
 
 	if (r->delta)
-		directory_note_version(d, r->delta->version);
+		directory_note_version(d, r->delta->version, c->now_ns);
 	if (r->removed || revision <= d->manifest_revision)
 		return;
 	if (revision > d->manifest_wanted)
