--- a/core/session.c
+++ b/core/session.c
@@ -449,7 +449,7 @@
 	struct record *full;
 
 	if (r->delta)
-		directory_note_version(d, r->delta->version);
+		directory_note_version(d, r->delta->version, c->now_ns);
 	if (r->removed || revision <= d->manifest_revision)
 		return;
 	directory_note_manifest(d, revision, c->now_ns);
@@ -547,9 +547,6 @@
 
 	if (s->card_revision > known)
 		known = s->card_revision;
-	/* The directory has been read in this era, so it lacks the card. */
-	if (revision_era(known) != c->dir.era)
-		known = 0;
 	r->u.card = s->card;
 	list_push_back(&a->puts, &r->link);
 	a->lease = s->lease;
