Simulated store: it comes back from an older copy

MeshSim::restore() takes items, leases with what they had left, the history, the revision counter and the next lease id back to a copy some seconds old and raises the era; watches are cut, revisions and lease ids are given out again, and late writes of before run if their condition holds again. The operators write what was lost again a moment later. The store's revisions are bare numbers: the simulator joins and strips the era as platform/kv_client does.

The simulator now also checks that the version in force never goes back in one process and that the fence of a key rises whenever another upstream, or another lifetime, gets it; its upstreams refuse a row whose fence is below one that they have seen, as those of the platform do.

Tests: nine of single cases (calm; nodes cut from the store, or from all, over the restore; restarted in it; two in a row; inside a handover; late writes and lost answers; a copy from before the first keymap; a lost evacuation), and two at random.

--- a/tests/mesh_sim.hpp
+++ b/tests/mesh_sim.hpp
@@ -7,6 +7,7 @@
 #pragma once
 
 #include <algorithm>
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -70,6 +71,7 @@
 	uint64_t manifest_transfer_ns = 0;
 	/* The same on the store's link, which all nodes share. */
 	uint64_t manifest_link_ns = 0;
+	bool copies = false; /* the store keeps copies, for restore() */
 };
 
 struct Upstream {
@@ -91,14 +93,27 @@
 	std::vector<std::pair<std::pair<uint32_t, uint32_t>, std::string>>
 		released;
 	std::set<std::string> running;
+	std::vector<uint64_t> fences; /* highest seen, by key */
 };
 
 struct MeshSim {
+	/* The store's own revisions are bare numbers, without an era. */
 	struct StoreItem {
-		struct record *record;
+		std::shared_ptr<struct record> record;
 		uint64_t revision;
 		uint64_t lease;
 	};
+	/* All that the store can lose. */
+	struct StoreState {
+		std::map<std::string, StoreItem> items;
+		std::map<uint64_t, uint64_t> leases; /* lease -> until */
+		std::map<uint64_t, uint64_t> lease_ttl;
+		std::vector<std::pair<uint64_t, std::string>> removals;
+		std::vector<uint64_t> manifest_revisions;
+		uint64_t revision = 1;
+		uint64_t compacted = 0; /* history up to it is dropped */
+		uint64_t next_lease = 1;
+	};
 	struct Process {
 		struct mesh *mesh = nullptr;
 		uint64_t boot = 0;
@@ -107,13 +122,15 @@
 		uint64_t store_refuses_until_ns = 0;
 		uint64_t peers_cut_until_ns = 0; /* no messages of nodes */
 		uint64_t tick_at_ns = UINT64_MAX;
+		uint64_t store_era = 0; /* the newest that its client saw */
+		uint64_t version = 0;	/* of its manifest, the highest */
 		std::map<uint64_t, uint64_t> calls; /* call -> run number */
 	};
 	struct Watch {
 		int node;
 		uint64_t boot;
 		uint64_t op;
-		uint64_t after;
+		revision_t after;
 	};
 
 	MeshSimOpts opts;
@@ -122,14 +139,13 @@
 	std::multimap<uint64_t, std::function<void()>> queue;
 	std::vector<Process> procs;
 	std::vector<Upstream> upstreams;
-	std::map<std::string, StoreItem> items;
-	std::map<uint64_t, uint64_t> leases; /* lease -> until */
-	std::map<uint64_t, uint64_t> lease_ttl;
-	std::vector<std::pair<uint64_t, std::string>> removals;
+	StoreState store;
+	std::deque<std::pair<uint64_t, StoreState>> copies; /* by time */
+	uint64_t era = 1; /* of the store */
+	/* What the operators have written last, whatever became of it. */
+	std::shared_ptr<struct record> operators_manifest;
+	std::set<std::string> operators_evacuated;
 	std::vector<Watch> watches;
-	std::vector<uint64_t> manifest_revisions;
-	uint64_t revision = 1;
-	uint64_t compacted = 0;	   /* history up to this revision is dropped */
 	uint64_t link_free_ns = 0; /* when the store's link is idle again */
 	uint64_t next_id = 1;
 	bool store_down = false;
@@ -143,6 +159,12 @@
 	uint64_t next_caller = 1;
 	uint64_t next_check = 0;
 	int served = 0;
+	/* The last grant of each key: its fence, and to which upstream. */
+	struct Grant {
+		uint64_t fence = 0;
+		uint64_t holder = 0;
+	};
+	std::vector<Grant> grants = std::vector<Grant>(KEYMAP_KEYS);
 
 	explicit MeshSim(const MeshSimOpts &options)
 	    : opts(options), rng(options.seed)
@@ -161,14 +183,14 @@
 				 [this, i] { announcement_loop(i); });
 		}
 		schedule(now + SIM_MS, [this] { expire_leases_loop(); });
+		if (opts.copies)
+			copy_loop();
 	}
 	~MeshSim()
 	{
 		for (auto &p : procs)
 			if (p.mesh)
 				mesh_delete(p.mesh);
-		for (auto &it : items)
-			record_delete(it.second.record);
 	}
 
 	double random_unit()
@@ -218,12 +240,8 @@
 
 	void put(const std::string &key, struct record *r, uint64_t lease)
 	{
-		auto it = items.find(key);
-
-		if (it != items.end())
-			record_delete(it->second.record);
-		r->revision = ++revision;
-		items[key] = {r, revision, lease};
+		r->revision = ++store.revision;
+		store.items[key] = {{r, record_delete}, store.revision, lease};
 		wake_watches();
 	}
 
@@ -266,28 +284,107 @@
 		for (auto &more : more_routes)
 			add_route(m, more.c_str(), "plain", true);
 		r->u.manifest = m;
-		manifest_revisions.push_back(revision + 1);
-		put(std::to_string(RECORD_MANIFEST) + "/", r, 0);
+		operators_manifest = {copy(r), record_delete};
+		put_operators_manifest(r);
+	}
+
+	void put_operators_manifest(struct record *r)
+	{
+		store.manifest_revisions.push_back(store.revision + 1);
+		put(key_of(RECORD_MANIFEST, ""), r, 0);
 	}
 
 	void evacuate(const std::string &dc, bool out)
 	{
-		std::string key = std::to_string(RECORD_EVACUATION) + "/" + dc;
+		std::string key = key_of(RECORD_EVACUATION, dc.c_str());
 
+		if (out)
+			operators_evacuated.insert(dc);
+		else
+			operators_evacuated.erase(dc);
 		if (out)
 			put(key, record_new(RECORD_EVACUATION, dc.c_str()), 0);
 		else
 			remove(key);
 	}
 
+	/* Writes what the store has lost of the operators' writes again. */
+	void operators_write_again()
+	{
+		auto it = store.items.find(key_of(RECORD_MANIFEST, ""));
+
+		if (it == store.items.end() ||
+		    it->second.record->u.manifest->version !=
+			    operators_manifest->u.manifest->version)
+			put_operators_manifest(copy(operators_manifest.get()));
+		for (int i = 0; i < 3; i++) {
+			std::string dc = "dc-" + std::to_string(i);
+			std::string key = key_of(RECORD_EVACUATION, dc.c_str());
+			bool out = operators_evacuated.count(dc);
+
+			if (out != (store.items.count(key) > 0))
+				evacuate(dc, out);
+		}
+	}
+
 	/* ---- the store ---- */
 
 	/* Drops the history; watches in progress are cut. */
 	void compact()
+	{
+		store.compacted = store.revision;
+		cut_watches();
+	}
+
+	static constexpr uint64_t COPY_INTERVAL_NS = 100 * NS_PER_MS;
+	static constexpr size_t COPIES_MAX = 400;
+
+	void copy_loop()
+	{
+		if (!store_down)
+			copies.emplace_back(now, store);
+		if (copies.size() > COPIES_MAX)
+			copies.pop_front();
+		schedule(now + COPY_INTERVAL_NS, [this] { copy_loop(); });
+	}
+
+	/*
+	 * The store comes back from a copy @age_ns old, or the oldest one: it
+	 * gives revisions and ids of leases out again, and leases have what
+	 * they had left. Its clients learn of it by the era only.
+	 */
+	void restore(uint64_t age_ns)
+	{
+		auto it = copies.rbegin();
+
+		while (it != copies.rend() - 1 && it->first + age_ns > now)
+			++it;
+		for (auto &l : it->second.leases)
+			l.second += now - it->first;
+		store = it->second;
+		/* The copies in between are of a history that is no more. */
+		copies.erase(it.base(), copies.end());
+		copies.back() = {now, store};
+		era++;
+		store_down = false;
+		cut_watches();
+	}
+
+	/* The store is away for @down_ns; the operators write @redo_ns later.
+	 */
+	void restore_after_outage(uint64_t age_ns, uint64_t down_ns,
+				  uint64_t redo_ns)
+	{
+		store_down = true;
+		schedule(now + down_ns, [this, age_ns] { restore(age_ns); });
+		schedule(now + down_ns + redo_ns,
+			 [this] { operators_write_again(); });
+	}
+
+	void cut_watches()
 	{
 		std::vector<Watch> cut;
 
-		compacted = revision;
 		cut.swap(watches);
 		for (auto &w : cut) {
 			struct ev_store_end e = {};
@@ -310,8 +407,8 @@
 			count = 1;
 			break;
 		case CALL_WATCH_ALL:
-			for (uint64_t r : manifest_revisions)
-				count += r > a.after;
+			for (uint64_t r : store.manifest_revisions)
+				count += r > revision_number(a.after);
 			break;
 		default:
 			break;
@@ -325,13 +422,9 @@
 
 	void remove(const std::string &key)
 	{
-		auto it = items.find(key);
-
-		if (it == items.end())
+		if (!store.items.erase(key))
 			return;
-		record_delete(it->second.record);
-		items.erase(it);
-		removals.emplace_back(++revision, key);
+		store.removals.emplace_back(++store.revision, key);
 		wake_watches();
 	}
 
@@ -366,15 +459,16 @@
 	{
 		std::vector<std::string> expired_keys;
 
-		for (auto &l : leases)
+		for (auto &l : store.leases)
 			if (l.second && now >= l.second && !store_down)
-				for (auto &it : items)
+				for (auto &it : store.items)
 					if (it.second.lease == l.first)
 						expired_keys.push_back(
 							it.first);
-		for (auto it = leases.begin(); it != leases.end();)
-			it = now >= it->second && !store_down ? leases.erase(it)
-							      : std::next(it);
+		for (auto it = store.leases.begin(); it != store.leases.end();)
+			it = now >= it->second && !store_down
+				     ? store.leases.erase(it)
+				     : std::next(it);
 		for (auto &k : expired_keys)
 			remove(k);
 		schedule(now + 50 * SIM_MS, [this] { expire_leases_loop(); });
@@ -396,20 +490,24 @@
 		}
 	}
 
+	/* As the client returns them: each revision has the present era. */
 	void fill_records(struct ev_store_end *e, uint64_t after, bool complete)
 	{
 		list_init(&e->records);
-		for (auto &it : items) {
+		for (auto &it : store.items) {
+			struct record *r;
+
 			if (!complete && it.second.revision <= after)
 				continue;
-			list_push_back(&e->records,
-				       &copy(it.second.record)->link);
+			r = copy(it.second.record.get());
+			r->revision = revision_make(era, r->revision);
+			list_push_back(&e->records, &r->link);
 		}
 		if (!complete)
-			for (auto &r : removals) {
+			for (auto &r : store.removals) {
 				if (r.first <= after)
 					continue;
-				if (items.count(r.second))
+				if (store.items.count(r.second))
 					continue;
 				size_t slash = r.second.find('/');
 				struct record *rec = record_new(
@@ -418,10 +516,19 @@
 					r.second.substr(slash + 1).c_str());
 
 				rec->removed = true;
-				rec->revision = r.first;
+				rec->revision = revision_make(era, r.first);
 				list_push_back(&e->records, &rec->link);
 			}
-		e->revision = revision;
+		e->revision = revision_make(era, store.revision);
+	}
+
+	/* Answers a watch, which ends in another era than that of its start. */
+	void fill_watch(struct ev_store_end *e, revision_t after)
+	{
+		if (revision_era(after) != era)
+			e->end = STORE_NO_HISTORY;
+		else
+			fill_records(e, revision_number(after), false);
 	}
 
 	void answer_store_call(int node, uint64_t boot, struct ev_store_end &e,
@@ -438,6 +545,8 @@
 			list_init(&ev.u.store.records);
 			if (procs[node].boot != boot || !procs[node].mesh)
 				return;
+			procs[node].store_era =
+				std::max(procs[node].store_era, e.era);
 			owned->move_to(&ev.u.store.records);
 			handle(node, ev);
 		});
@@ -461,9 +570,11 @@
 
 			call.kind = CALL_WATCH_ALL;
 			call.after = w.after;
+			list_init(&e.records);
 			e.op = w.op;
 			e.end = STORE_DONE;
-			fill_records(&e, w.after, false);
+			e.era = era;
+			fill_watch(&e, w.after);
 			answer_store_call(w.node, w.boot, e,
 					  4 * SIM_MS + transfer_ns(call));
 		}
@@ -484,15 +595,16 @@
 			     std::vector<struct record *> &puts)
 	{
 		keymap_writes += is_keymap(puts);
-		if (a.lease && !leases.count(a.lease))
+		if (a.lease && !store.leases.count(a.lease))
 			return STORE_NO_LEASE;
 		for (uint32_t i = 0; i < a.expect_count; i++) {
-			auto it = items.find(
+			auto it = store.items.find(
 				key_of(a.expect[i].kind, a.expect[i].name));
-			uint64_t have =
-				it == items.end() ? 0 : it->second.revision;
+			uint64_t have = it == store.items.end()
+						? 0
+						: it->second.revision;
 
-			if (have != a.expect[i].revision)
+			if (have != revision_number(a.expect[i].revision))
 				return STORE_CONFLICT;
 		}
 		for (auto *r : puts)
@@ -500,6 +612,20 @@
 		return STORE_DONE;
 	}
 
+	/* True if the client has seen a later era than that of @a. */
+	bool is_of_earlier_era(int node, const struct act_store_call &a) const
+	{
+		uint64_t seen = procs[node].store_era;
+
+		if (a.kind == CALL_WATCH_ALL)
+			return revision_era(a.after) < seen;
+		for (uint32_t i = 0; i < a.expect_count; i++)
+			if (a.expect[i].revision &&
+			    revision_era(a.expect[i].revision) < seen)
+				return true;
+		return false;
+	}
+
 	void store_call(int node, struct act_store_call *a)
 	{
 		auto puts = std::make_shared<OwnedRecords>();
@@ -514,7 +640,12 @@
 		puts->take_from(&a->puts);
 		e.op = a->op;
 		e.end = STORE_NO_ANSWER;
-		if (store_down || procs[node].store_cut_until_ns > now) {
+		if (is_of_earlier_era(node, call)) {
+			e.era = procs[node].store_era;
+			e.end = a->kind == CALL_WATCH_ALL ? STORE_NO_HISTORY
+							  : STORE_CONFLICT;
+			answer_store_call(node, boot, e, 0);
+		} else if (store_down || procs[node].store_cut_until_ns > now) {
 			answer_store_call(node, boot, e, deadline);
 		} else if (a->kind == CALL_WRITE &&
 			   random_unit() < opts.late_write_share) {
@@ -527,11 +658,16 @@
 			return;
 		} else if (procs[node].store_refuses_until_ns > now) {
 			e.end = STORE_REFUSED;
+			e.era = era;
 			answer_store_call(node, boot, e, 4 * SIM_MS);
-		} else if (a->kind == CALL_WATCH_ALL && a->after < compacted) {
+		} else if (a->kind == CALL_WATCH_ALL &&
+			   (revision_number(a->after) < store.compacted ||
+			    revision_number(a->after) > store.revision)) {
 			e.end = STORE_NO_HISTORY;
+			e.era = era;
 			answer_store_call(node, boot, e, 4 * SIM_MS);
-		} else if (a->kind == CALL_WATCH_ALL && a->after >= revision) {
+		} else if (a->kind == CALL_WATCH_ALL &&
+			   revision_number(a->after) == store.revision) {
 			watches.push_back({node, boot, a->op, a->after});
 			schedule(a->deadline_ns, [this, node, boot, call] {
 				for (size_t i = 0; i < watches.size(); i++) {
@@ -552,6 +688,8 @@
 		} else {
 			uint64_t took = transfer_ns(call);
 
+			e.end = STORE_DONE;
+			e.era = era;
 			e.end = execute(call, puts->list, &e);
 			if (!lost)
 				took += (4 + random_below(8)) * SIM_MS;
@@ -559,6 +697,7 @@
 			if (lost) {
 				records_delete(&e.records);
 				e.end = STORE_NO_ANSWER;
+				e.era = 0;
 			}
 			answer_store_call(node, boot, e,
 					  lost ? deadline : took);
@@ -579,29 +718,30 @@
 			keep_kinds(e, a.kind == CALL_READ_MANIFEST);
 			return STORE_DONE;
 		case CALL_WATCH_ALL:
-			fill_records(e, a.after, false);
-			return STORE_DONE;
+			fill_watch(e, a.after);
+			return e->end;
 		case CALL_WRITE: {
 			enum store_end end = write(a, puts);
 
-			e->revision = revision;
+			e->revision = revision_make(era, store.revision);
 			return end;
 		}
 		case CALL_LEASE_NEW:
-			e->lease = next_id++;
+			e->lease = store.next_lease++;
 			e->ttl_ns = a.ttl_ns;
-			leases[e->lease] = now + a.ttl_ns;
-			lease_ttl[e->lease] = a.ttl_ns;
+			store.leases[e->lease] = now + a.ttl_ns;
+			store.lease_ttl[e->lease] = a.ttl_ns;
 			return STORE_DONE;
 		case CALL_LEASE_KEEP:
-			if (!leases.count(a.lease))
+			if (!store.leases.count(a.lease))
 				return STORE_NO_LEASE;
-			leases[a.lease] = now + lease_ttl[a.lease];
+			store.leases[a.lease] =
+				now + store.lease_ttl[a.lease];
 			return STORE_DONE;
 		case CALL_LEASE_END:
-			if (!leases.count(a.lease))
+			if (!store.leases.count(a.lease))
 				return STORE_NO_LEASE;
-			leases[a.lease] = now;
+			store.leases[a.lease] = now;
 			return STORE_DONE;
 		}
 		return STORE_NO_ANSWER;
@@ -749,6 +889,7 @@
 		}
 		if (!procs[i].mesh || procs[i].boot != boot)
 			return;
+		check_version(i);
 		uint64_t next = mesh_next_ns(procs[i].mesh);
 
 		if (next == procs[i].tick_at_ns)
@@ -851,6 +992,7 @@
 		u.released.clear();
 		u.running.clear();
 		u.held_until_ns = 0;
+		u.fences.assign(KEYMAP_KEYS, 0);
 	}
 
 	void crash_upstream(int i)
@@ -933,6 +1075,9 @@
 		list_for_each_entry(r, &a->rows, link) {
 			auto had = before.find(r->from);
 
+			if (!accepts(u, r))
+				continue;
+			check_fence(i, r);
 			u.holds[r->from] = {r->to, r->fence, r->handover};
 			/* A row that it already has keeps its handover. */
 			if (had != before.end() &&
@@ -957,6 +1102,52 @@
 			});
 	}
 
+	/* A row whose fence is below one that was seen is not accepted. */
+	static bool accepts(Upstream &u, const struct held_row *r)
+	{
+		for (uint32_t k = r->from; k <= r->to; k++)
+			if (u.fences[k] > r->fence)
+				return false;
+		std::fill(u.fences.begin() + r->from,
+			  u.fences.begin() + r->to + 1, r->fence);
+		return true;
+	}
+
+	/* A key comes to another upstream, or lifetime, with a higher fence. */
+	void check_fence(int i, const struct held_row *r)
+	{
+		uint64_t holder =
+			upstreams[i].born * 1000 + (uint64_t)i + 1;
+
+		for (uint32_t k = r->from; k <= r->to; k++) {
+			Grant &g = grants[k];
+
+			if (g.holder != holder && r->fence <= g.fence) {
+				add_violation("fence of key " +
+					      std::to_string(k) + " at " +
+					      name(i) + " is " +
+					      std::to_string(r->fence) +
+					      ", not above " +
+					      std::to_string(g.fence));
+				return;
+			}
+			g = {r->fence, holder};
+		}
+	}
+
+	/* The operators' configuration never goes back in one process. */
+	void check_version(int i)
+	{
+		const struct manifest *m = procs[i].mesh->ctx.dir.manifest;
+		uint64_t version = m ? m->version : 0;
+
+		if (version < procs[i].version)
+			add_violation(name(i) + " went back from version " +
+				      std::to_string(procs[i].version) +
+				      " to " + std::to_string(version));
+		procs[i].version = version;
+	}
+
 	bool holds_key(Upstream &u, uint32_t key)
 	{
 		expire(u);
--- a/tests/mesh_test.cpp
+++ b/tests/mesh_test.cpp
@@ -216,6 +216,297 @@
 	EXPECT_FALSE(sim.upstreams[1].holds.empty());
 }
 
+/*
+ * The store comes back from an older copy (MeshSim::restore()): what nodes
+ * wrote since is gone, leases too, revisions and ids of leases are given out
+ * again, and the operators write theirs again a moment later.
+ */
+struct RestoredStore {
+	static MeshSimOpts with_copies(MeshSimOpts o)
+	{
+		o.copies = true;
+		return o;
+	}
+
+	MeshSim sim;
+	std::vector<uint64_t> callers;
+
+	explicit RestoredStore(const MeshSimOpts &o = {}) : sim(with_copies(o))
+	{
+	}
+
+	/* A version with one route more; it has a second to take effect. */
+	void put_version(uint64_t version)
+	{
+		sim.more_routes.push_back("v" + std::to_string(version));
+		sim.put_manifest(version);
+		sim.run_for(NS_PER_S);
+	}
+	/* Callers use the route that the version added at all nodes. */
+	void request(uint64_t version)
+	{
+		std::string route = "v" + std::to_string(version);
+
+		for (int i = 0; i < sim.opts.nodes; i++)
+			callers.push_back(
+				sim.send_request(i, route.c_str(), 0));
+	}
+	/* Runs on for @ns while callers use what @version added. */
+	void run_with_requests(uint64_t version, uint64_t ns)
+	{
+		for (uint64_t end = sim.now + ns; sim.now < end;) {
+			request(version);
+			sim.run_for(100 * SIM_MS);
+		}
+	}
+	/*
+	 * The version is in force everywhere 3 s after it was written, all keys
+	 * have an upstream again, no proper request was called wrong, and all
+	 * are served in the end.
+	 */
+	void expect_recovery(uint64_t version, uint64_t ns = 20 * NS_PER_S)
+	{
+		uint64_t denied = 0;
+		int before;
+
+		put_version(version);
+		sim.run_for(2 * NS_PER_S);
+		for (int i = 0; i < sim.opts.nodes; i++) {
+			ASSERT_NE(sim.procs[i].mesh, nullptr) << i;
+			ASSERT_NE(sim.procs[i].mesh->ctx.dir.manifest, nullptr)
+				<< i;
+			EXPECT_EQ(sim.procs[i].mesh->ctx.dir.manifest->version,
+				  version)
+				<< i;
+		}
+		run_with_requests(version, ns);
+		sim.run_for(3 * NS_PER_S);
+		EXPECT_NO_VIOLATIONS(sim);
+		EXPECT_EQ(sim.unheld_keys(), 0u);
+		for (uint64_t caller : callers)
+			denied += caller && sim.codes.count(caller) &&
+				  sim.codes[caller] >= 300 &&
+				  sim.codes[caller] < 500;
+		EXPECT_EQ(denied, 0u);
+		before = sim.served;
+		send_requests(sim, 100);
+		sim.run_for(3 * NS_PER_S);
+		EXPECT_EQ(sim.served - before, 100);
+		for (auto &p : sim.procs)
+			EXPECT_EQ(revision_era(p.mesh->ctx.dir.revision),
+				  sim.era);
+		expect_keys_move();
+	}
+	/* The store has what it takes to move keys and to start nodes. */
+	void expect_keys_move()
+	{
+		sim.crash_upstream(3);
+		sim.kill_process(5);
+		sim.run_for(300 * SIM_MS);
+		sim.start_process(5);
+		sim.run_for(6 * NS_PER_S);
+		EXPECT_EQ(sim.unheld_keys(), 0u) << "of a crashed upstream";
+		sim.kill_process(1);
+		sim.crash_upstream(1);
+		sim.run_for(12 * NS_PER_S);
+		EXPECT_EQ(sim.unheld_keys(), 0u) << "of a lost VM";
+		EXPECT_NO_VIOLATIONS(sim);
+	}
+};
+
+/*
+ * Guards against nodes that take no configuration written after a restore, as
+ * its revision is below those they have (CONFIG), or return to an older one.
+ */
+TEST(Mesh, AVersionWrittenAfterARestoreIsInForceInTime)
+{
+	RestoredStore t;
+
+	t.sim.run_for(8 * NS_PER_S);
+	t.put_version(4);
+	t.sim.run_for(3 * NS_PER_S);
+	t.put_version(8);
+	t.sim.run_for(3 * NS_PER_S);
+	t.put_version(11);
+	t.run_with_requests(11, 2 * NS_PER_S);
+	t.sim.restore_after_outage(9 * NS_PER_S, 2 * NS_PER_S, 500 * SIM_MS);
+	t.run_with_requests(11, 6 * NS_PER_S);
+	t.expect_recovery(14);
+}
+
+/* The node is cut off while the others learn of the new era, and later. */
+TEST(Mesh, ARestoreBehindTheBackOfANodeThatIsCutFromTheStore)
+{
+	RestoredStore t;
+
+	t.sim.run_for(10 * NS_PER_S);
+	t.put_version(4);
+	t.run_with_requests(4, 2 * NS_PER_S);
+	for (int i : {1, 2})
+		t.sim.procs[i].store_cut_until_ns = t.sim.now + 12 * NS_PER_S;
+	t.sim.run_for(NS_PER_S);
+	t.sim.restore_after_outage(4 * NS_PER_S, NS_PER_S, 300 * SIM_MS);
+	t.run_with_requests(4, 4 * NS_PER_S);
+	t.put_version(6);
+	t.run_with_requests(4, 7 * NS_PER_S);
+	t.expect_recovery(8);
+}
+
+/* The same with a node that hears neither the store nor the other nodes. */
+TEST(Mesh, ARestoreBehindTheBackOfANodeThatIsCutFromAll)
+{
+	RestoredStore t;
+
+	t.sim.run_for(10 * NS_PER_S);
+	t.put_version(4);
+	t.run_with_requests(4, 2 * NS_PER_S);
+	t.sim.procs[1].store_cut_until_ns = t.sim.now + 9 * NS_PER_S;
+	t.sim.procs[1].peers_cut_until_ns = t.sim.now + 9 * NS_PER_S;
+	t.sim.run_for(NS_PER_S);
+	t.sim.restore_after_outage(4 * NS_PER_S, NS_PER_S, 300 * SIM_MS);
+	t.sim.run_for(12 * NS_PER_S);
+	t.expect_recovery(8);
+}
+
+/*
+ * A node that restarts while the store shows an older configuration must not
+ * answer by it: others run a newer one.
+ */
+TEST(Mesh, ANodeRestartedWhileTheStoreShowsAnOlderVersion)
+{
+	RestoredStore t;
+
+	t.sim.run_for(10 * NS_PER_S);
+	t.put_version(4);
+	t.run_with_requests(4, 2 * NS_PER_S);
+	t.sim.restore_after_outage(4 * NS_PER_S, NS_PER_S, 2 * NS_PER_S);
+	t.sim.run_for(500 * SIM_MS);
+	for (int i : {0, 3})
+		t.sim.kill_process(i);
+	t.sim.run_for(300 * SIM_MS);
+	for (int i : {0, 3})
+		t.sim.start_process(i);
+	t.run_with_requests(4, 6 * NS_PER_S);
+	t.expect_recovery(8);
+}
+
+TEST(Mesh, TwoRestoresInARow)
+{
+	for (uint64_t between : {400 * SIM_MS, 3 * NS_PER_S}) {
+		RestoredStore t;
+
+		t.sim.run_for(10 * NS_PER_S);
+		t.put_version(4);
+		t.run_with_requests(4, 2 * NS_PER_S);
+		t.sim.restore_after_outage(4 * NS_PER_S, 500 * SIM_MS,
+					   600 * SIM_MS);
+		t.sim.run_for(500 * SIM_MS + between);
+		t.sim.restore_after_outage(9 * NS_PER_S, 300 * SIM_MS,
+					   600 * SIM_MS);
+		t.run_with_requests(4, 6 * NS_PER_S);
+		t.expect_recovery(8);
+	}
+}
+
+/*
+ * The keymap that moved the keys of leaving upstreams is gone, so their owners
+ * of before are owners again, some of which have ended meanwhile.
+ */
+TEST(Mesh, ARestoreInsideAHandover)
+{
+	for (uint64_t at : {200 * SIM_MS, 900 * SIM_MS, 2500 * SIM_MS}) {
+		RestoredStore t;
+
+		t.sim.run_for(10 * NS_PER_S);
+		t.put_version(4);
+		t.run_with_requests(4, 2 * NS_PER_S);
+		t.sim.upstreams[1].draining = true;
+		t.sim.schedule(t.sim.now + 4 * NS_PER_S, [&t] {
+			t.sim.crash_upstream(1);
+			t.sim.schedule(t.sim.now + NS_PER_S,
+				       [&t] { t.sim.start_upstream(1); });
+		});
+		t.sim.run_for(at);
+		t.sim.restore_after_outage(at + 300 * SIM_MS, 400 * SIM_MS,
+					   400 * SIM_MS);
+		t.run_with_requests(4, 8 * NS_PER_S);
+		t.expect_recovery(8);
+	}
+}
+
+/*
+ * Writes of before the restore are executed after it, as the revisions that
+ * they expect have been given out again.
+ */
+TEST(Mesh, LateWritesAndLostAnswersAroundARestore)
+{
+	for (uint64_t seed = 1; seed <= 8; seed++) {
+		MeshSimOpts o;
+
+		o.seed = seed;
+		o.lost_call_share = 0.1;
+		o.late_write_share = 0.3;
+		RestoredStore t(o);
+		t.sim.run_for(12 * NS_PER_S);
+		t.put_version(4);
+		t.sim.run_for(2 * NS_PER_S);
+		for (int i : {1, 3})
+			t.sim.upstreams[i].draining = true;
+		t.run_with_requests(4, 1500 * SIM_MS);
+		t.sim.restore_after_outage(3 * NS_PER_S, 300 * SIM_MS,
+					   400 * SIM_MS);
+		t.run_with_requests(4, 4 * NS_PER_S);
+		for (int i : {1, 3}) {
+			t.sim.crash_upstream(i);
+			t.sim.start_upstream(i);
+		}
+		t.sim.run_for(4 * NS_PER_S);
+		t.sim.opts.lost_call_share = 0;
+		t.sim.opts.late_write_share = 0;
+		t.sim.run_for(6 * NS_PER_S);
+		t.expect_recovery(8);
+		if (::testing::Test::HasFailure()) {
+			ADD_FAILURE() << "seed " << seed;
+			return;
+		}
+	}
+}
+
+/*
+ * Neither keymaps nor cards nor leases are left: a deal as after a first start
+ * would give keys away that upstreams hold, with fences that they refuse.
+ */
+TEST(Mesh, ACopyFromBeforeTheFirstKeymap)
+{
+	for (uint64_t age : {7800 * SIM_MS, 9 * NS_PER_S, 12 * NS_PER_S}) {
+		RestoredStore t;
+
+		t.sim.run_for(8 * NS_PER_S);
+		t.put_version(4);
+		t.run_with_requests(4, 2 * NS_PER_S);
+		t.sim.restore_after_outage(age, 500 * SIM_MS, 500 * SIM_MS);
+		t.run_with_requests(4, 8 * NS_PER_S);
+		t.expect_recovery(8);
+	}
+}
+
+/* A data centre was taken out since the copy: no key may return to it. */
+TEST(Mesh, AnEvacuationThatTheStoreHasLost)
+{
+	RestoredStore t;
+
+	t.sim.run_for(10 * NS_PER_S);
+	t.put_version(4);
+	t.sim.evacuate("dc-1", true);
+	t.run_with_requests(4, 4 * NS_PER_S);
+	t.sim.restore_after_outage(5 * NS_PER_S, 300 * SIM_MS, 600 * SIM_MS);
+	t.run_with_requests(4, 6 * NS_PER_S);
+	for (int i = 1; i < t.sim.opts.nodes; i += 3)
+		EXPECT_TRUE(t.sim.upstreams[i].holds.empty());
+	t.sim.evacuate("dc-1", false);
+	t.expect_recovery(8);
+}
+
 /* Injects a random fault; most end by themselves after a while. */
 static void inject_fault(MeshSim &sim)
 {
@@ -287,7 +578,18 @@
 	}
 }
 
-static void run_random_faults(uint64_t seed, uint64_t seconds)
+/* The store goes back by 1 to 12 s after an outage. */
+static uint64_t restore_at_random(MeshSim &sim)
+{
+	uint64_t down_ns = 200 * SIM_MS + sim.random_below(2800 * SIM_MS);
+	uint64_t redo_ns = 100 * SIM_MS + sim.random_below(900 * SIM_MS);
+
+	sim.restore_after_outage(NS_PER_S + sim.random_below(11 * NS_PER_S),
+				 down_ns, redo_ns);
+	return sim.now + down_ns + redo_ns;
+}
+
+static void run_random_faults(uint64_t seed, uint64_t seconds, bool restores)
 {
 	MeshSimOpts opts;
 	uint64_t served_before;
@@ -295,11 +597,14 @@
 	opts.seed = seed;
 	opts.lost_call_share = 0.05;
 	opts.late_write_share = 0.05;
+	opts.copies = restores;
 	MeshSim sim(opts);
 
 	sim.run_for(4 * NS_PER_S);
 	for (uint64_t end = sim.now + seconds * NS_PER_S;
 	     sim.now < end && sim.violations.empty();) {
+		if (restores && sim.random_below(160) == 0)
+			restore_at_random(sim);
 		if (sim.random_below(60) == 0)
 			inject_fault(sim);
 		send_requests(sim, 5);
@@ -324,7 +629,7 @@
 	EXPECT_EQ((uint64_t)sim.served - served_before, 50u) << "seed " << seed;
 }
 
-TEST(Mesh, FaultsAtRandom)
+static void faults_at_random(bool restores)
 {
 	const char *first = getenv("JD_MESH_SEED");
 	const char *count = getenv("JD_MESH_RUNS");
@@ -332,12 +637,23 @@
 	uint64_t runs = count ? strtoull(count, NULL, 10) : 12;
 
 	for (uint64_t seed = from; seed < from + runs; seed++) {
-		run_random_faults(seed, 40);
-		if (HasFailure())
+		run_random_faults(seed, 40, restores);
+		if (::testing::Test::HasFailure())
 			return;
 	}
 }
 
+TEST(Mesh, FaultsAtRandom)
+{
+	faults_at_random(false);
+}
+
+/* The same with a store that comes back from older copies. */
+TEST(Mesh, FaultsAndRestoresAtRandom)
+{
+	faults_at_random(true);
+}
+
 /*
  * Guards against nodes that stay on an old manifest, and answer 404 on new
  * routes: when each node read each version from the store, the store's link did
@@ -409,6 +725,8 @@
 	uint64_t version = 1;
 	uint64_t next_version_ns = 0;
 	uint64_t version_interval_ns = NS_PER_S;
+	uint64_t restore_interval_ns = 0; /* 0: the store never goes back */
+	uint64_t next_restore_ns = 0;
 	std::vector<std::string> stale;
 	std::vector<uint64_t> callers;
 	uint64_t checks = 0; /* of a calm node */
@@ -531,6 +849,14 @@
 						  stale.empty();) {
 			if (sim.now >= next_version_ns)
 				put_next_version();
+			if (restore_interval_ns && sim.now >= next_restore_ns) {
+				store_disturbed_until =
+					std::max(store_disturbed_until,
+						 restore_at_random(sim));
+				next_restore_ns =
+					sim.now + restore_interval_ns / 2 +
+					sim.random_below(restore_interval_ns);
+			}
 			if (sim.now >= next_fault) {
 				inject(sim.random_below(faults),
 				       (int)sim.random_below(n),
@@ -567,6 +893,7 @@
 	MeshSimOpts mesh;
 	uint64_t faults;   /* the first ones of ManifestStorm::Fault */
 	uint64_t apply_ns; /* bound for nodes without a fault of their own */
+	uint64_t restore_interval_ns = 0;
 };
 
 static void storm_at_random(uint64_t seed, const StormOpts &o)
@@ -579,6 +906,7 @@
 	ManifestStorm storm(opts);
 
 	storm.apply_ns = o.apply_ns;
+	storm.restore_interval_ns = o.restore_interval_ns;
 	storm.run(20 * NS_PER_S, NS_PER_S, o.faults);
 	EXPECT_NO_VIOLATIONS(storm.sim) << "seed " << seed;
 	EXPECT_EQ(joined(storm.stale), "") << "seed " << seed;
@@ -601,6 +929,18 @@
 	}
 }
 
+/* And with a store that comes back from older copies. */
+TEST(Mesh, NoNodeStaysOnAnOldManifestWhenTheStoreIsRestored)
+{
+	StormOpts o = {.mesh = {},
+		       .faults = ManifestStorm::NODE_FAULTS,
+		       .apply_ns = 3 * NS_PER_S,
+		       .restore_interval_ns = 10 * NS_PER_S};
+
+	o.mesh.copies = true;
+	storms_at_random(o);
+}
+
 /* A node on an old manifest answers 404 on routes that callers may use. */
 TEST(Mesh, NoNodeStaysOnAnOldManifestWhenOthersAreCutOffOrRestart)
 {
