Fake store: it comes back from an older copy

The fake store of the fault soak could lose its history, but not go back.

With the option copies it keeps some; kv_server_restore() returns to one: items, leases with what they had left, the counters of revisions and leases. The era, which is in the header Store-Era of all its answers from now on, rises, waiting watches are cut, and a watch from a revision that the store does not have gets 410. kv_server_write_again() repeats the operators' writes.

Tests: KvClientTest.ARestoredStoreIsOfALaterEra, .ALeaseOfTheCopyHasWhatItHadLeft. WatchOfCompactedHistoryFails watches from a revision of the store's era, so that it goes on testing the store's 410.

--- a/fakes/kv_server.c
+++ b/fakes/kv_server.c
@@ -9,6 +9,7 @@
 
 #include "core/list.h"
 #include "core/mem.h"
+#include "core/text.h"
 #include "core/types.h"
 #include "io/addr.h"
 #include "io/base64.h"
@@ -37,6 +38,22 @@
 	uint64_t until_ns;
 };
 
+/** What the store can lose. */
+struct kv_state {
+	struct list items;  /* of struct kv_item, removed ones too */
+	struct list leases; /* of struct kv_lease */
+	uint64_t revision;
+	uint64_t compacted; /* watches from before this revision get 410 */
+	uint64_t next_lease;
+};
+
+/** The state at an earlier time. */
+struct kv_copy {
+	struct list link;
+	uint64_t at_ns;
+	struct kv_state state;
+};
+
 struct kv_watch {
 	struct list link;
 	struct kv_server *server;
@@ -50,21 +67,27 @@
 	struct kv_server_opts opts;
 	struct evhttp *http;
 	struct event *lapse_timer;
-	struct list items;   /* of struct kv_item, removed ones too */
-	struct list leases;  /* of struct kv_lease */
-	struct list watches; /* of struct kv_watch */
+	struct event *copy_timer; /* NULL: no copies are kept */
+	struct kv_state now;
+	struct list copies; /* of struct kv_copy, the newest first */
+	uint32_t copy_count;
+	uint64_t era;
+	struct list operators; /* their last writes, as struct kv_item */
+	struct list watches;   /* of struct kv_watch */
 	enum kv_fault fault;
-	uint64_t revision;
-	uint64_t compacted; /* watches from before this revision get 410 */
-	uint64_t next_lease;
 	uint64_t calls;
 };
 
-static void answer(struct evhttp_request *req, int code, json_t *o)
+static void answer(const struct kv_server *s, struct evhttp_request *req,
+		   int code, json_t *o)
 {
 	struct evbuffer *b = evbuffer_new();
 	char *text = o ? json_dumps(o, JSON_COMPACT) : NULL;
+	char era[32];
 
+	text_format(era, sizeof(era), "%lu", (unsigned long)s->era);
+	evhttp_add_header(evhttp_request_get_output_headers(req), "Store-Era",
+			  era);
 	if (text)
 		evbuffer_add(b, text, strlen(text));
 	free(text);
@@ -73,26 +96,32 @@
 	evbuffer_free(b);
 }
 
-static struct kv_item *find_item(const struct kv_server *s, const char *key)
+static struct kv_item *find_in(const struct list *items, const char *key)
 {
 	struct kv_item *it;
 
-	list_for_each_entry(it, &s->items, link)
+	list_for_each_entry(it, items, link)
 		if (!strcmp(it->key, key))
 			return it;
 	return NULL;
 }
 
-static struct kv_item *find_or_add_item(struct kv_server *s, const char *key)
+static struct kv_item *find_item(const struct kv_server *s, const char *key)
 {
-	struct kv_item *it = find_item(s, key);
+	return find_in(&s->now.items, key);
+}
+
+/* The items are in the order of their keys. */
+static struct kv_item *find_or_add_in(struct list *items, const char *key)
+{
+	struct kv_item *it = find_in(items, key);
 	struct kv_item *pos;
 
 	if (it)
 		return it;
 	it = mem_new(struct kv_item);
 	mem_copy_str(it->key, key, sizeof(it->key));
-	list_for_each_entry(pos, &s->items, link)
+	list_for_each_entry(pos, items, link)
 		if (strcmp(pos->key, key) > 0)
 			break;
 	list_insert_before(&pos->link, &it->link);
@@ -116,7 +145,7 @@
 	json_t *list = json_array();
 	const struct kv_item *it;
 
-	list_for_each_entry(it, &s->items, link)
+	list_for_each_entry(it, &s->now.items, link)
 		if (it->revision > after &&
 		    !strncmp(it->key, prefix, strlen(prefix)))
 			json_array_append_new(list, item_json(it));
@@ -132,9 +161,9 @@
 
 static void watch_end(struct kv_watch *w, json_t *events)
 {
-	answer(w->req, HTTP_OK,
+	answer(w->server, w->req, HTTP_OK,
 	       json_pack("{s:o,s:I}", "events", events, "asOf",
-			 (json_int_t)w->server->revision));
+			 (json_int_t)w->server->now.revision));
 	watch_delete(w);
 }
 
@@ -152,27 +181,40 @@
 	}
 }
 
+static void set_value(struct kv_item *it, const char *value)
+{
+	free(it->value);
+	it->value = value ? mem_dup(value, strlen(value)) : NULL;
+}
+
 static void put_value(struct kv_server *s, const char *key, const char *value,
 		      uint64_t lease)
 {
-	struct kv_item *it = find_or_add_item(s, key);
+	struct kv_item *it = find_or_add_in(&s->now.items, key);
 
 	if (!it->value)
-		it->created = s->revision;
-	free(it->value);
-	it->value = value ? mem_dup(value, strlen(value)) : NULL;
-	it->revision = s->revision;
+		it->created = s->now.revision;
+	set_value(it, value);
+	it->revision = s->now.revision;
 	it->lease = lease;
 }
 
-void kv_server_put_base64(struct kv_server *s, const char *key,
-			  const char *value)
+/* @value NULL: removes the key. */
+static void put_by_operator(struct kv_server *s, const char *key,
+			    const char *value)
 {
-	s->revision++;
+	set_value(find_or_add_in(&s->operators, key), value);
+	s->now.revision++;
 	put_value(s, key, value, 0);
 	end_ready_watches(s);
 }
 
+void kv_server_put_base64(struct kv_server *s, const char *key,
+			  const char *value)
+{
+	put_by_operator(s, key, value);
+}
+
 void kv_server_put(struct kv_server *s, const char *key, const char *value)
 {
 	char *text = base64_encode(value, strlen(value));
@@ -183,9 +225,7 @@
 
 void kv_server_remove(struct kv_server *s, const char *key)
 {
-	s->revision++;
-	put_value(s, key, NULL, 0);
-	end_ready_watches(s);
+	put_by_operator(s, key, NULL);
 }
 
 bool kv_server_has(const struct kv_server *s, const char *key)
@@ -199,7 +239,7 @@
 {
 	struct kv_lease *l;
 
-	list_for_each_entry(l, &s->leases, link)
+	list_for_each_entry(l, &s->now.leases, link)
 		if (l->id == id)
 			return l;
 	return NULL;
@@ -209,10 +249,10 @@
 {
 	struct kv_item *it;
 
-	list_for_each_entry(it, &s->items, link) {
+	list_for_each_entry(it, &s->now.items, link) {
 		if (!it->value || it->lease != l->id)
 			continue;
-		s->revision++;
+		s->now.revision++;
 		put_value(s, it->key, NULL, 0);
 	}
 	list_remove(&l->link);
@@ -228,11 +268,141 @@
 
 	(void)fd;
 	(void)what;
-	list_for_each_entry_safe(l, tmp, &s->leases, link)
+	list_for_each_entry_safe(l, tmp, &s->now.leases, link)
 		if (now >= l->until_ns)
 			lease_end(s, l);
 }
 
+static void state_init(struct kv_state *st)
+{
+	memset(st, 0, sizeof(*st));
+	list_init(&st->items);
+	list_init(&st->leases);
+	st->revision = 1;
+	st->next_lease = 1;
+}
+
+static void items_delete(struct list *items)
+{
+	struct kv_item *it, *tmp;
+
+	list_for_each_entry_safe(it, tmp, items, link) {
+		list_remove(&it->link);
+		free(it->value);
+		free(it);
+	}
+}
+
+static void state_done(struct kv_state *st)
+{
+	struct kv_lease *l, *tmp;
+
+	items_delete(&st->items);
+	list_for_each_entry_safe(l, tmp, &st->leases, link) {
+		list_remove(&l->link);
+		free(l);
+	}
+}
+
+/* Copies @from to @to; each lease ends @later_ns later there. */
+static void state_copy(struct kv_state *to, const struct kv_state *from,
+		       uint64_t later_ns)
+{
+	const struct kv_item *it;
+	const struct kv_lease *l;
+
+	*to = *from;
+	list_init(&to->items);
+	list_init(&to->leases);
+	list_for_each_entry(it, &from->items, link) {
+		struct kv_item *n = mem_dup(it, sizeof(*it));
+
+		n->value = NULL;
+		set_value(n, it->value);
+		list_push_back(&to->items, &n->link);
+	}
+	list_for_each_entry(l, &from->leases, link) {
+		struct kv_lease *n = mem_dup(l, sizeof(*l));
+
+		n->until_ns += later_ns;
+		list_push_back(&to->leases, &n->link);
+	}
+}
+
+static void copy_delete(struct kv_server *s, struct kv_copy *c)
+{
+	list_remove(&c->link);
+	s->copy_count--;
+	state_done(&c->state);
+	free(c);
+}
+
+static void on_copy(evutil_socket_t fd, short what, void *arg)
+{
+	struct kv_server *s = arg;
+	struct kv_copy *c = mem_new(struct kv_copy);
+
+	(void)fd;
+	(void)what;
+	c->at_ns = clock_now_ns();
+	state_copy(&c->state, &s->now, 0);
+	list_push_front(&s->copies, &c->link);
+	if (++s->copy_count > s->opts.copies)
+		copy_delete(s,
+			    list_entry(s->copies.prev, struct kv_copy, link));
+}
+
+/* Ends the connection, as a store that goes away does. */
+static void watch_cut(struct kv_watch *w)
+{
+	struct evhttp_connection *conn = evhttp_request_get_connection(w->req);
+
+	if (conn)
+		evhttp_connection_free(conn);
+	watch_delete(w);
+}
+
+bool kv_server_restore(struct kv_server *s, uint64_t age_ns)
+{
+	uint64_t now = clock_now_ns();
+	struct kv_copy *c, *tmp;
+	struct kv_watch *w, *wt;
+
+	/* Those that are passed over are of a history that is no more. */
+	list_for_each_entry_safe(c, tmp, &s->copies, link)
+		if (c->at_ns + age_ns > now && s->copy_count > 1)
+			copy_delete(s, c);
+	if (list_empty(&s->copies))
+		return false;
+	c = list_entry(s->copies.next, struct kv_copy, link);
+	state_done(&s->now);
+	state_copy(&s->now, &c->state, now - c->at_ns);
+	s->era++;
+	list_for_each_entry_safe(w, wt, &s->watches, link)
+		watch_cut(w);
+	return true;
+}
+
+static bool same_value(const struct kv_item *a, const struct kv_item *b)
+{
+	if (!a || !a->value || !b->value)
+		return (!a || !a->value) && !b->value;
+	return !strcmp(a->value, b->value);
+}
+
+void kv_server_write_again(struct kv_server *s)
+{
+	const struct kv_item *it;
+
+	list_for_each_entry(it, &s->operators, link) {
+		if (same_value(find_item(s, it->key), it))
+			continue;
+		s->now.revision++;
+		put_value(s, it->key, it->value, 0);
+	}
+	end_ready_watches(s);
+}
+
 static void do_range(struct kv_server *s, struct evhttp_request *req,
 		     const struct evkeyvalq *q)
 {
@@ -242,7 +412,7 @@
 	const struct kv_item *it;
 	bool truncated = false;
 
-	list_for_each_entry(it, &s->items, link) {
+	list_for_each_entry(it, &s->now.items, link) {
 		if (!it->value || !prefix ||
 		    strncmp(it->key, prefix, strlen(prefix)) != 0 ||
 		    (after && strcmp(it->key, after) <= 0))
@@ -253,9 +423,9 @@
 		}
 		json_array_append_new(items, item_json(it));
 	}
-	answer(req, HTTP_OK,
+	answer(s, req, HTTP_OK,
 	       json_pack("{s:o,s:b,s:I}", "items", items, "truncated",
-			 truncated, "asOf", (json_int_t)s->revision));
+			 truncated, "asOf", (json_int_t)s->now.revision));
 }
 
 static void on_watch_timeout(evutil_socket_t fd, short what, void *arg)
@@ -282,8 +452,8 @@
 			     .tv_usec = (suseconds_t)(wait_ms % 1000) * 1000};
 	struct kv_watch *w;
 
-	if (after < s->compacted) {
-		answer(req, HTTP_GONE, NULL);
+	if (after < s->now.compacted || after > s->now.revision) {
+		answer(s, req, HTTP_GONE, NULL);
 		return;
 	}
 	w = mem_new(struct kv_watch);
@@ -342,14 +512,14 @@
 		return HTTP_NOTFOUND;
 	if (!revisions_match(s, json_object_get(o, "expected")))
 		return HTTP_PRECONDITION_FAILED;
-	s->revision++;
+	s->now.revision++;
 	json_array_foreach(puts, i, row) put_value(
 		s, json_string_value(json_object_get(row, "key")),
 		json_string_value(json_object_get(row, "value")),
 		(uint64_t)json_integer_value(json_object_get(row, "lease")));
 	json_array_foreach(json_object_get(o, "remove"), i, row)
 		put_value(s, json_string_value(row), NULL, 0);
-	*out = json_pack("{s:I}", "revision", (json_int_t)s->revision);
+	*out = json_pack("{s:I}", "revision", (json_int_t)s->now.revision);
 	end_ready_watches(s);
 	return HTTP_OK;
 }
@@ -359,10 +529,10 @@
 	struct kv_lease *l = mem_new(struct kv_lease);
 	double ttl = json_number_value(json_object_get(o, "ttlS"));
 
-	l->id = s->next_lease++;
+	l->id = s->now.next_lease++;
 	l->ttl_ns = (uint64_t)(ttl * (double)NS_PER_S);
 	l->until_ns = clock_now_ns() + l->ttl_ns;
-	list_push_back(&s->leases, &l->link);
+	list_push_back(&s->now.leases, &l->link);
 	*out = json_pack("{s:I,s:f}", "lease", (json_int_t)l->id, "ttlS", ttl);
 	return HTTP_OK;
 }
@@ -404,10 +574,10 @@
 {
 	switch (s->fault) {
 	case KV_FAULT_BUSY:
-		answer(req, HTTP_SERVUNAVAIL, NULL);
+		answer(s, req, HTTP_SERVUNAVAIL, NULL);
 		return true;
 	case KV_FAULT_TOO_MANY:
-		answer(req, HTTP_TOO_MANY_REQUESTS, NULL);
+		answer(s, req, HTTP_TOO_MANY_REQUESTS, NULL);
 		return true;
 	case KV_FAULT_SILENT:
 		return true;
@@ -448,7 +618,7 @@
 		if (s->fault == KV_FAULT_LOSES_ANSWERS)
 			json_decref(out);
 		else
-			answer(req, code, out);
+			answer(s, req, code, out);
 	}
 	evhttp_clear_headers(&q);
 }
@@ -457,17 +627,23 @@
 {
 	struct kv_server *s = mem_new(struct kv_server);
 	struct timeval tv = {.tv_usec = LAPSE_CHECK_MS * 1000};
+	struct timeval copy = {.tv_sec = o->copy_ms / 1000,
+			       .tv_usec = o->copy_ms % 1000 * 1000};
 	char ip[JD_ADDR_MAX];
 	uint16_t port;
 
 	s->opts = *o;
 	if (!s->opts.page)
 		s->opts.page = PAGE_ITEMS_DEFAULT;
-	list_init(&s->items);
-	list_init(&s->leases);
+	state_init(&s->now);
+	list_init(&s->copies);
+	list_init(&s->operators);
 	list_init(&s->watches);
-	s->revision = 1;
-	s->next_lease = 1;
+	s->era = 1;
+	if (o->copies) {
+		s->copy_timer = event_new(o->base, -1, EV_PERSIST, on_copy, s);
+		event_add(s->copy_timer, &copy);
+	}
 	s->lapse_timer = event_new(o->base, -1, EV_PERSIST, on_lapse, s);
 	event_add(s->lapse_timer, &tv);
 	s->http = evhttp_new(o->base);
@@ -482,19 +658,18 @@
 void kv_server_delete(struct kv_server *s)
 {
 	struct kv_watch *w, *wt;
-	struct kv_lease *l, *lt;
-	struct kv_item *it, *itt;
+	struct kv_copy *c, *ct;
 
 	list_for_each_entry_safe(w, wt, &s->watches, link)
 		watch_delete(w);
 	evhttp_free(s->http);
 	event_free(s->lapse_timer);
-	list_for_each_entry_safe(l, lt, &s->leases, link)
-		free(l);
-	list_for_each_entry_safe(it, itt, &s->items, link) {
-		free(it->value);
-		free(it);
-	}
+	if (s->copy_timer)
+		event_free(s->copy_timer);
+	list_for_each_entry_safe(c, ct, &s->copies, link)
+		copy_delete(s, c);
+	items_delete(&s->operators);
+	state_done(&s->now);
 	free(s);
 }
 
@@ -505,7 +680,12 @@
 
 void kv_server_compact(struct kv_server *s)
 {
-	s->compacted = s->revision;
+	s->now.compacted = s->now.revision;
+}
+
+uint64_t kv_server_era(const struct kv_server *s)
+{
+	return s->era;
 }
 
 uint64_t kv_server_calls(const struct kv_server *s)
--- a/tests/kv_client_test.cpp
+++ b/tests/kv_client_test.cpp
@@ -24,7 +24,7 @@
 	struct kv_client *client;
 	struct End {
 		enum store_end end;
-		uint64_t revision, lease, ttl_ns;
+		uint64_t era, revision, lease, ttl_ns;
 		std::vector<std::string> names;
 		std::vector<bool> removed;
 	};
@@ -38,6 +38,8 @@
 		o.base = base;
 		o.addr = addr.c_str();
 		o.page = 3;
+		o.copies = 100;
+		o.copy_ms = 20;
 		server = kv_server_new(&o);
 		EXPECT_NE(server, nullptr);
 		client = kv_client_new(base, addr.c_str(), on_end, this);
@@ -54,6 +56,7 @@
 		const struct record *r;
 
 		end.end = e->end;
+		end.era = e->era;
 		end.revision = e->revision;
 		end.lease = e->lease;
 		end.ttl_ns = e->ttl_ns;
@@ -149,7 +152,7 @@
 	kv_server_compact(server);
 	EXPECT_EQ(call(CALL_WATCH_ALL,
 		       [](struct act_store_call &a) {
-			       a.after = 1;
+			       a.after = revision_make(1, 1);
 		       }).end,
 		  STORE_NO_HISTORY);
 }
@@ -236,6 +239,91 @@
 	EXPECT_EQ(call(CALL_READ_ALL).names.size(), 1u);
 }
 
+/*
+ * The store comes back from a copy: what was written since is gone, revisions
+ * and ids of leases are given out again, and a watch of before is cut.
+ */
+TEST_F(KvClientTest, ARestoredStoreIsOfALaterEra)
+{
+	run_loop(50);
+	const End before = call(CALL_WRITE, [](struct act_store_call &a) {
+		put_card(a, "n", 0);
+	});
+	run_loop(150);
+	const uint64_t between_ns = clock_now_ns();
+	run_loop(150);
+	const End lease = call(CALL_LEASE_NEW, [](struct act_store_call &a) {
+		a.ttl_ns = 10 * NS_PER_S;
+	});
+	const End lost = call(CALL_WRITE, [&](struct act_store_call &a) {
+		put_card(a, "m", 0);
+		a.lease = lease.lease;
+	});
+	kv_server_put(server, "op/evacuate/z1", "{}");
+	const uint64_t known = call(CALL_READ_ALL).revision;
+	uint64_t op = start(CALL_WATCH_ALL, [&](struct act_store_call &a) {
+		a.after = known;
+		a.wait_ns = 5 * NS_PER_S;
+		a.deadline_ns = clock_now_ns() + 5 * NS_PER_S;
+	});
+	run_loop(100);
+	ASSERT_TRUE(kv_server_restore(server, clock_now_ns() - between_ns));
+	run_loop(50);
+	ASSERT_EQ(ends.count(op), 1u);
+	EXPECT_EQ(ends[op].end, STORE_NO_ANSWER);
+	EXPECT_TRUE(kv_server_has(server, "own/node/n"));
+	EXPECT_FALSE(kv_server_has(server, "own/node/m"));
+	EXPECT_FALSE(kv_server_has(server, "op/evacuate/z1"));
+	/* A watch from a revision that the store does not have. */
+	const End &gone = call(CALL_WATCH_ALL, [&](struct act_store_call &a) {
+		a.after = known;
+	});
+
+	EXPECT_EQ(gone.end, STORE_NO_HISTORY);
+	EXPECT_EQ(gone.era, 2u);
+	EXPECT_EQ(call(CALL_LEASE_KEEP,
+		       [&](struct act_store_call &a) {
+			       a.lease = lease.lease;
+		       }).end,
+		  STORE_NO_LEASE);
+	EXPECT_EQ(call(CALL_LEASE_NEW,
+		       [](struct act_store_call &a) {
+			       a.ttl_ns = 10 * NS_PER_S;
+		       }).lease,
+		  lease.lease);
+	kv_server_write_again(server);
+	EXPECT_TRUE(kv_server_has(server, "op/evacuate/z1"));
+	const End &after = call(CALL_WRITE, [](struct act_store_call &a) {
+		put_card(a, "k", 0);
+	});
+
+	EXPECT_EQ(after.end, STORE_DONE);
+	EXPECT_GT(after.revision, lost.revision);
+	EXPECT_LE(revision_number(after.revision),
+		  revision_number(lost.revision) + 1);
+	EXPECT_EQ(revision_era(before.revision), 1u);
+	EXPECT_EQ(revision_era(after.revision), 2u);
+}
+
+/* A lease that is in the copy has what it had left then. */
+TEST_F(KvClientTest, ALeaseOfTheCopyHasWhatItHadLeft)
+{
+	const End lease = call(CALL_LEASE_NEW, [](struct act_store_call &a) {
+		a.ttl_ns = 1500 * NS_PER_MS;
+	});
+
+	call(CALL_WRITE, [&](struct act_store_call &a) {
+		put_card(a, "n", 0);
+		a.lease = lease.lease;
+	});
+	run_loop(1400);
+	ASSERT_TRUE(kv_server_restore(server, 1200 * NS_PER_MS));
+	run_loop(600);
+	EXPECT_TRUE(kv_server_has(server, "own/node/n"));
+	run_loop(1400);
+	EXPECT_FALSE(kv_server_has(server, "own/node/n"));
+}
+
 TEST(KvClient, CallToAnUnreachableStoreIsLost)
 {
 	struct event_base *base = event_base_new();
