Pass on changes of a manifest of any size; send it to nodes that missed one

Callers got 404 for routes in force, or answers by an old route: after a change of more than 64 routes each node read the whole document from the store, over links that callers used, too.

Cause: the bound of 64 routes on a delta, and that a node which missed one delta had no other way than the document. Ruled out as reasons for that bound: the size (a delta of 1,400 routes takes 86 kB, 15.5 kB compressed, with synthetic names; the document of 4,200 routes 1,174 kB) and the processor time (7 ms once to make it, 1.1 ms to encode and compress it for each receiver, 3.5 ms for a receiver; the document takes 59 ms; -O2, arm64). Applying one was quadratic.

A delta is made unless it has more routes than the new manifest. Load reports state the manifest in force, so a node learns of a newer one from any peer, waits 150 ms for the delta, asks a node that has it, and reads from the store after two requests without an answer. A node sends its whole manifest at most ten times a second.

ALargeChangeNeedsNoRead failed before. A test demanded that a change from 2,800 to 4,200 routes is read from the store: that was the fault. It now demands the delta, and the read is tested for a change larger than the new manifest.

--- a/core/directory.c
+++ b/core/directory.c
@@ -234,6 +234,7 @@
 	n->probed_ns = 0;
 	n->leaving = false;
 	n->watches = false;
+	n->manifest_revision = 0;
 	n->failure_rate = 0;
 	memset(&n->clock, 0, sizeof(n->clock));
 }
@@ -402,6 +403,8 @@
 	n->heard_ns = now_ns;
 	n->leaving = l->leaving;
 	n->watches = l->watches;
+	n->manifest_revision = l->manifest_revision;
+	directory_note_manifest(d, l->manifest_revision, now_ns);
 	n->reply_due |= l->wants_report;
 	d->urgent_reports |= l->wants_report;
 	n->load = l->load;
--- a/core/directory.h
+++ b/core/directory.h
@@ -57,8 +57,9 @@
 	bool probe_due;	       /* it has not answered a request and is silent */
 	bool reply_due;	       /* it sent a probe: it gets a report at once */
 	bool watches;	       /* it watches the store for others too */
-	uint64_t boot;	       /* of its process, by report or else by card */
-	bool leaving;	       /* that process ends soon */
+	revision_t manifest_revision; /* in force there; 0: not stated */
+	uint64_t boot; /* of its process, by report or else by card */
+	bool leaving;  /* that process ends soon */
 	struct peer_clock clock;
 	struct gate_load load;
 	uint32_t unreported_requests; /* ours to it, not yet in @load */
--- a/core/manifest_delta.c
+++ b/core/manifest_delta.c
@@ -181,6 +181,12 @@
 	list_push_back(to, &copy->link);
 }
 
+static size_t changes_max(size_t routes)
+{
+	return routes > MANIFEST_DELTA_ROUTES_MIN ? routes
+						  : MANIFEST_DELTA_ROUTES_MIN;
+}
+
 /* Adds the differences of the routes to @d; false if there are too many. */
 static bool add_route_changes(struct manifest_delta *d,
 			      const struct manifest *a,
@@ -189,9 +195,9 @@
 	size_t a_count, b_count, i = 0, j = 0, changes = 0;
 	struct named_route *from = sort_routes(a, &a_count);
 	struct named_route *to = sort_routes(b, &b_count);
+	size_t max = changes_max(b_count);
 
-	while ((i < a_count || j < b_count) &&
-	       changes <= MANIFEST_DELTA_ROUTES_MAX) {
+	while ((i < a_count || j < b_count) && changes <= max) {
 		int order = i == a_count   ? 1
 			    : j == b_count ? -1
 					   : compare_names(&from[i], &to[j]);
@@ -211,25 +217,46 @@
 	}
 	free(from);
 	free(to);
-	return changes <= MANIFEST_DELTA_ROUTES_MAX;
+	return changes <= max;
 }
 
-struct manifest_delta *manifest_delta_between(const struct manifest *a,
-					      revision_t base,
-					      const struct manifest *b,
-					      revision_t revision)
+/* A delta with all of @m but its routes. */
+static struct manifest_delta *delta_without_routes(const struct manifest *m,
+						   revision_t base,
+						   revision_t revision)
 {
 	struct manifest_delta *d = manifest_delta_new();
 	const struct service *s;
-	struct manifest *rebuilt;
 
 	d->base = base;
 	d->revision = revision;
-	d->version = b->version;
-	d->digest = manifest_digest(b);
-	d->limits = b->limits;
-	list_for_each_entry(s, &b->services, link)
+	d->version = m->version;
+	d->digest = manifest_digest(m);
+	d->limits = m->limits;
+	list_for_each_entry(s, &m->services, link)
 		push_service_copy(&d->services, s);
+	return d;
+}
+
+struct manifest_delta *manifest_delta_whole(const struct manifest *m,
+					    revision_t revision)
+{
+	struct manifest_delta *d = delta_without_routes(m, 0, revision);
+	const struct route *r;
+
+	list_for_each_entry(r, &m->routes, link)
+		push_route_copy(&d->changed, r);
+	return d;
+}
+
+struct manifest_delta *manifest_delta_between(const struct manifest *a,
+					      revision_t base,
+					      const struct manifest *b,
+					      revision_t revision)
+{
+	struct manifest_delta *d = delta_without_routes(b, base, revision);
+	struct manifest *rebuilt;
+
 	rebuilt =
 		add_route_changes(d, a, b) ? manifest_delta_apply(d, a) : NULL;
 	if (!rebuilt) {
@@ -240,18 +267,49 @@
 	return d;
 }
 
-static bool keeps_route(const struct manifest_delta *d, const struct route *r)
+static int compare_strings(const void *a, const void *b)
+{
+	return strcmp(*(const char *const *)a, *(const char *const *)b);
+}
+
+/* Allocates the sorted array of the names of routes that @d replaces. */
+static const char **sort_replaced(const struct manifest_delta *d, size_t *count)
 {
 	const struct removed_route *x;
-	const struct route *c;
+	const struct route *r;
+	const char **names;
+	size_t n = 0;
 
 	list_for_each_entry(x, &d->removed, link)
-		if (!strcmp(x->name, r->name))
-			return false;
-	list_for_each_entry(c, &d->changed, link)
-		if (!strcmp(c->name, r->name))
-			return false;
-	return true;
+		n++;
+	list_for_each_entry(r, &d->changed, link)
+		n++;
+	names = mem_zalloc(n + 1, sizeof(*names));
+	*count = 0;
+	list_for_each_entry(x, &d->removed, link)
+		names[(*count)++] = x->name;
+	list_for_each_entry(r, &d->changed, link)
+		names[(*count)++] = r->name;
+	qsort(names, n, sizeof(*names), compare_strings);
+	return names;
+}
+
+static void push_kept_routes(struct manifest *out,
+			     const struct manifest_delta *d,
+			     const struct manifest *m)
+{
+	size_t count;
+	const char **replaced = sort_replaced(d, &count);
+	const struct route *r;
+
+	list_for_each_entry(r, &m->routes, link) {
+		const char *name = r->name;
+
+		if (!bsearch(&name, replaced, count, sizeof(*replaced),
+			     compare_strings))
+			push_route_copy(&out->routes, r);
+	}
+	free(replaced);
 }
 
 struct manifest *manifest_delta_apply(const struct manifest_delta *d,
@@ -263,9 +321,8 @@
 
 	out->version = d->version;
 	out->limits = d->limits;
-	list_for_each_entry(r, &m->routes, link)
-		if (keeps_route(d, r))
-			push_route_copy(&out->routes, r);
+	if (d->base)
+		push_kept_routes(out, d, m);
 	list_for_each_entry(r, &d->changed, link)
 		push_route_copy(&out->routes, r);
 	list_for_each_entry(s, &d->services, link)
--- a/core/manifest_delta.h
+++ b/core/manifest_delta.h
@@ -7,8 +7,11 @@
 
 #include "core/manifest.h"
 
-/* A larger change has no delta: the document is read from the store. */
-#define MANIFEST_DELTA_ROUTES_MAX 64
+/*
+ * A change of more routes than the new manifest has, as when most are removed,
+ * has no delta unless it is as small as this.
+ */
+#define MANIFEST_DELTA_ROUTES_MIN 64
 
 /** The name of a route that is no longer in the manifest. */
 struct removed_route {
@@ -19,7 +22,8 @@
 /** Reference counted, so immutable once it is shared. */
 struct manifest_delta {
 	uint32_t refs;
-	revision_t base;     /* the only manifest that it applies to */
+	/* The only manifest that it applies to; 0: the empty one. */
+	revision_t base;
 	revision_t revision; /* of the manifest after it */
 	uint64_t version;    /* of the manifest after it */
 	uint64_t digest;     /* manifest_digest() of the manifest after it */
@@ -43,7 +47,7 @@
 
 /**
  * The delta that turns @a, at revision @base, into @b, at @revision, with one
- * reference. NULL when too much changed, or when @b can't be rebuilt by the
+ * reference. NULL when @b itself is smaller, or when it can't be rebuilt by the
  * names of its routes.
  */
 struct manifest_delta *manifest_delta_between(const struct manifest *a,
@@ -51,9 +55,14 @@
 					      const struct manifest *b,
 					      revision_t revision);
 
+/** The delta that makes @m, at @revision, out of the empty manifest. */
+struct manifest_delta *manifest_delta_whole(const struct manifest *m,
+					    revision_t revision);
+
 /**
  * The manifest that @d makes of @m, owned by the caller; NULL when its digest
- * differs from @d's, as when @m is not the manifest at @d's base.
+ * differs from @d's, as when @m is not the manifest at @d's base. @m may be
+ * NULL if that is the empty one.
  */
 struct manifest *manifest_delta_apply(const struct manifest_delta *d,
 				      const struct manifest *m);
--- a/core/mesh.c
+++ b/core/mesh.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include "core/mem.h"
+#include "core/relay.h"
 
 /*
  * A first card without an upstream is written only if none was announced in
@@ -179,8 +180,12 @@
 		session_on_renewed(&m->session, c, &msg->u.renewed);
 		break;
 	case MSG_CHANGES:
+		relay_note_sender(c, msg->from, &msg->u.changes);
 		session_on_changes(&m->session, c, &msg->u.changes);
 		break;
+	case MSG_MANIFEST_GET:
+		relay_send_manifest(c, msg->from, &msg->u.manifest_get);
+		break;
 	default:
 		break;
 	}
--- a/core/message.c
+++ b/core/message.c
@@ -11,7 +11,7 @@
 	[MSG_FORWARD] = "forward",     [MSG_ANSWER] = "answer",
 	[MSG_CANCEL] = "cancel",       [MSG_LOAD] = "load",
 	[MSG_RENEW] = "renew",	       [MSG_RENEWED] = "renewed",
-	[MSG_CHANGES] = "changes",
+	[MSG_CHANGES] = "changes",     [MSG_MANIFEST_GET] = "manifest_get",
 };
 
 static const char *const outcome_names[OUTCOME_COUNT] = {
@@ -65,6 +65,7 @@
 	case MSG_LOAD:
 	case MSG_RENEW:
 	case MSG_RENEWED:
+	case MSG_MANIFEST_GET:
 	case MSG_KIND_COUNT:
 		break;
 	}
--- a/core/message.h
+++ b/core/message.h
@@ -28,6 +28,7 @@
 	MSG_RENEW,	   /* node to node: renew my lease at the store */
 	MSG_RENEWED,	   /* node to node: result of a MSG_RENEW */
 	MSG_CHANGES,	   /* node to node: changed records of the store */
+	MSG_MANIFEST_GET,  /* node to node: send me your manifest */
 	MSG_KIND_COUNT,
 };
 
@@ -116,6 +117,8 @@
 	bool watches; /* the sender watches the store and sends MSG_CHANGES */
 	bool wants_report; /* the sender asks for a MSG_LOAD in return */
 	struct gate_load load;
+	/* Of the manifest in force; 0: a sender that doesn't state it. */
+	revision_t manifest_revision;
 };
 
 struct msg_renew {
@@ -137,6 +140,12 @@
 	struct list records; /* of struct record; manifests by their delta */
 };
 
+/** Answered by a MSG_CHANGES with a manifest, if the receiver's is newer. */
+struct msg_manifest_get {
+	revision_t revision; /* of the sender's */
+	char reply_to[JD_ADDR_MAX];
+};
+
 struct msg_answer {
 	struct request_id id;
 	uint32_t attempt;
@@ -173,6 +182,7 @@
 		struct msg_renew renew;
 		struct msg_renewed renewed;
 		struct msg_changes changes;
+		struct msg_manifest_get manifest_get;
 	} u;
 };
 
--- a/core/node.c
+++ b/core/node.c
@@ -293,6 +293,7 @@
 	case MSG_RENEW:
 	case MSG_RENEWED:
 	case MSG_CHANGES:
+	case MSG_MANIFEST_GET:
 		/* Only in leased fleets; core/mesh.c handles them. */
 		n->refused_messages++;
 		break;
--- a/core/relay.c
+++ b/core/relay.c
@@ -2,10 +2,14 @@
 
 #include <string.h>
 
+#include "core/mem.h"
+
 /* Two, so that the loss of one watcher causes no gap. */
-#define WATCHERS_PER_REGION 2
+#define WATCHERS_PER_REGION	  2
+/* Sending a whole manifest takes processor time that requests need, too. */
+#define MANIFEST_SEND_INTERVAL_NS (100 * NS_PER_MS)
 /* In a smaller region all nodes watch: relaying would save few calls. */
-#define RELAY_NODES_MIN	    8
+#define RELAY_NODES_MIN		  8
 
 static bool is_live_in_region(const struct mesh_ctx *c,
 			      const struct dir_node *n)
@@ -96,3 +100,73 @@
 		    directory_node_alive(&c->dir, n, c->now_ns))
 			send_changes(c, n, from, e);
 }
+
+void relay_note_sender(struct mesh_ctx *c, uint64_t from,
+		       const struct msg_changes *m)
+{
+	struct dir_node *n = directory_by_boot(&c->dir, from);
+	const struct record *r;
+
+	/* Builds that don't state it in their reports send it to nobody. */
+	if (!n || !n->manifest_revision)
+		return;
+	list_for_each_entry(r, &m->records, link)
+		if (r->kind == RECORD_MANIFEST && r->delta &&
+		    r->revision > n->manifest_revision)
+			n->manifest_revision = r->revision;
+}
+
+const struct dir_node *relay_manifest_source(struct mesh_ctx *c)
+{
+	const struct directory *d = &c->dir;
+	const struct dir_node *best = NULL;
+	const struct dir_node *n;
+	bool best_near = false;
+	uint64_t rank = 0;
+
+	list_for_each_entry(n, &d->nodes, link) {
+		bool near = directory_same_region(d, n);
+		uint64_t r = rng_next(&c->rng);
+
+		if (n->manifest_revision < d->manifest_wanted || n->leaving ||
+		    !strcmp(n->name, c->opts->node) ||
+		    !directory_node_alive(d, n, c->now_ns) ||
+		    (best && best_near && !near))
+			continue;
+		if (best && best_near == near && r <= rank)
+			continue;
+		best = n;
+		best_near = near;
+		rank = r;
+	}
+	return best;
+}
+
+void relay_ask_manifest(struct mesh_ctx *c, const struct dir_node *n)
+{
+	struct message *m = message_new(MSG_MANIFEST_GET);
+
+	m->u.manifest_get.revision = c->dir.manifest_revision;
+	mem_copy_str(m->u.manifest_get.reply_to, c->opts->peer_addr,
+		     sizeof(m->u.manifest_get.reply_to));
+	mesh_send(c, n->boot, n->card.peer_addr, m);
+}
+
+void relay_send_manifest(struct mesh_ctx *c, uint64_t to,
+			 const struct msg_manifest_get *get)
+{
+	struct directory *d = &c->dir;
+	struct message *m;
+	struct record *r;
+
+	if (!d->manifest || d->manifest_revision <= get->revision ||
+	    c->now_ns < c->manifest_sent_ns + MANIFEST_SEND_INTERVAL_NS)
+		return;
+	c->manifest_sent_ns = c->now_ns;
+	m = message_new(MSG_CHANGES);
+	r = record_new(RECORD_MANIFEST, "");
+	r->revision = d->manifest_revision;
+	r->delta = manifest_delta_whole(d->manifest, d->manifest_revision);
+	list_push_back(&m->u.changes.records, &r->link);
+	mesh_send(c, to, get->reply_to, m);
+}
--- a/core/relay.h
+++ b/core/relay.h
@@ -22,4 +22,21 @@
 void relay_forward_changes(struct mesh_ctx *c, revision_t from,
 			   const struct ev_store_end *e);
 
+/** Notes that the node @from has the manifest of which it sent a delta. */
+void relay_note_sender(struct mesh_ctx *c, uint64_t from,
+		       const struct msg_changes *m);
+
+/** A live node that has the newest manifest known; NULL if there is none. */
+const struct dir_node *relay_manifest_source(struct mesh_ctx *c);
+
+/** Asks @n for its manifest. */
+void relay_ask_manifest(struct mesh_ctx *c, const struct dir_node *n);
+
+/**
+ * Sends the manifest in force to the node @to, if that has an older one. Does
+ * nothing if another node got it just before: the node then asks another.
+ */
+void relay_send_manifest(struct mesh_ctx *c, uint64_t to,
+			 const struct msg_manifest_get *get);
+
 #endif
--- a/core/reports.c
+++ b/core/reports.c
@@ -31,6 +31,7 @@
 		mem_copy_str(l->node, c->opts->node, sizeof(l->node));
 	l->sent_ns = c->now_ns;
 	l->revision = c->dir.revision;
+	l->manifest_revision = c->dir.manifest_revision;
 	l->leaving = s->leaving;
 	l->watches = s->watches;
 	l->wants_report = n->probe_due;
--- a/core/session.c
+++ b/core/session.c
@@ -32,6 +32,11 @@
 #define BEHIND_MAX_NS		(400 * NS_PER_MS)
 /* Nodes stop relying on a watcher this long after the store's last answer. */
 #define STORE_HEALTHY_NS	(1800 * NS_PER_MS)
+/* How long a delta is awaited from a watcher, and an answer from a node. */
+#define MANIFEST_DELTA_NS	(150 * NS_PER_MS)
+#define MANIFEST_ANSWER_NS	(600 * NS_PER_MS)
+/* After this many requests without an answer the store is asked. */
+#define MANIFEST_ASKS_MAX	3
 /* How long a newer manifest is known before the delay is logged. */
 #define MANIFEST_LATE_NS	NS_PER_S
 #define LATE_LOG_INTERVAL_NS	NS_PER_S
@@ -367,7 +372,9 @@
 	if (r->removed || r->revision <= d->manifest_revision)
 		return;
 	directory_note_manifest(d, r->revision, c->now_ns);
-	if (!r->delta || !d->manifest || r->delta->base != d->manifest_revision)
+	if (!r->delta ||
+	    (r->delta->base &&
+	     (!d->manifest || r->delta->base != d->manifest_revision)))
 		return;
 	full = record_new(RECORD_MANIFEST, r->name);
 	full->revision = r->revision;
@@ -457,10 +464,43 @@
 	s->card_dirty = false;
 }
 
+/* True while a delta or another node's manifest may still come. */
+static bool awaits_manifest(const struct session *s, const struct mesh_ctx *c)
+{
+	return c->now_ns < s->manifest_wait_until_ns;
+}
+
+/*
+ * Asks other nodes for a manifest that they have and this one lacks: the
+ * answer is smaller than the document in the store, whose link all nodes share.
+ */
+static void ask_manifest(struct session *s, struct mesh_ctx *c)
+{
+	const struct dir_node *n;
+
+	if (!directory_wants_manifest(&c->dir)) {
+		s->manifest_asks = 0;
+		return;
+	}
+	if (!c->dir.loaded || awaits_manifest(s, c) || s->read.op ||
+	    (s->manifest_asks >= MANIFEST_ASKS_MAX && !c->store_down))
+		return;
+	n = relay_manifest_source(c);
+	if (!n)
+		return;
+	/* The first time, a delta may be under way already. */
+	if (!s->manifest_asks++) {
+		s->manifest_wait_until_ns = c->now_ns + MANIFEST_DELTA_NS;
+		return;
+	}
+	s->manifest_wait_until_ns = c->now_ns + MANIFEST_ANSWER_NS;
+	relay_ask_manifest(c, n);
+}
+
 static bool wants_any_read(const struct session *s, const struct mesh_ctx *c)
 {
 	return s->want_read_all || s->want_read_own ||
-	       directory_wants_manifest(&c->dir);
+	       (directory_wants_manifest(&c->dir) && !awaits_manifest(s, c));
 }
 
 /* Reads no more than needed: a large fleet has many records. */
@@ -532,6 +572,7 @@
 void session_work(struct session *s, struct mesh_ctx *c)
 {
 	log_late_manifest(s, c);
+	ask_manifest(s, c);
 	if (wants_any_read(s, c) && !c->store_down && due(&s->read, c->now_ns))
 		start_read(s, c);
 	if (!s->lease && due(&s->lease_new, c->now_ns))
@@ -564,6 +605,9 @@
 
 	include_due(&next, &s->lease_new, !s->lease);
 	include_due(&next, &s->keep, s->lease != 0);
+	if (directory_wants_manifest(&c->dir) && awaits_manifest(s, c) &&
+	    s->manifest_wait_until_ns < next)
+		next = s->manifest_wait_until_ns;
 	if (c->store_down)
 		return next;
 	include_due(&next, &s->read, wants_any_read(s, c));
--- a/core/session.h
+++ b/core/session.h
@@ -44,6 +44,9 @@
 	uint64_t cards_settled_ns; /* until then the fleet's size is unknown */
 	uint64_t last_failure_ns;  /* when the store last failed a call */
 	uint64_t late_logged_ns;   /* last event=config_late */
+	/* Until then a delta, or another node's manifest, is awaited. */
+	uint64_t manifest_wait_until_ns;
+	uint32_t manifest_asks; /* of nodes, since the last one came */
 	/* Since when other nodes know a newer revision; 0: none does. */
 	uint64_t behind_since_ns;
 	uint64_t calls[CALL_LEASE_END + 1]; /* by enum store_call_kind */
--- a/tests/manifest_codec_test.cpp
+++ b/tests/manifest_codec_test.cpp
@@ -124,3 +124,59 @@
 	for (size_t len = 0; len < buf.len; len++)
 		EXPECT_EQ(wire_decode_message(buf.data, len, &st), nullptr);
 }
+
+static struct message *round_trip(const struct message *m)
+{
+	struct wire_buf b;
+	struct status st;
+	struct message *got;
+
+	wire_encode_message(m, &b);
+	got = wire_decode_message(b.data, b.len, &st);
+	free(b.data);
+	return got;
+}
+
+TEST(ManifestMessages, ReportsAndRequestsNameTheManifest)
+{
+	struct message *load = message_new(MSG_LOAD);
+	struct message *get = message_new(MSG_MANIFEST_GET);
+	struct message *got;
+
+	load->u.load.manifest_revision = revision_make(2, 77);
+	got = round_trip(load);
+	ASSERT_NE(got, nullptr);
+	EXPECT_EQ(got->u.load.manifest_revision, revision_make(2, 77));
+	message_delete(got);
+	get->u.manifest_get.revision = 31;
+	mem_copy_str(get->u.manifest_get.reply_to, "a:1", JD_ADDR_MAX);
+	got = round_trip(get);
+	ASSERT_NE(got, nullptr);
+	EXPECT_EQ(got->u.manifest_get.revision, 31u);
+	EXPECT_STREQ(got->u.manifest_get.reply_to, "a:1");
+	message_delete(got);
+	message_delete(get);
+	message_delete(load);
+}
+
+/* Earlier builds end a report with nil. */
+TEST(ManifestMessages, AReportWithoutTheManifestIsValid)
+{
+	struct message *load = message_new(MSG_LOAD);
+	struct message *got;
+	struct wire_buf b;
+	struct status st;
+
+	load->u.load.revision = 9;
+	wire_encode_message(load, &b);
+	/* An array of one small number, replaced by nil. */
+	ASSERT_EQ(b.data[b.len - 2], 0x91);
+	b.data[b.len - 2] = 0xc0;
+	got = wire_decode_message(b.data, b.len - 1, &st);
+	ASSERT_NE(got, nullptr);
+	EXPECT_EQ(got->u.load.revision, 9u);
+	EXPECT_EQ(got->u.load.manifest_revision, 0u);
+	message_delete(got);
+	message_delete(load);
+	free(b.data);
+}
--- a/tests/manifest_delta_test.cpp
+++ b/tests/manifest_delta_test.cpp
@@ -1,5 +1,6 @@
 #include "jd_test.hpp"
 
+#include <algorithm>
 #include <functional>
 #include <rapidcheck/gtest.h>
 #include <string>
@@ -63,7 +64,9 @@
 	}
 	b->limits.body_bytes = 7;
 	d = manifest_delta_between(a, 10, b, 20);
-	RC_ASSERT((d == nullptr) == (differ > MANIFEST_DELTA_ROUTES_MAX));
+	RC_ASSERT((d == nullptr) ==
+		  (differ > std::max(length(&b->routes),
+				     (size_t)MANIFEST_DELTA_ROUTES_MIN)));
 	if (d) {
 		struct manifest *out = manifest_delta_apply(d, a);
 
@@ -82,6 +85,41 @@
 	manifest_delete(b);
 }
 
+/* Also routes that share a name, which other deltas can't tell apart. */
+TEST(ManifestDelta, TheWholeManifestNeedsNoOther)
+{
+	struct manifest *m = new_manifest(3);
+	struct manifest *out;
+	struct manifest_delta *d;
+
+	for (int i = 0; i < 500; i++)
+		add_route(m, i % 400, 1000);
+	d = manifest_delta_whole(m, 30);
+	EXPECT_EQ(d->base, 0u);
+	out = manifest_delta_apply(d, nullptr);
+	ASSERT_NE(out, nullptr);
+	EXPECT_EQ(length(&out->routes), 500u);
+	EXPECT_EQ(manifest_digest(out), manifest_digest(m));
+	manifest_delete(out);
+	manifest_delta_unref(d);
+	manifest_delete(m);
+}
+
+/* Removing most routes: the new document is smaller than the change. */
+TEST(ManifestDelta, NoneForAChangeLargerThanTheNewManifest)
+{
+	struct manifest *a = new_manifest(1);
+	struct manifest *b = new_manifest(2);
+
+	for (int i = 0; i < 500; i++)
+		add_route(a, i, 1000);
+	for (int i = 0; i < 100; i++)
+		add_route(b, i, 1000);
+	EXPECT_EQ(manifest_delta_between(a, 10, b, 20), nullptr);
+	manifest_delete(a);
+	manifest_delete(b);
+}
+
 TEST(ManifestDelta, DoesNotApplyToAnotherManifest)
 {
 	struct manifest *a = new_manifest(1);
--- a/tests/mesh_test.cpp
+++ b/tests/mesh_test.cpp
@@ -630,3 +630,38 @@
 	o.mesh.manifest_transfer_ns = 400 * NS_PER_MS;
 	storms_at_random(o);
 }
+
+/*
+ * Guards against nodes that stay on an old manifest after a change of many
+ * routes: when each node read the document from the store, the store's link
+ * did not carry it. Nodes are added and stopped meanwhile.
+ */
+TEST(Mesh, GrowthsByManyRoutesReachAllNodesOverANarrowLinkOfTheStore)
+{
+	MeshSimOpts opts;
+	uint64_t late = 0;
+
+	opts.nodes = 24;
+	opts.manifest_link_ns = 60 * SIM_MS;
+	MeshSim sim(opts);
+	sim.run_for(15 * NS_PER_S);
+	for (int v = 2; v < 10; v++) {
+		int replaced = 12 + v;
+
+		for (int i = 0; i < 80; i++)
+			sim.more_routes.push_back("r" +
+						  std::to_string(v * 1000 + i));
+		sim.put_manifest((uint64_t)v);
+		sim.kill_process(replaced);
+		sim.start_process(replaced);
+		sim.run_for(1100 * SIM_MS);
+		/* The version before the last two is older than 2.2 s. */
+		for (int i = 0; i < opts.nodes; i++)
+			late += sim.procs[i].mesh->ctx.dir.manifest &&
+				sim.procs[i].mesh->ctx.dir.manifest->version +
+						2 <
+					(uint64_t)v;
+	}
+	EXPECT_EQ(late, 0u);
+	EXPECT_NO_VIOLATIONS(sim);
+}
--- a/tests/relay_test.cpp
+++ b/tests/relay_test.cpp
@@ -378,7 +378,11 @@
 	message_delete(m);
 }
 
-TEST_F(RelayManifestTest, ALargeChangeIsReadFromTheStore)
+/*
+ * Guards against a bound on a delta's routes: when each node of a fleet read
+ * the whole document after a large change, many were seconds late.
+ */
+TEST_F(RelayManifestTest, ALargeChangeNeedsNoRead)
 {
 	struct message *m;
 
@@ -387,6 +391,22 @@
 	session.want_read_all = false;
 	m = forwarded_change(4200);
 	session_on_changes(&session, &c, &m->u.changes);
+	EXPECT_EQ(c.dir.manifest->version, 3u);
+	EXPECT_NE(manifest_route(c.dir.manifest, "r4199"), nullptr);
+	session_work(&session, &c);
+	EXPECT_EQ(session.read.op, 0u);
+	message_delete(m);
+}
+
+TEST_F(RelayManifestTest, AChangeLargerThanTheManifestIsReadFromTheStore)
+{
+	struct message *m;
+
+	add_nodes(20, 7);
+	add_manifest();
+	session.want_read_all = false;
+	m = forwarded_change(100);
+	session_on_changes(&session, &c, &m->u.changes);
 	EXPECT_EQ(c.dir.manifest->version, 1u);
 	session_work(&session, &c);
 	EXPECT_EQ(session.read_kind, CALL_READ_MANIFEST);
@@ -580,3 +600,83 @@
 	message_delete(m);
 	message_delete(gap);
 }
+
+/*
+ * Guards against reads of the whole document by each node that missed one
+ * delta: nodes that have the manifest send it. The store is asked only when
+ * they don't answer.
+ */
+TEST_F(RelayManifestTest, AMissedDeltaIsMadeGoodByANodeThatHasTheManifest)
+{
+	struct message *m;
+	struct message *get = nullptr;
+	struct mesh_action *a;
+
+	add_nodes(20, 7);
+	add_manifest();
+	session.want_read_all = false;
+	node(3)->manifest_revision = 40;
+	m = forwarded_change(4200);
+	c.dir.manifest_revision = 30;
+	relay_note_sender(&c, node(3)->boot, &m->u.changes);
+	session_on_changes(&session, &c, &m->u.changes);
+	EXPECT_EQ(c.dir.manifest->version, 1u);
+	logged(&out);
+	for (int i = 0; i < 3 && !get; i++) {
+		session_work(&session, &c);
+		EXPECT_EQ(session.read.op, 0u);
+		c.now_ns += 100 * NS_PER_MS;
+		while ((a = mesh_actions_pop(&out))) {
+			if (a->kind == MA_SEND && !get) {
+				get = a->u.send.message;
+				a->u.send.message = nullptr;
+			}
+			mesh_action_delete(a);
+		}
+	}
+	ASSERT_NE(get, nullptr);
+	EXPECT_EQ(get->kind, MSG_MANIFEST_GET);
+	EXPECT_EQ(get->to, node(3)->boot);
+	EXPECT_EQ(get->u.manifest_get.revision, 30u);
+	/* What a node with the manifest answers, once in a while. */
+	struct mesh_ctx other = {};
+	struct mesh_opts other_opts = opts;
+
+	other.opts = &other_opts;
+	other.out = &out;
+	other.now_ns = c.now_ns;
+	directory_init(&other.dir, "r0");
+	other.dir.manifest = manifest_of(3, 4200);
+	other.dir.manifest_revision = 52;
+	relay_send_manifest(&other, 1, &get->u.manifest_get);
+	relay_send_manifest(&other, 2, &get->u.manifest_get);
+	struct message *whole = first_changes();
+	ASSERT_NE(whole, nullptr);
+	EXPECT_EQ(whole->to, 1u);
+	session_on_changes(&session, &c, &whole->u.changes);
+	EXPECT_EQ(c.dir.manifest->version, 3u);
+	EXPECT_EQ(c.dir.manifest_revision, 52u);
+	EXPECT_FALSE(directory_manifest_outdated(&c.dir));
+	directory_done(&other.dir);
+	message_delete(whole);
+	message_delete(get);
+	message_delete(m);
+}
+
+TEST_F(RelayManifestTest, TheStoreIsAskedWhenNoNodeSendsItsManifest)
+{
+	add_nodes(20, 7);
+	add_manifest();
+	session.want_read_all = false;
+	for (int i = 0; i < 20; i++)
+		node(i)->manifest_revision = 52;
+	directory_note_manifest(&c.dir, 52, c.now_ns);
+	for (int i = 0; i < 15 && !session.read.op; i++) {
+		session_work(&session, &c);
+		c.now_ns += 100 * NS_PER_MS;
+		for (int j = 0; j < 20; j++)
+			node(j)->heard_ns = c.now_ns;
+	}
+	EXPECT_NE(session.read.op, 0u);
+	EXPECT_EQ(session.read_kind, CALL_READ_MANIFEST);
+}
--- a/wire/codec.c
+++ b/wire/codec.c
@@ -122,6 +122,11 @@
 	PACK_U64_OF(struct msg_changes, to),
 };
 
+static const struct pack_field manifest_get_fields[] = {
+	PACK_U64_OF(struct msg_manifest_get, revision),
+	PACK_STR_OF(struct msg_manifest_get, reply_to),
+};
+
 static const struct pack_field cancel_fields[] = {
 	PACK_U64_OF(struct msg_cancel, id.node),
 	PACK_U64_OF(struct msg_cancel, id.counter),
@@ -142,6 +147,7 @@
 	[MSG_RENEW] = PACK_TABLE(renew_fields),
 	[MSG_RENEWED] = PACK_TABLE(renewed_fields),
 	[MSG_CHANGES] = PACK_TABLE(changes_fields),
+	[MSG_MANIFEST_GET] = PACK_TABLE(manifest_get_fields),
 };
 
 static void pack_payload(msgpack_packer *pk, const struct payload *p)
@@ -321,6 +327,20 @@
 	return true;
 }
 
+/* Fields that earlier builds neither send nor read. */
+static void pack_load_extension(msgpack_packer *pk, const struct msg_load *l)
+{
+	msgpack_pack_array(pk, 1);
+	msgpack_pack_uint64(pk, l->manifest_revision);
+}
+
+static bool unpack_load_extension(const msgpack_object *o, struct msg_load *l)
+{
+	if (!unpack_at(o, 0))
+		return true;
+	return unpack_u64(unpack_at(o, 0), &l->manifest_revision);
+}
+
 /* Packs lists, requests and answers; nil for kinds that have none. */
 static void pack_variable_part(msgpack_packer *pk, const struct message *m)
 {
@@ -343,13 +363,16 @@
 	case MSG_CHANGES:
 		mesh_pack_records(pk, &m->u.changes.records);
 		break;
+	case MSG_LOAD:
+		pack_load_extension(pk, &m->u.load);
+		break;
 	case MSG_HEARTBEAT:
 	case MSG_HEARTBEAT_ACK:
 	case MSG_ADOPT:
 	case MSG_CANCEL:
-	case MSG_LOAD:
 	case MSG_RENEW:
 	case MSG_RENEWED:
+	case MSG_MANIFEST_GET:
 	case MSG_KIND_COUNT:
 		msgpack_pack_nil(pk);
 		break;
@@ -372,13 +395,15 @@
 		return unpack_answer(o, &m->u.answer.answer);
 	case MSG_CHANGES:
 		return mesh_unpack_records(o, &m->u.changes.records);
+	case MSG_LOAD:
+		return unpack_load_extension(o, &m->u.load);
 	case MSG_HEARTBEAT:
 	case MSG_HEARTBEAT_ACK:
 	case MSG_ADOPT:
 	case MSG_CANCEL:
-	case MSG_LOAD:
 	case MSG_RENEW:
 	case MSG_RENEWED:
+	case MSG_MANIFEST_GET:
 	case MSG_KIND_COUNT:
 		break;
 	}
