--- a/core/message.h
+++ b/core/message.h
@@ -28,6 +28,7 @@
 	MSG_RENEW,	   /* node to node: renew my lease at the store */
 	MSG_RENEWED,	   /* node to node: result of a MSG_RENEW */
 	MSG_CHANGES,	   /* node to node: changed records of the store */
+	MSG_MANIFEST_GET,  /* node to node: send me your manifest */
 	MSG_KIND_COUNT,
 };
 
@@ -116,7 +117,9 @@
 	bool watches; /* the sender watches the store and sends MSG_CHANGES */
 	bool wants_report; /* the sender asks for a MSG_LOAD in return */
 	struct gate_load load;
-	uint64_t manifest_version; /* of the one in force; 0: not stated */
+	/* Of the manifest in force; 0: not stated. */
+	revision_t manifest_revision;
+	uint64_t manifest_version;
 };
 
 struct msg_renew {
@@ -140,6 +143,12 @@
 	struct list records; /* of struct record; manifests by their delta */
 };
 
+/** Answered by a MSG_CHANGES with a manifest, if the receiver's is newer. */
+struct msg_manifest_get {
+	revision_t revision; /* of the sender's */
+	char reply_to[JD_ADDR_MAX];
+};
+
 struct msg_answer {
 	struct request_id id;
 	uint32_t attempt;
@@ -176,6 +185,7 @@
 		struct msg_renew renew;
 		struct msg_renewed renewed;
 		struct msg_changes changes;
+		struct msg_manifest_get manifest_get;
 	} u;
 };
 
--- a/wire/codec.c
+++ b/wire/codec.c
@@ -106,6 +106,8 @@
 	PACK_GATE_LOAD(struct msg_load),
 	PACK_ERA_OF(struct msg_load, revision),
 	PACK_U64_OF(struct msg_load, manifest_version),
+	PACK_NUMBER_OF(struct msg_load, manifest_revision),
+	PACK_ERA_OF(struct msg_load, manifest_revision),
 };
 
 static const struct pack_field renew_fields[] = {
@@ -129,6 +131,12 @@
 	PACK_ERA_OF(struct msg_changes, to),
 };
 
+static const struct pack_field manifest_get_fields[] = {
+	PACK_NUMBER_OF(struct msg_manifest_get, revision),
+	PACK_STR_OF(struct msg_manifest_get, reply_to),
+	PACK_ERA_OF(struct msg_manifest_get, revision),
+};
+
 static const struct pack_field cancel_fields[] = {
 	PACK_U64_OF(struct msg_cancel, id.node),
 	PACK_U64_OF(struct msg_cancel, id.counter),
@@ -145,10 +153,11 @@
 	[MSG_FORWARD] = PACK_TABLE(forward_fields),
 	[MSG_ANSWER] = PACK_TABLE_WITH_OPTIONAL(answer_fields, 1),
 	[MSG_CANCEL] = PACK_TABLE(cancel_fields),
-	[MSG_LOAD] = PACK_TABLE_WITH_OPTIONAL(load_fields, 2),
+	[MSG_LOAD] = PACK_TABLE_WITH_OPTIONAL(load_fields, 4),
 	[MSG_RENEW] = PACK_TABLE_WITH_OPTIONAL(renew_fields, 1),
 	[MSG_RENEWED] = PACK_TABLE_WITH_OPTIONAL(renewed_fields, 1),
 	[MSG_CHANGES] = PACK_TABLE_WITH_OPTIONAL(changes_fields, 2),
+	[MSG_MANIFEST_GET] = PACK_TABLE(manifest_get_fields),
 };
 
 static void pack_payload(msgpack_packer *pk, const struct payload *p)
@@ -357,6 +366,7 @@
 	case MSG_LOAD:
 	case MSG_RENEW:
 	case MSG_RENEWED:
+	case MSG_MANIFEST_GET:
 	case MSG_KIND_COUNT:
 		msgpack_pack_nil(pk);
 		break;
@@ -386,6 +396,7 @@
 	case MSG_LOAD:
 	case MSG_RENEW:
 	case MSG_RENEWED:
+	case MSG_MANIFEST_GET:
 	case MSG_KIND_COUNT:
 		break;
 	}
