Answer 404 only while a newer manifest would be known

Cause: the final refusals (404, 413, 400 for a missing key) looked only at whether a newer manifest was known. A node whose watch, or whose region's watchers, are silent knows of none. Ruled out: peers' revisions, which are ahead for a moment at each change of a card.

relay_manifest_current() asks for evidence from the last 2 s: an answer of the store while an own watch is in progress, an own read or poll, or the report of a watcher that has no newer manifest, less the time it was under way. Calls to the store that fail void the node's own evidence. Without it the answer is 503 old_manifest with Retry-After; requests that a known route allows are served as before. Watchers report at least every 0.9 s to all nodes of their region, also to those that get answers and so would get no reports.

Mesh.ANodeThatIsCutOffDoesNotAnswer404 and DispatchTest. AManifestThatMayBeOldGivesNoFinalRefusal failed before (404). ManifestCurrentTest lists each way in which knowledge can fail to arrive. Calm fleets of 6 and 24 nodes still answer every request on a route that never existed with 404. The fixture of dispatch_test now says that its manifest is current.

--- a/core/directory.c
+++ b/core/directory.c
@@ -235,6 +235,7 @@
 	n->leaving = false;
 	n->watches = false;
 	n->manifest_revision = 0;
+	n->watched_ns = 0;
 	n->failure_rate = 0;
 	memset(&n->clock, 0, sizeof(n->clock));
 }
@@ -385,6 +386,14 @@
 	d->apply_count++;
 }
 
+/* True when the sender of @l knows no newer manifest than this node. */
+static bool is_not_ahead(const struct directory *d, const struct msg_load *l)
+{
+	return l->manifest_revision
+		       ? l->manifest_revision <= d->manifest_revision
+		       : l->revision <= d->revision;
+}
+
 struct dir_node *directory_on_load_report(struct directory *d, uint64_t from,
 					  const struct msg_load *l,
 					  uint64_t now_ns)
@@ -392,6 +401,8 @@
 	struct dir_node *n = l->node[0] ? directory_node(d, l->node)
 					: directory_by_boot(d, from);
 
+	uint64_t delay_ns;
+
 	if (!n)
 		return NULL;
 	if (n->boot != from) {
@@ -399,8 +410,10 @@
 		n->failure_rate = 0;
 		memset(&n->clock, 0, sizeof(n->clock));
 	}
-	peer_clock_delay_ns(&n->clock, l->sent_ns, now_ns);
+	delay_ns = peer_clock_delay_ns(&n->clock, l->sent_ns, now_ns);
 	n->heard_ns = now_ns;
+	if (l->watches && is_not_ahead(d, l))
+		n->watched_ns = now_ns - delay_ns;
 	n->leaving = l->leaving;
 	n->watches = l->watches;
 	n->manifest_revision = l->manifest_revision;
--- a/core/directory.h
+++ b/core/directory.h
@@ -58,8 +58,12 @@
 	bool reply_due;	       /* it sent a probe: it gets a report at once */
 	bool watches;	       /* it watches the store for others too */
 	revision_t manifest_revision; /* in force there; 0: not stated */
-	uint64_t boot; /* of its process, by report or else by card */
-	bool leaving;  /* that process ends soon */
+	/* When it last sent a report as a watcher that is not ahead; 0: never
+	 */
+	uint64_t watched_ns;
+	uint64_t reported_ns; /* our last load report to it */
+	uint64_t boot;	      /* of its process, by report or else by card */
+	bool leaving;	      /* that process ends soon */
 	struct peer_clock clock;
 	struct gate_load load;
 	uint32_t unreported_requests; /* ours to it, not yet in @load */
--- a/core/dispatch.c
+++ b/core/dispatch.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include "core/mem.h"
+#include "core/relay.h"
 
 /* Pending requests are checked for what is due at this interval. */
 #define CHECK_INTERVAL_NS	 (10 * NS_PER_MS)
@@ -165,17 +166,21 @@
 	const char *target = r->request->target;
 	size_t path_len = strcspn(target, "?");
 	long store_age_ms = -1;
+	long checked_age_ms = -1;
 
 	if (path_len > LOGGED_PATH_MAX)
 		path_len = LOGGED_PATH_MAX;
 	if (c->store_answered_ns)
 		store_age_ms =
 			(long)((c->now_ns - c->store_answered_ns) / NS_PER_MS);
+	if (c->manifest_checked_ns)
+		checked_age_ms = (long)((c->now_ns - c->manifest_checked_ns) /
+					NS_PER_MS);
 	mesh_log(c->out, LOG_INFO,
 		 "event=request_refused id=%s why=%s code=%d host=\"%s\" "
 		 "path=\"%.*s\" keyed=%d config=%lu config_revision=%lu "
 		 "config_wanted=%lu revision=%lu peer_revision=%lu "
-		 "store_down=%d store_age_ms=%ld",
+		 "store_down=%d store_age_ms=%ld checked_age_ms=%ld",
 		 r->id, refusal_find(why)->name, refusal_find(why)->http_code,
 		 r->host, (int)path_len, target, r->keyed,
 		 (unsigned long)(c->dir.manifest ? c->dir.manifest->version
@@ -184,7 +189,7 @@
 		 (unsigned long)c->dir.manifest_wanted,
 		 (unsigned long)c->dir.revision,
 		 (unsigned long)c->dir.peer_revision, c->store_down,
-		 store_age_ms);
+		 store_age_ms, checked_age_ms);
 }
 
 /* Replies to a request that was not accepted. */
@@ -553,13 +558,12 @@
 }
 
 /*
- * A refusal that callers take as final must not come from a manifest that is
- * known to be outdated.
+ * A refusal that callers take as final must not come from a manifest that may
+ * be outdated.
  */
 static enum refusal final_refusal(const struct mesh_ctx *c, enum refusal why)
 {
-	return directory_manifest_outdated(&c->dir) ? REFUSAL_OLD_MANIFEST
-						    : why;
+	return relay_manifest_current(c) ? why : REFUSAL_OLD_MANIFEST;
 }
 
 static enum refusal admission_refusal(const struct dispatch *d,
--- a/core/mesh_ctx.h
+++ b/core/mesh_ctx.h
@@ -45,7 +45,12 @@
 	 */
 	bool store_down;
 	uint64_t store_answered_ns; /* when it last answered a call; 0: never */
-	uint64_t manifest_sent_ns;  /* when it was last sent whole to a node */
+	/*
+	 * Latest time at which a newer manifest would have shown, in this
+	 * node's own watch or read of the store; 0: never.
+	 */
+	uint64_t manifest_checked_ns;
+	uint64_t manifest_sent_ns; /* when it was last sent whole to a node */
 	/* Valid only while an event is handled: */
 	uint64_t now_ns;
 	struct mesh_actions *out;
--- a/core/relay.c
+++ b/core/relay.c
@@ -6,6 +6,8 @@
 
 /* Two, so that the loss of one watcher causes no gap. */
 #define WATCHERS_PER_REGION	  2
+/* A report or an answer of the store shows for this long what is current. */
+#define MANIFEST_EVIDENCE_NS	  (2 * NS_PER_S)
 /* Sending a whole manifest takes processor time that requests need, too. */
 #define MANIFEST_SEND_INTERVAL_NS (100 * NS_PER_MS)
 /* In a smaller region all nodes watch: relaying would save few calls. */
@@ -101,6 +103,25 @@
 			send_changes(c, n, from, e);
 }
 
+static bool is_recent(const struct mesh_ctx *c, uint64_t at_ns)
+{
+	return at_ns && c->now_ns < at_ns + MANIFEST_EVIDENCE_NS;
+}
+
+bool relay_manifest_current(const struct mesh_ctx *c)
+{
+	const struct dir_node *n;
+
+	if (!c->dir.manifest || directory_manifest_outdated(&c->dir))
+		return false;
+	if (!c->store_down && is_recent(c, c->manifest_checked_ns))
+		return true;
+	list_for_each_entry(n, &c->dir.nodes, link)
+		if (is_recent(c, n->watched_ns))
+			return true;
+	return false;
+}
+
 void relay_note_sender(struct mesh_ctx *c, uint64_t from,
 		       const struct msg_changes *m)
 {
--- a/core/relay.h
+++ b/core/relay.h
@@ -22,6 +22,13 @@
 void relay_forward_changes(struct mesh_ctx *c, revision_t from,
 			   const struct ev_store_end *e);
 
+/**
+ * True when the manifest in force is the newest one, as far as anyone can
+ * tell: no newer one is known, and it would be, because this node's own watch
+ * is served by the store or a watcher has reported lately.
+ */
+bool relay_manifest_current(const struct mesh_ctx *c);
+
 /** Notes that the node @from has the manifest of which it sent a delta. */
 void relay_note_sender(struct mesh_ctx *c, uint64_t from,
 		       const struct msg_changes *m);
--- a/core/reports.c
+++ b/core/reports.c
@@ -4,6 +4,11 @@
 
 #include "core/mem.h"
 
+/*
+ * A watcher reports to each node of its region at least this often, also to
+ * those that get answers, as its reports show that no change was missed.
+ */
+#define WATCHER_REPORT_NS	      (900 * NS_PER_MS)
 /* Shortest interval between two rounds of reports to the own region. */
 #define ROUND_INTERVAL_MIN_NS	      (200 * NS_PER_MS)
 /* Added per node, so that a large fleet's reports fit the traffic budget. */
@@ -38,6 +43,7 @@
 	gatekeeper_fill_load(s->gate, c, s->holder, &l->load);
 	mesh_send(c, n->boot, n->card.peer_addr, msg);
 	n->load_sent_ns = c->now_ns;
+	n->reported_ns = c->now_ns;
 	if (n->probe_due)
 		n->probed_ns = c->now_ns;
 	n->probe_due = false;
@@ -79,6 +85,16 @@
 			send_report(r, c, s, n);
 }
 
+static bool is_report_due(const struct mesh_ctx *c,
+			  const struct report_inputs *s,
+			  const struct dir_node *n)
+{
+	if (c->now_ns >= n->load_sent_ns + c->dir.report_interval_ns / 2)
+		return true;
+	return s->watches && directory_same_region(&c->dir, n) &&
+	       c->now_ns >= n->reported_ns + WATCHER_REPORT_NS;
+}
+
 void reports_work(struct reports *r, struct mesh_ctx *c,
 		  const struct report_inputs *s)
 {
@@ -105,8 +121,7 @@
 		interval_ns += ROUND_INTERVAL_PER_NODE_NS;
 		if (!include_far && !directory_same_region(d, n))
 			continue;
-		if (open_flipped ||
-		    c->now_ns >= n->load_sent_ns + d->report_interval_ns / 2)
+		if (open_flipped || is_report_due(c, s, n))
 			send_report(r, c, s, n);
 	}
 	d->report_interval_ns = interval_ns > ROUND_INTERVAL_MIN_NS
--- a/core/session.c
+++ b/core/session.c
@@ -106,6 +106,13 @@
 	s->want_read_own = s->registered && !s->fresh;
 }
 
+/* Notes that a manifest from before @at_ns would be known. */
+static void note_checked(struct mesh_ctx *c, uint64_t at_ns)
+{
+	if (at_ns > c->manifest_checked_ns)
+		c->manifest_checked_ns = at_ns;
+}
+
 static void on_read(struct session *s, struct mesh_ctx *c,
 		    struct ev_store_end *e)
 {
@@ -118,6 +125,8 @@
 	}
 	s->read.next_ns = c->now_ns + READ_INTERVAL_NS;
 	apply_read(s, c, e);
+	if (s->read_kind != CALL_READ_OWN)
+		note_checked(c, s->read.sent_ns);
 	if (first && c->dir.loaded)
 		mesh_log(c->out, LOG_INFO, "event=store_read revision=%lu",
 			 (unsigned long)e->revision);
@@ -151,6 +160,7 @@
 		directory_apply(&c->dir, &e->records, false, e->revision,
 				c->now_ns, c->out);
 		s->want_changes = false;
+		note_checked(c, s->watch_polls ? s->watch.sent_ns : c->now_ns);
 		s->watch.next_ns = c->now_ns + watch_pause_ns(s, c);
 		break;
 	case STORE_NO_HISTORY:
@@ -525,6 +535,7 @@
 		return;
 	}
 	a = start_call(s, c, &s->watch, CALL_WATCH_ALL);
+	s->watch_polls = !is_watcher;
 	a->after = c->dir.revision;
 	a->wait_ns = !is_watcher	  ? WATCH_POLL_NS
 		     : relay_all_watch(c) ? WATCH_WAIT_NS
@@ -571,6 +582,10 @@
 
 void session_work(struct session *s, struct mesh_ctx *c)
 {
+	/* A watch in progress shows changes while the store answers calls. */
+	if (s->watch.op && !s->watch_polls && !c->store_down &&
+	    c->store_answered_ns > s->watch.sent_ns)
+		note_checked(c, c->store_answered_ns);
 	log_late_manifest(s, c);
 	ask_manifest(s, c);
 	if (wants_any_read(s, c) && !c->store_down && due(&s->read, c->now_ns))
--- a/core/session.h
+++ b/core/session.h
@@ -29,6 +29,7 @@
 	bool want_read_all;		/* the directory may be incomplete */
 	bool want_read_own; /* cards or keymaps may be out of date */
 	bool want_changes;  /* poll once, though other nodes watch for it */
+	bool watch_polls;   /* the watch in progress doesn't wait */
 	uint32_t unanswered_watches; /* since the last one that was answered */
 	uint64_t lease;		     /* 0: none */
 	uint64_t lease_retry_delay_ns; /* before the next request for one */
--- a/tests/dispatch_test.cpp
+++ b/tests/dispatch_test.cpp
@@ -37,6 +37,7 @@
 		holder_init(&holder, &opts, c.now_ns);
 		dispatch_init(&d);
 		local = {&gate, &holder};
+		c.manifest_checked_ns = c.now_ns;
 		configure();
 		add_gate("near", "r0", 2);
 		add_gate("far", "r1", 3);
@@ -228,6 +229,8 @@
 	c.dir.manifest_revision = 9;
 	c.dir.manifest_wanted = 9;
 	c.dir.peer_revision = 12;
+	c.manifest_checked_ns = 0;
+	directory_node(&c.dir, "far")->watched_ns = c.now_ns;
 	c.store_down = true;
 	c.store_answered_ns = c.now_ns - 40 * NS_PER_MS;
 	mem_copy_str(r.id, "q", sizeof(r.id));
@@ -251,6 +254,21 @@
 		<< line;
 }
 
+/* Requests that the manifest allows are served however old it may be. */
+TEST_F(DispatchTest, AManifestThatMayBeOldGivesNoFinalRefusal)
+{
+	struct request_id id;
+
+	c.manifest_checked_ns = 0;
+	EXPECT_NE(send(&id), 0u);
+	mem_copy_str(route()->path, "/a/", sizeof(route()->path));
+	EXPECT_EQ(send(&id), 0u);
+	EXPECT_EQ(d.reasons[REFUSAL_OLD_MANIFEST], 1u);
+	c.manifest_checked_ns = c.now_ns;
+	EXPECT_EQ(send(&id), 0u);
+	EXPECT_EQ(d.reasons[REFUSAL_NO_ROUTE], 1u);
+}
+
 /* An upstream's 3xx or 4xx is good by its time, yet callers report it. */
 TEST_F(DispatchTest, AnUpstreamsClientErrorIsLogged)
 {
--- a/tests/mesh_test.cpp
+++ b/tests/mesh_test.cpp
@@ -665,3 +665,57 @@
 	EXPECT_EQ(late, 0u);
 	EXPECT_NO_VIOLATIONS(sim);
 }
+
+/* 404 is the right answer for routes that never existed, and it comes at once.
+ */
+static void expect_sure_nodes(int nodes)
+{
+	MeshSimOpts opts;
+	std::vector<uint64_t> callers;
+
+	opts.nodes = nodes;
+	MeshSim sim(opts);
+	sim.run_for(10 * NS_PER_S);
+	for (int round = 0; round < 20; round++) {
+		for (int i = 0; i < nodes; i++) {
+			callers.push_back(sim.send_request(i, "never", 0));
+			/* Nodes that get answers get fewer reports. */
+			sim.send_request(i, "read", 0);
+		}
+		sim.run_for(230 * SIM_MS);
+	}
+	for (uint64_t caller : callers)
+		ASSERT_EQ(sim.codes[caller], 404);
+	EXPECT_NO_VIOLATIONS(sim);
+}
+
+TEST(Mesh, ACalmSmallFleetAnswers404ForRoutesThatNeverExisted)
+{
+	expect_sure_nodes(6);
+}
+
+TEST(Mesh, ACalmLargeFleetAnswers404ForRoutesThatNeverExisted)
+{
+	expect_sure_nodes(24);
+}
+
+/* Guards against a 404 for a route that was added while nobody could know. */
+TEST(Mesh, ANodeThatIsCutOffDoesNotAnswer404)
+{
+	MeshSim sim({});
+	uint64_t added, known;
+
+	sim.run_for(8 * NS_PER_S);
+	sim.procs[2].store_cut_until_ns = sim.now + 8 * NS_PER_S;
+	sim.procs[2].peers_cut_until_ns = sim.now + 8 * NS_PER_S;
+	sim.run_for(100 * SIM_MS);
+	sim.more_routes = {"added"};
+	sim.put_manifest(2);
+	sim.run_for(3 * NS_PER_S);
+	added = sim.send_request(2, "added", 0);
+	known = sim.send_request(2, "read", 0);
+	sim.run_for(2 * NS_PER_S);
+	EXPECT_EQ(sim.codes[added], 503);
+	EXPECT_EQ(sim.codes[known], 200);
+	EXPECT_NO_VIOLATIONS(sim);
+}
--- a/tests/relay_test.cpp
+++ b/tests/relay_test.cpp
@@ -1,6 +1,7 @@
 #include "jd_test.hpp"
 
 #include <algorithm>
+#include <functional>
 #include <string>
 
 extern "C" {
@@ -680,3 +681,137 @@
 	EXPECT_NE(session.read.op, 0u);
 	EXPECT_EQ(session.read_kind, CALL_READ_MANIFEST);
 }
+
+/* A node of a large region that does not watch, in a calm fleet. */
+struct ManifestCurrentTest : public RelayManifestTest {
+	ManifestCurrentTest()
+	{
+		add_nodes(20, 7);
+		add_manifest();
+		session.want_read_all = false;
+		c.dir.peer_revision = 50;
+		c.manifest_checked_ns = 0;
+	}
+	void report(int from, revision_t revision, revision_t manifest,
+		    uint64_t delay_ns = 0)
+	{
+		struct msg_load l = {};
+
+		l.watches = from < 2;
+		l.revision = revision;
+		l.manifest_revision = manifest;
+		l.sent_ns = c.now_ns - delay_ns;
+		directory_on_load_report(&c.dir, node(from)->boot, &l,
+					 c.now_ns);
+	}
+	void pass(uint64_t ms)
+	{
+		c.now_ns += ms * NS_PER_MS;
+	}
+};
+
+/* Each way in which knowledge of a newer manifest can fail to arrive. */
+TEST_F(ManifestCurrentTest, ANodeIsSureOnlyWhileItWouldHearOfAChange)
+{
+	struct {
+		const char *name;
+		std::function<void()> happens;
+		bool sure;
+	} const cases[] = {
+		{"a watcher has reported", [&] { report(0, 50, 40); }, true},
+		{"it is ahead by other records", [&] { report(0, 55, 40); },
+		 true},
+		{"of an earlier build, not ahead", [&] { report(0, 50, 0); },
+		 true},
+		{"of an earlier build, ahead", [&] { report(0, 51, 0); },
+		 false},
+		{"a node without a watch", [&] { report(5, 50, 40); }, false},
+		{"both watchers are silent",
+		 [&] {
+			 report(0, 50, 40);
+			 report(1, 50, 40);
+			 pass(2100);
+		 },
+		 false},
+		{"a report was long under way",
+		 [&] {
+			 report(0, 50, 40);
+			 pass(2500);
+			 report(0, 50, 40, 2400 * NS_PER_MS);
+		 },
+		 false},
+		{"any node has a newer manifest",
+		 [&] {
+			 report(0, 50, 40);
+			 report(9, 50, 41);
+		 },
+		 false},
+		{"a delta does not apply",
+		 [&] {
+			 struct message *m = forwarded_change(2803);
+
+			 report(0, 50, 40);
+			 c.dir.manifest_revision = 39;
+			 session_on_changes(&session, &c, &m->u.changes);
+			 c.dir.manifest_revision = 40;
+			 message_delete(m);
+		 },
+		 false},
+		{"it has just read the store",
+		 [&] { c.manifest_checked_ns = c.now_ns; }, true},
+		{"its calls to the store fail since",
+		 [&] {
+			 c.manifest_checked_ns = c.now_ns;
+			 session_note_call_end(&session, &c, STORE_REFUSED);
+		 },
+		 false},
+		{"the same, but a watcher reports",
+		 [&] {
+			 session_note_call_end(&session, &c, STORE_NO_ANSWER);
+			 report(1, 50, 40);
+		 },
+		 true},
+		{"the store has been silent",
+		 [&] {
+			 c.manifest_checked_ns = c.now_ns;
+			 pass(2100);
+		 },
+		 false},
+	};
+
+	for (auto &it : cases) {
+		c.now_ns += 100 * NS_PER_S;
+		c.store_down = false;
+		c.manifest_checked_ns = 0;
+		c.dir.manifest_wanted = c.dir.manifest_revision = 40;
+		c.dir.manifest_late_since_ns = 0;
+		for (int i = 0; i < 20; i++) {
+			memset(&node(i)->clock, 0, sizeof(node(i)->clock));
+			node(i)->heard_ns = c.now_ns;
+		}
+		EXPECT_FALSE(relay_manifest_current(&c)) << it.name;
+		it.happens();
+		EXPECT_EQ(relay_manifest_current(&c), it.sure) << it.name;
+	}
+}
+
+/* Its own watch is enough for a watcher, while the store answers renewals. */
+TEST_F(ManifestCurrentTest, AWatcherIsSureWhileTheStoreAnswers)
+{
+	session.lease = 7;
+	session.registered = session.fresh = true;
+	session.keep.next_ns = UINT64_MAX;
+	session_note_call_end(&session, &c, STORE_DONE);
+	session_work(&session, &c);
+	ASSERT_NE(session.watch.op, 0u);
+	EXPECT_FALSE(relay_manifest_current(&c));
+	for (int i = 0; i < 3; i++) {
+		pass(900);
+		session_note_call_end(&session, &c, STORE_DONE);
+		session_work(&session, &c);
+		EXPECT_TRUE(relay_manifest_current(&c));
+	}
+	pass(2100);
+	session_work(&session, &c);
+	EXPECT_FALSE(relay_manifest_current(&c));
+}
