Await the answers of a slow store instead of calling again for good

A node that was added while each answer of the store took 1.6 s never read anything and never registered; the others lost their authority although the store had got every renewal.

Cause: each call was given up after 0.9 s without a byte and made again. Ruled out: longer deadlines alone, as a lost answer or a silent store would then be noticed late.

Reads, watches, renewals, requests for a lease and the write of the card have 4 s. They are made again earlier when that is of use: a read, watch or write when a call that was sent no earlier has been answered for 0.5 s (reads not before 1.8 s, so that large documents are not fetched twice), a renewal or request for a lease after 0.9 s in any case. The former call's answer still counts, except for a write, which ends without an answer as before. A call that gets no answer while a later one did no longer counts as an outage. The store is taken as silent 0.9 s after a renewal without any answer, as before.

Mesh.ANodeIsAddedWhileTheStoreAnswersLate failed before (no authority 5 s after the store became slow). Mesh.ASilentStoreThatIsBackIsNoticedWithinASecond and Mesh.ALostAnswerDelaysARegistrationByTwoSecondsAtMost held before and hold now. The simulated store now answers a watch without changes when its wait ends; it left it unanswered. RelayTest.AChangedManifestIsReadUntilItArrives now reports the answer as the node does, as a request for a lease is unanswered in it.

--- a/core/mesh.c
+++ b/core/mesh.c
@@ -115,6 +115,7 @@
 			continue;
 		a = mesh_store_call(&m->ctx, CALL_LEASE_KEEP);
 		a->lease = r->lease;
+		a->deadline_ns = m->ctx.now_ns + STORE_LATE_NS;
 		m->peer_renewal_op[i] = a->op;
 		m->peer_renewals[i] = *r;
 		m->peer_renewal_to[i] = from;
@@ -204,10 +205,28 @@
 		 (unsigned long)((m->ctx.now_ns - n->sent_ns) / NS_PER_MS));
 }
 
+/*
+ * Notes whether the store serves this node. A call that got no answer, while a
+ * later one did, says nothing about that.
+ */
+static void note_call_end(struct mesh *m, const struct ev_store_end *e)
+{
+	const struct store_call_note *n = mesh_call_note(&m->ctx, e->op);
+	bool answered = e->end != STORE_REFUSED && e->end != STORE_NO_ANSWER;
+
+	if (answered && n && n->sent_ns > m->ctx.answered_sent_ns)
+		m->ctx.answered_sent_ns = n->sent_ns;
+	if (e->end == STORE_NO_ANSWER && n &&
+	    n->sent_ns < m->ctx.answered_sent_ns)
+		session_note_lost_call(&m->session, &m->ctx);
+	else
+		session_note_call_end(&m->session, &m->ctx, e->end);
+}
+
 static void on_store(struct mesh *m, struct ev_store_end *e)
 {
 	log_failed_call(m, e);
-	session_note_call_end(&m->session, &m->ctx, e->end);
+	note_call_end(m, e);
 	if (!session_on_end(&m->session, &m->ctx, e) &&
 	    !holder_on_end(&m->holder, &m->ctx, e) &&
 	    !keyplan_on_end(&m->keyplan, &m->ctx, e))
--- a/core/mesh_ctx.h
+++ b/core/mesh_ctx.h
@@ -24,7 +24,7 @@
 	uint32_t retry_slack; /* retries per window, fleet-wide */
 };
 
-#define MESH_CALLS_NOTED 32
+#define MESH_CALLS_NOTED 64
 
 /** Of one of the latest store calls, to log how it ended. */
 struct store_call_note {
@@ -33,6 +33,12 @@
 	uint64_t sent_ns;
 };
 
+/*
+ * How long a call is awaited that may only be slow. It is made again earlier
+ * once a call that was sent later has been answered.
+ */
+#define STORE_LATE_NS (4 * NS_PER_S)
+
 struct mesh_ctx {
 	const struct mesh_opts *opts;
 	struct directory dir;
@@ -45,6 +51,7 @@
 	 */
 	bool store_down;
 	uint64_t store_answered_ns; /* when it last answered a call; 0: never */
+	uint64_t answered_sent_ns;  /* latest sending of an answered call */
 	/*
 	 * Latest time at which a newer manifest would have shown, in this
 	 * node's own watch or read of the store; 0: never.
--- a/core/session.c
+++ b/core/session.c
@@ -11,7 +11,14 @@
 #define WATCHER_WAIT_NS		(2 * NS_PER_S)
 /* For a watch that only reads the changes so far. */
 #define WATCH_POLL_NS		NS_PER_MS
-#define WATCH_DEADLINE_SLACK_NS (1500 * NS_PER_MS)
+/*
+ * An answer that takes longer is late. A read or a write is then made again if
+ * a call that was sent later has been answered, a renewal in any case.
+ */
+#define ANSWER_USUAL_NS		(900 * NS_PER_MS)
+#define READ_USUAL_NS		(1800 * NS_PER_MS)
+/* Answers may come in another order than their calls. */
+#define OUTRUN_GRACE_NS		(500 * NS_PER_MS)
 /*
  * Changes come in bursts, for example when many nodes start, and each watch
  * that ends is a call. A pause before the next watch, longer in a large fleet,
@@ -66,10 +73,28 @@
 
 	call->op = a->op;
 	call->sent_ns = c->now_ns;
+	call->overdue_ns = c->now_ns + ANSWER_USUAL_NS;
+	call->lost_ns = 0;
+	a->deadline_ns = c->now_ns + STORE_LATE_NS;
 	s->calls[kind]++;
 	return a;
 }
 
+/* Lets @call be made again; its answer still counts. */
+static void set_aside(struct session *s, const struct mesh_ctx *c,
+		      struct session_call *call, enum store_call_kind kind)
+{
+	s->late[s->next_late++ % SESSION_LATE_MAX] = (struct late_call){
+		.op = call->op,
+		.sent_ns = call->sent_ns,
+		.kind = kind,
+		.lease = s->lease,
+		.read_after_register = s->read_after_register,
+	};
+	call->op = 0;
+	call->next_ns = c->now_ns;
+}
+
 static void lose_lease(struct session *s, struct mesh_ctx *c, const char *why)
 {
 	if (s->registered)
@@ -80,12 +105,25 @@
 	s->registered = false;
 	s->fresh = false;
 	s->lease_new.next_ns = c->now_ns;
+	/* Reads in progress began before the next registration. */
+	s->read_after_register = false;
+	for (int i = 0; i < SESSION_LATE_MAX; i++)
+		s->late[i].read_after_register = false;
+}
+
+/* Notes that a manifest from before @at_ns would be known. */
+static void note_checked(struct mesh_ctx *c, uint64_t at_ns)
+{
+	if (at_ns > c->manifest_checked_ns)
+		c->manifest_checked_ns = at_ns;
 }
 
 static void apply_read(struct session *s, struct mesh_ctx *c,
-		       struct ev_store_end *e)
+		       struct ev_store_end *e, const struct late_call *read)
 {
-	switch (s->read_kind) {
+	if (read->kind != CALL_READ_OWN)
+		note_checked(c, read->sent_ns);
+	switch (read->kind) {
 	case CALL_READ_ALL:
 		directory_apply(&c->dir, &e->records, true, e->revision,
 				c->now_ns, c->out);
@@ -101,32 +139,24 @@
 				c->out);
 		return;
 	}
-	if (s->read_after_register && s->registered)
+	if (read->read_after_register && s->registered)
 		s->fresh = true;
 	s->want_read_own = s->registered && !s->fresh;
 }
 
-/* Notes that a manifest from before @at_ns would be known. */
-static void note_checked(struct mesh_ctx *c, uint64_t at_ns)
-{
-	if (at_ns > c->manifest_checked_ns)
-		c->manifest_checked_ns = at_ns;
-}
-
 static void on_read(struct session *s, struct mesh_ctx *c,
-		    struct ev_store_end *e)
+		    struct ev_store_end *e, const struct late_call *read)
 {
 	bool first = !c->dir.loaded;
 
 	c->dir.source = SOURCE_READ;
 	if (e->end != STORE_DONE) {
-		s->read.next_ns = c->now_ns + CALL_RETRY_NS;
+		if (!read->op) /* else another one has been sent */
+			s->read.next_ns = c->now_ns + CALL_RETRY_NS;
 		return;
 	}
 	s->read.next_ns = c->now_ns + READ_INTERVAL_NS;
-	apply_read(s, c, e);
-	if (s->read_kind != CALL_READ_OWN)
-		note_checked(c, s->read.sent_ns);
+	apply_read(s, c, e, read);
 	if (first && c->dir.loaded)
 		mesh_log(c->out, LOG_INFO, "event=store_read revision=%lu",
 			 (unsigned long)e->revision);
@@ -146,6 +176,19 @@
 	return pause < WATCH_PAUSE_MAX_NS ? pause : WATCH_PAUSE_MAX_NS;
 }
 
+/* @checked_ns: a manifest from before that time has shown. */
+static void apply_watch(struct session *s, struct mesh_ctx *c,
+			struct ev_store_end *e, uint64_t checked_ns)
+{
+	relay_forward_changes(c, c->dir.revision, e);
+	c->dir.source = SOURCE_WATCH;
+	directory_apply(&c->dir, &e->records, false, e->revision, c->now_ns,
+			c->out);
+	s->unanswered_watches = 0;
+	s->want_changes = false;
+	note_checked(c, checked_ns);
+}
+
 static void on_watch(struct session *s, struct mesh_ctx *c,
 		     struct ev_store_end *e)
 {
@@ -155,12 +198,8 @@
 		s->unanswered_watches = 0;
 	switch (e->end) {
 	case STORE_DONE:
-		relay_forward_changes(c, c->dir.revision, e);
-		c->dir.source = SOURCE_WATCH;
-		directory_apply(&c->dir, &e->records, false, e->revision,
-				c->now_ns, c->out);
-		s->want_changes = false;
-		note_checked(c, s->watch_polls ? s->watch.sent_ns : c->now_ns);
+		apply_watch(s, c, e,
+			    s->watch_polls ? s->watch.sent_ns : c->now_ns);
 		s->watch.next_ns = c->now_ns + watch_pause_ns(s, c);
 		break;
 	case STORE_NO_HISTORY:
@@ -179,6 +218,17 @@
 	}
 }
 
+static void take_lease(struct session *s, const struct mesh_ctx *c,
+		       const struct ev_store_end *e, uint64_t sent_ns)
+{
+	s->lease_retry_delay_ns = 0;
+	s->lease = e->lease;
+	s->lease_ttl_ns = e->ttl_ns;
+	s->lease_deadline_ns = sent_ns + e->ttl_ns;
+	s->keep.next_ns = c->now_ns + e->ttl_ns / RENEWALS_PER_LEASE;
+	s->card_dirty = true;
+}
+
 static void on_lease_new(struct session *s, struct mesh_ctx *c,
 			 const struct ev_store_end *e)
 {
@@ -190,12 +240,8 @@
 		s->lease_new.next_ns = c->now_ns + s->lease_retry_delay_ns;
 		return;
 	}
-	s->lease_retry_delay_ns = 0;
-	s->lease = e->lease;
-	s->lease_ttl_ns = e->ttl_ns;
-	s->lease_deadline_ns = s->lease_new.sent_ns + e->ttl_ns;
-	s->keep.next_ns = c->now_ns + e->ttl_ns / RENEWALS_PER_LEASE;
-	s->card_dirty = true;
+	if (!s->lease)
+		take_lease(s, c, e, s->lease_new.sent_ns);
 }
 
 static void extend_lease(struct session *s, uint64_t sent_ns)
@@ -295,6 +341,12 @@
 	}
 }
 
+/* True if the store has answered a call that was not sent before @call. */
+static bool is_outrun(const struct mesh_ctx *c, const struct session_call *call)
+{
+	return call->op && c->answered_sent_ns >= call->sent_ns;
+}
+
 void session_note_call_end(struct session *s, struct mesh_ctx *c,
 			   enum store_end end)
 {
@@ -303,10 +355,10 @@
 	if (!failed) {
 		c->store_answered_ns = c->now_ns;
 		/* A watch from before the outage may never be answered. */
-		if (c->store_down && s->watch.op) {
-			s->watch.op = 0;
-			s->watch.next_ns = c->now_ns;
-		}
+		if (c->store_down && s->watch.op)
+			set_aside(s, c, &s->watch, CALL_WATCH_ALL);
+		if (c->store_down && is_outrun(c, &s->read))
+			set_aside(s, c, &s->read, s->read_kind);
 	}
 	c->store_down = failed;
 	if (!failed)
@@ -320,6 +372,61 @@
 		s->keep.next_ns = c->now_ns + CALL_RETRY_NS;
 }
 
+void session_note_lost_call(struct session *s, struct mesh_ctx *c)
+{
+	s->last_failure_ns = c->now_ns;
+	s->failures++;
+}
+
+/* Takes the answer to a call that was made again meanwhile. */
+static void take_late_answer(struct session *s, struct mesh_ctx *c,
+			     struct ev_store_end *e,
+			     const struct late_call *late)
+{
+	switch (late->kind) {
+	case CALL_READ_ALL:
+	case CALL_READ_OWN:
+	case CALL_READ_MANIFEST:
+		on_read(s, c, e, late);
+		break;
+	case CALL_WATCH_ALL:
+		if (e->end == STORE_DONE)
+			apply_watch(s, c, e, late->sent_ns);
+		break;
+	case CALL_LEASE_KEEP:
+		if (!s->lease || late->lease != s->lease)
+			break;
+		if (e->end == STORE_DONE)
+			extend_lease(s, late->sent_ns);
+		else if (e->end == STORE_NO_LEASE)
+			lose_lease(s, c, "ended");
+		break;
+	case CALL_LEASE_NEW:
+		/* A second lease is left to end by itself. */
+		if (!s->lease && e->end == STORE_DONE)
+			take_lease(s, c, e, late->sent_ns);
+		break;
+	case CALL_WRITE:
+	case CALL_LEASE_END:
+		break;
+	}
+}
+
+static bool on_late_end(struct session *s, struct mesh_ctx *c,
+			struct ev_store_end *e)
+{
+	for (int i = 0; i < SESSION_LATE_MAX; i++) {
+		struct late_call late = s->late[i];
+
+		if (!late.op || late.op != e->op)
+			continue;
+		s->late[i].op = 0;
+		take_late_answer(s, c, e, &late);
+		return true;
+	}
+	return false;
+}
+
 bool session_on_end(struct session *s, struct mesh_ctx *c,
 		    struct ev_store_end *e)
 {
@@ -336,10 +443,14 @@
 	else if (e->op == s->put.op)
 		call = &s->put;
 	if (!call)
-		return false;
+		return on_late_end(s, c, e);
 	call->op = 0;
 	if (call == &s->read)
-		on_read(s, c, e);
+		on_read(s, c, e,
+			&(struct late_call){.kind = s->read_kind,
+					    .sent_ns = call->sent_ns,
+					    .read_after_register =
+						    s->read_after_register});
 	else if (call == &s->watch)
 		on_watch(s, c, e);
 	else if (call == &s->lease_new)
@@ -523,6 +634,7 @@
 			s->want_read_own ? CALL_READ_OWN : CALL_READ_MANIFEST;
 	s->read_after_register = s->registered;
 	start_call(s, c, &s->read, s->read_kind);
+	s->read.overdue_ns = c->now_ns + READ_USUAL_NS;
 }
 
 static void start_watch(struct session *s, struct mesh_ctx *c)
@@ -540,7 +652,67 @@
 	a->wait_ns = !is_watcher	  ? WATCH_POLL_NS
 		     : relay_all_watch(c) ? WATCH_WAIT_NS
 					  : WATCHER_WAIT_NS;
-	a->deadline_ns = c->now_ns + a->wait_ns + WATCH_DEADLINE_SLACK_NS;
+	a->deadline_ns = c->now_ns + a->wait_ns + STORE_LATE_NS;
+	s->watch.overdue_ns = c->now_ns + a->wait_ns + READ_USUAL_NS;
+}
+
+static bool is_overdue(const struct mesh_ctx *c,
+		       const struct session_call *call)
+{
+	return call->op && c->now_ns >= call->overdue_ns;
+}
+
+static void end_unanswered(struct session *s, struct mesh_ctx *c,
+			   struct session_call *call)
+{
+	struct ev_store_end e = {.op = call->op, .end = STORE_NO_ANSWER};
+
+	list_init(&e.records);
+	session_note_lost_call(s, c);
+	session_on_end(s, c, &e);
+}
+
+/* Has a call for the lease made again, while it may still be answered. */
+static void renew_lease_call(struct session *s, struct mesh_ctx *c,
+			     struct session_call *call,
+			     enum store_call_kind kind)
+{
+	bool silent = c->store_answered_ns < call->sent_ns;
+
+	set_aside(s, c, call, kind);
+	call->next_ns = c->now_ns + CALL_RETRY_NS;
+	if (kind == CALL_LEASE_KEEP)
+		request_peer_renewal(s, c);
+	if (silent)
+		session_note_call_end(s, c, STORE_NO_ANSWER);
+}
+
+static bool is_lost(const struct mesh_ctx *c, struct session_call *call)
+{
+	if (!call->lost_ns && is_outrun(c, call)) {
+		call->lost_ns = c->now_ns + OUTRUN_GRACE_NS;
+		if (call->lost_ns < call->overdue_ns)
+			call->lost_ns = call->overdue_ns;
+	}
+	return call->op && call->lost_ns && c->now_ns >= call->lost_ns;
+}
+
+/* Deals with calls whose answer is late: they may be lost. */
+static void renew_calls(struct session *s, struct mesh_ctx *c)
+{
+	if (is_overdue(c, &s->keep))
+		renew_lease_call(s, c, &s->keep, CALL_LEASE_KEEP);
+	if (is_overdue(c, &s->lease_new))
+		renew_lease_call(s, c, &s->lease_new, CALL_LEASE_NEW);
+	if (is_lost(c, &s->read))
+		set_aside(s, c, &s->read, s->read_kind);
+	if (is_lost(c, &s->watch)) {
+		set_aside(s, c, &s->watch, CALL_WATCH_ALL);
+		if (++s->unanswered_watches >= UNANSWERED_WATCHES_MAX)
+			s->want_read_all = true;
+	}
+	if (is_lost(c, &s->put))
+		end_unanswered(s, c, &s->put);
 }
 
 static const char *late_reason(const struct session *s,
@@ -586,6 +758,7 @@
 	if (s->watch.op && !s->watch_polls && !c->store_down &&
 	    c->store_answered_ns > s->watch.sent_ns)
 		note_checked(c, c->store_answered_ns);
+	renew_calls(s, c);
 	log_late_manifest(s, c);
 	ask_manifest(s, c);
 	if (wants_any_read(s, c) && !c->store_down && due(&s->read, c->now_ns))
@@ -614,10 +787,25 @@
 		*next = call->next_ns;
 }
 
+/* Lowers @next to when the answer to @call will be late. */
+static void include_overdue(uint64_t *next, const struct mesh_ctx *c,
+			    const struct session_call *call)
+{
+	uint64_t at = call->lost_ns ? call->lost_ns : call->overdue_ns;
+
+	if (call->op && at > c->now_ns && at < *next)
+		*next = at;
+}
+
 uint64_t session_next_ns(const struct session *s, const struct mesh_ctx *c)
 {
 	uint64_t next = UINT64_MAX;
 
+	include_overdue(&next, c, &s->keep);
+	include_overdue(&next, c, &s->read);
+	include_overdue(&next, c, &s->watch);
+	include_overdue(&next, c, &s->put);
+	include_overdue(&next, c, &s->lease_new);
 	include_due(&next, &s->lease_new, !s->lease);
 	include_due(&next, &s->keep, s->lease != 0);
 	if (directory_wants_manifest(&c->dir) && awaits_manifest(s, c) &&
--- a/core/session.h
+++ b/core/session.h
@@ -16,15 +16,30 @@
 struct session_call {
 	uint64_t op; /* 0: none */
 	uint64_t sent_ns;
-	uint64_t next_ns; /* earliest time of the next one */
+	uint64_t next_ns;    /* earliest time of the next one */
+	uint64_t overdue_ns; /* when the answer is later than usual */
+	uint64_t lost_ns; /* when it is taken as lost; 0: nothing shows that */
 };
 
+/** A call that was made again although its answer may still come. */
+struct late_call {
+	uint64_t op; /* 0: none */
+	uint64_t sent_ns;
+	enum store_call_kind kind;
+	uint64_t lease;		  /* renewal: of this lease */
+	bool read_after_register; /* read: as in struct session */
+};
+
+#define SESSION_LATE_MAX 8
+
 struct session {
 	struct session_call read;
 	struct session_call watch;
 	struct session_call lease_new;
 	struct session_call keep;
 	struct session_call put;
+	struct late_call late[SESSION_LATE_MAX]; /* newest ones, as a ring */
+	uint32_t next_late;
 	enum store_call_kind read_kind; /* of the read in progress */
 	bool want_read_all;		/* the directory may be incomplete */
 	bool want_read_own; /* cards or keymaps may be out of date */
@@ -64,6 +79,9 @@
 void session_note_call_end(struct session *s, struct mesh_ctx *c,
 			   enum store_end end);
 
+/** Notes a call without an answer though the store has answered later ones. */
+void session_note_lost_call(struct session *s, struct mesh_ctx *c);
+
 /** True if the call was made by this module. */
 bool session_on_end(struct session *s, struct mesh_ctx *c,
 		    struct ev_store_end *e);
--- a/tests/mesh_sim.hpp
+++ b/tests/mesh_sim.hpp
@@ -70,6 +70,7 @@
 	uint64_t manifest_transfer_ns = 0;
 	/* The same on the store's link, which all nodes share. */
 	uint64_t manifest_link_ns = 0;
+	uint64_t store_delay_ns = 0; /* of each answer */
 };
 
 struct Upstream {
@@ -465,7 +466,8 @@
 			e.end = STORE_DONE;
 			fill_records(&e, w.after, false);
 			answer_store_call(w.node, w.boot, e,
-					  4 * SIM_MS + transfer_ns(call));
+					  4 * SIM_MS + opts.store_delay_ns +
+						  transfer_ns(call));
 		}
 	}
 
@@ -500,6 +502,30 @@
 		return STORE_DONE;
 	}
 
+	/* Ends a watch without a change, unless it can't be answered. */
+	void end_watch(int node, uint64_t boot,
+		       const struct act_store_call &call, enum store_end end)
+	{
+		struct ev_store_end e = {};
+
+		if (end == STORE_DONE &&
+		    (store_down || procs[node].store_cut_until_ns > now))
+			return;
+		for (size_t i = 0; i < watches.size(); i++) {
+			if (watches[i].op != call.op || watches[i].boot != boot)
+				continue;
+			watches.erase(watches.begin() + (long)i);
+			e.op = call.op;
+			e.end = end;
+			e.revision = call.after;
+			list_init(&e.records);
+			answer_store_call(
+				node, boot, e,
+				end == STORE_DONE ? opts.store_delay_ns : 0);
+			return;
+		}
+	}
+
 	void store_call(int node, struct act_store_call *a)
 	{
 		auto puts = std::make_shared<OwnedRecords>();
@@ -533,24 +559,14 @@
 			answer_store_call(node, boot, e, 4 * SIM_MS);
 		} else if (a->kind == CALL_WATCH_ALL && a->after >= revision) {
 			watches.push_back({node, boot, a->op, a->after});
+			schedule(now + a->wait_ns, [this, node, boot, call] {
+				end_watch(node, boot, call, STORE_DONE);
+			});
 			schedule(a->deadline_ns, [this, node, boot, call] {
-				for (size_t i = 0; i < watches.size(); i++) {
-					struct ev_store_end end = {};
-
-					if (watches[i].op != call.op ||
-					    watches[i].boot != boot)
-						continue;
-					watches.erase(watches.begin() +
-						      (long)i);
-					end.op = call.op;
-					end.end = STORE_NO_ANSWER;
-					list_init(&end.records);
-					answer_store_call(node, boot, end, 0);
-					return;
-				}
+				end_watch(node, boot, call, STORE_NO_ANSWER);
 			});
 		} else {
-			uint64_t took = transfer_ns(call);
+			uint64_t took = transfer_ns(call) + opts.store_delay_ns;
 
 			e.end = execute(call, puts->list, &e);
 			if (!lost)
--- a/tests/mesh_test.cpp
+++ b/tests/mesh_test.cpp
@@ -719,3 +719,84 @@
 	EXPECT_EQ(sim.codes[known], 200);
 	EXPECT_NO_VIOLATIONS(sim);
 }
+
+/*
+ * Guards against calls that are given up shortly before their answer and made
+ * again, for good: an added node then reads nothing and never registers, and
+ * the others lose their leases.
+ */
+TEST(Mesh, ANodeIsAddedWhileTheStoreAnswersLate)
+{
+	MeshSim sim({});
+	std::vector<uint64_t> leases;
+
+	sim.kill_process(5);
+	sim.run_for(8 * NS_PER_S);
+	for (int i = 0; i < 5; i++)
+		leases.push_back(sim.procs[i].mesh->session.lease);
+	sim.opts.store_delay_ns = 1600 * SIM_MS;
+	sim.run_for(NS_PER_S);
+	sim.start_process(5);
+	for (int t = 0; t < 120; t++) {
+		sim.run_for(100 * SIM_MS);
+		for (int i = 0; i < 5; i++)
+			ASSERT_GT(session_authority_ns(
+					  &sim.procs[i].mesh->session),
+				  sim.now)
+				<< "node " << i << " at " << t;
+	}
+	EXPECT_TRUE(mesh_ready(sim.procs[5].mesh));
+	EXPECT_TRUE(sim.procs[5].mesh->session.registered);
+	EXPECT_GT(session_authority_ns(&sim.procs[5].mesh->session), sim.now);
+	for (int i = 0; i < 5; i++)
+		EXPECT_EQ(sim.procs[i].mesh->session.lease, leases[i]) << i;
+	sim.put_manifest(2);
+	sim.run_for(2500 * SIM_MS);
+	for (int i = 0; i < 6; i++)
+		EXPECT_EQ(sim.procs[i].mesh->ctx.dir.manifest->version, 2u)
+			<< i;
+	EXPECT_NO_VIOLATIONS(sim);
+}
+
+/* The longer deadlines must not delay the return from an outage. */
+TEST(Mesh, ASilentStoreThatIsBackIsNoticedWithinASecond)
+{
+	MeshSim sim({});
+
+	sim.run_for(8 * NS_PER_S);
+	for (int outage_ms : {700, 1500, 3000, 5000}) {
+		uint64_t version = sim.procs[0].mesh->ctx.dir.manifest->version;
+
+		sim.store_down = true;
+		sim.run_for((uint64_t)outage_ms * SIM_MS);
+		sim.store_down = false;
+		sim.put_manifest(version + 1);
+		sim.run_for(1300 * SIM_MS);
+		for (int i = 0; i < sim.opts.nodes; i++) {
+			const struct mesh *m = sim.procs[i].mesh;
+
+			EXPECT_FALSE(m->ctx.store_down) << outage_ms;
+			EXPECT_EQ(m->ctx.dir.manifest->version, version + 1)
+				<< outage_ms;
+		}
+		sim.run_for(6 * NS_PER_S);
+	}
+	EXPECT_NO_VIOLATIONS(sim);
+}
+
+/* Calls whose answer alone is lost: they are made again soon. */
+TEST(Mesh, ALostAnswerDelaysARegistrationByTwoSecondsAtMost)
+{
+	for (uint64_t seed = 1; seed <= 20; seed++) {
+		MeshSimOpts opts;
+
+		opts.seed = seed;
+		opts.lost_call_share = 0.1;
+		MeshSim sim(opts);
+		sim.run_for(9 * NS_PER_S);
+		for (int i = 0; i < opts.nodes; i++)
+			EXPECT_TRUE(sim.procs[i].mesh->session.registered)
+				<< "seed " << seed << " node " << i;
+		EXPECT_NO_VIOLATIONS(sim);
+	}
+}
--- a/tests/relay_test.cpp
+++ b/tests/relay_test.cpp
@@ -58,6 +58,13 @@
 			node(i)->heard_ns = c.now_ns;
 		}
 	}
+	/* The node is registered, and no renewal is due. */
+	void hold_lease()
+	{
+		session.lease = 7;
+		session.registered = session.fresh = true;
+		session.keep.next_ns = UINT64_MAX;
+	}
 	struct dir_node *node(int i)
 	{
 		return directory_node(&c.dir, name(i).c_str());
@@ -248,6 +255,7 @@
 	list_init(&e.records);
 	e.op = session.read.op;
 	e.end = STORE_DONE;
+	session_note_call_end(&session, &c, e.end);
 	session_on_end(&session, &c, &e);
 	EXPECT_EQ(c.dir.manifest, nullptr) << "that read had no manifest";
 	c.now_ns += NS_PER_S;
@@ -574,6 +582,7 @@
 	add_nodes(20, 7);
 	add_manifest();
 	session.want_read_all = false;
+	hold_lease();
 	m = forwarded_change(2803);
 	gap = changes(60, 70);
 	struct record *r = record_new(RECORD_MANIFEST, "");
@@ -669,6 +678,7 @@
 	add_nodes(20, 7);
 	add_manifest();
 	session.want_read_all = false;
+	hold_lease();
 	for (int i = 0; i < 20; i++)
 		node(i)->manifest_revision = 52;
 	directory_note_manifest(&c.dir, 52, c.now_ns);
@@ -815,3 +825,60 @@
 	session_work(&session, &c);
 	EXPECT_FALSE(relay_manifest_current(&c));
 }
+
+/* A late renewal is sent again, and counts if it is answered after all. */
+TEST_F(RelayTest, ALateRenewalStillExtendsTheLease)
+{
+	struct ev_store_end e = {};
+	uint64_t first, sent_ns = c.now_ns;
+
+	add_nodes(20, 0);
+	hold_lease();
+	session.want_read_all = false;
+	session.lease_ttl_ns = 6 * NS_PER_S;
+	session.lease_deadline_ns = c.now_ns + NS_PER_S;
+	session.keep.next_ns = c.now_ns;
+	session_work(&session, &c);
+	first = session.keep.op;
+	ASSERT_NE(first, 0u);
+	for (int i = 0; i < 16; i++) {
+		c.now_ns += 100 * NS_PER_MS;
+		session_work(&session, &c);
+	}
+	EXPECT_NE(session.keep.op, 0u);
+	EXPECT_NE(session.keep.op, first);
+	list_init(&e.records);
+	e.op = first;
+	e.end = STORE_DONE;
+	session_note_call_end(&session, &c, e.end);
+	EXPECT_TRUE(session_on_end(&session, &c, &e));
+	EXPECT_EQ(session_authority_ns(&session), sent_ns + 6 * NS_PER_S);
+	EXPECT_FALSE(session_on_end(&session, &c, &e)) << "once";
+}
+
+/* A renewal of a former lease must not extend the present one. */
+TEST_F(RelayTest, ALateRenewalOfAFormerLeaseIsIgnored)
+{
+	struct ev_store_end e = {};
+	uint64_t first;
+
+	add_nodes(20, 0);
+	hold_lease();
+	session.want_read_all = false;
+	session.lease_ttl_ns = 6 * NS_PER_S;
+	session.keep.next_ns = c.now_ns;
+	session_work(&session, &c);
+	first = session.keep.op;
+	c.now_ns += NS_PER_S;
+	session_work(&session, &c);
+	session.lease = 8;
+	session.lease_deadline_ns = 5;
+	list_init(&e.records);
+	e.op = first;
+	e.end = STORE_DONE;
+	session_on_end(&session, &c, &e);
+	EXPECT_EQ(session_authority_ns(&session), 5u);
+	e.end = STORE_NO_LEASE;
+	session_on_end(&session, &c, &e);
+	EXPECT_EQ(session.lease, 8u);
+}
