--- a/tests/mesh_sim.hpp
+++ b/tests/mesh_sim.hpp
@@ -73,7 +73,8 @@
 	uint64_t manifest_transfer_ns = 0;
 	/* The same on the store's link, which all nodes share. */
 	uint64_t manifest_link_ns = 0;
-	bool copies = false; /* the store keeps copies, for restore() */
+	bool copies = false;	     /* the store keeps copies, for restore() */
+	uint64_t store_delay_ns = 0; /* of each answer */
 };
 
 struct Upstream {
@@ -143,7 +144,7 @@
 	std::vector<Upstream> upstreams;
 	StoreState store;
 	std::deque<std::pair<uint64_t, StoreState>> copies; /* by time */
-	uint64_t era = 1; /* of the store */
+	uint64_t era = 1;				    /* of the store */
 	/* What the operators have written last, whatever became of it. */
 	std::shared_ptr<struct record> operators_manifest;
 	std::set<std::string> operators_evacuated;
@@ -579,7 +580,8 @@
 			e.era = era;
 			fill_watch(&e, w.after);
 			answer_store_call(w.node, w.boot, e,
-					  4 * SIM_MS + transfer_ns(call));
+					  4 * SIM_MS + opts.store_delay_ns +
+						  transfer_ns(call));
 		}
 	}
 
@@ -629,6 +631,30 @@
 		return false;
 	}
 
+	/* Ends a watch without a change, unless it can't be answered. */
+	void end_watch(int node, uint64_t boot,
+		       const struct act_store_call &call, enum store_end end)
+	{
+		struct ev_store_end e = {};
+
+		if (end == STORE_DONE &&
+		    (store_down || procs[node].store_cut_until_ns > now))
+			return;
+		for (size_t i = 0; i < watches.size(); i++) {
+			if (watches[i].op != call.op || watches[i].boot != boot)
+				continue;
+			watches.erase(watches.begin() + (long)i);
+			e.op = call.op;
+			e.end = end;
+			e.revision = call.after;
+			list_init(&e.records);
+			answer_store_call(
+				node, boot, e,
+				end == STORE_DONE ? opts.store_delay_ns : 0);
+			return;
+		}
+	}
+
 	void store_call(int node, struct act_store_call *a)
 	{
 		auto puts = std::make_shared<OwnedRecords>();
@@ -672,24 +698,14 @@
 		} else if (a->kind == CALL_WATCH_ALL &&
 			   revision_number(a->after) == store.revision) {
 			watches.push_back({node, boot, a->op, a->after});
+			schedule(now + a->wait_ns, [this, node, boot, call] {
+				end_watch(node, boot, call, STORE_DONE);
+			});
 			schedule(a->deadline_ns, [this, node, boot, call] {
-				for (size_t i = 0; i < watches.size(); i++) {
-					struct ev_store_end end = {};
-
-					if (watches[i].op != call.op ||
-					    watches[i].boot != boot)
-						continue;
-					watches.erase(watches.begin() +
-						      (long)i);
-					end.op = call.op;
-					end.end = STORE_NO_ANSWER;
-					list_init(&end.records);
-					answer_store_call(node, boot, end, 0);
-					return;
-				}
+				end_watch(node, boot, call, STORE_NO_ANSWER);
 			});
 		} else {
-			uint64_t took = transfer_ns(call);
+			uint64_t took = transfer_ns(call) + opts.store_delay_ns;
 
 			e.end = STORE_DONE;
 			e.era = era;
@@ -738,8 +754,7 @@
 		case CALL_LEASE_KEEP:
 			if (!store.leases.count(a.lease))
 				return STORE_NO_LEASE;
-			store.leases[a.lease] =
-				now + store.lease_ttl[a.lease];
+			store.leases[a.lease] = now + store.lease_ttl[a.lease];
 			return STORE_DONE;
 		case CALL_LEASE_END:
 			if (!store.leases.count(a.lease))
@@ -1119,8 +1134,7 @@
 	/* A key comes to another upstream, or lifetime, with a higher fence. */
 	void check_fence(int i, const struct held_row *r)
 	{
-		uint64_t holder =
-			upstreams[i].born * 1000 + (uint64_t)i + 1;
+		uint64_t holder = upstreams[i].born * 1000 + (uint64_t)i + 1;
 
 		for (uint32_t k = r->from; k <= r->to; k++) {
 			Grant &g = grants[k];
--- a/tests/relay_test.cpp
+++ b/tests/relay_test.cpp
@@ -1,6 +1,7 @@
 #include "jd_test.hpp"
 
 #include <algorithm>
+#include <functional>
 #include <string>
 
 extern "C" {
@@ -57,6 +58,13 @@
 			node(i)->heard_ns = c.now_ns;
 		}
 	}
+	/* The node is registered, and no renewal is due. */
+	void hold_lease()
+	{
+		session.lease = 7;
+		session.registered = session.fresh = true;
+		session.keep.next_ns = UINT64_MAX;
+	}
 	struct dir_node *node(int i)
 	{
 		return directory_node(&c.dir, name(i).c_str());
@@ -247,6 +255,7 @@
 	list_init(&e.records);
 	e.op = session.read.op;
 	e.end = STORE_DONE;
+	session_note_call_end(&session, &c, e.end);
 	session_on_end(&session, &c, &e);
 	EXPECT_EQ(c.dir.manifest, nullptr) << "that read had no manifest";
 	c.now_ns += NS_PER_S;
@@ -573,6 +582,7 @@
 	add_nodes(20, 7);
 	add_manifest();
 	session.want_read_all = false;
+	hold_lease();
 	m = forwarded_change(2803);
 	gap = changes(60, 70);
 	struct record *r = record_new(RECORD_MANIFEST, "");
@@ -668,6 +678,7 @@
 	add_nodes(20, 7);
 	add_manifest();
 	session.want_read_all = false;
+	hold_lease();
 	for (int i = 0; i < 20; i++)
 		node(i)->manifest_revision = 52;
 	directory_note_manifest(&c.dir, 52, c.now_ns);
@@ -680,3 +691,194 @@
 	EXPECT_NE(session.read.op, 0u);
 	EXPECT_EQ(session.read_kind, CALL_READ_MANIFEST);
 }
+
+/* A node of a large region that does not watch, in a calm fleet. */
+struct ManifestCurrentTest : public RelayManifestTest {
+	ManifestCurrentTest()
+	{
+		add_nodes(20, 7);
+		add_manifest();
+		session.want_read_all = false;
+		c.dir.peer_revision = 50;
+		c.manifest_checked_ns = 0;
+	}
+	void report(int from, revision_t revision, revision_t manifest,
+		    uint64_t delay_ns = 0)
+	{
+		struct msg_load l = {};
+
+		l.watches = from < 2;
+		l.revision = revision;
+		l.manifest_revision = manifest;
+		l.sent_ns = c.now_ns - delay_ns;
+		directory_on_load_report(&c.dir, node(from)->boot, &l,
+					 c.now_ns);
+	}
+	void pass(uint64_t ms)
+	{
+		c.now_ns += ms * NS_PER_MS;
+	}
+};
+
+/* Each way in which knowledge of a newer manifest can fail to arrive. */
+TEST_F(ManifestCurrentTest, ANodeIsSureOnlyWhileItWouldHearOfAChange)
+{
+	struct {
+		const char *name;
+		std::function<void()> happens;
+		bool sure;
+	} const cases[] = {
+		{"a watcher has reported", [&] { report(0, 50, 40); }, true},
+		{"it is ahead by other records", [&] { report(0, 55, 40); },
+		 true},
+		{"of an earlier build, not ahead", [&] { report(0, 50, 0); },
+		 true},
+		{"of an earlier build, ahead", [&] { report(0, 51, 0); },
+		 false},
+		{"a node without a watch", [&] { report(5, 50, 40); }, false},
+		{"both watchers are silent",
+		 [&] {
+			 report(0, 50, 40);
+			 report(1, 50, 40);
+			 pass(2100);
+		 },
+		 false},
+		{"a report was long under way",
+		 [&] {
+			 report(0, 50, 40);
+			 pass(2500);
+			 report(0, 50, 40, 2400 * NS_PER_MS);
+		 },
+		 false},
+		{"any node has a newer manifest",
+		 [&] {
+			 report(0, 50, 40);
+			 report(9, 50, 41);
+		 },
+		 false},
+		{"a delta does not apply",
+		 [&] {
+			 struct message *m = forwarded_change(2803);
+
+			 report(0, 50, 40);
+			 c.dir.manifest_revision = 39;
+			 session_on_changes(&session, &c, &m->u.changes);
+			 c.dir.manifest_revision = 40;
+			 message_delete(m);
+		 },
+		 false},
+		{"it has just read the store",
+		 [&] { c.manifest_checked_ns = c.now_ns; }, true},
+		{"its calls to the store fail since",
+		 [&] {
+			 c.manifest_checked_ns = c.now_ns;
+			 session_note_call_end(&session, &c, STORE_REFUSED);
+		 },
+		 false},
+		{"the same, but a watcher reports",
+		 [&] {
+			 session_note_call_end(&session, &c, STORE_NO_ANSWER);
+			 report(1, 50, 40);
+		 },
+		 true},
+		{"the store has been silent",
+		 [&] {
+			 c.manifest_checked_ns = c.now_ns;
+			 pass(2100);
+		 },
+		 false},
+	};
+
+	for (auto &it : cases) {
+		c.now_ns += 100 * NS_PER_S;
+		c.store_down = false;
+		c.manifest_checked_ns = 0;
+		c.dir.manifest_wanted = c.dir.manifest_revision = 40;
+		c.dir.manifest_late_since_ns = 0;
+		for (int i = 0; i < 20; i++) {
+			memset(&node(i)->clock, 0, sizeof(node(i)->clock));
+			node(i)->heard_ns = c.now_ns;
+		}
+		EXPECT_FALSE(relay_manifest_current(&c)) << it.name;
+		it.happens();
+		EXPECT_EQ(relay_manifest_current(&c), it.sure) << it.name;
+	}
+}
+
+/* Its own watch is enough for a watcher, while the store answers renewals. */
+TEST_F(ManifestCurrentTest, AWatcherIsSureWhileTheStoreAnswers)
+{
+	session.lease = 7;
+	session.registered = session.fresh = true;
+	session.keep.next_ns = UINT64_MAX;
+	session_note_call_end(&session, &c, STORE_DONE);
+	session_work(&session, &c);
+	ASSERT_NE(session.watch.op, 0u);
+	EXPECT_FALSE(relay_manifest_current(&c));
+	for (int i = 0; i < 3; i++) {
+		pass(900);
+		session_note_call_end(&session, &c, STORE_DONE);
+		session_work(&session, &c);
+		EXPECT_TRUE(relay_manifest_current(&c));
+	}
+	pass(2100);
+	session_work(&session, &c);
+	EXPECT_FALSE(relay_manifest_current(&c));
+}
+
+/* A late renewal is sent again, and counts if it is answered after all. */
+TEST_F(RelayTest, ALateRenewalStillExtendsTheLease)
+{
+	struct ev_store_end e = {};
+	uint64_t first, sent_ns = c.now_ns;
+
+	add_nodes(20, 0);
+	hold_lease();
+	session.want_read_all = false;
+	session.lease_ttl_ns = 6 * NS_PER_S;
+	session.lease_deadline_ns = c.now_ns + NS_PER_S;
+	session.keep.next_ns = c.now_ns;
+	session_work(&session, &c);
+	first = session.keep.op;
+	ASSERT_NE(first, 0u);
+	for (int i = 0; i < 16; i++) {
+		c.now_ns += 100 * NS_PER_MS;
+		session_work(&session, &c);
+	}
+	EXPECT_NE(session.keep.op, 0u);
+	EXPECT_NE(session.keep.op, first);
+	list_init(&e.records);
+	e.op = first;
+	e.end = STORE_DONE;
+	session_note_call_end(&session, &c, e.end);
+	EXPECT_TRUE(session_on_end(&session, &c, &e));
+	EXPECT_EQ(session_authority_ns(&session), sent_ns + 6 * NS_PER_S);
+	EXPECT_FALSE(session_on_end(&session, &c, &e)) << "once";
+}
+
+/* A renewal of a former lease must not extend the present one. */
+TEST_F(RelayTest, ALateRenewalOfAFormerLeaseIsIgnored)
+{
+	struct ev_store_end e = {};
+	uint64_t first;
+
+	add_nodes(20, 0);
+	hold_lease();
+	session.want_read_all = false;
+	session.lease_ttl_ns = 6 * NS_PER_S;
+	session.keep.next_ns = c.now_ns;
+	session_work(&session, &c);
+	first = session.keep.op;
+	c.now_ns += NS_PER_S;
+	session_work(&session, &c);
+	session.lease = 8;
+	session.lease_deadline_ns = 5;
+	list_init(&e.records);
+	e.op = first;
+	e.end = STORE_DONE;
+	session_on_end(&session, &c, &e);
+	EXPECT_EQ(session_authority_ns(&session), 5u);
+	e.end = STORE_NO_LEASE;
+	session_on_end(&session, &c, &e);
+	EXPECT_EQ(session.lease, 8u);
+}
