Codec tests: a report without the manifest's revision

MessagesOfABuildWithoutErasAreOfEraZero and ABuildWithoutErasReadsBareRevisions check the field with the old build's own tables, in both directions.

--- a/tests/codec_test.cpp
+++ b/tests/codec_test.cpp
@@ -196,6 +196,7 @@
 		m->u.load.revision = revision_make(3, 12);
 		m->u.load.load.cold = true;
 		m->u.load.manifest_version = 14;
+		m->u.load.manifest_revision = revision_make(3, 11);
 		break;
 	case MSG_RENEW:
 		m->u.renew.lease = 5;
@@ -230,6 +231,8 @@
 		case MSG_LOAD:
 			EXPECT_EQ(d->u.load.revision, revision_make(3, 12));
 			EXPECT_EQ(d->u.load.manifest_version, 14u);
+			EXPECT_EQ(d->u.load.manifest_revision,
+				  revision_make(3, 11));
 			break;
 		case MSG_RENEW:
 			EXPECT_EQ(d->u.renew.era, 3u);
@@ -257,6 +260,7 @@
 	case MSG_LOAD:
 		m->u.load.revision = 12;
 		m->u.load.manifest_version = 0;
+		m->u.load.manifest_revision = 0;
 		break;
 	case MSG_RENEW:
 		m->u.renew.era = 0;
