The first keys of a fleet are dealt without waiting for an era to settle

When the whole fleet starts for the first time (the platform's setting bootstrap) nothing can have been granted that the store has forgotten.

--- a/core/mesh_ctx.h
+++ b/core/mesh_ctx.h
@@ -14,8 +14,9 @@
 	char service[JD_NAME_MAX]; /* of the upstream on the same VM */
 	uint64_t boot;		   /* identifies this process; random, not 0 */
 	uint64_t seed;
-	uint64_t lease_ns;	       /* of the lease on the node's card */
-	uint64_t hold_max_ns;	       /* longest grant of keys */
+	bool bootstrap;	      /* no node of the fleet has ever run before */
+	uint64_t lease_ns;    /* of the lease on the node's card */
+	uint64_t hold_max_ns; /* longest grant of keys */
 	uint64_t announce_interval_ns; /* between upstream announcements */
 	uint64_t stop_ns;	       /* longest planned stop */
 	uint64_t drain_ns;  /* how long a leaving upstream still serves */
--- a/core/session.c
+++ b/core/session.c
@@ -178,8 +178,12 @@
 	uint64_t settled_ns = c->now_ns + lease_ns +
 			      lease_ns / LEASE_DRIFT_DIVISOR +
 			      ERA_SETTLE_MARGIN_NS;
-	bool risen = directory_note_era(d, e->era, settled_ns) && !first;
+	bool risen;
 
+	/* Nothing was granted before that the store could have forgotten. */
+	if (first && c->opts->bootstrap)
+		settled_ns = c->now_ns;
+	risen = directory_note_era(d, e->era, settled_ns) && !first;
 	if (risen) {
 		mesh_log(c->out, LOG_WARN,
 			 "event=store_restored era=%lu before=%lu "
--- a/tests/mesh_sim.hpp
+++ b/tests/mesh_sim.hpp
@@ -23,6 +23,7 @@
 }
 
 static const uint64_t SIM_MS = NS_PER_MS;
+static const uint64_t SIM_START_NS = NS_PER_S;
 static const uint64_t SIM_ANNOUNCE_INTERVAL_NS = 870 * NS_PER_MS;
 static const uint64_t SIM_HOLD_MAX_NS = 10 * NS_PER_S;
 
@@ -137,7 +138,7 @@
 	};
 
 	MeshSimOpts opts;
-	uint64_t now = NS_PER_S;
+	uint64_t now = SIM_START_NS;
 	std::mt19937_64 rng;
 	std::multimap<uint64_t, std::function<void()>> queue;
 	std::vector<Process> procs;
@@ -646,6 +647,7 @@
 			watches.erase(watches.begin() + (long)i);
 			e.op = call.op;
 			e.end = end;
+			e.era = end == STORE_DONE ? era : 0;
 			e.revision = call.after;
 			list_init(&e.records);
 			answer_store_call(
@@ -780,6 +782,7 @@
 			     sizeof(mo.service));
 		mo.boot = ++next_id * 1000 + (uint64_t)i;
 		mo.seed = rng();
+		mo.bootstrap = now == SIM_START_NS;
 		mo.lease_ns = opts.lease_ns;
 		mo.hold_max_ns = SIM_HOLD_MAX_NS;
 		mo.announce_interval_ns = SIM_ANNOUNCE_INTERVAL_NS;
--- a/tests/platform_settings_test.cpp
+++ b/tests/platform_settings_test.cpp
@@ -55,6 +55,22 @@
 	EXPECT_STREQ(o.dc, "z1");
 }
 
+TEST(PlatformSettings, TheFirstStartIsOptionalAndTrueOrFalse)
+{
+	std::string text = valid_file;
+	struct platform_settings s;
+	std::string findings;
+	struct mesh_opts o;
+
+	EXPECT_EQ(read_settings(text, &s, &findings), 0) << findings;
+	EXPECT_FALSE(s.bootstrap);
+	EXPECT_EQ(read_settings(text + "\nbootstrap=true", &s, &findings), 0);
+	platform_settings_mesh_opts(&s, 9, 8, &o);
+	EXPECT_TRUE(o.bootstrap);
+	EXPECT_EQ(read_settings(text + "\nbootstrap=maybe", &s, &findings), 1);
+	EXPECT_EQ(findings, "bootstrap ");
+}
+
 TEST(PlatformSettings, AllFindingsAreReportedTogether)
 {
 	struct platform_settings s;
--- a/tests/session_test.cpp
+++ b/tests/session_test.cpp
@@ -251,3 +251,20 @@
 	register_in(3, 12);
 	EXPECT_EQ(c.dir.revision, revision_make(3, 12));
 }
+
+/* A fleet that never ran before must not wait a lease time for its first keys.
+ */
+TEST_F(SessionTest, OnlyAtTheFirstStartOfAFleetIsItsEraSettledAtOnce)
+{
+	end(OTHER_OP, 1, 12);
+	EXPECT_FALSE(directory_settled(&c.dir, c.now_ns));
+	EXPECT_TRUE(directory_settled(&c.dir, c.now_ns + 7 * NS_PER_S));
+
+	directory_done(&c.dir);
+	directory_init(&c.dir, "r0");
+	opts.bootstrap = true;
+	end(OTHER_OP, 1, 12);
+	EXPECT_TRUE(directory_settled(&c.dir, c.now_ns));
+	EXPECT_TRUE(end(OTHER_OP, 2, 12));
+	EXPECT_FALSE(directory_settled(&c.dir, c.now_ns));
+}
