Fault soak: the store comes back from older copies

In half of the seeds, by a random source of its own so that the other faults of a seed stay as they are, the store is away for 0.2 to 3 s (silent, for half of them with all connections reset first), comes back from a copy 1 to 12 s old, and the operators' writes are repeated 0.1 to 1 s later. It overlaps with the other faults; the promises hold across it. Two are new: by the logs no process returns to an older configuration, and none ends by itself.

--- a/chaos/mesh_checker.c
+++ b/chaos/mesh_checker.c
@@ -131,7 +131,7 @@
 						 "false_not_run", r->id);
 	return c->two_holders + c->fence_not_above + c->doubled +
 	       c->false_not_run + c->crossed + c->denied + c->unasked +
-	       c->after_leave;
+	       c->after_leave + c->config_back + c->died;
 }
 
 uint64_t mesh_checker_unserved(const struct mesh_checker *c, uint64_t from_ns,
--- a/chaos/mesh_checker.h
+++ b/chaos/mesh_checker.h
@@ -49,6 +49,10 @@
 	uint64_t denied;	  /* a proper request ended with a status that
 				     calls it wrong or sends it elsewhere */
 	uint64_t unasked;	  /* an upstream ran an unknown request */
+	uint64_t config_back;	  /* a process returned to an older
+				     configuration; counted by mesh_fleet */
+	uint64_t died;		  /* a process ended by itself; counted by
+				     mesh_fleet */
 	uint64_t after_leave;	  /* an upstream ran a request later than
 				     LEAVE_GRACE_NS after its leave was
 				     acknowledged; counted by mesh_fleet */
--- a/chaos/mesh_fleet.c
+++ b/chaos/mesh_fleet.c
@@ -28,6 +28,9 @@
 #define PORT_FIRST	   21000
 #define PORT_STORE	   20990
 #define HOLDER_CHECK_MS	   5
+/* Copies of the store, for 15 s. */
+#define STORE_COPIES	   60
+#define STORE_COPY_MS	   250
 #define ANNOUNCE_MS	   300
 #define WORK_MS		   20
 #define SLOTS		   16
@@ -147,8 +150,63 @@
 	for (uint32_t i = 0; i < f->opts.nodes; i++) {
 		struct mesh_node *n = &f->nodes[i];
 
-		if (n->pid && waitpid(n->pid, NULL, WNOHANG) == n->pid)
-			n->pid = 0;
+		int status;
+
+		if (!n->pid || waitpid(n->pid, &status, WNOHANG) != n->pid)
+			continue;
+		n->pid = 0;
+		if (!WIFSIGNALED(status) || WTERMSIG(status) == SIGKILL ||
+		    WTERMSIG(status) == SIGTERM)
+			continue;
+		f->opts.checker->died++;
+		printf("soak: broken=died node=%u signal=%d\n", i,
+		       WTERMSIG(status));
+	}
+}
+
+/* @version: the newest that the process has had in force. */
+static void check_log_line(struct mesh_fleet *f, const char *node,
+			   const char *line, unsigned long *version)
+{
+	static const char in_force[] = "event=config_in_force version=";
+	const char *at = strstr(line, in_force);
+	unsigned long v;
+
+	if (strstr(line, "event=started"))
+		*version = 0;
+	if (strstr(line, "ERROR: AddressSanitizer")) {
+		f->opts.checker->died++;
+		printf("soak: broken=died node=%s\n", node);
+	}
+	if (!at)
+		return;
+	v = strtoul(at + strlen(in_force), NULL, 10);
+	if (v < *version) {
+		f->opts.checker->config_back++;
+		printf("soak: broken=config_back node=%s version=%lu "
+		       "after=%lu\n",
+		       node, v, *version);
+	}
+	*version = v;
+}
+
+void mesh_fleet_check_logs(struct mesh_fleet *f)
+{
+	for (uint32_t i = 0; i < f->opts.nodes; i++) {
+		const char *node = f->nodes[i].name;
+		unsigned long version = 0;
+		char path[256];
+		char *line = NULL;
+		size_t cap = 0;
+		FILE *in;
+
+		text_format(path, sizeof(path), "%s/%s.log", f->opts.dir, node);
+		in = fopen(path, "r");
+		while (in && getline(&line, &cap, in) >= 0)
+			check_log_line(f, node, line, &version);
+		free(line);
+		if (in)
+			fclose(in);
 	}
 }
 
@@ -314,7 +372,9 @@
 bool mesh_fleet_start(struct mesh_fleet *f, const struct mesh_fleet_opts *o)
 {
 	struct timeval tv = {.tv_usec = HOLDER_CHECK_MS * 1000};
-	struct kv_server_opts store = {.base = o->base};
+	struct kv_server_opts store = {.base = o->base,
+				       .copies = STORE_COPIES,
+				       .copy_ms = STORE_COPY_MS};
 
 	memset(f, 0, sizeof(*f));
 	f->opts = *o;
--- a/chaos/mesh_fleet.h
+++ b/chaos/mesh_fleet.h
@@ -73,6 +73,11 @@
 void mesh_node_signal(struct mesh_fleet *f, uint32_t i, int sig);
 /** Reaps daemons that have exited. */
 void mesh_fleet_reap(struct mesh_fleet *f);
+/**
+ * Checks by the logs that no daemon returned to an older configuration, and
+ * that none was ended by a sanitizer. Call it once.
+ */
+void mesh_fleet_check_logs(struct mesh_fleet *f);
 
 /** Starts a new instance of the upstream unless one is running. */
 void mesh_upstream_start(struct mesh_fleet *f, uint32_t i);
--- a/chaos/mesh_soak_main.c
+++ b/chaos/mesh_soak_main.c
@@ -31,6 +31,15 @@
 #define LINK_DELAY_MIN_MS  50
 #define LINK_DELAY_SPAN_MS 600
 #define ANSWER_FAULT_MS	   1500
+/* Restores of the store: the pause before one and its three times. */
+#define RESTORE_MIN_MS	   2000
+#define RESTORE_SPAN_MS	   8000
+#define AWAY_MIN_MS	   200
+#define AWAY_SPAN_MS	   2800
+#define COPY_AGE_MIN_MS	   1000
+#define COPY_AGE_SPAN_MS   11000
+#define REWRITE_MIN_MS	   100
+#define REWRITE_SPAN_MS	   900
 #define NODES_DEFAULT	   6
 #define FAULTS_DEFAULT_S   30
 
@@ -53,6 +62,9 @@
 	SOAK_CONFIG,	    /* up to four new configurations at once */
 	SOAK_EVACUATE,	    /* a data centre is evacuated, then restored */
 	SOAK_HUP,	    /* SIGHUP to a node */
+	SOAK_DRAWN_COUNT,   /* those before are drawn by on_fault() */
+	/* The store is away, then comes back from an older copy. */
+	SOAK_STORE_RESTORED = SOAK_DRAWN_COUNT,
 	SOAK_FAULT_COUNT,
 };
 
@@ -75,6 +87,14 @@
 	[SOAK_CONFIG] = "config",
 	[SOAK_EVACUATE] = "evacuate",
 	[SOAK_HUP] = "hup",
+	[SOAK_STORE_RESTORED] = "store_restored",
+};
+
+/** What on_restore() does next. */
+enum restore_step {
+	RESTORE_BEGINS,	  /* the store goes away */
+	RESTORE_RETURNS,  /* it comes back from a copy */
+	RESTORE_REWRITES, /* the operators write again what it lost */
 };
 
 /** A fault that is to be mended. */
@@ -99,6 +119,9 @@
 		answer_rng; /* keeps the other faults of a seed as they are */
 	struct event *answer_timer;
 	uint64_t answer_counts[ANSWER_FAULT_COUNT];
+	struct rng restore_rng; /* for the same reason */
+	struct event *restore_timer;
+	enum restore_step restore_step;
 	uint64_t started_ns;
 	uint64_t counts[SOAK_FAULT_COUNT];
 	char evacuated[64]; /* store key of the evacuation; "": none */
@@ -181,6 +204,7 @@
 	case SOAK_STORE_COMPACT:
 	case SOAK_CONFIG:
 	case SOAK_HUP:
+	case SOAK_STORE_RESTORED:
 	case SOAK_FAULT_COUNT:
 		break;
 	}
@@ -292,6 +316,7 @@
 	case SOAK_HUP:
 		mesh_node_signal(f, node, SIGHUP);
 		break;
+	case SOAK_STORE_RESTORED:
 	case SOAK_FAULT_COUNT:
 		break;
 	}
@@ -305,7 +330,7 @@
 	struct timeval tv = {.tv_sec = (time_t)(ms / 1000),
 			     .tv_usec = (suseconds_t)(ms % 1000) * 1000};
 	enum soak_fault f =
-		(enum soak_fault)rng_below(&s->rng, SOAK_FAULT_COUNT);
+		(enum soak_fault)rng_below(&s->rng, SOAK_DRAWN_COUNT);
 
 	(void)fd;
 	(void)what;
@@ -366,6 +391,86 @@
 		set_answer_fault(s, i, ANSWER_SOUND);
 }
 
+/* Half of the outages begin with a reset of all connections to the store. */
+static void begin_restore(struct soak *s)
+{
+	bool reset = rng_below(&s->restore_rng, 2);
+
+	s->counts[SOAK_STORE_RESTORED]++;
+	kv_server_set_away(s->fleet.store, true);
+	for (uint32_t i = 0; reset && i < s->fleet.opts.nodes; i++)
+		proxy_reset(s->fleet.nodes[i].links[LINK_STORE]);
+	log_fault(s, "fault", SOAK_STORE_RESTORED, 0,
+		  reset ? "reset" : "silent");
+}
+
+static void return_from_copy(struct soak *s)
+{
+	uint64_t age_ms =
+		COPY_AGE_MIN_MS + rng_below(&s->restore_rng, COPY_AGE_SPAN_MS);
+	char text[64];
+
+	kv_server_restore(s->fleet.store, age_ms * NS_PER_MS);
+	kv_server_set_away(s->fleet.store, false);
+	text_format(text, sizeof(text), "age_%lu_ms era=%lu",
+		    (unsigned long)age_ms,
+		    (unsigned long)kv_server_era(s->fleet.store));
+	log_fault(s, "mend", SOAK_STORE_RESTORED, 0, text);
+}
+
+static void on_restore(evutil_socket_t fd, short what, void *arg)
+{
+	struct soak *s = arg;
+	struct timeval tv;
+	uint64_t ms = 0;
+
+	(void)fd;
+	(void)what;
+	switch (s->restore_step) {
+	case RESTORE_BEGINS:
+		begin_restore(s);
+		ms = AWAY_MIN_MS + rng_below(&s->restore_rng, AWAY_SPAN_MS);
+		s->restore_step = RESTORE_RETURNS;
+		break;
+	case RESTORE_RETURNS:
+		return_from_copy(s);
+		ms = REWRITE_MIN_MS +
+		     rng_below(&s->restore_rng, REWRITE_SPAN_MS);
+		s->restore_step = RESTORE_REWRITES;
+		break;
+	case RESTORE_REWRITES:
+		kv_server_write_again(s->fleet.store);
+		ms = RESTORE_MIN_MS +
+		     rng_below(&s->restore_rng, RESTORE_SPAN_MS);
+		s->restore_step = RESTORE_BEGINS;
+		break;
+	}
+	tv = (struct timeval){.tv_sec = (time_t)(ms / 1000),
+			      .tv_usec = (suseconds_t)(ms % 1000) * 1000};
+	evtimer_add(s->restore_timer, &tv);
+}
+
+/* In half of the seeds the store comes back from older copies. */
+static void start_restores(struct soak *s, uint64_t seed)
+{
+	struct timeval tv = {.tv_sec = RESTORE_MIN_MS / 1000};
+
+	rng_init(&s->restore_rng, seed + 3);
+	s->restore_timer = evtimer_new(s->base, on_restore, s);
+	if (rng_below(&s->restore_rng, 2))
+		evtimer_add(s->restore_timer, &tv);
+}
+
+/* Ends a restore that is in progress. */
+static void stop_restores(struct soak *s)
+{
+	event_free(s->restore_timer);
+	if (s->restore_step == RESTORE_RETURNS)
+		return_from_copy(s);
+	if (s->restore_step != RESTORE_BEGINS)
+		kv_server_write_again(s->fleet.store);
+}
+
 /* Restarts processes that have exited and mends the faults that are due. */
 static void on_tick(evutil_socket_t fd, short what, void *arg)
 {
@@ -420,7 +525,9 @@
 	if (duration_s) {
 		evtimer_add(s->fault_timer, &immediately);
 		start_answer_faults(s, seed);
+		start_restores(s, seed);
 		run_for(s, duration_s);
+		stop_restores(s);
 		stop_answer_faults(s);
 	}
 	event_del(s->fault_timer);
@@ -432,6 +539,7 @@
 	run_for(s, DRAIN_S);
 	event_free(s->fault_timer);
 	event_free(s->tick_timer);
+	mesh_fleet_check_logs(&s->fleet);
 	return mesh_checker_unserved(s->checker, check_ns, clock_now_ns());
 }
 
@@ -452,7 +560,7 @@
 	printf("soak: seed=%lu sent=%lu served=%lu refused=%lu unknown=%lu "
 	       "two_holders=%lu fence_not_above=%lu doubled=%lu "
 	       "false_not_run=%lu crossed=%lu denied=%lu unasked=%lu "
-	       "after_leave=%lu "
+	       "after_leave=%lu config_back=%lu died=%lu "
 	       "unserved_at_end=%lu store_calls=%lu\n",
 	       (unsigned long)seed, (unsigned long)c->sent,
 	       (unsigned long)c->served, (unsigned long)c->refused,
@@ -460,7 +568,8 @@
 	       (unsigned long)c->fence_not_above, (unsigned long)c->doubled,
 	       (unsigned long)c->false_not_run, (unsigned long)c->crossed,
 	       (unsigned long)c->denied, (unsigned long)c->unasked,
-	       (unsigned long)c->after_leave, (unsigned long)unserved,
+	       (unsigned long)c->after_leave, (unsigned long)c->config_back,
+	       (unsigned long)c->died, (unsigned long)unserved,
 	       (unsigned long)kv_server_calls(s->fleet.store));
 	return violations || unserved || !c->served ? EXIT_FAILURE
 						    : EXIT_SUCCESS;
--- a/fakes/kv_server.c
+++ b/fakes/kv_server.c
@@ -75,6 +75,7 @@
 	struct list operators; /* their last writes, as struct kv_item */
 	struct list watches;   /* of struct kv_watch */
 	enum kv_fault fault;
+	bool away;
 	uint64_t calls;
 };
 
@@ -572,6 +573,8 @@
 /* True if the request must not be run because of the simulated fault. */
 static bool handle_fault(const struct kv_server *s, struct evhttp_request *req)
 {
+	if (s->away)
+		return true;
 	switch (s->fault) {
 	case KV_FAULT_BUSY:
 		answer(s, req, HTTP_SERVUNAVAIL, NULL);
@@ -678,6 +681,11 @@
 	s->fault = fault;
 }
 
+void kv_server_set_away(struct kv_server *s, bool away)
+{
+	s->away = away;
+}
+
 void kv_server_compact(struct kv_server *s)
 {
 	s->now.compacted = s->now.revision;
--- a/fakes/kv_server.h
+++ b/fakes/kv_server.h
@@ -34,6 +34,8 @@
 void kv_server_delete(struct kv_server *s);
 
 void kv_server_set_fault(struct kv_server *s, enum kv_fault fault);
+/** While away it answers no call and runs none, whatever the fault is. */
+void kv_server_set_away(struct kv_server *s, bool away);
 /** Drops the history: new watches from an earlier revision get 410. */
 void kv_server_compact(struct kv_server *s);
 
