Metrics and platform status show the store's era

Revisions now carry the era in their upper bits, so they were printed as numbers of 15 digits. They are shown as the store's own number, the era beside them: metric jackdaw_store_era, era= of jackdaw platform status.

--- a/cli/platform_view.c
+++ b/cli/platform_view.c
@@ -100,7 +100,7 @@
 		printf("service=%s fence=%lu revision=%lu "
 		       "keys_without_node=%u\n",
 		       k->map->service, (unsigned long)k->map->fence,
-		       (unsigned long)k->revision, without);
+		       revision_number(k->revision), without);
 		list_for_each_entry(n, &d->nodes, link) {
 			uint32_t rows =
 				keymap_rows_of(k->map, &n->card.upstream);
@@ -126,7 +126,8 @@
 
 	if (!read_snapshot(&s, o->store))
 		return CLI_FAILED;
-	printf("revision=%lu config=%lu\n", (unsigned long)s.dir.revision,
+	printf("era=%lu revision=%lu config=%lu\n",
+	       revision_era(s.dir.revision), revision_number(s.dir.revision),
 	       (unsigned long)(s.dir.manifest ? s.dir.manifest->version : 0));
 	list_for_each_entry(z, &s.dir.evacuated, link)
 		printf("data_centre=%s out=1\n", z->name);
--- a/tests/platform_metrics_test.cpp
+++ b/tests/platform_metrics_test.cpp
@@ -83,3 +83,14 @@
 	EXPECT_NE(page().find("jackdaw_config_wanted_revision 32\n"),
 		  std::string::npos);
 }
+
+/* A revision is shown as the store's number, its era beside it. */
+TEST_F(PlatformMetricsTest, TheStoresEraIsShownBesideBareRevisions)
+{
+	m->ctx.dir.revision = revision_make(3, 40);
+	m->ctx.dir.manifest_revision = revision_make(2, 31);
+	for (const char *line :
+	     {"jackdaw_store_era 3\n", "jackdaw_revision 40\n",
+	      "jackdaw_config_revision 31\n"})
+		EXPECT_NE(page().find(line), std::string::npos) << line;
+}
--- a/tests/platform_view_test.cpp
+++ b/tests/platform_view_test.cpp
@@ -97,7 +97,8 @@
 
 	EXPECT_EQ(r.code, 2) << r.out;
 	for (const char *part :
-	     {"config=12", "data_centre=dc9 out=1", "node=n1 data_centre=dc1",
+	     {"era=1 revision=5 config=12", "fence=3 revision=5 ",
+	      "data_centre=dc9 out=1", "node=n1 data_centre=dc1",
 	      "upstream=i-1 node=n1 keys=32768 rows=1",
 	      "keys_without_node=32768"})
 		EXPECT_NE(r.out.find(part), std::string::npos) << part;
