Declared lengths are bounded before anything is unpacked

Cause: MessagePack allocates as many items as an array or a map declares, before it reads them: 0x2000000008 bytes for five bytes of input, which ends the process where memory is not overcommitted. A card had no limit of length at all.

unpack_bytes() first steps over the value without allocating, and rejects one that declares more items or bytes than follow; all four places that unpack use it. A card may have 4 KiB. A keymap's fence above 2^62 is rejected, as the next ones could wrap to one below those that upstreams have seen. Ruled out: deep nesting, MessagePack gives up at 32 levels and jansson at 2048.

Tests: MeshCodec.DeclaredLengthsAreBoundedByTheBytesThatFollow (aborted before, 0x800000008 bytes), .ACardMayBeLongerButNotByMuch and .AFenceThatLeavesNoneAboveIsRejected (failed before); guards that passed before: .VeryDeepNestingIsRejected, Records.OddRecordsOfAnotherWriterLeaveTheOthersInForce.

--- a/tests/mesh_codec_test.cpp
+++ b/tests/mesh_codec_test.cpp
@@ -184,3 +184,93 @@
 	msgpack_sbuffer_destroy(&sb);
 	records_delete(&records);
 }
+
+/*
+ * Guards against a process that ends because a record, which any writer may
+ * leave in the store, declares an array of billions of items.
+ */
+TEST(MeshCodec, DeclaredLengthsAreBoundedByTheBytesThatFollow)
+{
+	static const std::string heads[] = {
+		std::string("\xdd\xff\xff\xff\xff", 5),	    /* array */
+		std::string("\xdf\xff\xff\xff\xff", 5),	    /* map */
+		std::string("\xdb\x7f\xff\xff\xff", 5),	    /* string */
+		std::string("\xc6\xff\xff\xff\xff", 5),	    /* bytes */
+		std::string("\xc9\xff\xff\xff\xff\x01", 6), /* extension */
+		std::string("\xdc\xff\xff", 3),
+	};
+
+	for (const std::string &head : heads)
+		for (const char *before : {"", "\x93\x05\x90", "\x91"}) {
+			std::string bytes = before + head + "\x01\x02";
+			struct node_card c = {};
+			struct status st;
+
+			EXPECT_FALSE(mesh_decode_card(bytes.data(),
+						      bytes.size(), &c));
+			EXPECT_EQ(mesh_decode_keymap("s", bytes.data(),
+						     bytes.size()),
+				  nullptr);
+			EXPECT_EQ(wire_decode_message(bytes.data(),
+						      bytes.size(), &st),
+				  nullptr);
+		}
+}
+
+TEST(MeshCodec, VeryDeepNestingIsRejected)
+{
+	for (const char *head : {"\x91", "\x81\x01", "\xdc", "\xdd"}) {
+		std::string bytes;
+		struct node_card c = {};
+		struct status st;
+
+		while (bytes.size() < 300000) {
+			bytes += head;
+			if (*head == '\xdc')
+				bytes += std::string("\x00\x01", 2);
+			if (*head == '\xdd')
+				bytes += std::string("\x00\x00\x00\x01", 4);
+		}
+		bytes += '\x01';
+		EXPECT_FALSE(mesh_decode_card(bytes.data(), bytes.size(), &c));
+		EXPECT_EQ(mesh_decode_keymap("s", bytes.data(), bytes.size()),
+			  nullptr);
+		EXPECT_EQ(wire_decode_message(bytes.data(), bytes.size(), &st),
+			  nullptr);
+	}
+}
+
+/* Card fields of a later build are ignored, but not at any length. */
+TEST(MeshCodec, ACardMayBeLongerButNotByMuch)
+{
+	struct node_card c = {}, decoded = {};
+	struct wire_buf b;
+
+	mem_copy_str(c.node, "n", sizeof(c.node));
+	mesh_encode_card(&c, &b);
+	ASSERT_EQ(b.data[0] & 0xf0, 0x90);
+	std::string longer((char *)b.data, b.len);
+
+	longer[0]++;
+	longer += '\x05';
+	EXPECT_TRUE(mesh_decode_card(longer.data(), longer.size(), &decoded));
+	longer.pop_back();
+	longer += std::string("\xda\x20\x00", 3) + std::string(0x2000, 'x');
+	EXPECT_FALSE(mesh_decode_card(longer.data(), longer.size(), &decoded));
+	free(b.data);
+}
+
+/* The next fence would wrap, and be below those that upstreams have seen. */
+TEST(MeshCodec, AFenceThatLeavesNoneAboveIsRejected)
+{
+	for (uint64_t fence : {UINT64_C(1) << 62, UINT64_MAX}) {
+		struct keymap *m = keymap_with_two_rows();
+		struct wire_buf b;
+
+		m->fence = fence;
+		mesh_encode_keymap(m, &b);
+		EXPECT_EQ(mesh_decode_keymap("s", b.data, b.len), nullptr);
+		keymap_delete(m);
+		free(b.data);
+	}
+}
--- a/tests/records_test.cpp
+++ b/tests/records_test.cpp
@@ -129,6 +129,58 @@
 	free(value);
 }
 
+/*
+ * Guards against a process that ends, or that stops following the records, for
+ * one that another writer has left: each is marked, and the others hold.
+ */
+TEST(Records, OddRecordsOfAnotherWriterLeaveTheOthersInForce)
+{
+	const std::string deep(200000, '\x91');
+	const std::string brackets(200000, '[');
+	const std::string huge("\xdd\xff\xff\xff\xff\x01", 6);
+	json_t *items = json_array();
+	struct record *card = record_new(RECORD_CARD, "n9");
+	char *sound = record_value(card);
+	struct list records;
+	const struct record *r;
+	int invalid = 0, sound_count = 0;
+
+	for (const char *key : {"own/node/n1", "own/keys/s", "op/config"})
+		for (const std::string &bytes :
+		     {deep, brackets, huge, std::string("\xcf\xff"),
+		      std::string("{\"version\":99999999999999999999}")}) {
+			char *v = base64_encode(bytes.data(), bytes.size());
+
+			json_array_append_new(
+				items, json_pack("{s:s,s:i,s:s}", "key", key,
+						 "revision", 5, "value", v));
+			free(v);
+		}
+	for (const char *value : {"*", "====", "A"})
+		json_array_append_new(
+			items, json_pack("{s:s,s:i,s:s}", "key", "own/node/n2",
+					 "revision", 5, "value", value));
+	json_array_append_new(items,
+			      json_pack("{s:s,s:i,s:[i]}", "key", "own/node/n3",
+					"revision", 5, "value", 7));
+	json_array_append_new(items,
+			      json_pack("{s:s,s:i,s:s}", "key", "own/node/n9",
+					"revision", 6, "value", sound));
+	list_init(&records);
+	records_from_items(items, 1, &records);
+	list_for_each_entry(r, &records, link) {
+		invalid += r->invalid;
+		sound_count += !r->invalid && !strcmp(r->name, "n9");
+	}
+	/* Of the five configurations only the newest is decoded. */
+	EXPECT_EQ(invalid, 5 + 5 + 1 + 3 + 1);
+	EXPECT_EQ(sound_count, 1);
+	records_delete(&records);
+	json_decref(items);
+	free(sound);
+	record_delete(card);
+}
+
 /* A configuration whose route r2 is @route, beside the sound r1. */
 static struct manifest *decode_with_route(const std::string &route)
 {
--- a/wire/codec.c
+++ b/wire/codec.c
@@ -434,7 +434,6 @@
 {
 	struct message *m = NULL;
 	msgpack_unpacked u;
-	size_t off = 0;
 
 	if (len > WIRE_MAX_BYTES) {
 		status_set(st, STATUS_TOO_LARGE,
@@ -442,7 +441,7 @@
 		return NULL;
 	}
 	msgpack_unpacked_init(&u);
-	if (msgpack_unpack_next(&u, data, len, &off) == MSGPACK_UNPACK_SUCCESS)
+	if (unpack_bytes(&u, data, len))
 		m = unpack_message(&u.data);
 	msgpack_unpacked_destroy(&u);
 	if (!m)
@@ -467,13 +466,10 @@
 {
 	struct doc *d = doc_new(key->kind, key->name);
 	msgpack_unpacked u;
-	size_t off = 0;
 	bool ok;
 
 	msgpack_unpacked_init(&u);
-	ok = len <= WIRE_MAX_BYTES &&
-	     msgpack_unpack_next(&u, data, len, &off) ==
-		     MSGPACK_UNPACK_SUCCESS &&
+	ok = len <= WIRE_MAX_BYTES && unpack_bytes(&u, data, len) &&
 	     unpack_doc(&u.data, d);
 	msgpack_unpacked_destroy(&u);
 	if (ok)
--- a/wire/mesh_codec.c
+++ b/wire/mesh_codec.c
@@ -8,7 +8,11 @@
 #include "wire/pack.h"
 
 /* Limit of distinct holders in a keymap; keymaps with more are rejected. */
-#define HOLDERS_MAX 4096
+#define HOLDERS_MAX    4096
+/* Several times what a card has; other builds may add fields. */
+#define CARD_MAX_BYTES 4096
+/* A keymap with a higher fence is rejected: the next ones could wrap. */
+#define FENCE_MAX      ((UINT64_C(1) << 62) - 1)
 
 static const struct pack_field card_fields[] = {
 	PACK_STR_OF(struct node_card, node),
@@ -72,12 +76,10 @@
 bool mesh_decode_card(const void *data, size_t len, struct node_card *card)
 {
 	msgpack_unpacked u;
-	size_t off = 0;
 	bool ok;
 
 	msgpack_unpacked_init(&u);
-	ok = msgpack_unpack_next(&u, data, len, &off) ==
-		     MSGPACK_UNPACK_SUCCESS &&
+	ok = len <= CARD_MAX_BYTES && unpack_bytes(&u, data, len) &&
 	     unpack_struct(&u.data, card, &card_table);
 	msgpack_unpacked_destroy(&u);
 	return ok;
@@ -157,7 +159,8 @@
 	bool ok;
 
 	if (!unpack_at(o, 0) || !unpack_u64(unpack_at(o, 0), &map->fence) ||
-	    !holders || holders->type != MSGPACK_OBJECT_ARRAY ||
+	    map->fence > FENCE_MAX || !holders ||
+	    holders->type != MSGPACK_OBJECT_ARRAY ||
 	    holders->via.array.size > HOLDERS_MAX || !unpack_at(o, 2))
 		return false;
 	ids = mem_zalloc(holders->via.array.size + 1, sizeof(*ids));
@@ -175,13 +178,10 @@
 {
 	struct keymap *map = keymap_new(service);
 	msgpack_unpacked u;
-	size_t off = 0;
 	bool ok;
 
 	msgpack_unpacked_init(&u);
-	ok = len <= WIRE_MAX_BYTES &&
-	     msgpack_unpack_next(&u, data, len, &off) ==
-		     MSGPACK_UNPACK_SUCCESS &&
+	ok = len <= WIRE_MAX_BYTES && unpack_bytes(&u, data, len) &&
 	     unpack_keymap(&u.data, map);
 	msgpack_unpacked_destroy(&u);
 	if (ok)
--- a/wire/pack.c
+++ b/wire/pack.c
@@ -5,6 +5,114 @@
 #include "core/mem.h"
 #include "core/types.h"
 
+/** What follows the first byte of a value. */
+struct head {
+	uint8_t length_size; /* bytes of the length */
+	uint8_t items;	     /* for each unit of the length; 0: a byte */
+	uint8_t fixed;	     /* further bytes */
+	bool invalid;
+};
+
+#define HEADS_FIRST 0xc0
+/* The first bytes 0xc0 to 0xdf; the others contain their length. */
+static const struct head heads[] = {
+	[0x01] = {.invalid = true},
+	[0x04] = {.length_size = 1}, /* bytes */
+	[0x05] = {.length_size = 2},
+	[0x06] = {.length_size = 4},
+	[0x07] = {.length_size = 1, .fixed = 1}, /* extensions */
+	[0x08] = {.length_size = 2, .fixed = 1},
+	[0x09] = {.length_size = 4, .fixed = 1},
+	[0x0a] = {.fixed = 4}, /* floats */
+	[0x0b] = {.fixed = 8},
+	[0x0c] = {.fixed = 1}, /* unsigned integers */
+	[0x0d] = {.fixed = 2},
+	[0x0e] = {.fixed = 4},
+	[0x0f] = {.fixed = 8},
+	[0x10] = {.fixed = 1}, /* signed integers */
+	[0x11] = {.fixed = 2},
+	[0x12] = {.fixed = 4},
+	[0x13] = {.fixed = 8},
+	[0x14] = {.fixed = 2}, /* extensions of a fixed length */
+	[0x15] = {.fixed = 3},
+	[0x16] = {.fixed = 5},
+	[0x17] = {.fixed = 9},
+	[0x18] = {.fixed = 17},
+	[0x19] = {.length_size = 1}, /* strings */
+	[0x1a] = {.length_size = 2},
+	[0x1b] = {.length_size = 4},
+	[0x1c] = {.length_size = 2, .items = 1}, /* arrays */
+	[0x1d] = {.length_size = 4, .items = 1},
+	[0x1e] = {.length_size = 2, .items = 2}, /* maps */
+	[0x1f] = {.length_size = 4, .items = 2},
+};
+
+static uint64_t read_length(const unsigned char *p, size_t size)
+{
+	uint64_t v = 0;
+
+	while (size--)
+		v = v << 8 | *p++;
+	return v;
+}
+
+/*
+ * Steps over one value's own bytes at *@p, of which *@left follow, and sets
+ * @items to the number of values in it. False if bytes are missing.
+ */
+static bool skip_head(const unsigned char **p, size_t *left, uint64_t *items)
+{
+	unsigned char first = **p;
+	uint64_t bytes = 1;
+
+	*items = 0;
+	if (first >= 0x80 && first <= 0x8f) {
+		*items = 2 * (first & 0x0f);
+	} else if (first >= 0x90 && first <= 0x9f) {
+		*items = first & 0x0f;
+	} else if (first >= 0xa0 && first <= 0xbf) {
+		bytes += first & 0x1f;
+	} else if (first >= HEADS_FIRST && first <= 0xdf) {
+		const struct head *h = &heads[first - HEADS_FIRST];
+		uint64_t length;
+
+		if (h->invalid || *left < 1u + h->length_size)
+			return false;
+		length = read_length(*p + 1, h->length_size);
+		*items = length * h->items;
+		bytes += h->length_size + h->fixed + (h->items ? 0 : length);
+	}
+	if (*left < bytes)
+		return false;
+	*p += bytes;
+	*left -= bytes;
+	return true;
+}
+
+/* Each value has a byte at least, so more can't follow than bytes do. */
+static bool lengths_fit(const unsigned char *p, size_t left)
+{
+	uint64_t values = 1;
+
+	while (values) {
+		uint64_t items;
+
+		if (values > left || !skip_head(&p, &left, &items))
+			return false;
+		values += items - 1;
+	}
+	return true;
+}
+
+bool unpack_bytes(msgpack_unpacked *u, const void *data, size_t len)
+{
+	size_t off = 0;
+
+	return lengths_fit(data, len) &&
+	       msgpack_unpack_next(u, data, len, &off) ==
+		       MSGPACK_UNPACK_SUCCESS;
+}
+
 void pack_str(msgpack_packer *pk, const char *s)
 {
 	size_t len = strlen(s);
--- a/wire/pack.h
+++ b/wire/pack.h
@@ -68,6 +68,13 @@
 			sizeof(fields) / sizeof(*(fields)) - (n)               \
 	}
 
+/**
+ * Unpacks the value at the start of @data; false if it is malformed, or
+ * declares more items or bytes than follow, for which nothing is allocated. The
+ * caller destroys @u, which it has initialised, in either case.
+ */
+bool unpack_bytes(msgpack_unpacked *u, const void *data, size_t len);
+
 /** Packs the fields of @obj as one array, in the table's order. */
 void pack_struct(msgpack_packer *pk, const void *obj,
 		 const struct pack_table *t);
