--- a/tests/relay_test.cpp
+++ b/tests/relay_test.cpp
@@ -795,6 +795,7 @@
 		c.manifest_checked_ns = 0;
 		c.dir.manifest_wanted = c.dir.manifest_revision = 40;
 		c.dir.manifest_late_since_ns = 0;
+		c.dir.manifest_version_known = 0;
 		for (int i = 0; i < 20; i++) {
 			memset(&node(i)->clock, 0, sizeof(node(i)->clock));
 			node(i)->heard_ns = c.now_ns;
