Don't end a request for its gate's silence if it can't be repeated

Callers got a 502 0.3 to 2.2 s after a SIGTERM, while another node still carried the request to its upstream, and the upstream answered it later.

Cause: a gate that sends nothing for about 1.4 s, as when its process gets no processor time, was taken for lost, and each of its requests ended. For one that can't be sent again that gains nothing.

Such a request now ends early only if the gate's process was replaced or its card is gone; else its answer is awaited until the deadline. Requests that may be repeated go to another gate as before.

DispatchTest.ASilentGateEndsNoRequestThatCannotBeRepeated failed before.

--- a/core/dispatch.c
+++ b/core/dispatch.c
@@ -879,6 +879,24 @@
 	       silent_since_ns + directory_silence_limit_ns(&c->dir, n);
 }
 
+/*
+ * True when no answer can come any more. A gate that is only silent may answer
+ * yet, and its upstream may be at work at the request.
+ */
+static bool is_gate_gone(const struct mesh_ctx *c,
+			 const struct pending_request *p)
+{
+	const struct dir_node *n = directory_node(&c->dir, p->gate_node);
+
+	return !n || n->boot != p->gate_boot || !n->revision;
+}
+
+/* True when @p could be sent to another gate, if the retry budget allows it. */
+static bool is_repeatable(const struct pending_request *p)
+{
+	return p->idempotent && p->upstream_attempts + 1 < p->max_attempts;
+}
+
 /* Has the gate of @p probed if it has sent neither an answer nor a report. */
 static void probe_silent_gate(struct mesh_ctx *c,
 			      const struct pending_request *p)
@@ -909,7 +927,7 @@
 		return;
 	}
 	probe_silent_gate(c, p);
-	if (is_gate_lost(c, p))
+	if (is_gate_lost(c, p) && (is_repeatable(p) || is_gate_gone(c, p)))
 		on_unknown(d, c, g, p, REFUSAL_CONNECTION_LOST);
 }
 
--- a/tests/dispatch_test.cpp
+++ b/tests/dispatch_test.cpp
@@ -338,3 +338,36 @@
 	EXPECT_EQ(d.reasons[REFUSAL_NO_KEY], 1u);
 	EXPECT_EQ(d.reasons[REFUSAL_NO_ROUTE], 1u);
 }
+
+/*
+ * Guards against a failure of our own for a request at which an upstream is at
+ * work: the gate was only slow, and its answer came later. A request that can't
+ * be sent again gains nothing by an early end.
+ */
+TEST_F(DispatchTest, ASilentGateEndsNoRequestThatCannotBeRepeated)
+{
+	struct dir_node *near = directory_node(&c.dir, "near");
+
+	for (bool restarted : {false, true}) {
+		struct request_id id;
+
+		route()->idempotent = 0;
+		near->heard_ns = c.now_ns;
+		ASSERT_EQ(send(&id), near->boot);
+		near->probed_ns = c.now_ns + NS_PER_MS;
+		c.now_ns += 3500 * NS_PER_MS;
+		dispatch_work(&d, &c, &local);
+		EXPECT_EQ(d.count, 1u);
+		EXPECT_EQ(d.reasons[REFUSAL_CONNECTION_LOST], restarted);
+		/* Another process, or none, has taken its place. */
+		if (restarted)
+			near->boot++;
+		else
+			near->revision = 0;
+		c.now_ns += 100 * NS_PER_MS;
+		dispatch_work(&d, &c, &local);
+		EXPECT_EQ(d.count, 0u);
+		EXPECT_EQ(d.reasons[REFUSAL_CONNECTION_LOST], 1u + restarted);
+		near->revision = 2;
+	}
+}
