--- a/core/session.c
+++ b/core/session.c
@@ -724,7 +724,7 @@
 		return "store_down";
 	if (s->read.op)
 		return "read_in_progress";
-	return "read_due";
+	return awaits_manifest(s, c) ? "peer_asked" : "read_due";
 }
 
 /* Logs that a known newer manifest is still not in force. */
