The end of a process is logged

stop_test once saw a process end 1.2 s after event=stopped, and nothing told where the time went. event=exit now follows when all is freed.

Seen with it, beside load of about 25 on 8 cores: 4 of the first 18 ends took 0.1 to 1.5 s between the two lines, one by hand 3.1 s, the others less than 0.03 s. With further lines in peers_delete() (a trial), the time went into zmq_ctx_term(), 0.3 to 3.0 s in 6 of 25 ends. Leak checks were off, so they are ruled out.

--- a/daemon/jackdawd.c
+++ b/daemon/jackdawd.c
@@ -44,6 +44,7 @@
 	event_free(sigint);
 	driver_delete(d);
 	event_base_free(base);
+	log_event(LOG_INFO, "event=exit");
 	return EXIT_SUCCESS;
 }
 
