Ask another node for the manifest also while a read is in progress

RelayManifestTest.ANodeIsAskedAlsoWhileAReadIsInProgress failed before. Only relay_test and two tests of mesh_test were run on this commit.

--- a/core/session.c
+++ b/core/session.c
@@ -603,7 +603,7 @@
 		s->manifest_asks = 0;
 		return;
 	}
-	if (!c->dir.loaded || awaits_manifest(s, c) || s->read.op ||
+	if (!c->dir.loaded || awaits_manifest(s, c) ||
 	    (s->manifest_asks >= MANIFEST_ASKS_MAX && !c->store_down))
 		return;
 	n = relay_manifest_source(c);
--- a/tests/relay_test.cpp
+++ b/tests/relay_test.cpp
@@ -882,3 +882,29 @@
 	session_on_end(&session, &c, &e);
 	EXPECT_EQ(session.lease, 8u);
 }
+
+/* A slow read of all records must not keep a node from asking another one. */
+TEST_F(RelayManifestTest, ANodeIsAskedAlsoWhileAReadIsInProgress)
+{
+	bool asked = false;
+	struct mesh_action *a;
+
+	add_nodes(20, 7);
+	add_manifest();
+	hold_lease();
+	session.want_read_all = true;
+	session_work(&session, &c);
+	ASSERT_NE(session.read.op, 0u);
+	node(3)->manifest_revision = 52;
+	directory_note_manifest(&c.dir, 52, c.now_ns);
+	for (int i = 0; i < 3; i++) {
+		session_work(&session, &c);
+		c.now_ns += 100 * NS_PER_MS;
+	}
+	while ((a = mesh_actions_pop(&out))) {
+		asked |= a->kind == MA_SEND &&
+			 a->u.send.message->kind == MSG_MANIFEST_GET;
+		mesh_action_delete(a);
+	}
+	EXPECT_TRUE(asked);
+}
