--- a/tests/mesh_test.cpp
+++ b/tests/mesh_test.cpp
@@ -894,6 +894,7 @@
 	uint64_t faults;   /* the first ones of ManifestStorm::Fault */
 	uint64_t apply_ns; /* bound for nodes without a fault of their own */
 	uint64_t restore_interval_ns = 0;
+	uint64_t run_ns = 20 * NS_PER_S;
 };
 
 static void storm_at_random(uint64_t seed, const StormOpts &o)
@@ -907,7 +908,7 @@
 
 	storm.apply_ns = o.apply_ns;
 	storm.restore_interval_ns = o.restore_interval_ns;
-	storm.run(20 * NS_PER_S, NS_PER_S, o.faults);
+	storm.run(o.run_ns, NS_PER_S, o.faults);
 	EXPECT_NO_VIOLATIONS(storm.sim) << "seed " << seed;
 	EXPECT_EQ(joined(storm.stale), "") << "seed " << seed;
 	EXPECT_EQ(storm.denied(), "") << "seed " << seed;
@@ -935,7 +936,8 @@
 	StormOpts o = {.mesh = {},
 		       .faults = ManifestStorm::NODE_FAULTS,
 		       .apply_ns = 3 * NS_PER_S,
-		       .restore_interval_ns = 10 * NS_PER_S};
+		       .restore_interval_ns = 10 * NS_PER_S,
+		       .run_ns = 40 * NS_PER_S};
 
 	o.mesh.copies = true;
 	storms_at_random(o);
