A read overtaken by changes still brings the manifest

Requests were run by the service of an older version, seconds after a change had been confirmed. A read of all records that took 1 to 6 s over a slow link was dropped whole when changes passed on by other nodes had raised the revision meanwhile; the manifest that they had announced only was dropped with it, and the node read again.

The manifest of such a read is taken now, as it is ordered by its own revision. Ruled out: the rest of the read; a removal after it is not known by the record.

DirectoryTest.AReadOvertakenByChangesStillBringsTheManifest failed before.

--- a/core/directory.c
+++ b/core/directory.c
@@ -450,14 +450,30 @@
 	}
 }
 
+/*
+ * A read that took so long that changes after it are known already: it may
+ * still have a manifest that they announced only.
+ */
+static void apply_overtaken_read(struct directory *d, struct list *records,
+				 uint64_t now_ns, struct mesh_actions *out)
+{
+	struct record *r;
+
+	list_for_each_entry(r, records, link)
+		if (r->kind == RECORD_MANIFEST)
+			apply_record(d, r, now_ns, out);
+}
+
 void directory_apply(struct directory *d, struct list *records, bool complete,
 		     revision_t revision, uint64_t now_ns,
 		     struct mesh_actions *out)
 {
 	struct record *r;
 
-	if (complete && revision < d->revision)
+	if (complete && revision < d->revision) {
+		apply_overtaken_read(d, records, now_ns, out);
 		return;
+	}
 	if (complete) {
 		d->evacuations_kept = false;
 		drop_unlisted_evacuations(d, records, revision, now_ns);
--- a/tests/directory_test.cpp
+++ b/tests/directory_test.cpp
@@ -145,6 +145,27 @@
 	EXPECT_EQ(d.manifest_revision, revision_make(2, 16));
 }
 
+/*
+ * Requests were run as an older version says: changes that other nodes passed
+ * on during a slow read of all records made the node drop it, with the
+ * manifest.
+ */
+TEST_F(DirectoryTest, AReadOvertakenByChangesStillBringsTheManifest)
+{
+	add_config(4, revision_make(1, 10));
+	apply(true, revision_make(1, 12));
+	d.manifest_wanted = revision_make(1, 14);
+	apply(false, revision_make(1, 24));
+	add_config(7, revision_make(1, 14));
+	add(RECORD_EVACUATION, "dc", revision_make(1, 13));
+	apply(true, revision_make(1, 15));
+	EXPECT_EQ(d.manifest->version, 7u);
+	EXPECT_FALSE(directory_wants_manifest(&d));
+	/* It may have been removed since. */
+	EXPECT_FALSE(directory_dc_evacuated(&d, "dc"));
+	EXPECT_EQ(d.revision, revision_make(1, 24));
+}
+
 TEST_F(DirectoryTest, AnotherNodesNewerVersionMakesTheManifestOutdated)
 {
 	struct msg_load l = {};
