A probe from before a request does not end it

A gate counts as lost by a probe only if the probe was sent after the request; a request that finds an older one unanswered gets another. Ruled out as the cause: the silence limit, which counted from the request already.

DispatchTest.AProbeFromBeforeARequestDoesNotEndIt failed before.

--- a/core/dispatch.c
+++ b/core/dispatch.c
@@ -871,8 +871,8 @@
 		return false;
 	if (!n || n->boot != p->gate_boot)
 		return true;
-	/* It has not answered a probe in time. */
-	if (n->probed_ns > n->heard_ns &&
+	/* It has not answered a probe in time; one before @p says nothing. */
+	if (n->probed_ns > silent_since_ns &&
 	    c->now_ns > n->probed_ns + DIR_PROBE_TIMEOUT_NS)
 		return true;
 	return c->now_ns >
@@ -909,7 +909,7 @@
 	n = directory_node(&c->dir, p->gate_node);
 	if (n && n->boot == p->gate_boot &&
 	    c->now_ns > n->heard_ns + PROBE_AFTER_NS &&
-	    n->probed_ns <= n->heard_ns) {
+	    (n->probed_ns <= n->heard_ns || n->probed_ns <= p->sent_ns)) {
 		n->probe_due = true;
 		c->dir.urgent_reports = true;
 	}
--- a/tests/dispatch_test.cpp
+++ b/tests/dispatch_test.cpp
@@ -371,3 +371,26 @@
 		near->revision = 2;
 	}
 }
+
+/*
+ * A request was ended 40 ms after it was sent, as its gate had not answered a
+ * probe from before; the gate was alive and passed the request on later.
+ */
+TEST_F(DispatchTest, AProbeFromBeforeARequestDoesNotEndIt)
+{
+	struct dir_node *near = directory_node(&c.dir, "near");
+	struct request_id id;
+
+	near->heard_ns = c.now_ns;
+	near->probed_ns = c.now_ns + 100 * NS_PER_MS;
+	c.now_ns += 990 * NS_PER_MS;
+	ASSERT_EQ(send(&id), near->boot);
+	c.now_ns += 20 * NS_PER_MS;
+	dispatch_work(&d, &c, &local);
+	EXPECT_EQ(d.reasons[REFUSAL_CONNECTION_LOST], 0u);
+	EXPECT_EQ(d.retries, 0u);
+	/* It gets a probe of its own in time. */
+	c.now_ns += 600 * NS_PER_MS;
+	dispatch_work(&d, &c, &local);
+	EXPECT_TRUE(near->probe_due);
+}
