A late watch restores no evacuation

By review: since late answers of the store count, the answer to a watch that was made again can come after changes that follow it. Its evacuation would begin anew though its end is known, and no record of it is left that would end it.

An answer older than the directory brings its manifest only; all else in it is known already. DirectoryTest.ALateWatchRestoresNoEvacuation failed before.

--- a/core/directory.c
+++ b/core/directory.c
@@ -451,11 +451,11 @@
 }
 
 /*
- * A read that took so long that changes after it are known already: it may
+ * An answer that took so long that changes after it are known already: it may
  * still have a manifest that they announced only.
  */
-static void apply_overtaken_read(struct directory *d, struct list *records,
-				 uint64_t now_ns, struct mesh_actions *out)
+static void apply_overtaken_answer(struct directory *d, struct list *records,
+				   uint64_t now_ns, struct mesh_actions *out)
 {
 	struct record *r;
 
@@ -470,8 +470,8 @@
 {
 	struct record *r;
 
-	if (complete && revision < d->revision) {
-		apply_overtaken_read(d, records, now_ns, out);
+	if (revision && revision < d->revision) {
+		apply_overtaken_answer(d, records, now_ns, out);
 		return;
 	}
 	if (complete) {
--- a/core/directory.h
+++ b/core/directory.h
@@ -150,8 +150,9 @@
 
 /**
  * Applies records of a watch or, if @complete, of a read of all records: one
- * missing from @records was then removed. Records older than the known ones
- * change nothing. Contents of @records may be moved into the directory.
+ * missing from @records was then removed. @revision is 0 if the records show
+ * nothing of others. Records older than the known ones change nothing. Contents
+ * of @records may be moved into the directory.
  */
 void directory_apply(struct directory *d, struct list *records, bool complete,
 		     revision_t revision, uint64_t now_ns,
--- a/tests/directory_test.cpp
+++ b/tests/directory_test.cpp
@@ -166,6 +166,21 @@
 	EXPECT_EQ(d.revision, revision_make(1, 24));
 }
 
+/*
+ * The answer to a watch that was made again comes late: an evacuation that has
+ * ended since must not begin anew.
+ */
+TEST_F(DirectoryTest, ALateWatchRestoresNoEvacuation)
+{
+	apply(true, revision_make(1, 9));
+	add(RECORD_EVACUATION, "dc", revision_make(1, 12));
+	list_entry(records.prev, struct record, link)->removed = true;
+	apply(false, revision_make(1, 12));
+	add(RECORD_EVACUATION, "dc", revision_make(1, 10));
+	apply(false, revision_make(1, 10));
+	EXPECT_FALSE(directory_dc_evacuated(&d, "dc"));
+}
+
 TEST_F(DirectoryTest, AnotherNodesNewerVersionMakesTheManifestOutdated)
 {
 	struct msg_load l = {};
