A stopping node ends only a lease that has not ended

By review: a node that was cut from the store over a restore still has its lease's id, which the store may have given to another node since. When the node stopped with its upstream leaving, it ended that lease: the other's card was gone while it counted on its authority, and its keys could be adopted.

A lease whose deadline has passed is left alone. Open: a restore within the last lease time that the node has not heard of. No test of its own; planned_stop_test and mesh_test (36) passed.

--- a/core/mesh.c
+++ b/core/mesh.c
@@ -465,7 +465,9 @@
 		return;
 	m->stop = MESH_ENDED;
 	m->dispatch.closed = true;
-	if (m->session.lease && (m->holder.draining || m->holder.gone))
+	/* Once it has ended, its id may be another node's in a later era. */
+	if (m->session.lease && m->ctx.now_ns < m->session.lease_deadline_ns &&
+	    (m->holder.draining || m->holder.gone))
 		mesh_store_call(&m->ctx, CALL_LEASE_END)->lease =
 			m->session.lease;
 	mesh_actions_add(m->ctx.out, MA_EXIT);
