A carried row that has moved is not granted again

By review, shown by a test: a keymap write from before a restore that takes effect seconds later, on a revision given out again, makes an earlier owner the owner under its old fence. If that node had held the row over the restore it granted it at once, beside the new owner, and any new fence started below the other's.

Rows held over a restore are forgotten when the store shows another owner or fence of theirs, and the highest fence seen in an era stays known. Ruled out: forgetting all such rows when the era is settled; their holders would lose them.

RestoredHolderTest.ACarriedRowThatHasMovedIsNotGrantedAgain failed before. Open: a node that sees both keymaps in one answer.

--- a/core/directory.c
+++ b/core/directory.c
@@ -352,6 +352,9 @@
 		k = mem_new(struct dir_keymap);
 		list_push_back(&d->keymaps, &k->link);
 	}
+	/* A write from before the era may bring lower fences back. */
+	if (k->map)
+		keymap_raise_fence(r->u.keymap, k->map->fence);
 	keymap_delete(k->map);
 	k->map = r->u.keymap;
 	k->revision = r->revision;
--- a/core/holder.c
+++ b/core/holder.c
@@ -179,6 +179,39 @@
 	return false;
 }
 
+/* True if all keys of @held are this upstream's under the same fence. */
+static bool still_own(const struct holder *h, const struct dir_keymap *k,
+		      const struct held_row *held)
+{
+	const struct keyrow *r;
+
+	list_for_each_entry(r, &k->map->rows, link)
+		if (r->from <= held->to && held->from <= r->to &&
+		    (!holder_equal(&r->owner, &h->id) ||
+		     r->fence != held->fence))
+			return false;
+	return true;
+}
+
+/*
+ * Once the store has shown another owner or fence of a carried row, it is not
+ * held without a break any more, even if a late write brings the row back.
+ */
+static void drop_moved_rows(struct holder *h, const struct dir_keymap *k)
+{
+	struct held_row *r, *tmp;
+
+	if (k->revision == h->carried_checked)
+		return;
+	h->carried_checked = k->revision;
+	list_for_each_entry_safe(r, tmp, &h->carried, link) {
+		if (still_own(h, k, r))
+			continue;
+		list_remove(&r->link);
+		free(r);
+	}
+}
+
 /*
  * A row that got its fence in an earlier era may have been moved since by a
  * write that the store forgot, unless this node has held it throughout.
@@ -236,6 +269,7 @@
 		hold_ns = c->opts->hold_max_ns;
 	if (!k || hold_ns < GRANT_MIN_NS)
 		return 0;
+	drop_moved_rows(h, k);
 	list_for_each_entry(r, &k->map->rows, link) {
 		if (!holder_equal(&r->owner, &h->id) || must_release(h, c, r) ||
 		    overlaps(&h->moving, r->from, r->to) ||
@@ -582,6 +616,8 @@
 		h->next_probe_ns = c->now_ns + PROBE_INTERVAL_NS;
 		mesh_actions_add(c->out, MA_PROBE_UPSTREAM);
 	}
+	if (k)
+		drop_moved_rows(h, k);
 	if (!k || c->store_down || h->write_op || c->now_ns < h->next_write_ns)
 		return;
 	/* Until then an owner by the keymap may not be the last one. */
--- a/core/holder.h
+++ b/core/holder.h
@@ -45,9 +45,11 @@
 	 * store's era rose. No other node can have got them before.
 	 */
 	struct list carried;
-	struct list moving; /* of struct held_row, in a write that may
-			       still take effect: not granted any more */
-	uint64_t write_op;  /* the keymap's write in progress; 0: none */
+	revision_t
+		carried_checked; /* of the keymap that @carried agrees with */
+	struct list moving;	 /* of struct held_row, in a write that may
+				    still take effect: not granted any more */
+	uint64_t write_op;	 /* the keymap's write in progress; 0: none */
 	uint64_t next_write_ns;
 	uint64_t next_probe_ns;
 	uint64_t write_wait_until_ns; /* a write not seen by then is repeated */
--- a/tests/holder_test.cpp
+++ b/tests/holder_test.cpp
@@ -367,3 +367,29 @@
 	announcement_answer();
 	EXPECT_TRUE(granted(0));
 }
+
+/*
+ * Two holders: a write from before the restore takes effect seconds later and
+ * makes an earlier owner the owner again, under its fence from before.
+ */
+TEST_F(RestoredHolderTest, ACarriedRowThatHasMovedIsNotGrantedAgain)
+{
+	announcement_answer();
+	EXPECT_TRUE(granted(0));
+	restore(2);
+	show_map(revision_make(2, 7), BASE1 + 11, "n1", "n2");
+	announcement_answer();
+	EXPECT_TRUE(granted(0));
+	c.now_ns += 8 * NS_PER_S;
+	/* n2 gets it under a fence of the era. */
+	show_map(revision_make(2, 19), BASE2 + 1, "n2", "n2");
+	announcement_answer();
+	EXPECT_FALSE(granted(0));
+	/* The late write expected 19. */
+	show_map(revision_make(2, 20), BASE1 + 11, "n1", "n2");
+	announcement_answer();
+	EXPECT_FALSE(granted(0)) << "n2 holds it by BASE2 + 1";
+	c.now_ns += NS_PER_S;
+	uint64_t f = fence_written(0);
+	EXPECT_TRUE(!f || f > BASE2 + 1) << "fence " << f - BASE2;
+}
