--- a/core/dispatch.c
+++ b/core/dispatch.c
@@ -178,17 +178,18 @@
 					NS_PER_MS);
 	mesh_log(c->out, LOG_INFO,
 		 "event=request_refused id=%s why=%s code=%d host=\"%s\" "
-		 "path=\"%.*s\" keyed=%d config=%lu config_revision=%lu "
-		 "config_wanted=%lu revision=%lu peer_revision=%lu "
-		 "store_down=%d store_age_ms=%ld checked_age_ms=%ld",
+		 "path=\"%.*s\" keyed=%d config=%lu "
+		 "config_revision=" REVISION_FMT " config_wanted=" REVISION_FMT
+		 " revision=" REVISION_FMT " peer_revision=" REVISION_FMT
+		 " store_down=%d store_age_ms=%ld checked_age_ms=%ld",
 		 r->id, refusal_find(why)->name, refusal_find(why)->http_code,
 		 r->host, (int)path_len, target, r->keyed,
 		 (unsigned long)(c->dir.manifest ? c->dir.manifest->version
 						 : 0),
-		 (unsigned long)c->dir.manifest_revision,
-		 (unsigned long)c->dir.manifest_wanted,
-		 (unsigned long)c->dir.revision,
-		 (unsigned long)c->dir.peer_revision, c->store_down,
+		 REVISION_ARGS(c->dir.manifest_revision),
+		 REVISION_ARGS(c->dir.manifest_wanted),
+		 REVISION_ARGS(c->dir.revision),
+		 REVISION_ARGS(c->dir.peer_revision), c->store_down,
 		 store_age_ms, checked_age_ms);
 }
 
@@ -233,7 +234,7 @@
 	mesh_log(c->out, LOG_INFO,
 		 "event=%s id=%s route=%s service=%s outcome=%s "
 		 "code=%d why=%s node=%s attempts=%u ms=%lu left_ms=%ld "
-		 "config=%lu revision=%lu",
+		 "config=%lu revision=" REVISION_FMT,
 		 event, p->caller_id, p->route, p->service,
 		 outcome_name(outcome), code, refusal_find(p->refusal)->name,
 		 p->gate_node, p->attempt, (unsigned long)(took_ns / NS_PER_MS),
@@ -241,7 +242,7 @@
 			(int64_t)NS_PER_MS),
 		 (unsigned long)(c->dir.manifest ? c->dir.manifest->version
 						 : 0),
-		 (unsigned long)c->dir.revision);
+		 REVISION_ARGS(c->dir.revision));
 }
 
 static struct act_caller_reply *add_reply(struct dispatch *d,
--- a/core/session.c
+++ b/core/session.c
@@ -593,10 +593,10 @@
 	full->u.manifest = manifest_delta_apply(r->delta, d->manifest);
 	if (!full->u.manifest) {
 		mesh_log(c->out, LOG_WARN,
-			 "event=manifest_delta_ignored why=digest base=%lu "
-			 "revision=%lu",
-			 (unsigned long)r->delta->base,
-			 (unsigned long)r->revision);
+			 "event=manifest_delta_ignored why=digest "
+			 "base=" REVISION_FMT " revision=" REVISION_FMT,
+			 REVISION_ARGS(r->delta->base),
+			 REVISION_ARGS(r->revision));
 		record_delete(full);
 		return;
 	}
--- a/tests/dispatch_test.cpp
+++ b/tests/dispatch_test.cpp
@@ -247,7 +247,7 @@
 			    "host=\"h\" path=\"/b/1\""),
 		  std::string::npos)
 		<< line;
-	EXPECT_NE(line.find("config=1 config_revision=9 config_wanted=9"),
+	EXPECT_NE(line.find("config=1 config_revision=0.9 config_wanted=0.9"),
 		  std::string::npos)
 		<< line;
 	EXPECT_NE(line.find("store_down=1 store_age_ms=40"), std::string::npos)
