peers_test: a forward without a connection goes to an address nobody listens at

By the counters the first forward was sent (dropped=0, sent=2): by a connection that stood, as it should.

Nothing listens now when the first forward is sent; the node begins after it. As strict: not sent without a connection, sent once with it.

--- a/tests/peers_test.cpp
+++ b/tests/peers_test.cpp
@@ -25,8 +25,9 @@
 
 // A node with its address and the messages that it received.
 struct test_node {
-	test_node(struct event_base *base, const struct peer_keys *keys)
-	    : addr(free_addr())
+	test_node(struct event_base *base, const struct peer_keys *keys,
+		  const std::string &at = free_addr())
+	    : addr(at)
 	{
 		struct peers_opts o = {};
 		struct status st;
@@ -90,6 +91,12 @@
 
 	static bool send_forward(test_node *from, test_node *to,
 				 size_t body = 0)
+	{
+		return send_forward(from, to->addr, body);
+	}
+
+	static bool send_forward(test_node *from, const std::string &to,
+				 size_t body = 0)
 	{
 		struct message *m = message_new(MSG_FORWARD);
 		std::string bytes(body, 'b');
@@ -98,7 +105,7 @@
 		m->u.forward.request = http_request_new("POST", "/");
 		payload_set_body(&m->u.forward.request->payload, bytes.data(),
 				 body);
-		bool ok = peers_send(from->p, to->addr.c_str(), m, true);
+		bool ok = peers_send(from->p, to.c_str(), m, true);
 
 		message_delete(m);
 		return ok;
@@ -121,12 +128,14 @@
 TEST_F(Peers, ForwardWithoutConnectionIsNotSent)
 {
 	test_node a(base, NULL);
-	auto b = std::make_unique<test_node>(base, nullptr);
+	std::string addr = free_addr();
 
-	EXPECT_FALSE(send_forward(&a, b.get()));
+	/* Nothing listens there yet. */
+	EXPECT_FALSE(send_forward(&a, addr));
 	EXPECT_EQ(peers_get_stats(a.p)->dropped, 1u);
-	run_until([&] { return send_forward(&a, b.get()); });
-	run_until([&] { return b->received.size() == 1; });
+	test_node b(base, NULL, addr);
+	run_until([&] { return send_forward(&a, &b); });
+	run_until([&] { return b.received.size() == 1; });
 	EXPECT_EQ(peers_get_stats(a.p)->sent, 1u);
 }
 
