One reading of how a store call ended, one of times that grow with the fleet

Read through at the end: "the store has run the call" stood four times (session.c, mesh.c), now store_answered(); restored_delay_ns() repeated the sum of watch_pause_ns(), now fleet_scaled_ns(). The comment of restart_in_era() said that all calls in progress are ignored; a read is not. No behaviour changes.

--- a/core/mesh.c
+++ b/core/mesh.c
@@ -267,7 +267,7 @@
 {
 	const struct store_call_note *n = mesh_call_note(&m->ctx, e->op);
 
-	if (!n || (e->end != STORE_REFUSED && e->end != STORE_NO_ANSWER))
+	if (!n || store_answered(e->end))
 		return;
 	mesh_log(m->ctx.out, LOG_WARN,
 		 "event=store_call_failed call=%s end=%s ms=%lu",
@@ -283,9 +283,8 @@
 static void note_call_end(struct mesh *m, const struct ev_store_end *e)
 {
 	const struct store_call_note *n = mesh_call_note(&m->ctx, e->op);
-	bool answered = e->end != STORE_REFUSED && e->end != STORE_NO_ANSWER;
 
-	if (answered && n && n->sent_ns > m->ctx.answered_sent_ns)
+	if (store_answered(e->end) && n && n->sent_ns > m->ctx.answered_sent_ns)
 		m->ctx.answered_sent_ns = n->sent_ns;
 	if (e->end == STORE_NO_ANSWER && n &&
 	    n->sent_ns < m->ctx.answered_sent_ns)
--- a/core/mesh_io.h
+++ b/core/mesh_io.h
@@ -57,6 +57,12 @@
 	STORE_NO_ANSWER,  /* it may have been done, or may still be */
 };
 
+/** True if the store has run the call and said how it ended. */
+static inline bool store_answered(enum store_end end)
+{
+	return end != STORE_REFUSED && end != STORE_NO_ANSWER;
+}
+
 struct ev_store_end {
 	uint64_t op;
 	enum store_end end;
--- a/core/session.c
+++ b/core/session.c
@@ -127,19 +127,30 @@
 		c->manifest_checked_ns = at_ns;
 }
 
-static uint64_t restored_delay_ns(struct mesh_ctx *c)
+/* @per_node_ns for each node known, @max_ns at most. */
+static uint64_t fleet_scaled_ns(const struct mesh_ctx *c, uint64_t per_node_ns,
+				uint64_t max_ns)
 {
 	const struct dir_node *n;
-	uint64_t spread_ns = 0;
+	uint64_t sum_ns = 0;
 
 	list_for_each_entry(n, &c->dir.nodes, link)
-		spread_ns += RESTORED_PER_NODE_NS;
-	if (spread_ns > RESTORED_SPREAD_MAX_NS)
-		spread_ns = RESTORED_SPREAD_MAX_NS;
+		sum_ns += per_node_ns;
+	return sum_ns < max_ns ? sum_ns : max_ns;
+}
+
+static uint64_t restored_delay_ns(struct mesh_ctx *c)
+{
+	uint64_t spread_ns = fleet_scaled_ns(c, RESTORED_PER_NODE_NS,
+					     RESTORED_SPREAD_MAX_NS);
+
 	return spread_ns ? rng_next(&c->rng) % spread_ns : 0;
 }
 
-/* Calls in progress are ignored: their answers would be of another history. */
+/*
+ * Calls in progress are ignored, but for a read: what it shows is of this era,
+ * or it counts as not answered.
+ */
 static void restart_in_era(struct session *s, struct mesh_ctx *c)
 {
 	uint64_t start_ns = c->now_ns + restored_delay_ns(c);
@@ -161,11 +172,6 @@
 	s->lease_new.next_ns = start_ns;
 }
 
-static bool executed(enum store_end end)
-{
-	return end != STORE_REFUSED && end != STORE_NO_ANSWER;
-}
-
 bool session_note_era(struct session *s, struct mesh_ctx *c,
 		      struct ev_store_end *e)
 {
@@ -192,7 +198,7 @@
 			 REVISION_ARGS(d->revision));
 		restart_in_era(s, c);
 	}
-	if (e->era != d->era && executed(e->end)) {
+	if (e->era != d->era && store_answered(e->end)) {
 		e->end = STORE_NO_ANSWER;
 		records_delete(&e->records);
 	}
@@ -247,15 +253,10 @@
 static uint64_t watch_pause_ns(const struct session *s,
 			       const struct mesh_ctx *c)
 {
-	const struct dir_node *n;
-	uint64_t pause = 0;
-
 	/* The size of the fleet is not known yet. */
 	if (c->now_ns < s->cards_settled_ns)
 		return WATCH_PAUSE_MAX_NS;
-	list_for_each_entry(n, &c->dir.nodes, link)
-		pause += WATCH_PAUSE_PER_NODE_NS;
-	return pause < WATCH_PAUSE_MAX_NS ? pause : WATCH_PAUSE_MAX_NS;
+	return fleet_scaled_ns(c, WATCH_PAUSE_PER_NODE_NS, WATCH_PAUSE_MAX_NS);
 }
 
 /* @checked_ns: a manifest from before that time has shown. */
@@ -437,7 +438,7 @@
 void session_note_call_end(struct session *s, struct mesh_ctx *c,
 			   enum store_end end)
 {
-	bool failed = end == STORE_REFUSED || end == STORE_NO_ANSWER;
+	bool failed = !store_answered(end);
 
 	if (!failed) {
 		c->store_answered_ns = c->now_ns;
