Keymaps become even from any start; no node deals keys to the few it has heard

A node dealt the first keymap to the upstreams that had sent it load reports, which take seconds at that size, and balancing moved whole rows only: of a keymap dealt to one or two, none fits anybody's share.

Change: keymap_balance() splits rows and moves what has to move, in one write; a node that has sent no report counts by its card, whose lease says that it lives; a loop that stood still is no evidence that the set of upstreams is complete. Nodes act in turns that double instead of 0.25 s a rank (49 s for the last of 195), and one write adopts the keys of 23 nodes instead of 3. Lookups of nodes by name and boot and counts of keys take one step each, not one a node. Skew is logged (keys_uneven, keys_even).

Tests: Keymap.AnyMapBecomesEven (2 to 710 upstreams, any start, weights and sizes of rows; at most 1.3 times the keys that must move, one write), and KeymapTest.AMapDealtToAFewUpstreamsBecomesEven, which the whole-row balance fails (76 upstreams: 75, 74 or 4 without a key after it).

--- a/core/directory.c
+++ b/core/directory.c
@@ -44,6 +44,10 @@
 	mem_copy_str(d->region, region, sizeof(d->region));
 	d->far_report_rounds = 1;
 	list_init(&d->nodes);
+	for (int i = 0; i < DIR_BUCKETS; i++) {
+		list_init(&d->by_name[i]);
+		list_init(&d->by_boot[i]);
+	}
 	list_init(&d->keymaps);
 	list_init(&d->evacuated);
 }
@@ -70,7 +74,7 @@
 	uint32_t hash = XXH32(name, strlen(name), 0);
 	struct dir_node *n;
 
-	list_for_each_entry(n, &d->nodes, link)
+	list_for_each_entry(n, &d->by_name[hash % DIR_BUCKETS], by_name)
 		if (n->name_hash == hash && !strcmp(n->name, name))
 			return n;
 	return NULL;
@@ -80,12 +84,21 @@
 {
 	struct dir_node *n;
 
-	list_for_each_entry(n, &d->nodes, link)
+	list_for_each_entry(n, &d->by_boot[boot % DIR_BUCKETS], by_boot)
 		if (n->boot == boot)
 			return n;
 	return NULL;
 }
 
+void directory_set_boot(struct directory *d, struct dir_node *n, uint64_t boot)
+{
+	if (n->boot == boot)
+		return;
+	n->boot = boot;
+	list_remove(&n->by_boot);
+	list_push_back(&d->by_boot[boot % DIR_BUCKETS], &n->by_boot);
+}
+
 static struct dir_keymap *find_keymap(const struct directory *d,
 				      const char *service)
 {
@@ -280,9 +293,19 @@
 	mem_copy_str(n->name, name, sizeof(n->name));
 	n->name_hash = XXH32(n->name, strlen(n->name), 0);
 	list_push_back(&d->nodes, &n->link);
+	list_push_back(&d->by_name[n->name_hash % DIR_BUCKETS], &n->by_name);
+	list_init(&n->by_boot);
 	return n;
 }
 
+static void forget_node(struct dir_node *n)
+{
+	list_remove(&n->link);
+	list_remove(&n->by_name);
+	list_remove(&n->by_boot);
+	free(n);
+}
+
 static void clear_card(struct dir_node *n, revision_t revision, uint64_t now_ns)
 {
 	if (n->revision)
@@ -336,7 +359,7 @@
 	n->revision = r->revision;
 	n->card = r->u.card;
 	if (!n->heard_ns) {
-		n->boot = n->card.boot;
+		directory_set_boot(d, n, n->card.boot);
 		n->load.limit = n->card.slots;
 		n->load.service_ns = SERVICE_TIME_INITIAL_NS;
 	}
@@ -359,6 +382,7 @@
 	k->map = r->u.keymap;
 	k->revision = r->revision;
 	r->u.keymap = NULL;
+	keymap_build_index(k->map);
 	/* Its writer has waited until the era was settled. */
 	if (directory_keymap_current(d, k) &&
 	    k->map->fence > directory_fence_base(d) &&
@@ -446,10 +470,8 @@
 		if (n->absent_revision < revision)
 			clear_card(n, revision, now_ns);
 		if (now_ns > n->heard_ns + NODE_FORGET_NS &&
-		    now_ns > n->absent_ns + NODE_FORGET_NS) {
-			list_remove(&n->link);
-			free(n);
-		}
+		    now_ns > n->absent_ns + NODE_FORGET_NS)
+			forget_node(n);
 	}
 }
 
@@ -543,7 +565,7 @@
 	if (!n)
 		return NULL;
 	if (n->boot != from) {
-		n->boot = from;
+		directory_set_boot(d, n, from);
 		n->failure_rate = 0;
 		memset(&n->clock, 0, sizeof(n->clock));
 	}
@@ -601,26 +623,33 @@
 	       !n->leaving;
 }
 
+/* True if the upstream of @n serves @service and may get keys. */
+static bool may_get_keys(const struct directory *d, const struct dir_node *n,
+			 const char *service, uint64_t now_ns)
+{
+	if (!n->revision || n->card.draining || !n->card.upstream.instance[0] ||
+	    strcmp(n->card.service, service) != 0 ||
+	    directory_dc_evacuated(d, n->card.dc))
+		return false;
+	/* Its lease says that it lives; load reports come later. */
+	if (!n->heard_ns)
+		return true;
+	return n->load.open && directory_node_alive(d, n, now_ns);
+}
+
 void directory_candidates(const struct directory *d, const char *service,
 			  uint64_t now_ns, struct list *candidates)
 {
 	const struct dir_keymap *k = directory_keymap(d, service);
-	struct keymap_candidate *c;
 	const struct dir_node *n;
 
-	list_for_each_entry(n, &d->nodes, link) {
-		if (!n->revision || n->card.draining ||
-		    !n->card.upstream.instance[0] ||
-		    strcmp(n->card.service, service) != 0 ||
-		    directory_dc_evacuated(d, n->card.dc) || !n->load.open ||
-		    !directory_node_alive(d, n, now_ns))
-			continue;
-		c = mem_new(struct keymap_candidate);
-		c->id = n->card.upstream;
-		c->weight = 1;
-		c->keys = k ? keymap_keys_of(k->map, &c->id) : 0;
-		list_push_back(candidates, &c->link);
-	}
+	list_for_each_entry(n, &d->nodes, link)
+		if (may_get_keys(d, n, service, now_ns))
+			list_push_back(
+				candidates,
+				&keymap_candidate_new(&n->card.upstream)->link);
+	if (k)
+		keymap_count_keys(k->map, candidates);
 }
 
 void candidates_delete(struct list *candidates)
--- a/core/directory.h
+++ b/core/directory.h
@@ -20,6 +20,8 @@
 /* A node that does not answer a probe within this time is taken to be lost. */
 #define DIR_PROBE_TIMEOUT_NS	(900 * NS_PER_MS)
 
+#define DIR_BUCKETS		256
+
 /**
  * Estimates how long messages of one sender were under way, without a common
  * clock: the smallest clock difference seen belongs to an undelayed message,
@@ -45,6 +47,8 @@
  */
 struct dir_node {
 	struct list link;
+	struct list by_name; /* in its bucket of directory.by_name */
+	struct list by_boot; /* in its bucket of directory.by_boot */
 	char name[JD_NODE_NAME_MAX];
 	uint32_t name_hash;
 	struct node_card card;	    /* the newest known */
@@ -62,7 +66,8 @@
 	 */
 	uint64_t watched_ns;
 	uint64_t reported_ns; /* our last load report to it */
-	uint64_t boot;	      /* of its process, by report or else by card */
+	/* Of its process, by report or else by card: directory_set_boot(). */
+	uint64_t boot;
 	bool leaving;	      /* that process ends soon */
 	struct peer_clock clock;
 	struct gate_load load;
@@ -107,6 +112,8 @@
 	enum record_source source; /* of the records being applied */
 	revision_t peer_revision;  /* the highest that another node reported */
 	struct list nodes;	   /* of struct dir_node */
+	struct list by_name[DIR_BUCKETS]; /* of struct dir_node */
+	struct list by_boot[DIR_BUCKETS]; /* of struct dir_node */
 	struct list keymaps;	   /* of struct dir_keymap */
 	struct list evacuated;	   /* of struct dir_evacuation */
 	char region[JD_NAME_MAX];  /* of this node */
@@ -170,6 +177,10 @@
 /** These return NULL if the directory has no such node or keymap. */
 struct dir_node *directory_node(const struct directory *d, const char *name);
 struct dir_node *directory_by_boot(const struct directory *d, uint64_t boot);
+
+/** Notes that the node's process is @boot. */
+void directory_set_boot(struct directory *d, struct dir_node *n, uint64_t boot);
+
 const struct dir_keymap *directory_keymap(const struct directory *d,
 					  const char *service);
 
@@ -214,7 +225,8 @@
 
 /**
  * Appends a struct keymap_candidate for each upstream of @service that may get
- * keys; the caller frees them with candidates_delete().
+ * keys; the caller frees them with candidates_delete(). A node that has sent no
+ * load report yet counts by its card.
  */
 void directory_candidates(const struct directory *d, const char *service,
 			  uint64_t now_ns, struct list *candidates);
--- a/core/keymap.c
+++ b/core/keymap.c
@@ -2,20 +2,20 @@
 
 #include <stdlib.h>
 #include <string.h>
+#include <xxhash.h>
 
 #include "core/mem.h"
 
 /* Longer rows would be too coarse for moves that balance the load. */
-#define MERGED_ROW_KEYS_MAX 1024u
-/*
- * Balancing moves keys to a candidate below this part of its share, as each
- * move has a cost, and leaves their owner at or above it.
- */
-#define BALANCE_LOW_SHARE   0.6
-/* A move leaves its receiver at or below this multiple of its share. */
-#define BALANCE_HIGH_SHARE  1.2
+#define MERGED_ROW_KEYS_MAX   1024u
 /* Divisor instead of a weight of 0: such an owner counts as the fullest. */
-#define ZERO_WEIGHT_DIVISOR 0.01
+#define ZERO_WEIGHT_DIVISOR   0.01
+/* Whole rows may move this many times the keys that have to move. */
+#define WHOLE_ROWS_MOVE_MAX   1.25
+/* A longer row is split, so that adjacent keys go to several upstreams. */
+#define LONG_ROW_PIECES	      2
+/* Buckets of the candidates' index by id. */
+#define CANDIDATE_BUCKETS     256
 
 struct keymap *keymap_new(const char *service)
 {
@@ -26,6 +26,18 @@
 	return m;
 }
 
+void keymap_build_index(struct keymap *m)
+{
+	const uint32_t range = KEYMAP_KEYS / KEYMAP_INDEX_RANGES;
+	struct keyrow *r;
+
+	list_for_each_entry(r, &m->rows, link)
+		for (uint32_t i = (r->from + range - 1) / range;
+		     i <= r->to / range; i++)
+			m->first_rows[i] = r;
+	m->indexed = keymap_valid(m);
+}
+
 void keymap_delete(struct keymap *m)
 {
 	struct keyrow *r, *tmp;
@@ -46,6 +58,7 @@
 	list_for_each_entry(r, &m->rows, link) {
 		struct keyrow *n = mem_dup(r, sizeof(*r));
 
+		list_init(&n->by_owner);
 		list_push_back(&c->rows, &n->link);
 	}
 	return c;
@@ -57,7 +70,9 @@
 
 	r->from = from;
 	r->to = to;
+	list_init(&r->by_owner);
 	list_push_back(&m->rows, &r->link);
+	m->indexed = false;
 	return r;
 }
 
@@ -65,6 +80,12 @@
 {
 	struct keyrow *r;
 
+	if (m->indexed && key < KEYMAP_KEYS) {
+		r = m->first_rows[key / (KEYMAP_KEYS / KEYMAP_INDEX_RANGES)];
+		while (r->to < key)
+			r = list_entry(r->link.next, struct keyrow, link);
+		return r;
+	}
 	list_for_each_entry(r, &m->rows, link)
 		if (key >= r->from && key <= r->to)
 			return r;
@@ -116,6 +137,7 @@
 	struct keyrow *n = mem_dup(row, sizeof(*row));
 
 	n->from = from;
+	list_init(&n->by_owner);
 	row->to = from - 1;
 	list_push_front(&row->link, &n->link);
 	return n;
@@ -152,6 +174,7 @@
 	struct keyrow *r, *tmp;
 	struct keyrow *previous = NULL;
 
+	m->indexed = false;
 	list_for_each_entry_safe(r, tmp, &m->rows, link) {
 		if (previous && previous->fence == r->fence &&
 		    holder_equal(&previous->owner, &r->owner) &&
@@ -167,6 +190,118 @@
 	}
 }
 
+struct keymap_candidate *keymap_candidate_new(const struct holder_id *id)
+{
+	struct keymap_candidate *c = mem_new(struct keymap_candidate);
+
+	c->id = *id;
+	c->weight = 1;
+	list_init(&c->link);
+	list_init(&c->rows);
+	list_init(&c->in_bucket);
+	return c;
+}
+
+/* Index of the candidates by their id. */
+struct candidate_index {
+	struct list buckets[CANDIDATE_BUCKETS];
+};
+
+static struct list *bucket_of(struct candidate_index *x,
+			      const struct holder_id *id)
+{
+	uint32_t hash = XXH32(id->node, strlen(id->node), (uint32_t)id->born);
+
+	return &x->buckets[hash % CANDIDATE_BUCKETS];
+}
+
+static void index_candidates(struct candidate_index *x, struct list *candidates)
+{
+	struct keymap_candidate *c;
+
+	for (int i = 0; i < CANDIDATE_BUCKETS; i++)
+		list_init(&x->buckets[i]);
+	list_for_each_entry(c, candidates, link)
+		list_push_back(bucket_of(x, &c->id), &c->in_bucket);
+}
+
+/* The index lies on the stack of its user, so no link may outlast it. */
+static void drop_index(struct list *candidates)
+{
+	struct keymap_candidate *c;
+
+	list_for_each_entry(c, candidates, link)
+		list_init(&c->in_bucket);
+}
+
+static struct keymap_candidate *find_candidate(struct candidate_index *x,
+					       const struct holder_id *id)
+{
+	struct keymap_candidate *c;
+
+	list_for_each_entry(c, bucket_of(x, id), in_bucket)
+		if (holder_equal(&c->id, id))
+			return c;
+	return NULL;
+}
+
+static uint32_t row_keys(const struct keyrow *r)
+{
+	return r->to - r->from + 1;
+}
+
+void keymap_count_keys(const struct keymap *m, struct list *candidates)
+{
+	struct candidate_index x;
+	struct keymap_candidate *c;
+	const struct keyrow *r;
+
+	index_candidates(&x, candidates);
+	list_for_each_entry(c, candidates, link)
+		c->keys = 0;
+	list_for_each_entry(r, &m->rows, link) {
+		c = find_candidate(&x, &r->owner);
+		if (c)
+			c->keys += row_keys(r);
+	}
+	drop_index(candidates);
+}
+
+void keymap_measure_spread(const struct list *candidates, struct keymap_spread *s)
+{
+	const struct keymap_candidate *c;
+	double keys = 0, weight = 0, most = 0, least = KEYMAP_KEYS;
+
+	memset(s, 0, sizeof(*s));
+	list_for_each_entry(c, candidates, link) {
+		if (!c->weight)
+			continue;
+		s->candidates++;
+		s->without_keys += c->keys <= 0;
+		keys += c->keys;
+		weight += c->weight;
+		if (c->keys / c->weight > most)
+			most = c->keys / c->weight;
+		if (c->keys / c->weight < least)
+			least = c->keys / c->weight;
+	}
+	if (keys <= 0)
+		return;
+	s->busiest_over_mean = most * weight / keys;
+	s->emptiest_over_mean = least * weight / keys;
+}
+
+bool keymap_is_uneven(const struct keymap_spread *s)
+{
+	return s->without_keys || s->busiest_over_mean > KEYMAP_BALANCE_HIGH ||
+	       s->emptiest_over_mean < KEYMAP_BALANCE_LOW;
+}
+
+static double keys_for_weight(const struct keymap_candidate *c)
+{
+	return c->keys / (c->weight ? c->weight : ZERO_WEIGHT_DIVISOR);
+}
+
 struct keymap_candidate *keymap_least_loaded(struct list *candidates)
 {
 	struct keymap_candidate *best = NULL;
@@ -175,12 +310,22 @@
 	list_for_each_entry(c, candidates, link) {
 		if (!c->weight)
 			continue;
-		if (!best || c->keys / c->weight < best->keys / best->weight)
+		if (!best || keys_for_weight(c) < keys_for_weight(best))
 			best = c;
 	}
 	return best;
 }
 
+static uint32_t rows_to_deal(uint32_t upstreams)
+{
+	uint32_t per_upstream = KEYMAP_ROWS_PER_UPSTREAM;
+
+	while (per_upstream > 1 &&
+	       upstreams * per_upstream > KEYMAP_DEALT_ROWS_MAX)
+		per_upstream--;
+	return upstreams * per_upstream;
+}
+
 void keymap_deal(struct keymap *m, struct list *candidates)
 {
 	const struct keymap_candidate *c;
@@ -189,7 +334,7 @@
 
 	list_for_each_entry(c, candidates, link)
 		n += c->weight > 0;
-	rows = n * KEYMAP_ROWS_PER_UPSTREAM;
+	rows = rows_to_deal(n);
 	m->fence++;
 	for (uint32_t i = 0; i < rows; i++) {
 		uint32_t end =
@@ -204,75 +349,187 @@
 	}
 }
 
-static struct keymap_candidate *candidate_of(struct list *candidates,
-					     const struct holder_id *id)
+/* What one run of keymap_balance() works with. */
+struct balance {
+	struct list *candidates;
+	double share;	    /* keys of a candidate for a weight of 1 */
+	double needed;	    /* keys that have to move */
+	double moved;	    /* so far */
+	uint32_t piece; /* keys of a row in an even map */
+};
+
+static uint32_t keys_max(const struct balance *b,
+			 const struct keymap_candidate *c)
+{
+	double keys = b->share * c->weight * KEYMAP_BALANCE_HIGH;
+
+	return c->weight && keys < 1 ? 1 : (uint32_t)keys;
+}
+
+static uint32_t keys_min(const struct balance *b,
+			 const struct keymap_candidate *c)
 {
+	double keys = b->share * c->weight * KEYMAP_BALANCE_LOW;
+
+	return c->weight && keys < 1 ? 1 : (uint32_t)keys;
+}
+
+/* Sets the shares; the keys have been counted. */
+static void measure(struct balance *b)
+{
+	const struct keymap_candidate *c;
+	double keys = 0, weight = 0, excess = 0, lack = 0;
+	uint32_t n = 0;
+
+	list_for_each_entry(c, b->candidates, link) {
+		keys += c->keys;
+		weight += c->weight;
+		n += c->weight > 0;
+	}
+	if (!n)
+		return;
+	b->share = keys / weight;
+	b->piece = KEYMAP_KEYS / rows_to_deal(n);
+	if (!b->piece)
+		b->piece = 1;
+	list_for_each_entry(c, b->candidates, link) {
+		if (c->keys > keys_max(b, c))
+			excess += c->keys - keys_max(b, c);
+		if (c->keys < keys_min(b, c))
+			lack += keys_min(b, c) - c->keys;
+	}
+	b->needed = excess > lack ? excess : lack;
+}
+
+/* The candidate with the most keys for its weight that has rows to give. */
+static struct keymap_candidate *most_loaded(struct list *candidates)
+{
+	struct keymap_candidate *best = NULL;
 	struct keymap_candidate *c;
 
 	list_for_each_entry(c, candidates, link)
-		if (holder_equal(&c->id, id))
-			return c;
-	return NULL;
+		if (!list_empty(&c->rows) &&
+		    (!best || keys_for_weight(c) > keys_for_weight(best)))
+			best = c;
+	return best;
+}
+
+/*
+ * How many keys @from has to give to @to now: those above its limit, else so
+ * many that @to has its least; 0 if neither is needed.
+ */
+static double keys_to_give(const struct balance *b,
+			   const struct keymap_candidate *from,
+			   const struct keymap_candidate *to)
+{
+	double room = b->share * to->weight - to->keys;
+	double surplus = from->keys - b->share * from->weight;
+	double keys = 0;
+
+	if (from->keys > keys_max(b, from)) {
+		keys = from->keys - keys_max(b, from);
+		if (room < 1)
+			room = keys_max(b, to) - to->keys;
+	} else if (to->keys < keys_min(b, to)) {
+		keys = keys_min(b, to) - to->keys;
+		if (keys > surplus)
+			keys = surplus;
+	}
+	return keys < room ? keys : room;
+}
+
+/* True if the row of @n keys, more than have to move, may move as a whole. */
+static bool may_move_whole(const struct balance *b,
+			   const struct keymap_candidate *from,
+			   const struct keymap_candidate *to, uint32_t n)
+{
+	return n <= LONG_ROW_PIECES * b->piece &&
+	       b->moved + n <= b->needed * WHOLE_ROWS_MOVE_MAX &&
+	       from->keys - n >= keys_min(b, from) &&
+	       to->keys + n <= keys_max(b, to);
 }
 
 /*
- * A row of the owner with the most keys for its weight; NULL if any move would
- * leave its owner below BALANCE_LOW_SHARE or @to above BALANCE_HIGH_SHARE.
+ * Takes a row off the list of @from for @to that has @keys keys at most, or a
+ * few more: a whole one where that does no harm, else a part of one.
  */
-static struct keyrow *pick_row_to_move(struct keymap *m,
-				       struct list *candidates,
-				       const struct keymap_candidate *to,
-				       double share)
+static struct keyrow *take_row(const struct balance *b,
+			       struct keymap_candidate *from,
+			       const struct keymap_candidate *to, double keys)
 {
-	struct keyrow *best = NULL;
-	double most = 0;
+	struct keyrow *r = list_entry(from->rows.next, struct keyrow, by_owner);
+	uint32_t n = (uint32_t)keys;
+	uint32_t have = row_keys(r);
+
+	if (have > LONG_ROW_PIECES * b->piece && n > b->piece)
+		n = b->piece;
+	if (have > n && !may_move_whole(b, from, to, have)) {
+		struct keyrow *rest = keymap_split(r, r->from + n);
+
+		list_push_front(&from->rows, &rest->by_owner);
+	}
+	list_remove(&r->by_owner);
+	return r;
+}
+
+static void list_rows_by_owner(struct keymap *m, struct list *candidates)
+{
+	struct candidate_index x;
+	struct keymap_candidate *c;
 	struct keyrow *r;
 
+	index_candidates(&x, candidates);
+	list_for_each_entry(c, candidates, link) {
+		c->keys = 0;
+		list_init(&c->rows);
+	}
 	list_for_each_entry(r, &m->rows, link) {
-		struct keymap_candidate *c =
-			candidate_of(candidates, &r->owner);
-		uint32_t n = r->to - r->from + 1;
-
-		if (!c || c == to || r->target[0])
-			continue;
-		if (c->keys - n < share * c->weight * BALANCE_LOW_SHARE ||
-		    to->keys + n > share * to->weight * BALANCE_HIGH_SHARE)
+		list_init(&r->by_owner);
+		c = find_candidate(&x, &r->owner);
+		if (!c)
 			continue;
-		if (c->keys / (c->weight ? c->weight : ZERO_WEIGHT_DIVISOR) >
-		    most) {
-			most = c->keys /
-			       (c->weight ? c->weight : ZERO_WEIGHT_DIVISOR);
-			best = r;
-		}
+		c->keys += row_keys(r);
+		list_push_back(&c->rows, &r->by_owner);
 	}
-	return best;
+	drop_index(candidates);
 }
 
-bool keymap_balance(struct keymap *m, struct list *candidates)
+static void forget_rows_by_owner(struct keymap *m, struct list *candidates)
 {
-	struct keymap_candidate *to = keymap_least_loaded(candidates);
-	const struct keymap_candidate *c;
+	struct keymap_candidate *c;
 	struct keyrow *r;
-	double total_weight = 0;
-	double share;
-	bool any = false;
 
+	list_for_each_entry(r, &m->rows, link)
+		list_init(&r->by_owner);
 	list_for_each_entry(c, candidates, link)
-		total_weight += c->weight;
-	share = total_weight > 0 ? KEYMAP_KEYS / total_weight : 0;
-	while (to && to->keys < share * to->weight * BALANCE_LOW_SHARE) {
-		while (to->keys < share * to->weight &&
-		       (r = pick_row_to_move(m, candidates, to, share))) {
-			double n = r->to - r->from + 1;
-
-			candidate_of(candidates, &r->owner)->keys -= n;
-			to->keys += n;
-			mem_copy_str(r->target, to->id.node, sizeof(r->target));
-			any = true;
-		}
-		if (to->keys < share * to->weight * BALANCE_LOW_SHARE)
-			break;
+		list_init(&c->rows);
+}
+
+bool keymap_balance(struct keymap *m, struct list *candidates)
+{
+	struct balance b = {.candidates = candidates};
+	struct keymap_candidate *from, *to;
+
+	m->indexed = false;
+	list_rows_by_owner(m, candidates);
+	measure(&b);
+	while (b.needed > 0) {
+		struct keyrow *r;
+		double keys;
+
+		from = most_loaded(candidates);
 		to = keymap_least_loaded(candidates);
+		if (!from || !to || from == to)
+			break;
+		keys = keys_to_give(&b, from, to);
+		if (keys < 1)
+			break;
+		r = take_row(&b, from, to, keys);
+		mem_copy_str(r->target, to->id.node, sizeof(r->target));
+		from->keys -= row_keys(r);
+		to->keys += row_keys(r);
+		b.moved += row_keys(r);
 	}
-	return any;
+	forget_rows_by_owner(m, candidates);
+	return b.moved > 0;
 }
--- a/core/keymap.h
+++ b/core/keymap.h
@@ -18,6 +18,16 @@
  * upstream gets several ranges spread over the key space.
  */
 #define KEYMAP_ROWS_PER_UPSTREAM 16u
+/*
+ * A new keymap has no more rows than this, or one per upstream: each node keeps
+ * all rows, and a keymap is one record of the store.
+ */
+#define KEYMAP_DEALT_ROWS_MAX	 4096u
+/* Balance moves keys only if an upstream has more or less of its share. */
+#define KEYMAP_BALANCE_LOW	 0.6
+#define KEYMAP_BALANCE_HIGH	 1.25
+/* Ranges of equal length for which keymap_build_index() notes the first row. */
+#define KEYMAP_INDEX_RANGES	 1024u
 
 /*
  * Fences given out in an era of the store are above its base: a store that
@@ -40,6 +50,7 @@
 /** A range of keys with one owner. */
 struct keyrow {
 	struct list link;
+	struct list by_owner; /* used by keymap_balance() */
 	uint32_t from;
 	uint32_t to; /* inclusive */
 	uint64_t fence;
@@ -52,12 +63,18 @@
 	char service[JD_NAME_MAX];
 	uint64_t fence;	  /* the highest of any row so far */
 	struct list rows; /* of struct keyrow, ascending, without gaps */
+	/* The row of the first key of each range; not valid if !indexed. */
+	struct keyrow *first_rows[KEYMAP_INDEX_RANGES];
+	bool indexed;
 };
 
 struct keymap *keymap_new(const char *service);
 void keymap_delete(struct keymap *m);
 struct keymap *keymap_copy(const struct keymap *m);
 
+/** Makes keymap_find() fast, until rows are appended or merged. */
+void keymap_build_index(struct keymap *m);
+
 /** Appends a row; the caller keeps the rows ascending. */
 struct keyrow *keymap_append_row(struct keymap *m, uint32_t from, uint32_t to);
 
@@ -98,8 +115,29 @@
 	struct holder_id id;
 	uint32_t weight; /* relative share of the keys; 0 gets none */
 	double keys;	 /* that it owns, counting rows assigned so far */
+	struct list rows;	 /* of struct keyrow.by_owner, while balancing */
+	struct list in_bucket; /* of the index by id, while rows are counted */
 };
 
+struct keymap_candidate *keymap_candidate_new(const struct holder_id *id);
+
+/** Sets the keys of each candidate to the number that it owns in @m. */
+void keymap_count_keys(const struct keymap *m, struct list *candidates);
+
+/** How evenly the keys are spread over the candidates. */
+struct keymap_spread {
+	uint32_t candidates;	    /* with a weight */
+	uint32_t without_keys;	    /* of them */
+	double busiest_over_mean; /* keys for the weight; 0: no candidate */
+	double emptiest_over_mean;
+};
+
+/** The spread by the candidates' present number of keys. */
+void keymap_measure_spread(const struct list *candidates, struct keymap_spread *s);
+
+/** True if keymap_balance() may have keys to move. */
+bool keymap_is_uneven(const struct keymap_spread *s);
+
 /**
  * Distributes all keys of an empty map over the candidates, in rows spread
  * over the key space.
@@ -110,8 +148,10 @@
 struct keymap_candidate *keymap_least_loaded(struct list *candidates);
 
 /**
- * Sets targets so that each candidate approaches its share; true if any
- * target was set. Rows that have a target already keep it.
+ * Sets targets so that no candidate has more than KEYMAP_BALANCE_HIGH or less
+ * than KEYMAP_BALANCE_LOW of its share, and splits rows where whole ones would
+ * move many more keys than needed. True if any target was set. Counts the
+ * candidates' keys itself. For a map without targets.
  */
 bool keymap_balance(struct keymap *m, struct list *candidates);
 
--- a/core/keyplan.c
+++ b/core/keyplan.c
@@ -1,22 +1,31 @@
 #include "core/keyplan.h"
 
+#include <stdlib.h>
 #include <string.h>
+#include <xxhash.h>
 
 #include "core/mem.h"
 
 /* Nodes that start together register within this time. */
 #define FIRST_DEAL_NS	       (1500 * NS_PER_MS)
 /* A first keymap also waits for this long after a change of the candidates. */
-#define FIRST_DEAL_SETTLE_NS   (500 * NS_PER_MS)
+#define FIRST_DEAL_SETTLE_NS   NS_PER_S
 #define CHECK_INTERVAL_NS      (100 * NS_PER_MS)
 /* Used while every card is present and no record has changed. */
 #define CHECK_INTERVAL_CALM_NS (500 * NS_PER_MS)
 #define WRITE_RETRY_NS	       (300 * NS_PER_MS)
 /*
- * Nodes act in the order of their names, one such delay apart, so that as a
- * rule only the first one writes.
+ * Nodes act in turns, in the order of their names, so that as a rule only the
+ * first one writes. Each turn has twice the nodes of the one before; the last
+ * one has all others.
  */
-#define RANK_DELAY_NS	       (250 * NS_PER_MS)
+#define TURN_NS		       (250 * NS_PER_MS)
+#define TURNS_MAX	       5
+/*
+ * A check that is this late shows that the loop stood still: what happened
+ * meanwhile is not known yet, so the candidates may have changed.
+ */
+#define STALL_NS	       (150 * NS_PER_MS)
 /* Cards that expired during an outage of the store return within this time. */
 #define LAPSE_GRACE_NS	       (2200 * NS_PER_MS)
 /* For this long after a failed store call, adoption waits LAPSE_GRACE_NS more.
@@ -31,7 +40,31 @@
 {
 	memset(p, 0, sizeof(*p));
 	p->first_deal_ns = now_ns + FIRST_DEAL_NS;
-	p->candidates_since_ns = now_ns;
+	list_init(&p->services);
+}
+
+void keyplan_done(struct keyplan *p)
+{
+	struct keyplan_service *s, *tmp;
+
+	list_for_each_entry_safe(s, tmp, &p->services, link)
+		free(s);
+}
+
+static struct keyplan_service *service_for(struct keyplan *p,
+					   const struct mesh_ctx *c,
+					   const char *name)
+{
+	struct keyplan_service *s;
+
+	list_for_each_entry(s, &p->services, link)
+		if (!strcmp(s->service, name))
+			return s;
+	s = mem_new(struct keyplan_service);
+	mem_copy_str(s->service, name, sizeof(s->service));
+	s->candidates_since_ns = c->now_ns;
+	list_push_back(&p->services, &s->link);
+	return s;
 }
 
 bool keyplan_on_end(struct keyplan *p, const struct mesh_ctx *c,
@@ -62,10 +95,29 @@
 	return before;
 }
 
+/* Turn of the node with @rank others before it, from 0. */
+static uint32_t turn_of(uint32_t rank)
+{
+	uint32_t turn = 0;
+
+	while (rank >> turn && turn < TURNS_MAX)
+		turn++;
+	return turn;
+}
+
+/* Nodes of one turn are spread over it. */
+static uint64_t turn_delay_ns(const struct mesh_ctx *c)
+{
+	uint32_t turn = turn_of(rank(c));
+	uint32_t hash = XXH32(c->opts->node, strlen(c->opts->node), 0);
+
+	return turn * TURN_NS + (turn > 1 ? hash % TURN_NS : 0);
+}
+
 static uint64_t adopt_delay_ns(const struct mesh_ctx *c,
 			       const struct session *s)
 {
-	uint64_t wait_ns = RANK_DELAY_NS * rank(c);
+	uint64_t wait_ns = turn_delay_ns(c);
 
 	if (s->last_failure_ns &&
 	    c->now_ns < s->last_failure_ns + STORE_TROUBLE_NS)
@@ -202,15 +254,20 @@
 	return false;
 }
 
-static void balance(struct keyplan *p, struct mesh_ctx *c,
-		    const struct dir_keymap *k, struct list *candidates)
+static void balance(struct keyplan *p, struct keyplan_service *sv,
+		    struct mesh_ctx *c, const struct dir_keymap *k,
+		    struct list *candidates)
 {
 	struct keymap *map;
 	struct act_store_call *a;
 
-	if (c->now_ns < p->candidates_since_ns + BALANCE_STABLE_NS +
-				RANK_DELAY_NS * rank(c) ||
-	    any_target(k->map))
+	if (any_target(k->map)) {
+		sv->balanced_ns = c->now_ns;
+		return;
+	}
+	if (!sv->uneven || c->now_ns < sv->candidates_since_ns +
+					       BALANCE_STABLE_NS +
+					       turn_delay_ns(c))
 		return;
 	map = keymap_copy(k->map);
 	keymap_raise_fence(map, directory_fence_base(&c->dir));
@@ -227,43 +284,72 @@
 		 map->service, REVISION_ARGS(k->revision));
 }
 
-/* A number that changes with the set of candidates. */
+/* A number that changes with the set of candidates, in whatever order. */
 static uint64_t hash_candidates(const struct list *candidates)
 {
 	const struct keymap_candidate *it;
 	uint64_t sum = 0;
 
 	list_for_each_entry(it, candidates, link)
-		sum += it->id.born * 31 + strlen(it->id.node) + 1;
+		sum += XXH64(it->id.instance, strlen(it->id.instance),
+			     XXH64(it->id.node, strlen(it->id.node),
+				   it->id.born));
 	return sum;
 }
 
+static void note_candidates(struct keyplan_service *sv,
+			    const struct mesh_ctx *c,
+			    const struct list *candidates)
+{
+	uint64_t hash = hash_candidates(candidates);
+
+	if (hash == sv->candidates_hash)
+		return;
+	sv->candidates_hash = hash;
+	sv->candidates_since_ns = c->now_ns;
+}
+
+static void note_spread(struct keyplan_service *sv, struct mesh_ctx *c,
+			const struct list *candidates)
+{
+	bool uneven;
+
+	keymap_measure_spread(candidates, &sv->spread);
+	uneven = keymap_is_uneven(&sv->spread);
+	if (uneven == sv->uneven)
+		return;
+	sv->uneven = uneven;
+	mesh_log(c->out, LOG_INFO,
+		 "event=%s service=%s upstreams=%u without_keys=%u "
+		 "busiest_over_mean=%.2f",
+		 uneven ? "keys_uneven" : "keys_even", sv->service,
+		 sv->spread.candidates, sv->spread.without_keys,
+		 sv->spread.busiest_over_mean);
+}
+
 static void plan_service(struct keyplan *p, struct mesh_ctx *c,
 			 const struct session *s, const char *service)
 {
 	const struct dir_keymap *k = directory_keymap(&c->dir, service);
+	struct keyplan_service *sv = service_for(p, c, service);
 	struct list candidates;
-	uint64_t hash;
 
 	list_init(&candidates);
 	directory_candidates(&c->dir, service, c->now_ns, &candidates);
-	hash = hash_candidates(&candidates);
-	if (hash != p->candidates_hash) {
-		p->candidates_hash = hash;
-		p->candidates_since_ns = c->now_ns;
-	}
+	note_candidates(sv, c, &candidates);
 	if (list_empty(&candidates)) {
 		/* No upstream could own the keys. */
 	} else if (!k) {
-		if (c->now_ns >= p->first_deal_ns + RANK_DELAY_NS * rank(c) &&
-		    c->now_ns >= p->candidates_since_ns + FIRST_DEAL_SETTLE_NS)
+		if (c->now_ns >= p->first_deal_ns + turn_delay_ns(c) &&
+		    c->now_ns >= sv->candidates_since_ns + FIRST_DEAL_SETTLE_NS)
 			deal(p, c, service, &candidates);
 	} else if (!directory_keymap_current(&c->dir, k)) {
-		if (c->now_ns >=
-		    c->dir.era_settled_ns + RANK_DELAY_NS * rank(c))
+		if (c->now_ns >= c->dir.era_settled_ns + turn_delay_ns(c))
 			restore_map(p, c, k);
-	} else if (!adopt(p, c, s, k, &candidates)) {
-		balance(p, c, k, &candidates);
+	} else {
+		note_spread(sv, c, &candidates);
+		if (!adopt(p, c, s, k, &candidates))
+			balance(p, sv, c, k, &candidates);
 	}
 	candidates_delete(&candidates);
 }
@@ -284,10 +370,14 @@
 void keyplan_work(struct keyplan *p, struct mesh_ctx *c,
 		  const struct session *s)
 {
+	struct keyplan_service *known;
 	const struct service *sv;
 
 	if (p->op || c->now_ns < p->next_ns)
 		return;
+	if (p->next_ns && c->now_ns > p->next_ns + STALL_NS)
+		list_for_each_entry(known, &p->services, link)
+			known->candidates_since_ns = c->now_ns;
 	p->next_ns = c->now_ns + (is_calm(p, c) ? CHECK_INTERVAL_CALM_NS
 						: CHECK_INTERVAL_NS);
 	/* Until then a key may be held by a grant that the store forgot. */
--- a/core/keyplan.h
+++ b/core/keyplan.h
@@ -9,19 +9,30 @@
 
 #include "core/session.h"
 
+/** What the planner knows of one keyed service. */
+struct keyplan_service {
+	struct list link;
+	char service[JD_NAME_MAX];
+	uint64_t candidates_since_ns; /* last change of the candidates */
+	uint64_t candidates_hash;     /* changes with the set of candidates */
+	struct keymap_spread spread;  /* at the last check */
+	bool uneven;		      /* beyond the limits of a balanced map */
+	uint64_t balanced_ns; /* when keys last moved for balance; 0: never */
+};
+
 struct keyplan {
 	uint64_t op; /* write in progress; 0: none */
 	uint64_t next_ns;
-	uint64_t seen_apply_count;    /* directory's count at the last check */
-	uint64_t first_deal_ns;	      /* earliest time for a first keymap */
-	uint64_t candidates_since_ns; /* last change of the candidates */
-	uint64_t candidates_hash;     /* changes with the set of candidates */
-	uint64_t deals;		      /* first keymaps that it wrote */
+	uint64_t seen_apply_count; /* directory's count at the last check */
+	uint64_t first_deal_ns;	   /* earliest time for a first keymap */
+	struct list services;	   /* of struct keyplan_service */
+	uint64_t deals;		   /* first keymaps that it wrote */
 	uint64_t adopted_keys;
 	uint64_t balance_moves; /* writes that set targets */
 };
 
 void keyplan_init(struct keyplan *p, uint64_t now_ns);
+void keyplan_done(struct keyplan *p);
 
 /** True if the call was made by this module. */
 bool keyplan_on_end(struct keyplan *p, const struct mesh_ctx *c,
--- a/core/mesh.c
+++ b/core/mesh.c
@@ -65,6 +65,7 @@
 {
 	dispatch_done(&m->dispatch);
 	gatekeeper_done(&m->gate);
+	keyplan_done(&m->keyplan);
 	holder_done(&m->holder);
 	directory_done(&m->ctx.dir);
 	free(m);
@@ -414,7 +415,7 @@
 
 	if (!n)
 		return;
-	n->boot = m->opts.boot;
+	directory_set_boot(&m->ctx.dir, n, m->opts.boot);
 	n->heard_ns = m->ctx.now_ns;
 	n->leaving = m->stop >= MESH_CLOSED;
 	n->unreported_requests = 0;
--- a/core/mesh_io.h
+++ b/core/mesh_io.h
@@ -25,7 +25,8 @@
 	CALL_LEASE_END,
 };
 
-#define STORE_EXPECT_MAX 4
+/* The store takes 32 conditions, writes and removals in one call. */
+#define STORE_EXPECT_MAX 24
 
 /** A condition of a write; revision 0: the record must not exist. */
 struct store_expect {
--- a/tests/keymap_test.cpp
+++ b/tests/keymap_test.cpp
@@ -1,11 +1,14 @@
 #include "jd_test.hpp"
 
+#include <algorithm>
+#include <cmath>
 #include <rapidcheck/gtest.h>
 
 extern "C" {
 #include "core/directory.h"
 #include "core/keymap.h"
 #include "core/mem.h"
+#include "core/text.h"
 }
 
 struct KeymapTest : public ::testing::Test {
@@ -156,3 +159,150 @@
 	keymap_delete(map);
 	candidates_delete(&candidates);
 }
+
+/* Keys that have to move until nobody has too many or too few. */
+static double keys_to_move(const struct keymap *map, struct list *candidates)
+{
+	struct keymap_candidate *c;
+	double keys = 0, weight = 0, excess = 0, lack = 0;
+
+	keymap_count_keys(map, candidates);
+	list_for_each_entry(c, candidates, link) {
+		keys += c->keys;
+		weight += c->weight;
+	}
+	list_for_each_entry(c, candidates, link) {
+		double share = keys * c->weight / weight;
+
+		excess += std::max(0.0, c->keys - std::floor(1.25 * share));
+		lack += std::max(0.0, std::max(1.0, std::floor(0.6 * share)) -
+					      c->keys);
+	}
+	return std::max(excess, lack);
+}
+
+/* Carries the moves out as their owners would; returns the keys moved. */
+static double carry_out_moves(struct keymap *map, struct list *candidates)
+{
+	struct keymap_candidate *c;
+	struct keyrow *r;
+	double moved = 0;
+
+	list_for_each_entry(r, &map->rows, link) {
+		if (!r->target[0])
+			continue;
+		list_for_each_entry(c, candidates, link)
+			if (!strcmp(c->id.node, r->target))
+				break;
+		moved += r->to - r->from + 1;
+		keymap_move(map, r, &c->id, "");
+	}
+	keymap_count_keys(map, candidates);
+	return moved;
+}
+
+static void expect_balanced(struct keymap *map, struct list *candidates)
+{
+	struct keymap_spread s;
+	double needed = keys_to_move(map, candidates);
+	double moved;
+
+	RC_ASSERT(keymap_balance(map, candidates) == (needed > 0));
+	RC_ASSERT(keymap_valid(map));
+	moved = carry_out_moves(map, candidates);
+	RC_ASSERT(moved <= 1.3 * needed);
+	keymap_measure_spread(candidates, &s);
+	RC_ASSERT(s.without_keys == 0u);
+	/* One write is enough: the second finds nothing to move. */
+	RC_ASSERT(!keymap_balance(map, candidates));
+	RC_ASSERT(keys_to_move(map, candidates) == 0);
+}
+
+static struct keymap_candidate *new_candidate(int i, uint32_t weight)
+{
+	struct holder_id id = {};
+	struct keymap_candidate *c;
+
+	text_format(id.node, sizeof(id.node), "n%d", i);
+	id.born = 1;
+	c = keymap_candidate_new(&id);
+	c->weight = weight;
+	return c;
+}
+
+/* Dealt to some of the upstreams, in rows of any sizes. */
+RC_GTEST_PROP(Keymap, AnyMapBecomesEven, ())
+{
+	struct keymap *map = keymap_new("s");
+	const int count = *rc::gen::inRange(2, 711);
+	const int dealt_to = *rc::gen::inRange(1, count + 1);
+	const auto sizes = *rc::gen::container<std::vector<int>>(
+		*rc::gen::inRange(1, 400), rc::gen::inRange(1, 2000));
+	std::vector<struct keymap_candidate *> all;
+	struct list candidates;
+	uint32_t from = 0;
+
+	list_init(&candidates);
+	for (int i = 0; i < count; i++) {
+		all.push_back(new_candidate(
+			i, (uint32_t)*rc::gen::inRange(1, 5)));
+		list_push_back(&candidates, &all.back()->link);
+	}
+	for (size_t i = 0; from < KEYMAP_KEYS; i++) {
+		uint32_t end = std::min<uint32_t>(
+			KEYMAP_KEYS, from + (uint32_t)sizes[i % sizes.size()]);
+		struct keyrow *r = keymap_append_row(map, from, end - 1);
+
+		r->owner = all[i * 7919 % (size_t)dealt_to]->id;
+		r->fence = ++map->fence;
+		from = end;
+	}
+	expect_balanced(map, &candidates);
+	keymap_delete(map);
+	candidates_delete(&candidates);
+}
+
+/*
+ * Guards against balancing by whole rows only: a keymap dealt to one or two of
+ * 76 upstreams has rows longer than any one's share, and none of them moved.
+ */
+TEST_F(KeymapTest, AMapDealtToAFewUpstreamsBecomesEven)
+{
+	for (int dealt_to : {1, 2, 5, 9, 19, 40, 76}) {
+		struct keymap *m = keymap_new("s");
+		struct keymap_spread s;
+		struct list few, all;
+
+		list_init(&few);
+		list_init(&all);
+		for (int i = 0; i < 76; i++)
+			list_push_back(i < dealt_to ? &few : &all,
+				       &new_candidate(i, 1)->link);
+		keymap_deal(m, &few);
+		list_splice_back(&all, &few);
+		keymap_balance(m, &all);
+		carry_out_moves(m, &all);
+		keymap_measure_spread(&all, &s);
+		EXPECT_EQ(s.without_keys, 0u) << dealt_to;
+		EXPECT_LE(s.busiest_over_mean, 1.25) << dealt_to;
+		keymap_delete(m);
+		candidates_delete(&all);
+	}
+}
+
+TEST_F(KeymapTest, TheIndexFindsTheSameRows)
+{
+	for (int i = 0; i < 7; i++)
+		add_candidate("n" + std::to_string(i));
+	keymap_deal(map, &candidates);
+	keymap_split(keymap_find(map, 100), 77);
+	struct keymap *plain = keymap_copy(map);
+
+	keymap_build_index(map);
+	ASSERT_TRUE(map->indexed);
+	for (uint32_t key = 0; key < KEYMAP_KEYS; key++)
+		ASSERT_EQ(keymap_find(map, key)->from,
+			  keymap_find(plain, key)->from)
+			<< key;
+	keymap_delete(plain);
+}
--- a/tests/keyplan_test.cpp
+++ b/tests/keyplan_test.cpp
@@ -32,6 +32,7 @@
 	}
 	~KeyplanTest() override
 	{
+		keyplan_done(&plan);
 		directory_done(&c.dir);
 		mesh_actions_done(&out);
 	}
