A change is encoded once for all nodes, and a keymap's as its delta

Cause: each watcher encoded and compressed each change for each node of its region, with the whole keymap (1,216 rows for 76 upstreams) whenever one row moved; owners of keys compared all rows each 20 ms, and the encoder searched the owners row by row.

Change: MA_SEND_ALL hands one encoded message to all receivers; a keymap goes as the rows that changed since the revision that the watcher had (core/keymap_delta). A node that has another one polls the store. Own rows are listed once a revision; peers and owners are found by a hash.

--- a/core/holder.c
+++ b/core/holder.c
@@ -33,6 +33,7 @@
 {
 	memset(h, 0, sizeof(*h));
 	list_init(&h->granted);
+	list_init(&h->own_rows);
 	list_init(&h->held);
 	list_init(&h->released);
 	list_init(&h->granted_previous);
@@ -526,15 +527,30 @@
 	return keys;
 }
 
+/* The rows of an older keymap are gone with it. */
+static void list_own_rows(struct holder *h, const struct mesh_ctx *c,
+			  const struct dir_keymap *k)
+{
+	struct keyrow *r;
+
+	if (h->own_rows_at == k->revision)
+		return;
+	h->own_rows_at = k->revision;
+	list_init(&h->own_rows);
+	list_for_each_entry(r, &k->map->rows, link)
+		if (!strcmp(r->owner.node, c->opts->node))
+			list_push_back(&h->own_rows, &r->by_owner);
+}
+
 /* Called often, so it copies no keymap and lists no candidates. */
-static bool any_row_to_move(const struct holder *h, const struct mesh_ctx *c,
-			    const struct keymap *map)
+static bool any_row_to_move(struct holder *h, const struct mesh_ctx *c,
+			    const struct dir_keymap *k)
 {
 	const struct keyrow *r;
 
-	list_for_each_entry(r, &map->rows, link)
-		if (!strcmp(r->owner.node, c->opts->node) &&
-		    (needs_fence(h, c, r) || not_held_here(h, c, r)))
+	list_own_rows(h, c, k);
+	list_for_each_entry(r, &h->own_rows, by_owner)
+		if (needs_fence(h, c, r) || not_held_here(h, c, r))
 			return true;
 	return false;
 }
@@ -634,7 +650,7 @@
 	 * without a change: it raises the revision, so that the earlier one
 	 * can no longer take effect.
 	 */
-	if (h->write_uncertain || any_row_to_move(h, c, k->map))
+	if (h->write_uncertain || any_row_to_move(h, c, k))
 		write_moves(h, c, k);
 	h->next_write_ns = c->now_ns + MOVE_CHECK_NS;
 }
--- a/core/holder.h
+++ b/core/holder.h
@@ -37,6 +37,12 @@
 	uint64_t earlier_grants_until_ns; /* grants of an earlier process of
 					     the node have ended by then */
 	struct list granted;  /* of struct held_row, in the last answer */
+	/*
+	 * Of struct keyrow.by_owner: this node's rows in the directory's
+	 * keymap of the revision @own_rows_at.
+	 */
+	struct list own_rows;
+	revision_t own_rows_at;
 	struct list held;     /* of struct held_row, in its announcement */
 	struct list released; /* of struct released_row */
 	struct list granted_previous; /* of struct held_row, answer before */
--- a/core/mesh.c
+++ b/core/mesh.c
@@ -222,7 +222,7 @@
 	struct local_gate g = local_gate(m);
 	struct dir_node *n;
 
-	if (msg->to != m->opts.boot && msg->kind != MSG_LOAD)
+	if (msg->to && msg->to != m->opts.boot && msg->kind != MSG_LOAD)
 		return;
 	switch (msg->kind) {
 	case MSG_FORWARD:
--- a/core/mesh_ctx.c
+++ b/core/mesh_ctx.c
@@ -19,6 +19,25 @@
 	s->message = m;
 }
 
+struct act_send_all *mesh_send_all(struct mesh_ctx *c, struct message *m)
+{
+	struct act_send_all *a =
+		&mesh_actions_add(c->out, MA_SEND_ALL)->u.send_all;
+
+	m->from = c->opts->boot;
+	m->to = 0;
+	a->message = m;
+	return a;
+}
+
+void mesh_add_target(struct act_send_all *a, const struct dir_node *n)
+{
+	struct send_target *t = mem_new(struct send_target);
+
+	mem_copy_str(t->addr, n->card.peer_addr, sizeof(t->addr));
+	list_push_back(&a->to, &t->link);
+}
+
 struct act_store_call *mesh_store_call(struct mesh_ctx *c,
 				       enum store_call_kind kind)
 {
--- a/core/mesh_ctx.h
+++ b/core/mesh_ctx.h
@@ -68,6 +68,13 @@
 void mesh_send(struct mesh_ctx *c, uint64_t to, const char *addr,
 	       struct message *m);
 
+/**
+ * Appends an action that sends @m to the nodes that mesh_add_target() adds;
+ * takes ownership of @m.
+ */
+struct act_send_all *mesh_send_all(struct mesh_ctx *c, struct message *m);
+void mesh_add_target(struct act_send_all *a, const struct dir_node *n);
+
 /** Appends a store call with a new operation number and the usual deadline. */
 struct act_store_call *mesh_store_call(struct mesh_ctx *c,
 				       enum store_call_kind kind);
--- a/core/mesh_io.c
+++ b/core/mesh_io.c
@@ -31,6 +31,8 @@
 	act->kind = kind;
 	if (kind == MA_STORE_CALL)
 		list_init(&act->u.store.puts);
+	if (kind == MA_SEND_ALL)
+		list_init(&act->u.send_all.to);
 	if (kind == MA_ANNOUNCEMENT_REPLY)
 		list_init(&act->u.announcement_reply.rows);
 	list_push_back(&a->items, &act->link);
@@ -48,12 +50,24 @@
 	return act;
 }
 
+static void send_all_done(struct act_send_all *a)
+{
+	struct send_target *t, *tmp;
+
+	list_for_each_entry_safe(t, tmp, &a->to, link)
+		free(t);
+	message_delete(a->message);
+}
+
 void mesh_action_delete(struct mesh_action *a)
 {
 	switch (a->kind) {
 	case MA_SEND:
 		message_delete(a->u.send.message);
 		break;
+	case MA_SEND_ALL:
+		send_all_done(&a->u.send_all);
+		break;
 	case MA_STORE_CALL:
 		records_delete(&a->u.store.puts);
 		break;
--- a/core/mesh_io.h
+++ b/core/mesh_io.h
@@ -166,8 +166,21 @@
 	} u;
 };
 
+/** One receiver of a message that goes to several nodes. */
+struct send_target {
+	struct list link;
+	char addr[JD_ADDR_MAX];
+};
+
+/** The message has no receiver of its own and is encoded once for all. */
+struct act_send_all {
+	struct list to; /* of struct send_target */
+	struct message *message;
+};
+
 enum mesh_action_kind {
 	MA_SEND,
+	MA_SEND_ALL,
 	MA_STORE_CALL,
 	MA_REPLY,
 	MA_UPSTREAM_CALL,
@@ -206,6 +219,7 @@
 	enum mesh_action_kind kind;
 	union {
 		struct act_send send;
+		struct act_send_all send_all;
 		struct act_store_call store;
 		struct act_caller_reply reply;
 		struct act_mesh_upstream_call call;
--- a/core/message.h
+++ b/core/message.h
@@ -170,7 +170,8 @@
 	struct list link; /* in the batch of messages read at once */
 	enum message_kind kind;
 	incarnation_t from;
-	incarnation_t to; /* other incarnations drop the message */
+	/* Other incarnations drop the message; 0: it is for each receiver. */
+	incarnation_t to;
 	union {
 		struct msg_heartbeat heartbeat;
 		struct msg_heartbeat_ack heartbeat_ack;
--- a/core/record.c
+++ b/core/record.c
@@ -20,6 +20,7 @@
 	copy->revision = r->revision;
 	copy->removed = r->removed;
 	copy->invalid = r->invalid;
+	copy->keymap_base = r->keymap_base;
 	switch (r->kind) {
 	case RECORD_CARD:
 		copy->u.card = r->u.card;
--- a/core/record.h
+++ b/core/record.h
@@ -43,6 +43,11 @@
 	bool invalid; /* its bytes could not be decoded; it is ignored */
 	/* Of a manifest that another node has sent; NULL: none. */
 	struct manifest_delta *delta;
+	/*
+	 * Of a keymap that another node has sent: it is a delta to the keymap
+	 * of this revision (core/keymap_delta.h). 0: it is complete.
+	 */
+	revision_t keymap_base;
 	union {
 		/* NULL: not included, see record_copy() */
 		struct manifest *manifest;
--- a/core/relay.c
+++ b/core/relay.c
@@ -2,6 +2,7 @@
 
 #include <string.h>
 
+#include "core/keymap_delta.h"
 #include "core/mem.h"
 
 /* Two, so that the loss of one watcher causes no gap. */
@@ -47,8 +48,43 @@
 	return is_first_watcher(c) || relay_all_watch(c);
 }
 
-static void send_changes(struct mesh_ctx *c, const struct dir_node *n,
-			 revision_t from, const struct ev_store_end *e)
+/* True if a later one of @records is of the same name. */
+static bool is_superseded(const struct list *records, const struct record *r)
+{
+	const struct list *it;
+
+	for (it = r->link.next; it != records; it = it->next) {
+		const struct record *later =
+			list_entry(it, struct record, link);
+
+		if (later->kind == r->kind && !strcmp(later->name, r->name))
+			return true;
+	}
+	return false;
+}
+
+/* A copy of @r, with a keymap's delta to the one that this node has. */
+static struct record *copy_for_nodes(const struct mesh_ctx *c,
+				     const struct record *r)
+{
+	const struct dir_keymap *k =
+		r->kind == RECORD_KEYMAP ? directory_keymap(&c->dir, r->name)
+					 : NULL;
+	struct record *copy;
+
+	if (!k || !r->u.keymap || r->removed || r->invalid ||
+	    r->revision <= k->revision)
+		return record_copy(r);
+	copy = record_new(r->kind, r->name);
+	copy->revision = r->revision;
+	copy->keymap_base = k->revision;
+	copy->u.keymap = keymap_delta_between(k->map, r->u.keymap);
+	return copy;
+}
+
+static struct message *changes_message(const struct mesh_ctx *c,
+				       revision_t from,
+				       const struct ev_store_end *e)
 {
 	struct message *m = message_new(MSG_CHANGES);
 	const struct record *r;
@@ -56,8 +92,10 @@
 	m->u.changes.from = from;
 	m->u.changes.to = e->revision;
 	list_for_each_entry(r, &e->records, link)
-		list_push_back(&m->u.changes.records, &record_copy(r)->link);
-	mesh_send(c, n->boot, n->card.peer_addr, m);
+		if (r->kind != RECORD_KEYMAP || !is_superseded(&e->records, r))
+			list_push_back(&m->u.changes.records,
+				       &copy_for_nodes(c, r)->link);
+	return m;
 }
 
 /*
@@ -91,16 +129,21 @@
 	/* A delta is far smaller than the document of another one's watch. */
 	bool to_watchers;
 	const struct dir_node *n;
+	struct act_send_all *a = NULL;
 
 	if (list_empty(&e->records))
 		return;
 	to_watchers = add_manifest_delta(c, &e->records) && is_first_watcher(c);
-	list_for_each_entry(n, &c->dir.nodes, link)
-		if (directory_same_region(&c->dir, n) &&
-		    (!n->watches || to_watchers) &&
-		    strcmp(n->name, c->opts->node) != 0 &&
-		    directory_node_alive(&c->dir, n, c->now_ns))
-			send_changes(c, n, from, e);
+	list_for_each_entry(n, &c->dir.nodes, link) {
+		if (!directory_same_region(&c->dir, n) ||
+		    (n->watches && !to_watchers) ||
+		    !strcmp(n->name, c->opts->node) ||
+		    !directory_node_alive(&c->dir, n, c->now_ns))
+			continue;
+		if (!a)
+			a = mesh_send_all(c, changes_message(c, from, e));
+		mesh_add_target(a, n);
+	}
 }
 
 static bool is_recent(const struct mesh_ctx *c, uint64_t at_ns)
--- a/core/session.c
+++ b/core/session.c
@@ -2,6 +2,7 @@
 
 #include <string.h>
 
+#include "core/keymap_delta.h"
 #include "core/mem.h"
 #include "core/relay.h"
 
@@ -622,6 +623,39 @@
 	}
 }
 
+/*
+ * Completes the keymaps of which @records has deltas, and drops those that are
+ * known already. False if one is a delta to a keymap that this node lacks.
+ */
+static bool complete_keymaps(struct mesh_ctx *c, struct list *records)
+{
+	struct record *r, *tmp;
+
+	list_for_each_entry_safe(r, tmp, records, link) {
+		const struct dir_keymap *k;
+		struct keymap *whole;
+
+		if (r->kind != RECORD_KEYMAP || !r->keymap_base)
+			continue;
+		k = directory_keymap(&c->dir, r->name);
+		if (k && k->revision >= r->revision) {
+			list_remove(&r->link);
+			record_delete(r);
+			continue;
+		}
+		if (!k || k->revision != directory_order(&c->dir,
+							 r->keymap_base))
+			return false;
+		whole = keymap_delta_apply(k->map, r->u.keymap);
+		if (!whole)
+			return false;
+		keymap_delete(r->u.keymap);
+		r->u.keymap = whole;
+		r->keymap_base = 0;
+	}
+	return true;
+}
+
 void session_on_changes(struct session *s, struct mesh_ctx *c,
 			struct msg_changes *m)
 {
@@ -645,6 +679,10 @@
 		return;
 	list_for_each_entry(r, &m->records, link)
 		r->revision = directory_order(&c->dir, r->revision);
+	if (!complete_keymaps(c, &m->records)) {
+		s->want_changes = true;
+		return;
+	}
 	directory_apply(&c->dir, &m->records, false, to, c->now_ns, c->out);
 }
 
--- a/io/peers.c
+++ b/io/peers.c
@@ -2,6 +2,7 @@
 
 #include <stdlib.h>
 #include <string.h>
+#include <xxhash.h>
 #include <zmq.h>
 
 #include "core/mem.h"
@@ -31,6 +32,7 @@
 #define IDLE_TIMEOUT_NS	    (60 * NS_PER_S)
 #define IDLE_CHECK_S	    10
 #define KEEPALIVE_IDLE_S    60
+#define PEER_BUCKETS	    256
 
 /* A message kept until its node is connected. */
 struct pending_message {
@@ -41,6 +43,8 @@
 
 struct peer {
 	struct list link;
+	struct list in_bucket; /* by its address */
+	struct list waiting;   /* in peers.waiting while it has pending ones */
 	char addr[JD_ADDR_MAX];
 	void *push;
 	uint64_t idle_deadline_ns; /* the socket is closed then */
@@ -57,7 +61,9 @@
 	struct event *read_again; /* at once, after a full batch */
 	struct event *retry;	  /* while messages are pending */
 	struct event *idle_check;
-	struct list list; /* of struct peer */
+	struct list list;		/* of struct peer */
+	struct list buckets[PEER_BUCKETS]; /* of struct peer, by address */
+	struct list waiting;		/* of struct peer */
 	struct peers_stats stats;
 };
 
@@ -103,6 +109,8 @@
 	list_for_each_entry_safe(m, tmp, &peer->pending, link)
 		pending_delete(peer, m);
 	list_remove(&peer->link);
+	list_remove(&peer->in_bucket);
+	list_remove(&peer->waiting);
 	zmq_close(peer->push);
 	free(peer);
 	p->stats.open--;
@@ -147,15 +155,17 @@
 {
 	struct peers *p = arg;
 	uint64_t now = clock_now_ns();
-	struct peer *peer;
+	struct peer *peer, *tmp;
 
 	(void)fd;
 	(void)what;
-	list_for_each_entry(peer, &p->list, link) {
+	list_for_each_entry_safe(peer, tmp, &p->waiting, waiting) {
 		flush_pending(p, peer, now);
-		if (!list_empty(&peer->pending))
-			arm_retry(p);
+		if (list_empty(&peer->pending))
+			list_remove(&peer->waiting);
 	}
+	if (!list_empty(&p->waiting))
+		arm_retry(p);
 }
 
 static void on_idle_check(evutil_socket_t fd, short what, void *arg)
@@ -201,6 +211,9 @@
 
 	p->opts = *o;
 	list_init(&p->list);
+	list_init(&p->waiting);
+	for (int i = 0; i < PEER_BUCKETS; i++)
+		list_init(&p->buckets[i]);
 	p->zmq = zmq_ctx_new();
 	zmq_ctx_set(p->zmq, ZMQ_MAX_SOCKETS, SOCKETS_MAX);
 	p->auth = peer_auth_new(o->base, p->zmq, &o->keys);
@@ -231,6 +244,11 @@
 	free(p);
 }
 
+static struct list *bucket_of(struct peers *p, const char *addr)
+{
+	return &p->buckets[XXH32(addr, strlen(addr), 0) % PEER_BUCKETS];
+}
+
 static struct peer *peer_new(struct peers *p, const char *addr)
 {
 	struct peer *peer = mem_new(struct peer);
@@ -245,6 +263,8 @@
 	text_format(url, sizeof(url), "tcp://%s", addr);
 	zmq_connect(peer->push, url);
 	list_push_back(&p->list, &peer->link);
+	list_push_back(bucket_of(p, addr), &peer->in_bucket);
+	list_init(&peer->waiting);
 	p->stats.open++;
 	return peer;
 }
@@ -258,7 +278,7 @@
 	struct sockaddr_in sin;
 	struct peer *peer;
 
-	list_for_each_entry(peer, &p->list, link)
+	list_for_each_entry(peer, bucket_of(p, addr), in_bucket)
 		if (!strcmp(peer->addr, addr))
 			return peer;
 	if (addr_to_sockaddr(addr, &sin))
@@ -283,6 +303,8 @@
 	zmq_msg_move(&m->msg, msg);
 	peer->pending_bytes += len;
 	list_push_back(&peer->pending, &m->link);
+	if (list_empty(&peer->waiting))
+		list_push_back(&p->waiting, &peer->waiting);
 	arm_retry(p);
 	return true;
 }
@@ -327,6 +349,31 @@
 	return ok;
 }
 
+void peers_send_all(struct peers *p, const struct list *to,
+		    const struct message *m)
+{
+	uint64_t now = clock_now_ns();
+	const struct send_target *t;
+	zmq_msg_t msg;
+
+	encode(m, true, &msg);
+	list_for_each_entry(t, to, link) {
+		struct peer *peer = peer_find_or_add(p, t->addr);
+		zmq_msg_t copy;
+
+		if (!peer)
+			continue;
+		peer->idle_deadline_ns = now + IDLE_TIMEOUT_NS;
+		zmq_msg_init(&copy);
+		zmq_msg_copy(&copy, &msg);
+		if (!send_now(p, peer, &copy) &&
+		    !keep_pending(p, peer, &copy, now))
+			p->stats.dropped++;
+		zmq_msg_close(&copy);
+	}
+	zmq_msg_close(&msg);
+}
+
 /* NULL for bytes that are not a valid message. */
 static struct message *decode(zmq_msg_t *msg)
 {
--- a/io/peers.h
+++ b/io/peers.h
@@ -7,6 +7,7 @@
 
 #include <event2/event.h>
 
+#include "core/mesh_io.h"
 #include "core/message.h"
 #include "core/status.h"
 #include "io/peer_auth.h"
@@ -49,6 +50,13 @@
 bool peers_send(struct peers *p, const char *addr, const struct message *m,
 		bool compress);
 
+/**
+ * Sends @m, which the caller keeps, compressed to each of @to. It is encoded
+ * once. A node that is not connected gets it if it is soon, or not at all.
+ */
+void peers_send_all(struct peers *p, const struct list *to,
+		    const struct message *m);
+
 /**
  * Delivers the messages that have come in. Also called after each iteration
  * of the loop, as the descriptor is edge-triggered.
--- a/tests/mesh_sim.hpp
+++ b/tests/mesh_sim.hpp
@@ -20,6 +20,7 @@
 #include "core/mem.h"
 #include "core/mesh.h"
 #include "core/text.h"
+#include "wire/codec.h"
 }
 
 static const uint64_t SIM_MS = NS_PER_MS;
@@ -76,6 +77,22 @@
 	uint64_t manifest_link_ns = 0;
 	bool copies = false;	     /* the store keeps copies, for restore() */
 	uint64_t store_delay_ns = 0; /* of each answer */
+	/* Calls a second that the store takes; 0: any number. */
+	int store_writes_per_s = 0;
+	int store_reads_per_s = 0;
+	int keyed = -1; /* nodes with the keyed service; -1: every other one */
+	int regions = 1;
+	int dcs = 3;
+	uint64_t start_spread_ns = 0; /* the processes start within it */
+	uint64_t check_interval_ns = 2 * SIM_MS; /* of the holders of keys */
+	/*
+	 * Time of a node's loop for each event, for each message that it sends,
+	 * and for each copy of one that it has encoded before. While a loop is
+	 * busy its events wait.
+	 */
+	uint64_t event_ns = 0;
+	uint64_t send_ns = 0;
+	uint64_t send_copy_ns = 0;
 };
 
 struct Upstream {
@@ -129,6 +146,7 @@
 		uint64_t store_era = 0; /* the newest that its client saw */
 		uint64_t version = 0;	/* of its manifest, the highest */
 		std::map<uint64_t, uint64_t> calls; /* call -> run number */
+		uint64_t busy_until_ns = 0;	    /* of its loop */
 	};
 	struct Watch {
 		int node;
@@ -178,11 +196,12 @@
 		upstreams.resize(opts.nodes);
 		put_manifest(1);
 		for (int i = 0; i < opts.nodes; i++) {
-			upstreams[i].keyed = i % 2;
+			upstreams[i].keyed = is_keyed(i);
 			upstreams[i].clock_rate =
 				1 + opts.clock_drift_max * random_unit();
 			start_upstream(i);
-			start_process(i);
+			node_of[name(i)] = i;
+			schedule_start(i);
 			schedule(now + SIM_ANNOUNCE_INTERVAL_NS / 4 +
 					 random_below(SIM_ANNOUNCE_INTERVAL_NS),
 				 [this, i] { announcement_loop(i); });
@@ -220,6 +239,22 @@
 	{
 		return "node-" + std::to_string(i);
 	}
+	bool is_keyed(int i) const
+	{
+		if (opts.keyed < 0)
+			return i % 2;
+		return i * opts.keyed / opts.nodes !=
+		       (i + 1) * opts.keyed / opts.nodes;
+	}
+	void schedule_start(int i)
+	{
+		if (!opts.start_spread_ns)
+			start_process(i);
+		else
+			schedule(now + random_below(opts.start_spread_ns),
+				 [this, i] { start_process(i); });
+	}
+	std::map<std::string, int> node_of;
 
 	void run_for(uint64_t ns)
 	{
@@ -234,7 +269,7 @@
 			queue.erase(it);
 			fn();
 			if (now >= next_check) {
-				next_check = now + 2 * SIM_MS;
+				next_check = now + opts.check_interval_ns;
 				check_holders();
 			}
 		}
@@ -657,6 +692,32 @@
 		}
 	}
 
+	uint64_t store_calls = 0;
+	uint64_t store_refusals = 0; /* of calls beyond the rate */
+	uint64_t rate_window_ns = 0;
+	int window_writes = 0;
+	int window_reads = 0;
+
+	/* Calls are counted by tenths of a second. */
+	bool over_rate(const struct act_store_call &a)
+	{
+		bool is_write = a.kind == CALL_WRITE ||
+				a.kind == CALL_LEASE_NEW ||
+				a.kind == CALL_LEASE_END;
+		int limit = is_write ? opts.store_writes_per_s
+				     : opts.store_reads_per_s;
+		int &count = is_write ? window_writes : window_reads;
+
+		if (now >= rate_window_ns + 100 * SIM_MS) {
+			rate_window_ns = now;
+			window_writes = window_reads = 0;
+		}
+		if (!limit || ++count <= limit / 10)
+			return false;
+		store_refusals++;
+		return true;
+	}
+
 	void store_call(int node, struct act_store_call *a)
 	{
 		auto puts = std::make_shared<OwnedRecords>();
@@ -667,6 +728,7 @@
 		struct act_store_call call = *a;
 		bool lost = random_unit() < opts.lost_call_share;
 
+		store_calls++;
 		list_init(&e.records);
 		puts->take_from(&a->puts);
 		e.op = a->op;
@@ -687,7 +749,8 @@
 				 });
 			answer_store_call(node, boot, e, deadline);
 			return;
-		} else if (procs[node].store_refuses_until_ns > now) {
+		} else if (procs[node].store_refuses_until_ns > now ||
+			   over_rate(call)) {
 			e.end = STORE_REFUSED;
 			e.era = era;
 			answer_store_call(node, boot, e, 4 * SIM_MS);
@@ -774,15 +837,19 @@
 		struct mesh_opts mo = {};
 
 		mem_copy_str(mo.node, name(i).c_str(), sizeof(mo.node));
-		text_format(mo.dc, sizeof(mo.dc), "dc-%d", i % 3);
-		mem_copy_str(mo.region, "r", sizeof(mo.region));
+		text_format(mo.dc, sizeof(mo.dc), "dc-%d", i % opts.dcs);
+		if (opts.regions == 1)
+			mem_copy_str(mo.region, "r", sizeof(mo.region));
+		else
+			text_format(mo.region, sizeof(mo.region), "r-%d",
+				    i % opts.dcs % opts.regions);
 		mem_copy_str(mo.peer_addr, name(i).c_str(),
 			     sizeof(mo.peer_addr));
 		mem_copy_str(mo.service, upstreams[i].keyed ? "keyed" : "plain",
 			     sizeof(mo.service));
 		mo.boot = ++next_id * 1000 + (uint64_t)i;
 		mo.seed = rng();
-		mo.bootstrap = now == SIM_START_NS;
+		mo.bootstrap = now <= SIM_START_NS + opts.start_spread_ns;
 		mo.lease_ns = opts.lease_ns;
 		mo.hold_max_ns = SIM_HOLD_MAX_NS;
 		mo.announce_interval_ns = SIM_ANNOUNCE_INTERVAL_NS;
@@ -838,9 +905,89 @@
 				 });
 			return;
 		}
+		if (opts.event_ns && procs[i].busy_until_ns > now) {
+			auto queued = std::make_shared<QueuedEvent>(ev);
+
+			/* Behind the events that wait already. */
+			schedule(procs[i].busy_until_ns,
+				 [this, i, boot, queued] {
+					 struct mesh_event later;
+
+					 if (procs[i].boot != boot)
+						 return;
+					 queued->move_to(later);
+					 handle(i, later);
+				 });
+			return;
+		}
 		deliver(i, boot, ev);
 	}
 
+	/* An event that waits for its node's loop. */
+	struct QueuedEvent {
+		struct mesh_event ev;
+		bool owned = true;
+
+		explicit QueuedEvent(struct mesh_event &from)
+		{
+			relocate(from, ev);
+		}
+		QueuedEvent(const QueuedEvent &) = delete;
+		QueuedEvent &operator=(const QueuedEvent &) = delete;
+		~QueuedEvent()
+		{
+			if (owned)
+				free_event(&ev);
+		}
+		void move_to(struct mesh_event &to)
+		{
+			owned = false;
+			relocate(ev, to);
+		}
+		static void move_list(struct list &from, struct list &to)
+		{
+			list_init(&to);
+			list_splice_back(&to, &from);
+		}
+		/* The heads of lists in the event have to be at one place. */
+		static void relocate(struct mesh_event &from,
+				     struct mesh_event &to)
+		{
+			to = from;
+			if (from.kind == ME_STORE_END)
+				move_list(from.u.store.records,
+					  to.u.store.records);
+			if (from.kind == ME_ANNOUNCEMENT) {
+				move_list(from.u.announcement.held,
+					  to.u.announcement.held);
+				move_list(from.u.announcement.released,
+					  to.u.announcement.released);
+			}
+		}
+	};
+
+	uint64_t longest_turn_ns = 0; /* of a loop, by the times in opts */
+
+	static int list_size(const struct list *l)
+	{
+		int n = 0;
+
+		for (const struct list *it = l->next; it != l; it = it->next)
+			n++;
+		return n;
+	}
+
+	void note_turn(int i, int sends, int copies_sent)
+	{
+		uint64_t turn_ns = opts.event_ns +
+				   (uint64_t)sends * opts.send_ns +
+				   (uint64_t)copies_sent * opts.send_copy_ns;
+
+		procs[i].busy_until_ns =
+			std::max(procs[i].busy_until_ns, now) + turn_ns;
+		longest_turn_ns = std::max(longest_turn_ns, turn_ns);
+	}
+
 	/* An event kept until its process is no longer frozen. */
 	struct DeferredEvent {
 		struct mesh_event ev;
@@ -904,10 +1051,16 @@
 		mesh_actions_init(&out);
 		ev.now_ns = now;
 		mesh_handle(procs[i].mesh, &ev, &out);
+		int sends = 0, copies_sent = 0;
+
 		while ((a = mesh_actions_pop(&out))) {
+			sends += a->kind == MA_SEND || a->kind == MA_SEND_ALL;
+			if (a->kind == MA_SEND_ALL)
+				copies_sent += list_size(&a->u.send_all.to);
 			perform(i, a);
 			mesh_action_delete(a);
 		}
+		note_turn(i, sends, copies_sent);
 		if (!procs[i].mesh || procs[i].boot != boot)
 			return;
 		check_version(i);
@@ -925,28 +1078,49 @@
 		});
 	}
 
+	/* Takes ownership of @m. */
+	void send(int i, struct message *m, const std::string &to)
+	{
+		auto owned = std::make_shared<OwnedMessage>();
+
+		owned->m = m;
+		if (procs[i].peers_cut_until_ns > now ||
+		    (opts.lost_message_share > 0 &&
+		     random_unit() < opts.lost_message_share))
+			return;
+		schedule(now + (1 + random_below(12)) * SIM_MS,
+			 [this, owned, to] {
+				 struct message *message = owned->m;
+
+				 owned->m = nullptr;
+				 deliver_message(message, to);
+			 });
+	}
+
+	/* Encoded once, as the peers do; each receiver decodes its own. */
+	void send_all(int i, const struct act_send_all *a)
+	{
+		const struct send_target *t;
+		struct wire_buf b;
+		struct status st;
+
+		wire_encode_message(a->message, &b);
+		list_for_each_entry(t, &a->to, link)
+			send(i, wire_decode_message(b.data, b.len, &st),
+			     t->addr);
+		free(b.data);
+	}
+
 	void perform(int i, struct mesh_action *a)
 	{
 		switch (a->kind) {
-		case MA_SEND: {
-			auto owned = std::make_shared<OwnedMessage>();
-			std::string to = a->u.send.addr;
-
-			owned->m = a->u.send.message;
+		case MA_SEND:
+			send(i, a->u.send.message, a->u.send.addr);
 			a->u.send.message = nullptr;
-			if (procs[i].peers_cut_until_ns > now ||
-			    (opts.lost_message_share > 0 &&
-			     random_unit() < opts.lost_message_share))
-				break;
-			schedule(now + (1 + random_below(12)) * SIM_MS,
-				 [this, owned, to] {
-					 struct message *m = owned->m;
-
-					 owned->m = nullptr;
-					 deliver_message(m, to);
-				 });
 			break;
-		}
+		case MA_SEND_ALL:
+			send_all(i, &a->u.send_all);
+			break;
 		case MA_STORE_CALL:
 			store_call(i, &a->u.store);
 			break;
@@ -985,17 +1159,16 @@
 	void deliver_message(struct message *m, const std::string &to)
 	{
 		struct mesh_event ev = {};
+		auto it = node_of.find(to);
 
-		for (int i = 0; i < opts.nodes; i++) {
-			if (name(i) != to || !procs[i].mesh ||
-			    procs[i].peers_cut_until_ns > now)
-				continue;
-			ev.kind = ME_MESSAGE;
-			ev.u.message = m;
-			handle(i, ev);
+		if (it == node_of.end() || !procs[it->second].mesh ||
+		    procs[it->second].peers_cut_until_ns > now) {
+			message_delete(m);
 			return;
 		}
-		message_delete(m);
+		ev.kind = ME_MESSAGE;
+		ev.u.message = m;
+		handle(it->second, ev);
 	}
 
 	/* ---- upstreams ---- */
@@ -1013,7 +1186,8 @@
 		u.released.clear();
 		u.running.clear();
 		u.held_until_ns = 0;
-		u.fences.assign(KEYMAP_KEYS, 0);
+		if (u.keyed)
+			u.fences.assign(KEYMAP_KEYS, 0);
 	}
 
 	void crash_upstream(int i)
@@ -1037,7 +1211,7 @@
 			 [this, i] { announcement_loop(i); });
 	}
 
-	uint64_t announcement_sent_ns[64] = {};
+	std::map<int, uint64_t> announcement_sent_ns;
 
 	void send_announcement(int i)
 	{
@@ -1108,14 +1282,8 @@
 		}
 		u.held_until_ns = announcement_sent_ns[i] +
 				  (uint64_t)((double)a->hold_ns * u.clock_rate);
-		for (auto &h : before) {
-			if (u.holds.count(h.first))
-				continue;
-			u.released.push_back(
-				{{h.first, h.second.to},
-				 "token-" + std::to_string(h.second.fence)});
-			gave_up = true;
-		}
+		for (auto &h : before)
+			gave_up |= release_rest(u, h.first, h.second);
 		if (gave_up)
 			schedule(now + 80 * SIM_MS, [this, i] {
 				if (upstreams[i].up)
@@ -1123,6 +1291,32 @@
 			});
 	}
 
+	/* Releases the keys of @had that no row holds any more. */
+	static bool release_rest(Upstream &u, uint32_t from,
+				 const Upstream::Row &had)
+	{
+		std::string token = "token-" + std::to_string(had.fence);
+		bool any = false;
+		uint32_t next = from;
+
+		while (next <= had.to) {
+			auto it = u.holds.upper_bound(next);
+			uint32_t end = had.to;
+
+			if (it != u.holds.end() && it->first <= end)
+				end = it->first - 1;
+			if (it != u.holds.begin() &&
+			    std::prev(it)->second.to >= next) {
+				next = std::prev(it)->second.to + 1;
+				continue;
+			}
+			u.released.push_back({{next, end}, token});
+			any = true;
+			next = end + 1;
+		}
+		return any;
+	}
+
 	/* A row whose fence is below one that was seen is not accepted. */
 	static bool accepts(Upstream &u, const struct held_row *r)
 	{
@@ -1296,29 +1490,35 @@
 		}
 	}
 
+	/* Row by row, from the lowest key on. */
 	void check_holders()
 	{
+		struct Held {
+			uint32_t from, to;
+			int node;
+		};
+		std::vector<Held> all;
+
 		for (int i = 0; i < opts.nodes; i++) {
 			expire(upstreams[i]);
-			for (int j = 0; j < i; j++)
-				check_pair(i, j);
+			if (!upstreams[i].up)
+				continue;
+			for (auto &h : upstreams[i].holds)
+				all.push_back({h.first, h.second.to, i});
 		}
-	}
-
-	void check_pair(int i, int j)
-	{
-		if (!upstreams[i].up || !upstreams[j].up)
+		std::sort(all.begin(), all.end(),
+			  [](const Held &a, const Held &b) {
+				  return a.from < b.from;
+			  });
+		for (size_t i = 1; i < all.size(); i++) {
+			if (all[i - 1].to < all[i].from)
+				continue;
+			add_violation("two holders of key " +
+				      std::to_string(all[i].from) + ": " +
+				      name(all[i - 1].node) + " and " +
+				      name(all[i].node));
 			return;
-		for (auto &a : upstreams[i].holds)
-			for (auto &b : upstreams[j].holds)
-				if (a.first <= b.second.to &&
-				    b.first <= a.second.to) {
-					add_violation("two holders of key " +
-						      std::to_string(a.first) +
-						      ": " + name(i) + " and " +
-						      name(j));
-					return;
-				}
+		}
 	}
 
 	uint32_t unheld_keys()
--- a/tests/relay_test.cpp
+++ b/tests/relay_test.cpp
@@ -10,6 +10,30 @@
 #include "core/relay.h"
 }
 
+/* The message that an action sends; NULL: it sends none. */
+static struct message **sent_message(struct mesh_action *a)
+{
+	if (a->kind == MA_SEND)
+		return &a->u.send.message;
+	return a->kind == MA_SEND_ALL ? &a->u.send_all.message : nullptr;
+}
+
+/* To how many nodes an action sends changes. */
+static int changes_sent(struct mesh_action *a)
+{
+	struct message **m = sent_message(a);
+	int n = 0;
+
+	if (!m || (*m)->kind != MSG_CHANGES)
+		return 0;
+	if (a->kind == MA_SEND)
+		return 1;
+	for (struct list *it = a->u.send_all.to.next;
+	     it != &a->u.send_all.to; it = it->next)
+		n++;
+	return n;
+}
+
 /* A region as one of its nodes sees it; all nodes are live. */
 struct RelayTest : public ::testing::Test {
 	struct mesh_opts opts = {};
@@ -124,14 +148,91 @@
 	e.revision = 51;
 	relay_forward_changes(&c, 50, &e);
 	while ((a = mesh_actions_pop(&out))) {
-		sent += a->kind == MA_SEND &&
-			a->u.send.message->kind == MSG_CHANGES;
+		sent += changes_sent(a);
 		mesh_action_delete(a);
 	}
 	EXPECT_EQ(sent, 18);
 	records_delete(&e.records);
 }
 
+/*
+ * Guards against a keymap of all nodes' rows that a watcher encodes and sends
+ * to each node of its region whenever one row changes its owner.
+ */
+TEST_F(RelayTest, AChangedKeymapIsForwardedAsOneDelta)
+{
+	struct ev_store_end e = {};
+	struct keymap *before = keymap_new("s");
+	struct record *r;
+	struct mesh_action *a;
+	struct list records;
+	struct message *sent = nullptr;
+	int actions = 0;
+
+	add_nodes(20, 0);
+	for (uint32_t i = 0; i < 1024; i++)
+		keymap_append_row(before, i * 64, i * 64 + 63);
+	list_init(&records);
+	r = record_new(RECORD_KEYMAP, "s");
+	r->revision = 45;
+	r->u.keymap = keymap_copy(before);
+	list_push_back(&records, &r->link);
+	directory_apply(&c.dir, &records, false, 50, c.now_ns, &out);
+	records_delete(&records);
+	list_init(&e.records);
+	for (revision_t revision : {51, 52}) {
+		r = record_new(RECORD_KEYMAP, "s");
+		r->revision = revision;
+		keymap_move(before, keymap_find(before, 640),
+			    &node(3)->card.upstream, "");
+		r->u.keymap = keymap_copy(before);
+		list_push_back(&e.records, &r->link);
+	}
+	e.revision = 52;
+	relay_forward_changes(&c, 50, &e);
+	while ((a = mesh_actions_pop(&out))) {
+		actions += changes_sent(a) > 0;
+		if (a->kind == MA_SEND_ALL) {
+			sent = a->u.send_all.message;
+			a->u.send_all.message = nullptr;
+		}
+		mesh_action_delete(a);
+	}
+	EXPECT_EQ(actions, 1);
+	ASSERT_NE(sent, nullptr);
+	r = list_entry(sent->u.changes.records.next, struct record, link);
+	EXPECT_EQ(r->revision, 52u);
+	EXPECT_EQ(r->keymap_base, 45u);
+	EXPECT_EQ(r->u.keymap->rows.next, r->u.keymap->rows.prev);
+	/* A node with the same keymap gets the new one by it. */
+	session_on_changes(&session, &c, &sent->u.changes);
+	EXPECT_EQ(c.dir.revision, 52u);
+	EXPECT_EQ(keymap_find(directory_keymap(&c.dir, "s")->map, 640)->fence,
+		  2u);
+	message_delete(sent);
+	records_delete(&e.records);
+	keymap_delete(before);
+}
+
+/* It asks the store for the changes instead of passing over some. */
+TEST_F(RelayTest, ADeltaToAnUnknownKeymapIsNotApplied)
+{
+	struct message *m = changes(50, 70);
+	struct record *r = record_new(RECORD_KEYMAP, "s");
+
+	add_nodes(20, 7);
+	r->revision = 70;
+	r->keymap_base = 60;
+	r->u.keymap = keymap_new("s");
+	keymap_append_row(r->u.keymap, 0, 63);
+	list_push_back(&m->u.changes.records, &r->link);
+	session_on_changes(&session, &c, &m->u.changes);
+	EXPECT_EQ(c.dir.revision, 50u);
+	EXPECT_EQ(directory_keymap(&c.dir, "s"), nullptr);
+	EXPECT_TRUE(session.want_changes);
+	message_delete(m);
+}
+
 TEST_F(RelayTest, ChangesAreAppliedOnlyWithoutAGap)
 {
 	struct message *m = changes(60, 70);
@@ -320,10 +421,11 @@
 		struct mesh_action *a;
 
 		while ((a = mesh_actions_pop(&out))) {
-			if (!found && a->kind == MA_SEND &&
-			    a->u.send.message->kind == MSG_CHANGES) {
-				found = a->u.send.message;
-				a->u.send.message = nullptr;
+			struct message **m = sent_message(a);
+
+			if (!found && m && (*m)->kind == MSG_CHANGES) {
+				found = *m;
+				*m = nullptr;
 			}
 			mesh_action_delete(a);
 		}
@@ -552,8 +654,7 @@
 		relay_forward_changes(&c, 50, &e);
 		records_delete(&e.records);
 		while ((a = mesh_actions_pop(&out))) {
-			sent += a->kind == MA_SEND &&
-				a->u.send.message->kind == MSG_CHANGES;
+			sent += changes_sent(a);
 			mesh_action_delete(a);
 		}
 		EXPECT_EQ(sent, own == 0 ? 5 : 0) << own;
--- a/wire/mesh_codec.c
+++ b/wire/mesh_codec.c
@@ -2,13 +2,17 @@
 
 #include <stdlib.h>
 #include <string.h>
+#include <xxhash.h>
 
+#include "core/keymap_delta.h"
 #include "core/mem.h"
 #include "wire/manifest_codec.h"
 #include "wire/pack.h"
 
 /* Limit of distinct holders in a keymap; keymaps with more are rejected. */
 #define HOLDERS_MAX    4096
+/* Of the index of a keymap's holders. */
+#define HOLDER_BUCKETS 512
 /* Several times what a card has; other builds may add fields. */
 #define CARD_MAX_BYTES 4096
 /* A keymap with a higher fence is rejected: the next ones could wrap. */
@@ -85,49 +89,93 @@
 	return ok;
 }
 
-/* Index of @id in @ids, to which a missing one is appended. */
-static uint32_t holder_index(const struct holder_id **ids, uint32_t *count,
-			     const struct holder_id *id)
+/* An owner in a keymap that is being encoded. */
+struct packed_holder {
+	struct list link;
+	struct list in_bucket;
+	const struct holder_id *id;
+	uint32_t index; /* in the keymap's list of holders */
+};
+
+/* The owners of a keymap, in the order of their first rows. */
+struct holder_index {
+	struct list all; /* of struct packed_holder */
+	struct list buckets[HOLDER_BUCKETS];
+	uint32_t count;
+};
+
+static void holder_index_init(struct holder_index *x)
+{
+	list_init(&x->all);
+	for (int i = 0; i < HOLDER_BUCKETS; i++)
+		list_init(&x->buckets[i]);
+	x->count = 0;
+}
+
+static void holder_index_done(struct holder_index *x)
+{
+	struct packed_holder *h, *tmp;
+
+	list_for_each_entry_safe(h, tmp, &x->all, link)
+		free(h);
+}
+
+/* Adds @id if it is new. */
+static uint32_t holder_index_of(struct holder_index *x,
+				const struct holder_id *id)
+{
+	uint32_t hash = XXH32(id->node, strlen(id->node), (uint32_t)id->born);
+	struct list *bucket = &x->buckets[hash % HOLDER_BUCKETS];
+	struct packed_holder *h;
+
+	list_for_each_entry(h, bucket, in_bucket)
+		if (holder_equal(h->id, id))
+			return h->index;
+	h = mem_new(struct packed_holder);
+	h->id = id;
+	h->index = x->count++;
+	list_push_back(&x->all, &h->link);
+	list_push_back(bucket, &h->in_bucket);
+	return h->index;
+}
+
+static void pack_row(msgpack_packer *pk, const struct keyrow *r, uint32_t owner)
 {
-	for (uint32_t i = 0; i < *count; i++)
-		if (holder_equal(ids[i], id))
-			return i;
-	ids[*count] = id;
-	return (*count)++;
+	struct packed_row p = {.from = r->from,
+			       .to = r->to,
+			       .fence = r->fence,
+			       .owner = owner};
+
+	mem_copy_str(p.handover, r->handover, sizeof(p.handover));
+	mem_copy_str(p.target, r->target, sizeof(p.target));
+	pack_struct(pk, &p, &row_table);
 }
 
 void mesh_encode_keymap(const struct keymap *map, struct wire_buf *out)
 {
-	const struct holder_id **ids;
+	struct holder_index x;
+	const struct packed_holder *h;
 	const struct keyrow *r;
-	uint32_t count = 0;
 	size_t rows = 0;
 	msgpack_sbuffer sb;
 	msgpack_packer pk;
 
-	list_for_each_entry(r, &map->rows, link)
+	holder_index_init(&x);
+	list_for_each_entry(r, &map->rows, link) {
 		rows++;
-	ids = mem_zalloc(rows + 1, sizeof(struct holder_id *));
-	list_for_each_entry(r, &map->rows, link)
-		holder_index(ids, &count, &r->owner);
+		holder_index_of(&x, &r->owner);
+	}
 	msgpack_sbuffer_init(&sb);
 	msgpack_packer_init(&pk, &sb, msgpack_sbuffer_write);
 	msgpack_pack_array(&pk, 3);
 	msgpack_pack_uint64(&pk, map->fence);
-	msgpack_pack_array(&pk, count);
-	for (uint32_t i = 0; i < count; i++)
-		pack_struct(&pk, ids[i], &holder_table);
+	msgpack_pack_array(&pk, x.count);
+	list_for_each_entry(h, &x.all, link)
+		pack_struct(&pk, h->id, &holder_table);
 	msgpack_pack_array(&pk, rows);
-	list_for_each_entry(r, &map->rows, link) {
-		struct packed_row p = {
-			.from = r->from, .to = r->to, .fence = r->fence};
-
-		p.owner = holder_index(ids, &count, &r->owner);
-		mem_copy_str(p.handover, r->handover, sizeof(p.handover));
-		mem_copy_str(p.target, r->target, sizeof(p.target));
-		pack_struct(&pk, &p, &row_table);
-	}
-	free(ids);
+	list_for_each_entry(r, &map->rows, link)
+		pack_row(&pk, r, holder_index_of(&x, &r->owner));
+	holder_index_done(&x);
 	release_buffer(&sb, out);
 }
 
@@ -148,7 +196,7 @@
 		mem_copy_str(r->handover, p.handover, sizeof(r->handover));
 		mem_copy_str(r->target, p.target, sizeof(r->target));
 	}
-	return keymap_valid(map);
+	return true;
 }
 
 static bool unpack_keymap(const msgpack_object *o, struct keymap *map)
@@ -173,7 +221,8 @@
 	return ok;
 }
 
-struct keymap *mesh_decode_keymap(const char *service, const void *data,
+/* NULL for bytes that are no rows of a keymap, which may have gaps. */
+static struct keymap *decode_rows(const char *service, const void *data,
 				  size_t len)
 {
 	struct keymap *map = keymap_new(service);
@@ -182,7 +231,7 @@
 
 	msgpack_unpacked_init(&u);
 	ok = len <= WIRE_MAX_BYTES && unpack_bytes(&u, data, len) &&
-	     unpack_keymap(&u.data, map);
+	     unpack_keymap(&u.data, map) && keymap_delta_valid(map);
 	msgpack_unpacked_destroy(&u);
 	if (ok)
 		return map;
@@ -190,6 +239,17 @@
 	return NULL;
 }
 
+struct keymap *mesh_decode_keymap(const char *service, const void *data,
+				  size_t len)
+{
+	struct keymap *map = decode_rows(service, data, len);
+
+	if (!map || keymap_valid(map))
+		return map;
+	keymap_delete(map);
+	return NULL;
+}
+
 static const struct pack_field record_fields[] = {
 	PACK_ENUM_OF(struct record, kind, RECORD_KIND_COUNT),
 	PACK_STR_OF(struct record, name),
@@ -197,9 +257,11 @@
 	PACK_BOOL_OF(struct record, removed),
 	PACK_BOOL_OF(struct record, invalid),
 	PACK_ERA_OF(struct record, revision),
+	PACK_NUMBER_OF(struct record, keymap_base),
+	PACK_ERA_OF(struct record, keymap_base),
 };
 static const struct pack_table record_table =
-	PACK_TABLE_WITH_OPTIONAL(record_fields, 1);
+	PACK_TABLE_WITH_OPTIONAL(record_fields, 3);
 
 static bool has_content(const struct record *r)
 {
@@ -261,8 +323,12 @@
 	if (r->kind == RECORD_CARD)
 		return mesh_decode_card(o->via.bin.ptr, o->via.bin.size,
 					&r->u.card);
-	r->u.keymap =
-		mesh_decode_keymap(r->name, o->via.bin.ptr, o->via.bin.size);
+	if (r->keymap_base)
+		r->u.keymap =
+			decode_rows(r->name, o->via.bin.ptr, o->via.bin.size);
+	else
+		r->u.keymap = mesh_decode_keymap(r->name, o->via.bin.ptr,
+						 o->via.bin.size);
 	return r->u.keymap != NULL;
 }
 
@@ -283,6 +349,7 @@
 		r->revision = header.revision;
 		r->removed = header.removed;
 		r->invalid = header.invalid;
+		r->keymap_base = header.keymap_base;
 		list_push_back(records, &r->link);
 		if (!unpack_content(unpack_at(it, 1), r))
 			return false;
