Reports are spread over time; a silent watcher is replaced in 2.2 s

Cause: each round of load reports sent one to every node in a single turn of the loop (194 at 195 nodes). A lost data centre with the first names left its region without a watcher until the fleet's silence limit, 10 s at 200 nodes: its keys were held again 4.6 s after the last card had ended (simulated; 3.9 s at 300 nodes). Writes of keymaps were repeated on a revision that was known to be outdated.

Change: nodes are queued for their next report, few a turn; watchers keep their 0.9 s to each node of the region, and one silent for 2.2 s counts no more. After a conflict the next write waits for the newer keymap.

--- a/core/directory.c
+++ b/core/directory.c
@@ -48,6 +48,9 @@
 		list_init(&d->by_name[i]);
 		list_init(&d->by_boot[i]);
 	}
+	list_init(&d->report_new);
+	list_init(&d->report_near);
+	list_init(&d->report_far);
 	list_init(&d->keymaps);
 	list_init(&d->evacuated);
 }
@@ -295,6 +298,7 @@
 	list_push_back(&d->nodes, &n->link);
 	list_push_back(&d->by_name[n->name_hash % DIR_BUCKETS], &n->by_name);
 	list_init(&n->by_boot);
+	list_push_back(&d->report_new, &n->in_reports);
 	return n;
 }
 
@@ -303,6 +307,7 @@
 	list_remove(&n->link);
 	list_remove(&n->by_name);
 	list_remove(&n->by_boot);
+	list_remove(&n->in_reports);
 	free(n);
 }
 
--- a/core/directory.h
+++ b/core/directory.h
@@ -66,6 +66,9 @@
 	 */
 	uint64_t watched_ns;
 	uint64_t reported_ns; /* our last load report to it */
+	struct list in_reports; /* in a queue of directory, see core/reports.h
+				 */
+	uint64_t queued_ns;	/* when it went to the end of that queue */
 	/* Of its process, by report or else by card: directory_set_boot(). */
 	uint64_t boot;
 	bool leaving;	      /* that process ends soon */
@@ -118,9 +121,13 @@
 	struct list evacuated;	   /* of struct dir_evacuation */
 	char region[JD_NAME_MAX];  /* of this node */
 	bool urgent_reports; /* some node's probe_due or reply_due is set */
-	uint64_t report_interval_ns; /* between two rounds of load reports */
-	/* Rounds between two load reports to nodes of other regions. */
+	uint64_t report_interval_ns; /* between two load reports to a node */
+	/* Such intervals between two load reports to one of another region. */
 	uint32_t far_report_rounds;
+	/* Of struct dir_node.in_reports, in the order of their next report. */
+	struct list report_new;	 /* that have got none yet */
+	struct list report_near; /* of this region */
+	struct list report_far;
 	uint64_t apply_count; /* incremented whenever records are applied */
 };
 
--- a/core/holder.c
+++ b/core/holder.c
@@ -17,6 +17,8 @@
 #define ANNOUNCEMENT_TRANSIT_NS	   (100 * NS_PER_MS)
 #define WRITE_RETRY_NS		   (150 * NS_PER_MS)
 #define MOVE_CHECK_NS		   (20 * NS_PER_MS)
+/* A newer keymap than the one of a write that conflicted comes within this. */
+#define OUTDATED_MAX_NS		   NS_PER_S
 #define PROBE_INTERVAL_NS	   (300 * NS_PER_MS)
 /* Missed announcements after which the upstream's address is probed. */
 #define PROBE_AFTER_ANNOUNCEMENTS  2
@@ -610,6 +612,10 @@
 		return false;
 	h->write_op = 0;
 	h->next_write_ns = c->now_ns;
+	if (e->end == STORE_CONFLICT) {
+		h->outdated = h->write_revision;
+		h->outdated_until_ns = c->now_ns + OUTDATED_MAX_NS;
+	}
 	/* At random, as all owners may write the keymap when an era settles. */
 	if (e->end != STORE_DONE)
 		h->next_write_ns +=
@@ -645,6 +651,9 @@
 	}
 	if (h->write_uncertain && c->now_ns < h->write_wait_until_ns)
 		return;
+	/* Another write on the same condition would conflict again. */
+	if (k->revision == h->outdated && c->now_ns < h->outdated_until_ns)
+		return;
 	/*
 	 * After a write with an unknown result, another write is made even
 	 * without a change: it raises the revision, so that the earlier one
--- a/core/holder.h
+++ b/core/holder.h
@@ -61,6 +61,9 @@
 	uint64_t write_wait_until_ns; /* a write not seen by then is repeated */
 	revision_t write_revision;    /* of the keymap that the write changed */
 	bool write_uncertain; /* it may take effect until the keymap changes */
+	/* The keymap that a write found outdated, until it is known. */
+	revision_t outdated;
+	uint64_t outdated_until_ns;
 	uint64_t moved_keys;
 };
 
--- a/core/relay.c
+++ b/core/relay.c
@@ -11,6 +11,11 @@
 #define MANIFEST_EVIDENCE_NS	  (2 * NS_PER_S)
 /* Sending a whole manifest takes processor time that requests need, too. */
 #define MANIFEST_SEND_INTERVAL_NS (100 * NS_PER_MS)
+/*
+ * A watcher that has sent nothing for this long is replaced. It reports to each
+ * node of its region within 0.9 s, however large the fleet is.
+ */
+#define WATCHER_SILENT_NS	  (2200 * NS_PER_MS)
 /* In a smaller region all nodes watch: relaying would save few calls. */
 #define RELAY_NODES_MIN		  8
 
@@ -39,6 +44,7 @@
 
 	list_for_each_entry(n, &c->dir.nodes, link)
 		before += n->watches && is_live_in_region(c, n) &&
+			  c->now_ns < n->heard_ns + WATCHER_SILENT_NS &&
 			  strcmp(n->name, c->opts->node) < 0;
 	return before < WATCHERS_PER_REGION;
 }
--- a/core/reports.h
+++ b/core/reports.h
@@ -3,6 +3,10 @@
  * so only nodes that got none lately get a report. Nodes of other regions get
  * reports more rarely. A node that owes an answer and has gone silent gets a
  * probe: a report that asks for one in return.
+ *
+ * The time between two reports to a node grows with the fleet, so that a node
+ * sends the same number a second in a fleet of any size. They are spread over
+ * that time: no turn of the loop sends more than a few.
  */
 #ifndef JD_CORE_REPORTS_H
 #define JD_CORE_REPORTS_H
@@ -10,9 +14,11 @@
 #include "core/gatekeeper.h"
 
 struct reports {
-	uint64_t next_ns;   /* next round */
-	uint64_t rounds;    /* so far */
+	uint64_t next_ns;	 /* next report that is due */
+	uint64_t next_measure_ns; /* of the fleet's size */
+	uint64_t young_until_ns; /* other nodes may not know this process yet */
 	bool reported_open; /* the gate's state last reported to all nodes */
+	uint64_t flush_ns;  /* nodes with an older report get one at once */
 	uint64_t sent;	    /* reports */
 };
 
