Requests without a key are drawn among gates that have room; bodies travel apart

Every entry took the gate of the least cost by reports older than a service time, so all took the same one until its next report, and calls of 400 ms waited on one connection behind bodies of 60 KB.

Ruled out by tests/choice_test: more jitter on the least cost; cost as the weight (fast upstreams got twice their share); the links' delay as part of the cost (all links oscillate: 12 to 26 % of the calls in time beside uploads).

Change: core/choice draws a gate by capacity among those whose delay exceeds the least by one service time at most; a report counts for about a service time, then the mean. Cost of distance counts the request's body too. Forwards, cancels and answers of 8 KB and more use a connection of their own to a node; a gate reports how long forwards wait on their way.

Measured, choice_test: busiest / mean of the work for the speed 1.04 to 1.16 with 7, 65, 195 and 710 entries (least cost: above 1.5), calls in time 99.5 % or more beside uploads on 78 % of the links.

--- a/core/action.h
+++ b/core/action.h
@@ -26,6 +26,7 @@
 struct act_send {
 	char addr[JD_ADDR_MAX];
 	bool same_region; /* of the receiver: sent without compression */
+	bool bulk;	  /* large: apart from small messages */
 	struct message *message;
 };
 
--- a/core/directory.c
+++ b/core/directory.c
@@ -13,6 +13,8 @@
  * apart by some microseconds a second.
  */
 #define CLOCK_WINDOW_NS		(10 * NS_PER_S)
+/* Weight of the newest report in the mean number of requests at a gate. */
+#define BUSY_NEWEST_WEIGHT	0.2
 /* A node without a card that has sent nothing for this time is removed. */
 #define NODE_FORGET_NS		(30 * NS_PER_S)
 
@@ -584,11 +586,21 @@
 	directory_note_manifest(d, n->manifest_revision, now_ns);
 	n->reply_due |= l->wants_report;
 	d->urgent_reports |= l->wants_report;
-	n->load = l->load;
-	n->unreported_requests = 0;
+	directory_note_load(n, &l->load, now_ns);
 	return n;
 }
 
+void directory_note_load(struct dir_node *n, const struct gate_load *load,
+			 uint64_t now_ns)
+{
+	double busy = load->running + load->waiting;
+
+	n->mean_busy += BUSY_NEWEST_WEIGHT * (busy - n->mean_busy);
+	n->load = *load;
+	n->unreported_requests = 0;
+	n->heard_ns = now_ns;
+}
+
 bool directory_same_region(const struct directory *d, const struct dir_node *n)
 {
 	return !strcmp(n->card.region, d->region);
--- a/core/directory.h
+++ b/core/directory.h
@@ -73,7 +73,8 @@
 	uint64_t boot;
 	bool leaving;	      /* that process ends soon */
 	struct peer_clock clock;
-	struct gate_load load;
+	struct gate_load load; /* directory_note_load() */
+	double mean_busy; /* moving average of its requests, by its reports */
 	uint32_t unreported_requests; /* ours to it, not yet in @load */
 	double failure_rate; /* moving average of our requests to it, 0 to 1 */
 	uint64_t avoid_until_ns; /* no requests until then: it refused one */
@@ -215,6 +216,10 @@
 					  const struct msg_load *l,
 					  uint64_t now_ns);
 
+/** Notes the load that a report or an answer of @n states. */
+void directory_note_load(struct dir_node *n, const struct gate_load *load,
+			 uint64_t now_ns);
+
 /** True when @n is in the region of this node. */
 bool directory_same_region(const struct directory *d, const struct dir_node *n);
 
--- a/core/dispatch.c
+++ b/core/dispatch.c
@@ -3,6 +3,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "core/choice.h"
 #include "core/mem.h"
 #include "core/relay.h"
 
@@ -30,15 +31,6 @@
 #define HOLD_SHARE_INTERNAL	 0.7
 /* Any other request waits for this share of its objective. */
 #define HOLD_SHARE_UNKEYED	 0.125
-/*
- * Cost of a gate in another region, as a share of the objective. It grows with
- * the size of the route's answers, as traffic between regions is paid for.
- */
-#define OTHER_REGION_COST_MIN	 0.2
-#define OTHER_REGION_COST_PER_KB 0.1
-#define OTHER_REGION_COST_MAX	 0.8
-/* Cost of another data centre of the region, relative to another region. */
-#define OTHER_DC_COST_SHARE	 0.15
 /* Mean answer size assumed before a route's first answer. */
 #define ANSWER_INITIAL_KB	 2.5
 /* Weight of the newest answer in the mean size. */
@@ -47,10 +39,6 @@
 #define BUDGET_SHARE		 0.7
 /* Weight of the newest outcome in a gate's failure rate. */
 #define FAILURE_NEWEST_WEIGHT	 0.1
-/* A gate's cost is multiplied by 1 plus this times its failure rate. */
-#define FAILURE_COST_FACTOR	 2.0
-/* A gate's service time counts this share longer when all slots are busy. */
-#define BUSY_COST_SHARE		 0.3
 #define RETRY_AFTER_MIN_NS	 (100 * NS_PER_MS)
 /* For requests refused on arrival, and for keys without an owner. */
 #define RETRY_AFTER_DEFAULT_NS	 (400 * NS_PER_MS)
@@ -319,41 +307,6 @@
 			     JD_NODE_NAME_MAX);
 }
 
-/* Cost of another region, as a share of the objective. */
-static double other_region_cost(struct dispatch *d,
-				const struct pending_request *p)
-{
-	double cost = OTHER_REGION_COST_MIN +
-		      OTHER_REGION_COST_PER_KB *
-			      answer_size_for(d, p->route)->mean_kb;
-
-	return cost < OTHER_REGION_COST_MAX ? cost : OTHER_REGION_COST_MAX;
-}
-
-/*
- * Expected time in ns at the gate of @n, plus the cost of its distance;
- * @other_region is from other_region_cost().
- */
-static double cost_ns(const struct mesh_ctx *c, const struct pending_request *p,
-		      const struct dir_node *n, double other_region)
-{
-	double objective_ns = (double)(p->objective_at_ns - p->received_ns);
-	double limit = n->load.limit ? n->load.limit : 1;
-	double busy =
-		n->load.running + n->load.waiting + n->unreported_requests;
-	double service_ns = (double)n->load.service_ns;
-	double queue_ns =
-		busy >= limit ? (busy - limit + 1) * service_ns / limit : 0;
-	double cost =
-		service_ns * (1 + BUSY_COST_SHARE * busy / limit) + queue_ns;
-
-	if (strcmp(n->card.region, c->opts->region) != 0)
-		cost += other_region * objective_ns;
-	else if (strcmp(n->card.dc, c->opts->dc) != 0)
-		cost += OTHER_DC_COST_SHARE * other_region * objective_ns;
-	return cost * (1 + FAILURE_COST_FACTOR * n->failure_rate);
-}
-
 static bool is_eligible(const struct pending_request *p,
 			const struct dir_node *n)
 {
@@ -361,29 +314,37 @@
 	       region_set_allows(&p->regions, n->card.region);
 }
 
-static struct dir_node *pick_cheapest(struct dispatch *d, struct mesh_ctx *c,
-				      const struct pending_request *p)
+static bool may_choose(const struct mesh_ctx *c,
+		       const struct pending_request *p,
+		       const struct dir_node *n)
 {
-	double other_region = other_region_cost(d, p);
-	struct dir_node *best = NULL;
-	struct dir_node *n;
-	double least = 0;
+	return is_eligible(p, n) && !has_tried(p, n->name) &&
+	       directory_usable(&c->dir, n, c->now_ns);
+}
 
-	list_for_each_entry(n, &c->dir.nodes, link) {
-		double cost;
+static struct dir_node *pick_gate(struct dispatch *d, struct mesh_ctx *c,
+				  const struct pending_request *p)
+{
+	struct choice_opts opts = {
+		.region = c->opts->region,
+		.dc = c->opts->dc,
+		.now_ns = c->now_ns,
+		.objective_ns = p->objective_at_ns - p->received_ns,
+		.kb = (double)p->request->payload.body_len / 1024 +
+		      answer_size_for(d, p->route)->mean_kb,
+		.rng = &c->rng,
+	};
+	struct choice ch;
+	struct dir_node *n;
 
-		if (!is_eligible(p, n) || has_tried(p, n->name) ||
-		    !directory_usable(&c->dir, n, c->now_ns))
-			continue;
-		/* Up to 6.3 % of jitter varies the choice. */
-		cost = cost_ns(c, p, n, other_region) *
-		       (1 + (double)rng_below(&c->rng, 64) / 1000);
-		if (best && cost >= least)
-			continue;
-		best = n;
-		least = cost;
-	}
-	return best;
+	choice_init(&ch, &opts);
+	list_for_each_entry(n, &c->dir.nodes, link)
+		if (may_choose(c, p, n))
+			choice_measure(&ch, n);
+	list_for_each_entry(n, &c->dir.nodes, link)
+		if (may_choose(c, p, n))
+			choice_draw(&ch, n);
+	return ch.picked;
 }
 
 static struct dir_node *pick_owner(struct mesh_ctx *c,
@@ -429,6 +390,12 @@
 	return f;
 }
 
+/* True if the request goes apart from small messages to the same node. */
+static bool is_bulk(const struct pending_request *p)
+{
+	return p->request->payload.body_len >= MESH_BULK_BYTES;
+}
+
 static void send_attempt(struct mesh_ctx *c, struct local_gate *g,
 			 struct pending_request *p, struct dir_node *n)
 {
@@ -448,7 +415,7 @@
 		message_delete(m);
 		return;
 	}
-	mesh_send(c, n->boot, n->card.peer_addr, m);
+	mesh_send(c, n->boot, n->card.peer_addr, m)->bulk = is_bulk(p);
 }
 
 static void hold_request(struct dispatch *d, const struct mesh_ctx *c,
@@ -465,7 +432,7 @@
 			  struct local_gate *g, struct pending_request *p)
 {
 	struct dir_node *n =
-		p->keyed ? pick_owner(c, p) : pick_cheapest(d, c, p);
+		p->keyed ? pick_owner(c, p) : pick_gate(d, c, p);
 
 	if (n) {
 		send_attempt(c, g, p, n);
@@ -635,7 +602,9 @@
 		gatekeeper_cancel(g->gate, c, c->opts->boot, &m->u.cancel);
 		message_delete(m);
 	} else if (n) {
-		mesh_send(c, p->gate_boot, n->card.peer_addr, m);
+		/* Behind the request that it cancels. */
+		mesh_send(c, p->gate_boot, n->card.peer_addr, m)->bulk =
+			is_bulk(p);
 	} else {
 		message_delete(m);
 	}
@@ -840,9 +809,7 @@
 		return;
 	n = directory_node(&c->dir, p->gate_node);
 	if (n && from != c->opts->boot) {
-		n->load = a->load;
-		n->unreported_requests = 0;
-		n->heard_ns = c->now_ns;
+		directory_note_load(n, &a->load, c->now_ns);
 	}
 	if (a->internal_route)
 		note_internal_route(d, c, p);
--- a/core/gatekeeper.c
+++ b/core/gatekeeper.c
@@ -9,6 +9,8 @@
 #define MEAN_NEWEST_WEIGHT	    0.05
 /* Mean service time assumed before the first answer. */
 #define SERVICE_TIME_INITIAL_NS	    (200.0 * NS_PER_MS)
+/* Weight of the newest forward in the mean time that they wait on their way. */
+#define TRANSIT_NEWEST_WEIGHT	    0.1
 /* All but a few requests take less than this many mean service times. */
 #define DURATION_MAX_MEANS	    5.0
 /* Largest burst that the rate limit of a cold upstream allows. */
@@ -287,6 +289,9 @@
 	struct gate_attempt *a = attempt_new(g, c, f, from, delay_ns);
 	enum refusal why = attempt_refusal(g, c, h, a);
 
+	if (from != c->opts->boot)
+		g->transit_ns += TRANSIT_NEWEST_WEIGHT *
+				 ((double)delay_ns - g->transit_ns);
 	count_origin(g, c, f);
 	if (why == REFUSAL_NONE && would_be_late(g, c, h, a))
 		why = REFUSAL_QUEUE_FULL;
@@ -457,6 +462,7 @@
 	load->waiting = g->waiting_count;
 	load->limit = slot_limit(h);
 	load->service_ns = (uint64_t)g->mean_ns;
+	load->transit_ms = (uint32_t)(g->transit_ns / (double)NS_PER_MS);
 	load->open = holder_accepts_requests(h, c);
 	load->cold = c->now_ns < h->cold_until_ns;
 	/* Requests that run at once at the cold rate, by Little's law. */
--- a/core/mesh.c
+++ b/core/mesh.c
@@ -146,7 +146,9 @@
 			     &msg->u.answer.load);
 	if (n)
 		n->load_sent_ns = m->ctx.now_ns;
-	mesh_send(&m->ctx, r->from, r->reply_to, msg);
+	mesh_send(&m->ctx, r->from, r->reply_to, msg)->bulk =
+		r->answer.answer &&
+		r->answer.answer->payload.body_len >= MESH_BULK_BYTES;
 }
 
 /*
--- a/core/mesh_ctx.c
+++ b/core/mesh_ctx.c
@@ -6,8 +6,8 @@
 /* Deadline of a store call; the store normally answers within milliseconds. */
 #define STORE_CALL_NS (900 * NS_PER_MS)
 
-void mesh_send(struct mesh_ctx *c, uint64_t to, const char *addr,
-	       struct message *m)
+struct act_send *mesh_send(struct mesh_ctx *c, uint64_t to, const char *addr,
+			   struct message *m)
 {
 	struct act_send *s = &mesh_actions_add(c->out, MA_SEND)->u.send;
 	const struct dir_node *n = directory_by_boot(&c->dir, to);
@@ -17,6 +17,7 @@
 	m->to = to;
 	mem_copy_str(s->addr, addr, sizeof(s->addr));
 	s->message = m;
+	return s;
 }
 
 struct act_send_all *mesh_send_all(struct mesh_ctx *c, struct message *m)
--- a/core/mesh_ctx.h
+++ b/core/mesh_ctx.h
@@ -64,8 +64,14 @@
 	struct mesh_actions *out;
 };
 
-/** Sends @m to the process @to at @addr; takes ownership of @m. */
-void mesh_send(struct mesh_ctx *c, uint64_t to, const char *addr,
+/** A message with a body of this size is sent as a bulk one. */
+#define MESH_BULK_BYTES 8192
+
+/**
+ * Sends @m to the process @to at @addr; takes ownership of @m. Messages to one
+ * node arrive in their order, bulk ones and others each by themselves.
+ */
+struct act_send *mesh_send(struct mesh_ctx *c, uint64_t to, const char *addr,
 	       struct message *m);
 
 /**
--- a/core/message.h
+++ b/core/message.h
@@ -107,6 +107,8 @@
 	uint64_t service_ns; /* moving average of a request's run time */
 	bool open;	     /* accepts new requests */
 	bool cold;	     /* the upstream is warming up */
+	/* Moving average of how long requests to it wait on their way. */
+	uint32_t transit_ms;
 };
 
 struct msg_load {
--- a/io/driver.c
+++ b/io/driver.c
@@ -54,7 +54,9 @@
 
 static void send_message(struct driver *d, const struct act_send *s)
 {
-	if (!peers_send(d->peers, s->addr, s->message, true) &&
+	struct peers_send_opts opts = {.compress = true};
+
+	if (!peers_send(d->peers, s->addr, s->message, opts) &&
 	    s->message->kind == MSG_FORWARD)
 		fail_unsent_forward(d, s->message);
 }
--- a/io/peers.c
+++ b/io/peers.c
@@ -46,6 +46,7 @@
 	struct list in_bucket; /* by its address */
 	struct list waiting;   /* in peers.waiting while it has pending ones */
 	char addr[JD_ADDR_MAX];
+	bool bulk; /* the socket is for bulk messages */
 	void *push;
 	uint64_t idle_deadline_ns; /* the socket is closed then */
 	struct list pending;
@@ -128,6 +129,20 @@
 	return true;
 }
 
+static struct message *decode(zmq_msg_t *msg);
+
+/* Drops a kept message, and reports a forward, which has not been sent. */
+static void drop_pending(struct peers *p, struct pending_message *pending)
+{
+	struct message *m = p->opts.on_unsent ? decode(&pending->msg) : NULL;
+
+	p->stats.dropped++;
+	if (m && m->kind == MSG_FORWARD)
+		p->opts.on_unsent(p->opts.arg, m);
+	else
+		message_delete(m);
+}
+
 /* Sends pending messages in order; drops those past their deadline. */
 static void flush_pending(struct peers *p, struct peer *peer, uint64_t now_ns)
 {
@@ -137,7 +152,7 @@
 		if (!send_now(p, peer, &m->msg)) {
 			if (now_ns < m->deadline_ns)
 				return;
-			p->stats.dropped++;
+			drop_pending(p, m);
 		}
 		pending_delete(peer, m);
 	}
@@ -249,12 +264,13 @@
 	return &p->buckets[XXH32(addr, strlen(addr), 0) % PEER_BUCKETS];
 }
 
-static struct peer *peer_new(struct peers *p, const char *addr)
+static struct peer *peer_new(struct peers *p, const char *addr, bool bulk)
 {
 	struct peer *peer = mem_new(struct peer);
 	char url[JD_ADDR_MAX + 8];
 
 	mem_copy_str(peer->addr, addr, sizeof(peer->addr));
+	peer->bulk = bulk;
 	list_init(&peer->pending);
 	peer->push = socket_new(p, ZMQ_PUSH);
 	/* ZeroMQ queues nothing for a node that is not connected. */
@@ -273,16 +289,17 @@
  * NULL for an address that can't be connected to. ZeroMQ would look up a name
  * on its own thread, and all other nodes would wait for that.
  */
-static struct peer *peer_find_or_add(struct peers *p, const char *addr)
+static struct peer *peer_find_or_add(struct peers *p, const char *addr,
+				     bool bulk)
 {
 	struct sockaddr_in sin;
 	struct peer *peer;
 
 	list_for_each_entry(peer, bucket_of(p, addr), in_bucket)
-		if (!strcmp(peer->addr, addr))
+		if (peer->bulk == bulk && !strcmp(peer->addr, addr))
 			return peer;
 	if (addr_to_sockaddr(addr, &sin))
-		return peer_new(p, addr);
+		return peer_new(p, addr, bulk);
 	log_event(LOG_WARN, "event=message_not_sent why=address addr=\"%s\"",
 		  addr);
 	return NULL;
@@ -327,9 +344,9 @@
 }
 
 bool peers_send(struct peers *p, const char *addr, const struct message *m,
-		bool compress)
+		struct peers_send_opts opts)
 {
-	struct peer *peer = peer_find_or_add(p, addr);
+	struct peer *peer = peer_find_or_add(p, addr, opts.bulk);
 	uint64_t now = clock_now_ns();
 	zmq_msg_t msg;
 	bool ok;
@@ -339,9 +356,9 @@
 		return false;
 	}
 	peer->idle_deadline_ns = now + IDLE_TIMEOUT_NS;
-	encode(m, compress, &msg);
+	encode(m, opts.compress, &msg);
 	ok = send_now(p, peer, &msg);
-	if (!ok && m->kind != MSG_FORWARD)
+	if (!ok && (opts.bulk || m->kind != MSG_FORWARD))
 		ok = keep_pending(p, peer, &msg, now);
 	if (!ok)
 		p->stats.dropped++;
@@ -358,7 +375,7 @@
 
 	encode(m, true, &msg);
 	list_for_each_entry(t, to, link) {
-		struct peer *peer = peer_find_or_add(p, t->addr);
+		struct peer *peer = peer_find_or_add(p, t->addr, false);
 		zmq_msg_t copy;
 
 		if (!peer)
--- a/io/peers.h
+++ b/io/peers.h
@@ -1,6 +1,7 @@
 /**
  * Messages between nodes over ZeroMQ: a PULL socket receives, and each node
- * that was sent a message recently has a PUSH socket.
+ * that was sent a message recently has a PUSH socket. Bulk messages have one of
+ * their own: small ones would wait on the link until a large one has passed.
  */
 #ifndef JD_IO_PEERS_H
 #define JD_IO_PEERS_H
@@ -22,6 +23,8 @@
 	const char *addr;      /* of this node; other nodes send to it */
 	struct peer_keys keys; /* empty: not encrypted */
 	peers_message_fn fn;
+	/* For a forward that was kept, but can't be sent; may be NULL. */
+	peers_message_fn on_unsent;
 	void *arg;
 };
 
@@ -38,17 +41,23 @@
 	uint32_t open;	    /* PUSH sockets */
 };
 
+struct peers_send_opts {
+	bool compress;
+	bool bulk; /* sent apart from small messages to the node */
+};
+
 /** NULL with a status when the address can't be bound. */
 struct peers *peers_new(const struct peers_opts *o, struct status *st);
 void peers_delete(struct peers *p);
 
 /**
- * Sends @m, which the caller keeps, to @addr, compressed if @compress. False
+ * Sends @m, which the caller keeps, to @addr. False
  * if it was provably not sent. If the connection is not up yet or its queue is
- * full, a forward fails at once and other messages are kept for a short time.
+ * full, a forward fails at once; bulk ones and other messages are kept for a
+ * short time.
  */
 bool peers_send(struct peers *p, const char *addr, const struct message *m,
-		bool compress);
+		struct peers_send_opts opts);
 
 /**
  * Sends @m, which the caller keeps, compressed to each of @to. It is encoded
--- a/tests/peers_test.cpp
+++ b/tests/peers_test.cpp
@@ -83,7 +83,8 @@
 	{
 		struct message *m = message_new(MSG_CANCEL);
 		m->from = SENDER;
-		bool ok = peers_send(from->p, to->addr.c_str(), m, true);
+		bool ok = peers_send(from->p, to->addr.c_str(), m,
+				     {.compress = true});
 
 		message_delete(m);
 		return ok;
@@ -105,7 +106,8 @@
 		m->u.forward.request = http_request_new("POST", "/");
 		payload_set_body(&m->u.forward.request->payload, bytes.data(),
 				 body);
-		bool ok = peers_send(from->p, to.c_str(), m, true);
+		bool ok =
+			peers_send(from->p, to.c_str(), m, {.compress = true});
 
 		message_delete(m);
 		return ok;
@@ -152,7 +154,8 @@
 		struct message *m = message_new(MSG_FORWARD);
 
 		m->u.forward.request = http_request_new("GET", "/");
-		bool sent = peers_send(a.p, addr.c_str(), m, true);
+		bool sent =
+			peers_send(a.p, addr.c_str(), m, {.compress = true});
 		message_delete(m);
 		return !sent;
 	});
@@ -183,7 +186,9 @@
 	struct message *m = message_new(MSG_CANCEL);
 
 	for (const std::string &addr : addrs)
-		EXPECT_FALSE(peers_send(a.p, addr.c_str(), m, true)) << addr;
+		EXPECT_FALSE(
+			peers_send(a.p, addr.c_str(), m, {.compress = true}))
+			<< addr;
 	message_delete(m);
 	EXPECT_EQ(peers_get_stats(a.p)->open, 0u);
 	EXPECT_EQ(peers_get_stats(a.p)->dropped, std::size(addrs));
@@ -191,6 +196,55 @@
 	run_until([&] { return b.received.size() == 1; });
 }
 
+// The first bulk forward to a node waits for the connection of its own.
+TEST_F(Peers, ABulkForwardIsKeptUntilConnected)
+{
+	test_node a(base, NULL), b(base, NULL);
+	struct message *m = message_new(MSG_FORWARD);
+
+	m->from = SENDER;
+	m->u.forward.request = http_request_new("POST", "/");
+	EXPECT_TRUE(peers_send(a.p, b.addr.c_str(), m, {.bulk = true}));
+	message_delete(m);
+	EXPECT_TRUE(send_cancel(&a, &b));
+	run_until([&] { return b.received.size() == 2; });
+	EXPECT_EQ(peers_get_stats(a.p)->open, 2u);
+}
+
+static int unsent_forwards;
+
+static void count_unsent(void *arg, struct message *m)
+{
+	(void)arg;
+	unsent_forwards += m->kind == MSG_FORWARD;
+	message_delete(m);
+}
+
+// Its entry has to learn that it did not run, to choose another gate at once.
+TEST_F(Peers, ABulkForwardThatCantBeSentIsReported)
+{
+	struct peers_opts o = {};
+	struct status st;
+	std::string addr = free_addr();
+	std::string nobody = free_addr();
+	struct message *m = message_new(MSG_FORWARD);
+	struct peers *p;
+
+	o.base = base;
+	o.addr = addr.c_str();
+	o.fn = count_unsent;
+	o.on_unsent = count_unsent;
+	p = peers_new(&o, &st);
+	ASSERT_NE(p, nullptr) << st.msg;
+	unsent_forwards = 0;
+	m->from = SENDER;
+	m->u.forward.request = http_request_new("POST", "/");
+	EXPECT_TRUE(peers_send(p, nobody.c_str(), m, {.bulk = true}));
+	message_delete(m);
+	run_until([&] { return unsent_forwards == 1; });
+	peers_delete(p);
+}
+
 TEST_F(Peers, LargeBodyArrivesComplete)
 {
 	const size_t size = 4 << 20;
--- a/wire/codec.c
+++ b/wire/codec.c
@@ -94,6 +94,7 @@
 	PACK_GATE_LOAD(struct msg_answer),
 	PACK_BOOL_OF(struct msg_answer, internal_route),
 	PACK_ERA_OF(struct msg_answer, revision),
+	PACK_U32_OF(struct msg_answer, load.transit_ms),
 };
 
 static const struct pack_field load_fields[] = {
@@ -108,6 +109,7 @@
 	PACK_U64_OF(struct msg_load, manifest_version),
 	PACK_NUMBER_OF(struct msg_load, manifest_revision),
 	PACK_ERA_OF(struct msg_load, manifest_revision),
+	PACK_U32_OF(struct msg_load, load.transit_ms),
 };
 
 static const struct pack_field renew_fields[] = {
@@ -151,9 +153,9 @@
 	[MSG_RELEASE] = PACK_TABLE(release_fields),
 	[MSG_HOT_KEYS] = PACK_TABLE(hot_keys_fields),
 	[MSG_FORWARD] = PACK_TABLE(forward_fields),
-	[MSG_ANSWER] = PACK_TABLE_WITH_OPTIONAL(answer_fields, 1),
+	[MSG_ANSWER] = PACK_TABLE_WITH_OPTIONAL(answer_fields, 2),
 	[MSG_CANCEL] = PACK_TABLE(cancel_fields),
-	[MSG_LOAD] = PACK_TABLE_WITH_OPTIONAL(load_fields, 4),
+	[MSG_LOAD] = PACK_TABLE_WITH_OPTIONAL(load_fields, 5),
 	[MSG_RENEW] = PACK_TABLE_WITH_OPTIONAL(renew_fields, 1),
 	[MSG_RENEWED] = PACK_TABLE_WITH_OPTIONAL(renewed_fields, 1),
 	[MSG_CHANGES] = PACK_TABLE_WITH_OPTIONAL(changes_fields, 2),
