A late announcement after a restart does not undo an upstream's leave

Cause, found by looking for what went wrong for others (a server that had left is in use again after a restart): a new process knew nothing of what its upstream had told the one before, took a late announcement from before the leave, and wrote its card as one that does not drain.

Change: the card that the earlier process wrote shows the leave of the same lifetime; the node's own card follows what the holder knows before it is written.

Test: Mesh.ALateAnnouncementAfterARestartDoesNotUndoALeave. Ruled out for the time before the records are read: no report is sent and no request is taken then.

--- a/core/holder.c
+++ b/core/holder.c
@@ -329,6 +329,25 @@
 	h->usable_until_ns = c->now_ns + a->hold_ns - ANNOUNCEMENT_TRANSIT_NS;
 }
 
+/*
+ * A process that has just started does not know what its upstream told the one
+ * before: that it leaves. An announcement from before may still arrive. The
+ * card of the earlier process shows it.
+ */
+static void note_earlier_leave(struct holder *h, struct mesh_ctx *c)
+{
+	const struct dir_node *n = directory_node(&c->dir, c->opts->node);
+
+	if (h->draining || !h->known || !n || !n->revision ||
+	    n->card.boot == c->opts->boot || !n->card.draining ||
+	    !holder_equal(&n->card.upstream, &h->id))
+		return;
+	mesh_log(c->out, LOG_INFO,
+		 "event=upstream_drains instance=%s why=earlier_card",
+		 h->id.instance);
+	h->draining = true;
+}
+
 static void acknowledge(struct mesh_ctx *c, uint64_t handle)
 {
 	mesh_actions_add(c->out, MA_ANNOUNCEMENT_REPLY)
@@ -368,6 +387,7 @@
 	if (!h->known || ann->born != h->id.born ||
 	    strcmp(ann->instance, h->id.instance) != 0)
 		start_lifetime(h, c, ann);
+	note_earlier_leave(h, c);
 	if (ann->draining && !h->draining)
 		mesh_log(c->out, LOG_INFO, "event=upstream_drains instance=%s",
 			 ann->instance);
@@ -671,6 +691,7 @@
 {
 	const struct dir_keymap *k = own_keymap(c);
 
+	note_earlier_leave(h, c);
 	if (probe_due(h, c)) {
 		h->next_probe_ns = c->now_ns + PROBE_INTERVAL_NS;
 		mesh_actions_add(c->out, MA_PROBE_UPSTREAM);
--- a/core/mesh.c
+++ b/core/mesh.c
@@ -309,13 +309,11 @@
 	records_delete(&e->records);
 }
 
-static void on_announcement(struct mesh *m, struct upstream_announcement *ann)
+/* The card has what is known of the upstream. */
+static void update_card(struct mesh *m)
 {
 	struct node_card card = m->session.card;
 
-	holder_on_announcement(&m->holder, &m->ctx, &m->session, ann);
-	held_rows_delete(&ann->held);
-	held_rows_delete(&ann->released);
 	if (!m->holder.known)
 		return;
 	card.upstream = m->holder.id;
@@ -324,6 +322,14 @@
 	session_set_card(&m->session, &card);
 }
 
+static void on_announcement(struct mesh *m, struct upstream_announcement *ann)
+{
+	holder_on_announcement(&m->holder, &m->ctx, &m->session, ann);
+	held_rows_delete(&ann->held);
+	held_rows_delete(&ann->released);
+	update_card(m);
+}
+
 static void on_upstream_end(struct mesh *m, struct ev_upstream_end *e)
 {
 	if (e->refused_connection)
@@ -484,8 +490,9 @@
 	struct mesh_ctx *c = &m->ctx;
 	struct local_gate g = local_gate(m);
 
-	session_work(&m->session, c);
 	holder_work(&m->holder, c);
+	update_card(m);
+	session_work(&m->session, c);
 	keyplan_work(&m->keyplan, c, &m->session);
 	deliver_results(m);
 	dispatch_work(&m->dispatch, c, &g);
--- a/tests/mesh_test.cpp
+++ b/tests/mesh_test.cpp
@@ -158,6 +158,41 @@
 	EXPECT_TRUE(handover_seen);
 }
 
+/*
+ * Guards against an upstream that has left and is in use again after a restart
+ * of its node's process, by an announcement from before that comes late.
+ */
+TEST(Mesh, ALateAnnouncementAfterARestartDoesNotUndoALeave)
+{
+	MeshSim sim({});
+
+	sim.run_for(6 * NS_PER_S);
+	sim.upstreams[1].draining = true;
+	sim.run_for(2 * NS_PER_S);
+	EXPECT_TRUE(sim.upstreams[1].holds.empty());
+	sim.kill_process(1);
+	sim.run_for(300 * SIM_MS);
+	sim.start_process(1);
+	/* It was sent before the upstream began to leave. */
+	sim.upstreams[1].draining = false;
+	sim.send_announcement(1);
+	sim.upstreams[1].up = false;
+	sim.run_for(3 * NS_PER_S);
+	EXPECT_NO_VIOLATIONS(sim);
+	EXPECT_FALSE(holder_accepts_requests(&sim.procs[1].mesh->holder,
+					     &sim.procs[1].mesh->ctx));
+	EXPECT_TRUE(sim.procs[1].mesh->session.card.draining);
+	EXPECT_EQ(sim.unheld_keys(), 0u);
+	for (int i = 0; i < sim.opts.nodes; i++) {
+		const struct dir_node *n = directory_node(
+			&sim.procs[i].mesh->ctx.dir, sim.name(1).c_str());
+
+		EXPECT_FALSE(n && directory_usable(&sim.procs[i].mesh->ctx.dir,
+						   n, sim.now))
+			<< i;
+	}
+}
+
 TEST(Mesh, AnEvacuatedDataCentreHoldsNoKeys)
 {
 	MeshSim sim({});
