An owner that refuses most requests is sent fewer; small receive queues

Cause: every entry sends an overloaded owner of keys all requests for them, and refusing costs its node time; what hundreds of nodes send while its loop is behind was kept, up to 1,000 messages of each.

Change: client-side throttling by what the owner took in the last seconds, about twice that is sent, the rest refused at once; 64 messages of each node are kept for a loop that is behind, and forwards to it fail at once then.

--- a/core/directory.h
+++ b/core/directory.h
@@ -76,6 +76,12 @@
 	struct gate_load load; /* directory_note_load() */
 	double mean_busy; /* moving average of its requests, by its reports */
 	uint32_t unreported_requests; /* ours to it, not yet in @load */
+	/* Keyed requests of ours to it, and those that its queue took;
+	 * decaying.
+	 */
+	double asked;
+	double taken;
+	uint64_t asked_ns;   /* of their last decay */
 	double failure_rate; /* moving average of our requests to it, 0 to 1 */
 	uint64_t avoid_until_ns; /* no requests until then: it refused one */
 };
--- a/core/dispatch.c
+++ b/core/dispatch.c
@@ -1,5 +1,6 @@
 #include "core/dispatch.h"
 
+#include <math.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -8,42 +9,51 @@
 #include "core/relay.h"
 
 /* Pending requests are checked for what is due at this interval. */
-#define CHECK_INTERVAL_NS	 (10 * NS_PER_MS)
+#define CHECK_INTERVAL_NS      (10 * NS_PER_MS)
 /* A gate that has an attempt and is silent for this time is probed. */
-#define PROBE_AFTER_NS		 (500 * NS_PER_MS)
+#define PROBE_AFTER_NS	       (500 * NS_PER_MS)
 /* A held request is tried again at this interval. */
-#define HELD_RETRY_INTERVAL_NS	 (25 * NS_PER_MS)
+#define HELD_RETRY_INTERVAL_NS (25 * NS_PER_MS)
 /* A gate that refused a request with a full queue is avoided for this time. */
-#define AVOID_QUEUE_FULL_NS	 (40 * NS_PER_MS)
+#define AVOID_QUEUE_FULL_NS    (40 * NS_PER_MS)
 /*
  * A gate whose upstream is down or leaves is avoided for this time; after that
  * its load report says whether it is open.
  */
-#define AVOID_DOWN_NS		 (300 * NS_PER_MS)
+#define AVOID_DOWN_NS	       (300 * NS_PER_MS)
 /* Part of a deadline kept for the answer to return, network included. */
-#define ANSWER_RESERVE_NS	 (30 * NS_PER_MS)
+#define ANSWER_RESERVE_NS      (30 * NS_PER_MS)
 /* A request with a key waits for its gate for this share of its objective. */
-#define HOLD_SHARE_KEYED	 0.5
+#define HOLD_SHARE_KEYED       0.5
 /*
  * A call on an internal route waits for this share of the time to its
  * deadline, as the request that made the call depends on it.
  */
-#define HOLD_SHARE_INTERNAL	 0.7
+#define HOLD_SHARE_INTERNAL    0.7
 /* Any other request waits for this share of its objective. */
-#define HOLD_SHARE_UNKEYED	 0.125
+#define HOLD_SHARE_UNKEYED     0.125
 /* Mean answer size assumed before a route's first answer. */
-#define ANSWER_INITIAL_KB	 2.5
+#define ANSWER_INITIAL_KB      2.5
 /* Weight of the newest answer in the mean size. */
-#define ANSWER_NEWEST_WEIGHT	 0.05
+#define ANSWER_NEWEST_WEIGHT   0.05
 /* Share of the retry budget in use, as several nodes spend the same budget. */
-#define BUDGET_SHARE		 0.7
+#define BUDGET_SHARE	       0.7
 /* Weight of the newest outcome in a gate's failure rate. */
-#define FAILURE_NEWEST_WEIGHT	 0.1
-#define RETRY_AFTER_MIN_NS	 (100 * NS_PER_MS)
+#define FAILURE_NEWEST_WEIGHT  0.1
+/*
+ * An owner whose full queue refuses most requests is sent only some of them:
+ * about this many times what it takes. Refusals cost its node time, too. From
+ * "Site Reliability Engineering" (B. Beyer et al.), client-side throttling.
+ */
+#define THROTTLE_FACTOR	       2.0
+#define THROTTLE_MIN_REQUESTS  2.0
+/* In this time half of what an owner did is forgotten. */
+#define THROTTLE_HALF_LIFE_NS  (double)(2 * NS_PER_S)
+#define RETRY_AFTER_MIN_NS     (100 * NS_PER_MS)
 /* For requests refused on arrival, and for keys without an owner. */
-#define RETRY_AFTER_DEFAULT_NS	 (400 * NS_PER_MS)
+#define RETRY_AFTER_DEFAULT_NS (400 * NS_PER_MS)
 /* Bytes of a refused request's path that are logged. */
-#define LOGGED_PATH_MAX		 128
+#define LOGGED_PATH_MAX	       128
 
 void dispatch_init(struct dispatch *d)
 {
@@ -427,13 +437,38 @@
 	p->retry_at_ns = c->now_ns + retry_ns;
 }
 
+static void decay_throttle(struct dir_node *n, uint64_t now_ns)
+{
+	double age_ns = (double)(now_ns - n->asked_ns);
+	double rest = exp2(-age_ns / THROTTLE_HALF_LIFE_NS);
+
+	n->asked *= rest;
+	n->taken *= rest;
+	n->asked_ns = now_ns;
+}
+
+/* True if @n is known to refuse most requests and @p is not to try. */
+static bool is_throttled(struct mesh_ctx *c, struct dir_node *n)
+{
+	double excess;
+
+	decay_throttle(n, c->now_ns);
+	excess = n->asked - THROTTLE_FACTOR * n->taken - THROTTLE_MIN_REQUESTS;
+	n->asked++;
+	return excess > 0 && (double)rng_below(&c->rng, 1000) <
+				     1000 * excess / (n->asked + 1);
+}
+
 /* Sends @p to a gate, or holds it until there is one, or ends it. */
 static void route_request(struct dispatch *d, struct mesh_ctx *c,
 			  struct local_gate *g, struct pending_request *p)
 {
-	struct dir_node *n =
-		p->keyed ? pick_owner(c, p) : pick_gate(d, c, p);
+	struct dir_node *n = p->keyed ? pick_owner(c, p) : pick_gate(d, c, p);
 
+	if (n && p->keyed && is_throttled(c, n)) {
+		end_without_answer(d, c, p, REFUSAL_QUEUE_FULL);
+		return;
+	}
 	if (n) {
 		send_attempt(c, g, p, n);
 		return;
@@ -811,6 +846,8 @@
 	if (n && from != c->opts->boot) {
 		directory_note_load(n, &a->load, c->now_ns);
 	}
+	if (n && p->keyed && a->refusal != REFUSAL_QUEUE_FULL)
+		n->taken++;
 	if (a->internal_route)
 		note_internal_route(d, c, p);
 	switch (a->outcome) {
--- a/io/peers.c
+++ b/io/peers.c
@@ -14,10 +14,12 @@
 #include "wire/compress.h"
 
 /*
- * Limit of messages queued to or from one node. Their bytes are limited by the
- * pending requests of the entry nodes.
+ * Limits of messages queued to and from one node. A node whose loop is behind
+ * keeps what hundreds of others have sent, so it takes few of each: the rest
+ * waits at the senders, whose forwards then fail at once.
  */
-#define QUEUE_MAX_MESSAGES  1000
+#define SEND_QUEUE_MAX	    1000
+#define RECEIVE_QUEUE_MAX   64
 #define RECONNECT_MIN_MS    50
 #define RECONNECT_MAX_MS    500
 #define READ_BATCH_MESSAGES 256
@@ -62,9 +64,9 @@
 	struct event *read_again; /* at once, after a full batch */
 	struct event *retry;	  /* while messages are pending */
 	struct event *idle_check;
-	struct list list;		/* of struct peer */
+	struct list list;		   /* of struct peer */
 	struct list buckets[PEER_BUCKETS]; /* of struct peer, by address */
-	struct list waiting;		/* of struct peer */
+	struct list waiting;		   /* of struct peer */
 	struct peers_stats stats;
 };
 
@@ -85,8 +87,8 @@
 	void *s = zmq_socket(p->zmq, type);
 
 	set_int(s, ZMQ_LINGER, 0);
-	set_int(s, ZMQ_SNDHWM, QUEUE_MAX_MESSAGES);
-	set_int(s, ZMQ_RCVHWM, QUEUE_MAX_MESSAGES);
+	set_int(s, ZMQ_SNDHWM, SEND_QUEUE_MAX);
+	set_int(s, ZMQ_RCVHWM, RECEIVE_QUEUE_MAX);
 	set_int(s, ZMQ_RECONNECT_IVL, RECONNECT_MIN_MS);
 	set_int(s, ZMQ_RECONNECT_IVL_MAX, RECONNECT_MAX_MS);
 	set_int(s, ZMQ_TCP_MAXRT, TCP_UNACKED_MAX_MS);
