--- a/core/choice.c
+++ b/core/choice.c
@@ -47,9 +47,8 @@
 static double busy_now(const struct choice_opts *o, const struct dir_node *n)
 {
 	double reported = n->load.running + n->load.waiting;
-	double age_ns = o->now_ns > n->heard_ns
-				? (double)(o->now_ns - n->heard_ns)
-				: 0;
+	double age_ns =
+		o->now_ns > n->heard_ns ? (double)(o->now_ns - n->heard_ns) : 0;
 	double service_ns = (double)n->load.service_ns;
 	double trust = service_ns > 0 ? service_ns / (service_ns + age_ns) : 0;
 
@@ -63,13 +62,13 @@
 	double limit = n->load.limit ? n->load.limit : 1;
 	double busy = busy_now(o, n);
 	double service_ns = (double)n->load.service_ns;
-	double delay = BUSY_COST_SHARE * service_ns * busy / limit +
-		       distance_ns(o, n);
+	double delay =
+		BUSY_COST_SHARE * service_ns * busy / limit + distance_ns(o, n);
 
 	if (busy >= limit)
 		delay += (busy - limit + 1) * service_ns / limit;
-	return delay + FAILURE_COST_FACTOR * n->failure_rate *
-			       (service_ns + delay);
+	return delay +
+	       FAILURE_COST_FACTOR * n->failure_rate * (service_ns + delay);
 }
 
 void choice_measure(struct choice *ch, const struct dir_node *n)
@@ -85,8 +84,7 @@
 static double capacity_per_s(const struct dir_node *n)
 {
 	double limit = n->load.limit ? n->load.limit : 1;
-	double service_ns =
-		n->load.service_ns ? (double)n->load.service_ns : 1;
+	double service_ns = n->load.service_ns ? (double)n->load.service_ns : 1;
 
 	return limit * (double)NS_PER_S / service_ns;
 }
--- a/core/gatekeeper.h
+++ b/core/gatekeeper.h
@@ -66,7 +66,7 @@
 	double mean_ns;		 /* as in route_stats, over all routes */
 	double cold_tokens;	 /* requests that a cold upstream may get now */
 	uint64_t cold_tokens_ns; /* last refill; 0: it was not cold */
-	double transit_ns; /* of forwards on their way, moving average */
+	double transit_ns;	 /* of forwards on their way, moving average */
 	uint32_t work_percent;	 /* as in the last upstream_report */
 	uint64_t end_ns;	 /* the process ends then; 0: not planned */
 	uint64_t next_wake_ns;
--- a/core/keyplan.h
+++ b/core/keyplan.h
@@ -21,7 +21,7 @@
 };
 
 struct keyplan {
-	uint64_t op; /* write in progress; 0: none */
+	uint64_t op;		/* write in progress; 0: none */
 	revision_t op_revision; /* of the keymap that it changes */
 	/* The keymap that a write found outdated, until it is known. */
 	revision_t outdated;
--- a/core/mesh_ctx.h
+++ b/core/mesh_ctx.h
@@ -72,7 +72,7 @@
  * node arrive in their order, bulk ones and others each by themselves.
  */
 struct act_send *mesh_send(struct mesh_ctx *c, uint64_t to, const char *addr,
-	       struct message *m);
+			   struct message *m);
 
 /**
  * Appends an action that sends @m to the nodes that mesh_add_target() adds;
--- a/tests/keyplan_test.cpp
+++ b/tests/keyplan_test.cpp
@@ -204,3 +204,99 @@
 	EXPECT_EQ(expected, revision_make(2, 7));
 	EXPECT_STREQ(keymap_find(map.get(), 0)->owner.node, "n1");
 }
+
+/*
+ * Guards against a map written by a node that has not seen yet that the lost
+ * owner's node is back: it grants its rows again, and a write that only depends
+ * on the keymap's revision gives them to another one, too.
+ */
+TEST_F(KeyplanTest, KeysAreAdoptedOnlyWhileTheOwnersCardIsAbsent)
+{
+	struct mesh_action *a;
+	bool card_absent = false, any = false;
+
+	add_manifest(revision_make(1, 5));
+	add_card("n1", revision_make(1, 7));
+	add_map("n2", BASE1 + 1, revision_make(1, 9));
+	read(revision_make(1, 9));
+	for (int i = 0; i < 40 && !any; i++) {
+		c.now_ns += 50 * NS_PER_MS;
+		directory_node(&c.dir, "n1")->heard_ns = c.now_ns;
+		directory_node(&c.dir, "n1")->load.open = true;
+		keyplan_work(&plan, &c, &session);
+		while ((a = mesh_actions_pop(&out))) {
+			any |= a->kind == MA_STORE_CALL;
+			for (uint32_t k = 0; a->kind == MA_STORE_CALL &&
+					     k < a->u.store.expect_count;
+			     k++) {
+				auto &e = a->u.store.expect[k];
+
+				card_absent |= e.kind == RECORD_CARD &&
+					       !strcmp(e.name, "n2") &&
+					       !e.revision;
+			}
+			mesh_action_delete(a);
+		}
+	}
+	EXPECT_TRUE(any);
+	EXPECT_TRUE(card_absent);
+}
+
+/*
+ * Guards against keys taken from nodes whose cards have lapsed while the store
+ * was away: they write them again within two seconds of its return.
+ */
+TEST_F(KeyplanTest, AfterAnOutageOfTheStoreNodesGetTimeToComeBack)
+{
+	revision_t expected = 0;
+
+	add_manifest(revision_make(1, 5));
+	add_card("n1", revision_make(1, 7));
+	add_card("n2", revision_make(1, 8));
+	add_map("n2", BASE1 + 1, revision_make(1, 9));
+	read(revision_make(1, 9));
+	/* The card of n2 has lapsed. */
+	add_manifest(revision_make(1, 5));
+	add_card("n1", revision_make(1, 7));
+	read(revision_make(1, 12));
+	session.last_failure_ns = c.now_ns;
+	EXPECT_EQ(written(2 * NS_PER_S, &expected), nullptr);
+	auto map = written(2 * NS_PER_S, &expected);
+	ASSERT_NE(map, nullptr);
+	EXPECT_STREQ(keymap_find(map.get(), 0)->owner.node, "n1");
+}
+
+/*
+ * Guards against a loop that stood still: the upstreams that registered
+ * meanwhile are in its sockets, not in its directory.
+ */
+TEST_F(KeyplanTest, ALoopThatStoodStillDealsNoKeysYet)
+{
+	revision_t expected = 1;
+
+	keyplan_init(&plan, c.now_ns);
+	add_manifest(revision_make(1, 5));
+	add_card("n1", revision_make(1, 6));
+	read(revision_make(1, 7));
+	EXPECT_EQ(written(1500 * NS_PER_MS, &expected), nullptr);
+	c.now_ns += 600 * NS_PER_MS;
+	EXPECT_EQ(written(1500 * NS_PER_MS, &expected), nullptr);
+	EXPECT_NE(written(NS_PER_S, &expected), nullptr);
+}
+
+TEST_F(KeyplanTest, SkewIsLoggedOnceAndMeasured)
+{
+	revision_t expected = 0;
+	const struct keyplan_service *s;
+
+	add_manifest(revision_make(1, 5));
+	add_card("n1", revision_make(1, 7));
+	add_card("n2", revision_make(1, 8));
+	add_map("n2", BASE1 + 1, revision_make(1, 9));
+	read(revision_make(1, 9));
+	EXPECT_NE(written(3 * NS_PER_S, &expected), nullptr) << "a balance";
+	s = list_entry(plan.services.next, struct keyplan_service, link);
+	EXPECT_TRUE(s->uneven);
+	EXPECT_EQ(s->spread.without_keys, 1u);
+	EXPECT_EQ(s->spread.busiest_over_mean, 2);
+}
--- a/tests/platform_metrics_test.cpp
+++ b/tests/platform_metrics_test.cpp
@@ -1,6 +1,7 @@
 #include "jd_test.hpp"
 
 extern "C" {
+#include "core/mem.h"
 #include "core/mesh.h"
 #include "platform/platform_metrics.h"
 }
@@ -94,3 +95,21 @@
 	      "jackdaw_config_revision 31\n"})
 		EXPECT_NE(page().find(line), std::string::npos) << line;
 }
+
+/* Guards against one upstream with all keys that no metric shows. */
+TEST_F(PlatformMetricsTest, TheSpreadOfKeysIsShownForEachService)
+{
+	struct keyplan_service *s = mem_new(struct keyplan_service);
+
+	mem_copy_str(s->service, "archive", sizeof(s->service));
+	s->spread.candidates = 76;
+	s->spread.without_keys = 75;
+	s->spread.busiest_over_mean = 76;
+	list_push_back(&m->keyplan.services, &s->link);
+	EXPECT_NE(page().find("jackdaw_keys_busiest_over_mean{service="
+			      "\"archive\"} 76.000\n"),
+		  std::string::npos);
+	EXPECT_NE(page().find("jackdaw_keys_upstreams_without{service="
+			      "\"archive\"} 75\n"),
+		  std::string::npos);
+}
