--- a/tests/mesh_size_test.cpp
+++ b/tests/mesh_size_test.cpp
@@ -85,8 +85,8 @@
 
 /*
  * Guards against a balance in which most upstreams give a few keys up and all
- * of them write the one keymap at once: 9 late upstreams of 76 caused 732 writes
- * on the bench, and each of them a poll by every node.
+ * of them write the one keymap at once: 9 late upstreams of 76 caused 732
+ * writes on the bench, and each of them a poll by every node.
  */
 TEST(MeshSize, UpstreamsThatComeLateGetKeysInFewCalls)
 {
@@ -127,8 +127,9 @@
 
 		sim.run_for(50 * SIM_MS);
 		for (int i : lost)
-			any_card |= sim.store.items.count(MeshSim::key_of(
-				RECORD_CARD, sim.name(i).c_str())) > 0;
+			any_card |=
+				sim.store.items.count(MeshSim::key_of(
+					RECORD_CARD, sim.name(i).c_str())) > 0;
 		if (any_card)
 			gone_ns = sim.now;
 		else if (!sim.unheld_keys())
--- a/tests/peers_test.cpp
+++ b/tests/peers_test.cpp
@@ -203,6 +203,8 @@
 	struct message *m = message_new(MSG_FORWARD);
 
 	m->from = SENDER;
+	/* Not the one that the cancellation below is for. */
+	m->u.forward.id.counter = 5;
 	m->u.forward.request = http_request_new("POST", "/");
 	EXPECT_TRUE(peers_send(a.p, b.addr.c_str(), m, {.bulk = true}));
 	message_delete(m);
--- a/tests/relay_test.cpp
+++ b/tests/relay_test.cpp
@@ -28,8 +28,8 @@
 		return 0;
 	if (a->kind == MA_SEND)
 		return 1;
-	for (struct list *it = a->u.send_all.to.next;
-	     it != &a->u.send_all.to; it = it->next)
+	for (struct list *it = a->u.send_all.to.next; it != &a->u.send_all.to;
+	     it = it->next)
 		n++;
 	return n;
 }
