--- a/core/keymap.c
+++ b/core/keymap.c
@@ -329,15 +329,28 @@
 	return upstreams * per_upstream;
 }
 
-void keymap_deal(struct keymap *m, struct list *candidates)
+static uint32_t count_weighted(const struct list *candidates)
 {
 	const struct keymap_candidate *c;
 	uint32_t n = 0;
-	uint32_t rows, from = 0;
 
 	list_for_each_entry(c, candidates, link)
 		n += c->weight > 0;
-	rows = rows_to_deal(n);
+	return n;
+}
+
+uint32_t keymap_dealt_row_keys(const struct list *candidates)
+{
+	uint32_t n = count_weighted(candidates);
+
+	return n ? KEYMAP_KEYS / rows_to_deal(n) : 0;
+}
+
+void keymap_deal(struct keymap *m, struct list *candidates)
+{
+	uint32_t rows = rows_to_deal(count_weighted(candidates));
+	uint32_t from = 0;
+
 	m->fence++;
 	for (uint32_t i = 0; i < rows; i++) {
 		uint32_t end =
@@ -384,17 +397,16 @@
 {
 	const struct keymap_candidate *c;
 	double keys = 0, weight = 0, excess = 0, lack = 0;
-	uint32_t n = 0;
+	uint32_t n = count_weighted(b->candidates);
 
 	list_for_each_entry(c, b->candidates, link) {
 		keys += c->keys;
 		weight += c->weight;
-		n += c->weight > 0;
 	}
 	if (!n)
 		return;
 	b->share = keys / weight;
-	b->piece = KEYMAP_KEYS / rows_to_deal(n);
+	b->piece = keymap_dealt_row_keys(b->candidates);
 	if (!b->piece)
 		b->piece = 1;
 	b->givers_max = n / 4 > KEYMAP_DONORS_MAX ? n / 4 : KEYMAP_DONORS_MAX;
--- a/core/keymap.h
+++ b/core/keymap.h
@@ -148,6 +148,9 @@
  */
 void keymap_deal(struct keymap *m, struct list *candidates);
 
+/** Keys of a row in a keymap dealt to the candidates; 0: there are none. */
+uint32_t keymap_dealt_row_keys(const struct list *candidates);
+
 /** The candidate with the fewest keys for its weight; NULL if there is none. */
 struct keymap_candidate *keymap_least_loaded(struct list *candidates);
 
--- a/core/keyplan.c
+++ b/core/keyplan.c
@@ -203,7 +203,9 @@
 
 /*
  * Moves the keys of nodes without a card to the candidates, on condition that
- * the cards are still absent. Returns true if it made a write.
+ * the cards are still absent. Returns true if it made a write. Adjacent rows go
+ * to one candidate, under one fence, until it has as many keys as a row of an
+ * even map: few that are left get few rows, which one answer can grant.
  */
 static bool adopt(struct keyplan *p, struct mesh_ctx *c,
 		  const struct session *s, const struct dir_keymap *k,
@@ -212,34 +214,46 @@
 	uint64_t wait_ns = adopt_delay_ns(c, s);
 	struct act_store_call *a = NULL;
 	struct keymap *map = NULL;
+	struct keymap_candidate *to = NULL;
 	struct keyrow *r;
+	uint32_t run_max = keymap_dealt_row_keys(candidates);
 	uint32_t keys = 0;
+	uint32_t run = 0; /* adjacent keys that @to has got */
 
 	list_for_each_entry(r, &k->map->rows, link) {
-		struct keymap_candidate *to;
 		struct keyrow *copy;
 
-		if (!orphaned(c, r->owner.node, wait_ns))
+		if (!orphaned(c, r->owner.node, wait_ns)) {
+			to = NULL;
 			continue;
-		to = keymap_least_loaded(candidates);
-		if (!to)
-			break;
+		}
 		if (!a) {
 			a = mesh_store_call(c, CALL_WRITE);
 			mesh_expect_revision(a, RECORD_KEYMAP, k->map->service,
 					     k->revision);
 			map = keymap_copy(k->map);
 			keymap_raise_fence(map, directory_fence_base(&c->dir));
+			map->fence++;
 		}
 		if (!has_condition_on(a, r->owner.node)) {
-			if (a->expect_count > ORPHANED_NODES_MAX)
+			if (a->expect_count > ORPHANED_NODES_MAX) {
+				to = NULL;
 				continue;
+			}
 			mesh_expect_revision(a, RECORD_CARD, r->owner.node, 0);
 		}
+		if (!to || run >= run_max) {
+			to = keymap_least_loaded(candidates);
+			run = 0;
+		}
 		copy = keymap_find(map, r->from);
+		run += r->to - r->from + 1;
 		to->keys += r->to - r->from + 1;
 		keys += r->to - r->from + 1;
-		keymap_move(map, copy, &to->id, "");
+		copy->owner = to->id;
+		copy->fence = map->fence;
+		copy->target[0] = '\0';
+		copy->handover[0] = '\0';
 	}
 	if (!a)
 		return false;
--- a/tests/keyplan_test.cpp
+++ b/tests/keyplan_test.cpp
@@ -5,6 +5,7 @@
 extern "C" {
 #include "core/keyplan.h"
 #include "core/mem.h"
+#include "core/text.h"
 }
 
 /* A registered node in a fleet whose nodes "n1" and "n2" serve keys. */
@@ -300,3 +301,53 @@
 	EXPECT_EQ(s->spread.without_keys, 1u);
 	EXPECT_EQ(s->spread.busiest_over_mean, 2);
 }
+
+/*
+ * Guards against a grant that is cut because it has too many rows for one
+ * answer: three of 76 upstreams were left with 405 rows each, 139 fit.
+ */
+TEST_F(KeyplanTest, TheFewThatAreLeftGetFewRows)
+{
+	revision_t expected = 0;
+	std::shared_ptr<struct keymap> map;
+	struct list candidates;
+	uint64_t revision = 10;
+
+	list_init(&candidates);
+	for (int i = 1; i <= 76; i++) {
+		struct holder_id id = {};
+
+		text_format(id.node, sizeof(id.node), "n%d", i);
+		mem_copy_str(id.instance, "i-1", sizeof(id.instance));
+		id.born = 5;
+		list_push_back(&candidates, &keymap_candidate_new(&id)->link);
+	}
+	map.reset(keymap_new("s"), keymap_delete);
+	keymap_raise_fence(map.get(), BASE1);
+	keymap_deal(map.get(), &candidates);
+	candidates_delete(&candidates);
+	for (int writes = 0; writes < 6; writes++) {
+		struct record *r;
+
+		add_manifest(revision_make(1, 5));
+		for (const char *left : {"n1", "n2", "n3"})
+			add_card(left, revision_make(1, 7));
+		r = add(RECORD_KEYMAP, "s", revision_make(1, ++revision));
+		r->u.keymap = keymap_copy(map.get());
+		read(revision_make(1, revision));
+		auto next = written(2 * NS_PER_S, &expected);
+		if (!next)
+			break;
+		map = next;
+	}
+	for (const char *left : {"n1", "n2", "n3"}) {
+		struct holder_id id = {};
+
+		mem_copy_str(id.node, left, sizeof(id.node));
+		mem_copy_str(id.instance, "i-1", sizeof(id.instance));
+		id.born = 5;
+		EXPECT_NEAR(keymap_keys_of(map.get(), &id), KEYMAP_KEYS / 3,
+			    KEYMAP_KEYS / 12);
+		EXPECT_LE(keymap_rows_of(map.get(), &id), 100u);
+	}
+}
--- a/tests/mesh_codec_test.cpp
+++ b/tests/mesh_codec_test.cpp
@@ -3,7 +3,9 @@
 #include <rapidcheck/gtest.h>
 
 extern "C" {
+#include "core/directory.h"
 #include "core/mem.h"
+#include "core/text.h"
 #include "wire/mesh_codec.h"
 }
 
@@ -274,3 +276,44 @@
 		free(b.data);
 	}
 }
+
+/* A keymap is one value of the store, sent as base64 text. */
+TEST(MeshCodec, AKeymapOf710UpstreamsFitsTheStore)
+{
+	const size_t value_max = 1 << 20;
+
+	for (int upstreams : {76, 284, 710}) {
+		struct keymap *m = keymap_new("s");
+		struct list candidates;
+		struct keyrow *r;
+		struct wire_buf b;
+
+		list_init(&candidates);
+		for (int i = 0; i < upstreams; i++) {
+			struct holder_id id = {};
+
+			text_format(id.node, sizeof(id.node),
+				    "sidecar-hu-central-c-%d", i);
+			text_format(id.instance, sizeof(id.instance),
+				    "i-%010d", i);
+			id.born = 1789000000000;
+			list_push_back(&candidates,
+				       &keymap_candidate_new(&id)->link);
+		}
+		keymap_raise_fence(m, keymap_fence_base(7));
+		keymap_deal(m, &candidates);
+		candidates_delete(&candidates);
+		/* At worst each row is about to move, or has just moved. */
+		list_for_each_entry(r, &m->rows, link) {
+			mem_copy_str(r->handover, "5c0e7a21d94b36f8",
+				     sizeof(r->handover));
+			mem_copy_str(r->target, "sidecar-hu-central-c-100",
+				     sizeof(r->target));
+		}
+		mesh_encode_keymap(m, &b);
+		printf("upstreams=%d keymap_bytes=%zu\n", upstreams, b.len);
+		EXPECT_LE(b.len * 4 / 3, value_max / 2) << upstreams;
+		free(b.data);
+		keymap_delete(m);
+	}
+}
