--- a/core/directory.h
+++ b/core/directory.h
@@ -66,9 +66,8 @@
 	 */
 	uint64_t watched_ns;
 	uint64_t reported_ns;	/* our last load report to it */
-	struct list in_reports; /* in a queue of directory, see core/reports.h
-				 */
-	uint64_t queued_ns;	/* when it went to the end of that queue */
+	struct list in_reports; /* in one of directory.report_* */
+	uint64_t queued_ns;	/* when it went to the end of that list */
 	/* Of its process, by report or else by card: directory_set_boot(). */
 	uint64_t boot;
 	bool leaving; /* that process ends soon */
@@ -76,11 +75,8 @@
 	struct gate_load load; /* directory_note_load() */
 	double mean_busy; /* moving average of its requests, by its reports */
 	uint32_t unreported_requests; /* ours to it, not yet in @load */
-	/* Keyed requests of ours to it, and those that its queue took;
-	 * decaying.
-	 */
-	double asked;
-	double taken;
+	double asked;	     /* keyed requests of ours to it, decaying */
+	double taken;	     /* those of them that its queue took, decaying */
 	uint64_t asked_ns;   /* of their last decay */
 	double failure_rate; /* moving average of our requests to it, 0 to 1 */
 	uint64_t avoid_until_ns; /* no requests until then: it refused one */
--- a/core/holder.c
+++ b/core/holder.c
@@ -579,9 +579,9 @@
 		owner = r->owner.node;
 		before += strcmp(owner, c->opts->node) < 0;
 	}
-	if (before > KEYMAP_DONORS_MAX)
-		before = KEYMAP_DONORS_MAX +
-			 rng_next(&c->rng) % KEYMAP_DONORS_MAX;
+	if (before > KEYMAP_GIVERS_MAX)
+		before = KEYMAP_GIVERS_MAX +
+			 rng_next(&c->rng) % KEYMAP_GIVERS_MAX;
 	h->release_at_ns = c->now_ns + before * RELEASE_GAP_NS;
 }
 
--- a/core/keymap.c
+++ b/core/keymap.c
@@ -409,7 +409,7 @@
 	b->piece = keymap_dealt_row_keys(b->candidates);
 	if (!b->piece)
 		b->piece = 1;
-	b->givers_max = n / 4 > KEYMAP_DONORS_MAX ? n / 4 : KEYMAP_DONORS_MAX;
+	b->givers_max = n / 4 > KEYMAP_GIVERS_MAX ? n / 4 : KEYMAP_GIVERS_MAX;
 	list_for_each_entry(c, b->candidates, link) {
 		if (c->keys > keys_max(b, c))
 			excess += c->keys - keys_max(b, c);
--- a/core/keymap.h
+++ b/core/keymap.h
@@ -27,7 +27,7 @@
 #define KEYMAP_BALANCE_LOW	 0.6
 #define KEYMAP_BALANCE_HIGH	 1.25
 /* Upstreams that give keys up by one balance, or a quarter if that is more. */
-#define KEYMAP_DONORS_MAX	 16u
+#define KEYMAP_GIVERS_MAX	 16u
 /* Ranges of equal length for which keymap_build_index() notes the first row. */
 #define KEYMAP_INDEX_RANGES	 1024u
 
@@ -52,7 +52,9 @@
 /** A range of keys with one owner. */
 struct keyrow {
 	struct list link;
-	struct list by_owner; /* used by keymap_balance() */
+	/* In keymap_balance(), or in holder.own_rows for the directory's map.
+	 */
+	struct list by_owner;
 	uint32_t from;
 	uint32_t to; /* inclusive */
 	uint64_t fence;
