One function sets a row's owner; the time of a report is noted once

Read as a newcomer: adoption had copied the body of keymap_move(), a load report set the time twice, two comments were broken over lines and one named a parameter that is gone. No change of behaviour.

--- a/core/choice.h
+++ b/core/choice.h
@@ -19,8 +19,7 @@
 	const char *dc;
 	uint64_t now_ns;
 	uint64_t objective_ns; /* of the route */
-	double kb; /* that the request and its answer bring to the gate's link
-		    */
+	double kb;	       /* of the bodies of the request and its answer */
 	struct rng *rng;
 };
 
--- a/core/directory.c
+++ b/core/directory.c
@@ -577,7 +577,6 @@
 		memset(&n->clock, 0, sizeof(n->clock));
 	}
 	delay_ns = peer_clock_delay_ns(&n->clock, l->sent_ns, now_ns);
-	n->heard_ns = now_ns;
 	if (l->watches && is_not_ahead(d, l))
 		n->watched_ns = now_ns - delay_ns;
 	n->leaving = l->leaving;
--- a/core/dispatch.c
+++ b/core/dispatch.c
@@ -447,7 +447,7 @@
 	n->asked_ns = now_ns;
 }
 
-/* True if @n is known to refuse most requests and @p is not to try. */
+/* Counts a request for @n; true if it is not to try, as most are refused. */
 static bool is_throttled(struct mesh_ctx *c, struct dir_node *n)
 {
 	double excess;
--- a/core/keymap.c
+++ b/core/keymap.c
@@ -145,15 +145,21 @@
 	return n;
 }
 
-void keymap_move(struct keymap *m, struct keyrow *row,
-		 const struct holder_id *to, const char *handover)
+void keymap_assign(struct keyrow *row, const struct holder_id *to,
+		   uint64_t fence, const char *handover)
 {
 	row->owner = *to;
-	row->fence = ++m->fence;
+	row->fence = fence;
 	row->target[0] = '\0';
 	mem_copy_str(row->handover, handover, sizeof(row->handover));
 }
 
+void keymap_move(struct keymap *m, struct keyrow *row,
+		 const struct holder_id *to, const char *handover)
+{
+	keymap_assign(row, to, ++m->fence, handover);
+}
+
 void keymap_raise_fence(struct keymap *m, uint64_t base)
 {
 	if (m->fence < base)
--- a/core/keymap.h
+++ b/core/keymap.h
@@ -104,6 +104,10 @@
 void keymap_move(struct keymap *m, struct keyrow *row,
 		 const struct holder_id *to, const char *handover);
 
+/** The same under @fence, which several rows of one write may share. */
+void keymap_assign(struct keyrow *row, const struct holder_id *to,
+		   uint64_t fence, const char *handover);
+
 /** Makes all fences that are given out from now on higher than @base. */
 void keymap_raise_fence(struct keymap *m, uint64_t base);
 
--- a/core/keyplan.c
+++ b/core/keyplan.c
@@ -10,8 +10,7 @@
 #define FIRST_DEAL_NS	       (1500 * NS_PER_MS)
 /* A first keymap also waits for this long after a change of the candidates. */
 #define FIRST_DEAL_SETTLE_NS   (2 * NS_PER_S)
-/* If they keep changing, it is dealt this long after the start at the latest.
- */
+/* Latest time of the first deal after the start, if they keep changing. */
 #define FIRST_DEAL_LATEST_NS   (6 * NS_PER_S)
 #define CHECK_INTERVAL_NS      (100 * NS_PER_MS)
 /* Used while every card is present and no record has changed. */
@@ -250,10 +249,7 @@
 		run += r->to - r->from + 1;
 		to->keys += r->to - r->from + 1;
 		keys += r->to - r->from + 1;
-		copy->owner = to->id;
-		copy->fence = map->fence;
-		copy->target[0] = '\0';
-		copy->handover[0] = '\0';
+		keymap_assign(copy, &to->id, map->fence, "");
 	}
 	if (!a)
 		return false;
