Interfaces for organisations by API key and for decisions under load

Types, refusals, settings and the two messages that the parts share are set down; nothing uses them yet.

dispatch, codec, settings, choice and manifest tests pass; no decision changed.

--- a/core/dispatch.c
+++ b/core/dispatch.c
@@ -1,10 +1,9 @@
 #include "core/dispatch.h"
 
-#include <math.h>
 #include <stdlib.h>
 #include <string.h>
 
-#include "core/choice.h"
+#include "core/load/gate_pick.h"
 #include "core/mem.h"
 #include "core/relay.h"
 
@@ -36,19 +35,8 @@
 #define ANSWER_INITIAL_KB      2.5
 /* Weight of the newest answer in the mean size. */
 #define ANSWER_NEWEST_WEIGHT   0.05
-/* Share of the retry budget in use, as several nodes spend the same budget. */
-#define BUDGET_SHARE	       0.7
 /* Weight of the newest outcome in a gate's failure rate. */
 #define FAILURE_NEWEST_WEIGHT  0.1
-/*
- * An owner whose full queue refuses most requests is sent only some of them:
- * about this many times what it takes. Refusals cost its node time, too. From
- * "Site Reliability Engineering" (B. Beyer et al.), client-side throttling.
- */
-#define THROTTLE_FACTOR	       2.0
-#define THROTTLE_MIN_REQUESTS  2.0
-/* In this time half of what an owner did is forgotten. */
-#define THROTTLE_HALF_LIFE_NS  (double)(2 * NS_PER_S)
 #define RETRY_AFTER_MIN_NS     (100 * NS_PER_MS)
 /* For requests refused on arrival, and for keys without an owner. */
 #define RETRY_AFTER_DEFAULT_NS (400 * NS_PER_MS)
@@ -64,7 +52,7 @@
 	}
 	list_init(&d->held);
 	d->next_id = 1;
-	list_init(&d->budgets);
+	retries_init(&d->retries);
 	list_init(&d->internal_routes);
 	list_init(&d->answer_sizes);
 	histogram_init(&d->latency);
@@ -85,7 +73,6 @@
 
 void dispatch_done(struct dispatch *d)
 {
-	struct service_budget *b, *bt;
 	struct internal_route *r, *rt;
 	struct route_answer_size *s, *st;
 
@@ -95,8 +82,7 @@
 		list_for_each_entry_safe(p, tmp, &d->by_id[i], link)
 			pending_delete(d, p);
 	}
-	list_for_each_entry_safe(b, bt, &d->budgets, link)
-		free(b);
+	retries_done(&d->retries);
 	list_for_each_entry_safe(r, rt, &d->internal_routes, link)
 		free(r);
 	list_for_each_entry_safe(s, st, &d->answer_sizes, link)
@@ -104,21 +90,6 @@
 	burn_done(&d->burn);
 }
 
-static struct service_budget *
-budget_for(struct dispatch *d, const struct mesh_ctx *c, const char *service)
-{
-	struct service_budget *b;
-
-	list_for_each_entry(b, &d->budgets, link)
-		if (!strcmp(b->service, service))
-			return b;
-	b = mem_new(struct service_budget);
-	mem_copy_str(b->service, service, sizeof(b->service));
-	window_budget_init(&b->window, c->opts->retry_window_ns);
-	list_push_back(&d->budgets, &b->link);
-	return b;
-}
-
 static bool route_is_internal(const struct dispatch *d, const char *route)
 {
 	const struct internal_route *r;
@@ -154,7 +125,7 @@
 	r = mem_new(struct internal_route);
 	mem_copy_str(r->route, p->route, sizeof(r->route));
 	list_push_back(&d->internal_routes, &r->link);
-	budget_for(d, c, p->service)->called_by_services = true;
+	retries_note_called(&d->retries, c, p->service);
 }
 
 /* Shows whether a newer manifest might have allowed the request. */
@@ -302,73 +273,12 @@
 	pending_delete(d, p);
 }
 
-static bool has_tried(const struct pending_request *p, const char *node)
-{
-	for (uint32_t i = 0; i < p->tried_count; i++)
-		if (!strcmp(p->tried[i], node))
-			return true;
-	return false;
-}
-
-static void mark_tried(struct pending_request *p, const char *node)
-{
-	if (p->tried_count < DISPATCH_TRIED_MAX)
-		mem_copy_str(p->tried[p->tried_count++], node,
-			     JD_NODE_NAME_MAX);
-}
-
-static bool is_eligible(const struct pending_request *p,
-			const struct dir_node *n)
-{
-	return !strcmp(n->card.service, p->service) &&
-	       region_set_allows(&p->regions, n->card.region);
-}
-
-static bool may_choose(const struct mesh_ctx *c,
-		       const struct pending_request *p,
-		       const struct dir_node *n)
-{
-	return is_eligible(p, n) && !has_tried(p, n->name) &&
-	       directory_usable(&c->dir, n, c->now_ns);
-}
-
-static struct dir_node *pick_gate(struct dispatch *d, struct mesh_ctx *c,
+static struct dir_node *find_gate(struct dispatch *d, struct mesh_ctx *c,
 				  const struct pending_request *p)
 {
-	struct choice_opts opts = {
-		.region = c->opts->region,
-		.dc = c->opts->dc,
-		.now_ns = c->now_ns,
-		.objective_ns = p->objective_at_ns - p->received_ns,
-		.kb = (double)p->request->payload.body_len / 1024 +
-		      answer_size_for(d, p->route)->mean_kb,
-		.rng = &c->rng,
-	};
-	struct choice ch;
-	struct dir_node *n;
-
-	choice_init(&ch, &opts);
-	list_for_each_entry(n, &c->dir.nodes, link)
-		if (may_choose(c, p, n))
-			choice_measure(&ch, n);
-	list_for_each_entry(n, &c->dir.nodes, link)
-		if (may_choose(c, p, n))
-			choice_draw(&ch, n);
-	return ch.picked;
-}
-
-static struct dir_node *pick_owner(struct mesh_ctx *c,
-				   const struct pending_request *p)
-{
-	const struct dir_keymap *k = directory_keymap(&c->dir, p->service);
-	const struct keyrow *row = k ? keymap_find(k->map, p->shard) : NULL;
-	struct dir_node *n =
-		row ? directory_node(&c->dir, row->owner.node) : NULL;
-
-	if (!n || !is_eligible(p, n) ||
-	    !directory_usable(&c->dir, n, c->now_ns))
-		return NULL;
-	return n;
+	if (p->keyed)
+		return pick_owner(c, p);
+	return pick_gate(c, p, answer_size_for(d, p->route)->mean_kb);
 }
 
 static struct msg_forward *fill_forward(const struct mesh_ctx *c,
@@ -437,35 +347,13 @@
 	p->retry_at_ns = c->now_ns + retry_ns;
 }
 
-static void decay_throttle(struct dir_node *n, uint64_t now_ns)
-{
-	double age_ns = (double)(now_ns - n->asked_ns);
-	double rest = exp2(-age_ns / THROTTLE_HALF_LIFE_NS);
-
-	n->asked *= rest;
-	n->taken *= rest;
-	n->asked_ns = now_ns;
-}
-
-/* Counts a request for @n; true if it is not to try, as most are refused. */
-static bool is_throttled(struct mesh_ctx *c, struct dir_node *n)
-{
-	double excess;
-
-	decay_throttle(n, c->now_ns);
-	excess = n->asked - THROTTLE_FACTOR * n->taken - THROTTLE_MIN_REQUESTS;
-	n->asked++;
-	return excess > 0 && (double)rng_below(&c->rng, 1000) <
-				     1000 * excess / (n->asked + 1);
-}
-
 /* Sends @p to a gate, or holds it until there is one, or ends it. */
 static void route_request(struct dispatch *d, struct mesh_ctx *c,
 			  struct local_gate *g, struct pending_request *p)
 {
-	struct dir_node *n = p->keyed ? pick_owner(c, p) : pick_gate(d, c, p);
+	struct dir_node *n = find_gate(d, c, p);
 
-	if (n && p->keyed && is_throttled(c, n)) {
+	if (n && p->keyed && pick_throttled(c, n)) {
 		end_without_answer(d, c, p, REFUSAL_QUEUE_FULL);
 		return;
 	}
@@ -608,8 +496,7 @@
 	p = pending_new(d, c, route, r);
 	/* The retry budget is a share of external requests only. */
 	if (!route_is_internal(d, p->route))
-		window_budget_earn(&budget_for(d, c, p->service)->window,
-				   c->now_ns);
+		retries_earn(&d->retries, c, p->service);
 	if (p->keyed && !r->keyed) {
 		end_without_answer(d, c, p, final_refusal(c, REFUSAL_NO_KEY));
 		return;
@@ -670,36 +557,6 @@
 	return NULL;
 }
 
-/*
- * True if @b pays for a retry at @service: a retried request makes its calls
- * again, so the services that others call pay, too.
- */
-static bool pays_for_retry(const struct service_budget *b, const char *service)
-{
-	return b->called_by_services || !strcmp(b->service, service);
-}
-
-static bool has_retry_budget(struct dispatch *d, const struct mesh_ctx *c,
-			     const struct pending_request *p)
-{
-	double ratio = c->opts->retry_ratio * BUDGET_SHARE;
-	double slack;
-	const struct dir_node *n;
-	struct service_budget *b;
-	uint32_t nodes = 0;
-
-	list_for_each_entry(n, &c->dir.nodes, link)
-		nodes += n->revision != 0;
-	slack = c->opts->retry_slack * BUDGET_SHARE / (nodes ? nodes : 1);
-	budget_for(d, c, p->service);
-	list_for_each_entry(b, &d->budgets, link)
-		if (pays_for_retry(b, p->service) &&
-		    !window_budget_has_room(&b->window, ratio, slack,
-					    c->now_ns))
-			return false;
-	return true;
-}
-
 static bool has_time_to_retry(const struct mesh_ctx *c,
 			      const struct pending_request *p)
 {
@@ -713,19 +570,9 @@
 static bool may_retry(struct dispatch *d, const struct mesh_ctx *c,
 		      const struct pending_request *p)
 {
-	struct service_budget *b;
-
 	if (p->upstream_attempts >= p->max_attempts || !has_time_to_retry(c, p))
 		return false;
-	if (!has_retry_budget(d, c, p)) {
-		d->retries_denied++;
-		return false;
-	}
-	list_for_each_entry(b, &d->budgets, link)
-		if (pays_for_retry(b, p->service))
-			window_budget_spend(&b->window, c->now_ns);
-	d->retries++;
-	return true;
+	return retries_take(&d->retries, c, p->service);
 }
 
 /*
@@ -775,7 +622,7 @@
 			end_without_answer(d, c, p, a->refusal);
 		return;
 	}
-	mark_tried(p, p->gate_node);
+	pick_mark_tried(p, p->gate_node);
 	if (p->tried_count == DISPATCH_TRIED_MAX) {
 		end_without_answer(d, c, p, a->refusal);
 		return;
@@ -800,7 +647,7 @@
 		end_without_answer(d, c, p, why);
 		return;
 	}
-	mark_tried(p, p->gate_node);
+	pick_mark_tried(p, p->gate_node);
 	if (p->tried_count == DISPATCH_TRIED_MAX)
 		end_without_answer(d, c, p, why);
 	else
@@ -834,7 +681,7 @@
 		if (may_retry(d, c, p)) {
 			p->failed_answer = answer;
 			p->may_have_run = true;
-			mark_tried(p, p->gate_node);
+			pick_mark_tried(p, p->gate_node);
 			route_request(d, c, g, p);
 			return;
 		}
@@ -912,8 +759,9 @@
 {
 	return p->idempotent && p->upstream_attempts + 1 < p->max_attempts &&
 	       p->tried_count + 1 < DISPATCH_TRIED_MAX &&
-	       has_time_to_retry(c, p) && has_retry_budget(d, c, p) &&
-	       (p->keyed ? pick_owner(c, p) : pick_gate(d, c, p));
+	       has_time_to_retry(c, p) &&
+	       retries_has_room(&d->retries, c, p->service) &&
+	       find_gate(d, c, p);
 }
 
 /* Has the gate of @p probed if it has sent neither an answer nor a report. */
--- a/core/manifest.c
+++ b/core/manifest.c
@@ -43,6 +43,35 @@
 	m->index = NULL;
 }
 
+void organisation_delete(struct organisation *o)
+{
+	struct api_key *k, *tmp;
+
+	list_for_each_entry_safe(k, tmp, &o->api_keys, link)
+		free(k);
+	free(o);
+}
+
+struct organisation *organisation_copy(const struct organisation *o)
+{
+	struct organisation *copy = mem_dup(o, sizeof(*o));
+	const struct api_key *k;
+
+	list_init(&copy->link);
+	list_init(&copy->api_keys);
+	list_for_each_entry(k, &o->api_keys, link)
+		organisation_add_key(copy, k->text);
+	return copy;
+}
+
+void organisation_add_key(struct organisation *o, const char *text)
+{
+	struct api_key *k = mem_new(struct api_key);
+
+	mem_copy_str(k->text, text, sizeof(k->text));
+	list_push_back(&o->api_keys, &k->link);
+}
+
 void manifest_delete(struct manifest *m)
 {
 	struct route *r, *rt;
@@ -56,7 +85,7 @@
 	list_for_each_entry_safe(r, rt, &m->routes, link)
 		free(r);
 	list_for_each_entry_safe(o, ot, &m->organisations, link)
-		free(o);
+		organisation_delete(o);
 	list_for_each_entry_safe(d, dt, &m->data_centres, link)
 		free(d);
 	list_for_each_entry_safe(s, st, &m->services, link)
@@ -83,10 +112,12 @@
 struct manifest *manifest_copy(const struct manifest *m)
 {
 	struct manifest *c = manifest_new();
+	const struct organisation *o;
 
 	mem_copy_str(c->change_id, m->change_id, sizeof(c->change_id));
 	copy_items(&c->routes, &m->routes, struct route);
-	copy_items(&c->organisations, &m->organisations, struct organisation);
+	list_for_each_entry(o, &m->organisations, link)
+		list_push_back(&c->organisations, &organisation_copy(o)->link);
 	copy_items(&c->data_centres, &m->data_centres, struct data_centre);
 	copy_items(&c->services, &m->services, struct service);
 	c->limits = m->limits;
@@ -123,6 +154,7 @@
 	struct organisation *o = mem_new(struct organisation);
 
 	o->weight = ORGANISATION_WEIGHT_DEFAULT;
+	list_init(&o->api_keys);
 	list_push_back(&m->organisations, &o->link);
 	return o;
 }
--- a/core/manifest.h
+++ b/core/manifest.h
@@ -69,6 +69,13 @@
 	uint32_t objective_ppm; /* share of requests that must be good */
 	uint64_t objective_ms;	/* time limit of a good request */
 	bool invalid; /* matches requests, but can't be served as configured */
+	bool open;    /* its callers need no API key */
+};
+
+/** A secret by which a caller shows that it belongs to an organisation. */
+struct api_key {
+	struct list link;
+	char text[JD_API_KEY_MAX];
 };
 
 struct organisation {
@@ -76,6 +83,12 @@
 	char name[JD_NAME_MAX];
 	struct region_set home_regions;
 	uint32_t weight; /* share of a contended upstream */
+	/* The rest is used in leased fleets only. */
+	struct list api_keys; /* of struct api_key */
+	bool has_priority;    /* @priority goes before the route's */
+	uint32_t priority;
+	double rate_per_s; /* requests of the whole fleet; 0: no limit */
+	double burst;	   /* requests beyond @rate_per_s */
 };
 
 /** Settings of a service that do not belong to a route. */
@@ -130,6 +143,11 @@
 void manifest_delete(struct manifest *m);
 struct manifest *manifest_copy(const struct manifest *m);
 
+void organisation_delete(struct organisation *o);
+/** A copy in no list. */
+struct organisation *organisation_copy(const struct organisation *o);
+void organisation_add_key(struct organisation *o, const char *text);
+
 /** A route with its default values, in no list; free() it. */
 struct route *route_new(void);
 
--- a/core/mesh_ctx.h
+++ b/core/mesh_ctx.h
@@ -23,6 +23,12 @@
 	double retry_ratio; /* retries allowed per request */
 	uint64_t retry_window_ns;
 	uint32_t retry_slack; /* retries per window, fleet-wide */
+	/* How far the requests of one window may exceed a quota. */
+	uint64_t quota_window_ns;
+	double quota_overage; /* as a share of the quota */
+	double quota_slack;   /* in requests */
+	/* Switches on the decisions of core/load/ that docs/design/ names. */
+	bool heavy_load;
 };
 
 #define MESH_CALLS_NOTED 64
--- a/core/mesh_io.h
+++ b/core/mesh_io.h
@@ -84,6 +84,7 @@
 	bool keyed;
 	uint32_t shard;
 	bool oversized;
+	char api_key[JD_API_KEY_MAX]; /* empty: none was sent */
 	struct http_request *request; /* owned by the event */
 };
 
@@ -210,6 +211,7 @@
 	char instance[JD_INSTANCE_MAX]; /* the only one that may run it */
 	char caller_id[JD_CALLER_ID_MAX];
 	char caller_service[JD_NAME_MAX];
+	char organisation[JD_NAME_MAX]; /* empty: none */
 	uint64_t deadline_ns;
 	uint64_t write_before_ns; /* end of the lease: no byte is sent later */
 	struct http_request *request;
--- a/core/message.c
+++ b/core/message.c
@@ -12,6 +12,7 @@
 	[MSG_CANCEL] = "cancel",       [MSG_LOAD] = "load",
 	[MSG_RENEW] = "renew",	       [MSG_RENEWED] = "renewed",
 	[MSG_CHANGES] = "changes",     [MSG_MANIFEST_GET] = "manifest_get",
+	[MSG_QUOTA_ASK] = "quota_ask", [MSG_QUOTA_GRANT] = "quota_grant",
 };
 
 static const char *const outcome_names[OUTCOME_COUNT] = {
@@ -66,6 +67,8 @@
 	case MSG_RENEW:
 	case MSG_RENEWED:
 	case MSG_MANIFEST_GET:
+	case MSG_QUOTA_ASK:
+	case MSG_QUOTA_GRANT:
 	case MSG_KIND_COUNT:
 		break;
 	}
--- a/core/message.h
+++ b/core/message.h
@@ -29,6 +29,8 @@
 	MSG_RENEWED,	   /* node to node: result of a MSG_RENEW */
 	MSG_CHANGES,	   /* node to node: changed records of the store */
 	MSG_MANIFEST_GET,  /* node to node: send me your manifest */
+	MSG_QUOTA_ASK,	   /* entry to the keeper of a quota: give me shares */
+	MSG_QUOTA_GRANT,   /* and its answer */
 	MSG_KIND_COUNT,
 };
 
@@ -109,6 +111,10 @@
 	bool cold;	     /* the upstream is warming up */
 	/* Moving average of how long requests to it wait on their way. */
 	uint32_t transit_ms;
+	/* Present time of work relative to the usual, in percent; 0: unknown */
+	uint32_t work_percent;
+	/* Attempts of the last seconds that the upstream turned down. */
+	uint32_t shed_permille;
 };
 
 struct msg_load {
@@ -151,6 +157,23 @@
 	char reply_to[JD_ADDR_MAX];
 };
 
+/** Asks for a part of an organisation's quota. */
+struct msg_quota_ask {
+	char organisation[JD_NAME_MAX];
+	char reply_to[JD_ADDR_MAX];
+	uint64_t sent_ns;  /* sender's clock; echoed in MSG_QUOTA_GRANT */
+	uint64_t requests; /* that the sender wants to admit */
+};
+
+struct msg_quota_grant {
+	char organisation[JD_NAME_MAX];
+	uint64_t sent_ns;	 /* echoed from MSG_QUOTA_ASK */
+	uint64_t requests;	 /* that the receiver may admit */
+	uint64_t valid_ns;	 /* so long, counted from @sent_ns */
+	uint64_t retry_after_ns; /* if fewer than asked for: until the next */
+	bool unknown;		 /* the sender does not keep the quota */
+};
+
 struct msg_answer {
 	struct request_id id;
 	uint32_t attempt;
@@ -189,6 +212,8 @@
 		struct msg_renewed renewed;
 		struct msg_changes changes;
 		struct msg_manifest_get manifest_get;
+		struct msg_quota_ask quota_ask;
+		struct msg_quota_grant quota_grant;
 	} u;
 };
 
--- a/core/node.c
+++ b/core/node.c
@@ -294,6 +294,8 @@
 	case MSG_RENEWED:
 	case MSG_CHANGES:
 	case MSG_MANIFEST_GET:
+	case MSG_QUOTA_ASK:
+	case MSG_QUOTA_GRANT:
 		/* Only in leased fleets; core/mesh.c handles them. */
 		n->refused_messages++;
 		break;
--- a/core/refusal.c
+++ b/core/refusal.c
@@ -25,6 +25,10 @@
 	[REFUSAL_ANSWER_TOO_LARGE] = {"answer_too_large", 502, false},
 	[REFUSAL_INVALID_ROUTE] = {"invalid_route", 503, false},
 	[REFUSAL_OLD_MANIFEST] = {"old_manifest", 503, true},
+	[REFUSAL_UNKNOWN_API_KEY] = {"unknown_api_key", 401, true},
+	[REFUSAL_OVER_QUOTA] = {"over_quota", 429, false},
+	[REFUSAL_NO_QUOTA_SHARE] = {"no_quota_share", 503, true},
+	[REFUSAL_NO_ROOM] = {"no_room", 503, true},
 };
 
 const struct refusal_info *refusal_find(enum refusal r)
--- a/core/refusal.h
+++ b/core/refusal.h
@@ -29,6 +29,10 @@
 	REFUSAL_ANSWER_TOO_LARGE, /* dropped; the request has run */
 	REFUSAL_INVALID_ROUTE,	  /* it can't be served as configured */
 	REFUSAL_OLD_MANIFEST,	  /* a newer one, not read yet, may allow it */
+	REFUSAL_UNKNOWN_API_KEY,  /* of no organisation */
+	REFUSAL_OVER_QUOTA,	  /* its organisation has used up its quota */
+	REFUSAL_NO_QUOTA_SHARE,	  /* what is left of the quota is not known */
+	REFUSAL_NO_ROOM,	  /* the service has none for its rank */
 	REFUSAL_COUNT,
 };
 
--- a/tests/dispatch_test.cpp
+++ b/tests/dispatch_test.cpp
@@ -221,7 +221,7 @@
 	directory_node(&c.dir, "far")->heard_ns = c.now_ns;
 	dispatch_work(&d, &c, &local);
 	EXPECT_FALSE(directory_usable(&c.dir, near, c.now_ns));
-	EXPECT_EQ(d.retries, 1u) << "retried at the other gate";
+	EXPECT_EQ(d.retries.allowed, 1u) << "retried at the other gate";
 }
 
 /* Without these fields, a 404 of an old manifest looks like a caller's error.
@@ -402,7 +402,7 @@
 		dispatch_work(&d, &c, &local);
 		EXPECT_EQ(d.count, 1u);
 		EXPECT_EQ(d.reasons[REFUSAL_CONNECTION_LOST], 0u);
-		EXPECT_EQ(d.retries, 0u);
+		EXPECT_EQ(d.retries.allowed, 0u);
 		/* The answer still counts. */
 		answer(near->boot, id);
 		EXPECT_EQ(d.count, 0u);
@@ -418,7 +418,7 @@
 	far->heard_ns = c.now_ns;
 	dispatch_work(&d, &c, &local);
 	EXPECT_EQ(d.count, 1u);
-	EXPECT_EQ(d.retries, 1u);
+	EXPECT_EQ(d.retries.allowed, 1u);
 }
 
 /*
@@ -437,7 +437,7 @@
 	c.now_ns += 20 * NS_PER_MS;
 	dispatch_work(&d, &c, &local);
 	EXPECT_EQ(d.reasons[REFUSAL_CONNECTION_LOST], 0u);
-	EXPECT_EQ(d.retries, 0u);
+	EXPECT_EQ(d.retries.allowed, 0u);
 	/* It gets a probe of its own in time. */
 	c.now_ns += 600 * NS_PER_MS;
 	dispatch_work(&d, &c, &local);
--- a/wire/codec.c
+++ b/wire/codec.c
@@ -95,6 +95,8 @@
 	PACK_BOOL_OF(struct msg_answer, internal_route),
 	PACK_ERA_OF(struct msg_answer, revision),
 	PACK_U32_OF(struct msg_answer, load.transit_ms),
+	PACK_U32_OF(struct msg_answer, load.work_percent),
+	PACK_U32_OF(struct msg_answer, load.shed_permille),
 };
 
 static const struct pack_field load_fields[] = {
@@ -110,6 +112,8 @@
 	PACK_NUMBER_OF(struct msg_load, manifest_revision),
 	PACK_ERA_OF(struct msg_load, manifest_revision),
 	PACK_U32_OF(struct msg_load, load.transit_ms),
+	PACK_U32_OF(struct msg_load, load.work_percent),
+	PACK_U32_OF(struct msg_load, load.shed_permille),
 };
 
 static const struct pack_field renew_fields[] = {
@@ -145,6 +149,22 @@
 	PACK_U32_OF(struct msg_cancel, attempt),
 };
 
+static const struct pack_field quota_ask_fields[] = {
+	PACK_STR_OF(struct msg_quota_ask, organisation),
+	PACK_STR_OF(struct msg_quota_ask, reply_to),
+	PACK_U64_OF(struct msg_quota_ask, sent_ns),
+	PACK_U64_OF(struct msg_quota_ask, requests),
+};
+
+static const struct pack_field quota_grant_fields[] = {
+	PACK_STR_OF(struct msg_quota_grant, organisation),
+	PACK_U64_OF(struct msg_quota_grant, sent_ns),
+	PACK_U64_OF(struct msg_quota_grant, requests),
+	PACK_U64_OF(struct msg_quota_grant, valid_ns),
+	PACK_U64_OF(struct msg_quota_grant, retry_after_ns),
+	PACK_BOOL_OF(struct msg_quota_grant, unknown),
+};
+
 static const struct pack_table message_tables[MSG_KIND_COUNT] = {
 	[MSG_HEARTBEAT] = PACK_TABLE(heartbeat_fields),
 	[MSG_HEARTBEAT_ACK] = PACK_TABLE(heartbeat_ack_fields),
@@ -153,13 +173,15 @@
 	[MSG_RELEASE] = PACK_TABLE(release_fields),
 	[MSG_HOT_KEYS] = PACK_TABLE(hot_keys_fields),
 	[MSG_FORWARD] = PACK_TABLE(forward_fields),
-	[MSG_ANSWER] = PACK_TABLE_WITH_OPTIONAL(answer_fields, 2),
+	[MSG_ANSWER] = PACK_TABLE_WITH_OPTIONAL(answer_fields, 4),
 	[MSG_CANCEL] = PACK_TABLE(cancel_fields),
-	[MSG_LOAD] = PACK_TABLE_WITH_OPTIONAL(load_fields, 5),
+	[MSG_LOAD] = PACK_TABLE_WITH_OPTIONAL(load_fields, 7),
 	[MSG_RENEW] = PACK_TABLE_WITH_OPTIONAL(renew_fields, 1),
 	[MSG_RENEWED] = PACK_TABLE_WITH_OPTIONAL(renewed_fields, 1),
 	[MSG_CHANGES] = PACK_TABLE_WITH_OPTIONAL(changes_fields, 2),
 	[MSG_MANIFEST_GET] = PACK_TABLE(manifest_get_fields),
+	[MSG_QUOTA_ASK] = PACK_TABLE(quota_ask_fields),
+	[MSG_QUOTA_GRANT] = PACK_TABLE(quota_grant_fields),
 };
 
 static void pack_payload(msgpack_packer *pk, const struct payload *p)
@@ -369,6 +391,8 @@
 	case MSG_RENEW:
 	case MSG_RENEWED:
 	case MSG_MANIFEST_GET:
+	case MSG_QUOTA_ASK:
+	case MSG_QUOTA_GRANT:
 	case MSG_KIND_COUNT:
 		msgpack_pack_nil(pk);
 		break;
@@ -399,6 +423,8 @@
 	case MSG_RENEW:
 	case MSG_RENEWED:
 	case MSG_MANIFEST_GET:
+	case MSG_QUOTA_ASK:
+	case MSG_QUOTA_GRANT:
 	case MSG_KIND_COUNT:
 		break;
 	}
