--- a/io/peers.c
+++ b/io/peers.c
@@ -351,6 +351,7 @@
 	struct peer *peer = peer_find_or_add(p, addr, opts.bulk);
 	uint64_t now = clock_now_ns();
 	zmq_msg_t msg;
+	size_t len;
 	bool ok;
 
 	if (!peer) {
@@ -359,10 +360,13 @@
 	}
 	peer->idle_deadline_ns = now + IDLE_TIMEOUT_NS;
 	encode(m, opts.compress, &msg);
+	len = zmq_msg_size(&msg);
 	ok = send_now(p, peer, &msg);
 	if (!ok && (opts.bulk || m->kind != MSG_FORWARD))
 		ok = keep_pending(p, peer, &msg, now);
-	if (!ok)
+	if (ok)
+		traffic_add(&p->stats.traffic, m, len, opts.other_region);
+	else
 		p->stats.dropped++;
 	zmq_msg_close(&msg);
 	return ok;
@@ -385,8 +389,11 @@
 		peer->idle_deadline_ns = now + IDLE_TIMEOUT_NS;
 		zmq_msg_init(&copy);
 		zmq_msg_copy(&copy, &msg);
-		if (!send_now(p, peer, &copy) &&
-		    !keep_pending(p, peer, &copy, now))
+		if (send_now(p, peer, &copy) ||
+		    keep_pending(p, peer, &copy, now))
+			traffic_add(&p->stats.traffic, m, zmq_msg_size(&msg),
+				    false);
+		else
 			p->stats.dropped++;
 		zmq_msg_close(&copy);
 	}
--- a/io/peers.h
+++ b/io/peers.h
@@ -8,6 +8,7 @@
 
 #include <event2/event.h>
 
+#include "core/load/traffic.h"
 #include "core/mesh_io.h"
 #include "core/message.h"
 #include "core/status.h"
@@ -33,17 +34,19 @@
 	uint64_t sent_bytes;
 	uint64_t received;
 	uint64_t received_bytes;
-	uint64_t broken;    /* received, but not a valid message */
-	uint64_t cancelled; /* received forwards, dropped because their
-			       cancellation was received with them */
-	uint64_t dropped;   /* not sent: no connection or a full queue */
-	uint64_t refused;   /* connections with a wrong key or none */
-	uint32_t open;	    /* PUSH sockets */
+	uint64_t broken;	/* received, but not a valid message */
+	uint64_t cancelled;	/* received forwards, dropped because their
+				   cancellation was received with them */
+	uint64_t dropped;	/* not sent: no connection or a full queue */
+	uint64_t refused;	/* connections with a wrong key or none */
+	uint32_t open;		/* PUSH sockets */
+	struct traffic traffic; /* of messages sent or kept */
 };
 
 struct peers_send_opts {
 	bool compress;
-	bool bulk; /* sent apart from small messages to the node */
+	bool bulk;	   /* sent apart from small messages to the node */
+	bool other_region; /* of the receiver; for the statistics */
 };
 
 /** NULL with a status when the address can't be bound. */
