--- a/core/directory.c
+++ b/core/directory.c
@@ -4,7 +4,6 @@
 #include <string.h>
 #include <xxhash.h>
 
-#include "core/load/capacity.h"
 #include "core/mem.h"
 
 /* Service time assumed for a gate that has not reported its load yet. */
@@ -654,16 +653,6 @@
 	return n->load.open && directory_node_alive(d, n, now_ns);
 }
 
-/* Unmeasured upstreams count as ones of mean speed. */
-static struct keymap_candidate *candidate_of(const struct dir_node *n)
-{
-	struct keymap_candidate *k = keymap_candidate_new(&n->card.upstream);
-
-	k->weight =
-		n->card.key_weight ? n->card.key_weight : CAPACITY_WEIGHT_UNIT;
-	return k;
-}
-
 void directory_candidates(const struct directory *d, const char *service,
 			  uint64_t now_ns, struct list *candidates)
 {
@@ -672,7 +661,9 @@
 
 	list_for_each_entry(n, &d->nodes, link)
 		if (may_get_keys(d, n, service, now_ns))
-			list_push_back(candidates, &candidate_of(n)->link);
+			list_push_back(
+				candidates,
+				&keymap_candidate_new(&n->card.upstream)->link);
 	if (k)
 		keymap_count_keys(k->map, candidates);
 }
--- a/core/gatekeeper.c
+++ b/core/gatekeeper.c
@@ -337,7 +337,6 @@
 
 	s->mean_ns += MEAN_NEWEST_WEIGHT * (took_ns - s->mean_ns);
 	g->mean_ns += MEAN_NEWEST_WEIGHT * (took_ns - g->mean_ns);
-	work_time_add(&g->work, took_ns);
 }
 
 void gatekeeper_on_upstream_end(struct gatekeeper *g, struct mesh_ctx *c,
@@ -463,8 +462,6 @@
 	load->waiting = g->waiting_count;
 	load->limit = slot_limit(h);
 	load->service_ns = (uint64_t)g->mean_ns;
-	if (c->opts->heavy_load)
-		load->usual_ns = work_time_stated_ns(&g->work);
 	load->transit_ms = (uint32_t)(g->transit_ns / (double)NS_PER_MS);
 	load->open = holder_accepts_requests(h, c);
 	load->cold = c->now_ns < h->cold_until_ns;
--- a/core/gatekeeper.h
+++ b/core/gatekeeper.h
@@ -8,7 +8,6 @@
 #define JD_CORE_GATEKEEPER_H
 
 #include "core/holder.h"
-#include "core/load/capacity.h"
 
 enum attempt_state {
 	ATTEMPT_WAITING,
@@ -65,7 +64,6 @@
 	uint32_t waiting_count;
 	uint64_t next_call;
 	double mean_ns;		 /* as in route_stats, over all routes */
-	struct work_time work;	 /* the same, over more requests */
 	double cold_tokens;	 /* requests that a cold upstream may get now */
 	uint64_t cold_tokens_ns; /* last refill; 0: it was not cold */
 	double transit_ns;	 /* of forwards on their way, moving average */
--- a/core/mesh.c
+++ b/core/mesh.c
@@ -309,42 +309,6 @@
 	records_delete(&e->records);
 }
 
-static bool has_keys(const struct mesh *m)
-{
-	const struct manifest *manifest = m->ctx.dir.manifest;
-	const struct service *sv =
-		manifest ? manifest_service(manifest, m->opts.service) : NULL;
-
-	return sv && sv->keyed;
-}
-
-/* A new process takes over the weight that its upstream had. */
-static void update_capacity(struct mesh *m)
-{
-	const struct dir_node *own = directory_node(&m->ctx.dir, m->opts.node);
-	struct capacity_opts o = {.dir = &m->ctx.dir,
-				  .node = m->opts.node,
-				  .service = m->opts.service,
-				  .work = &m->gate.work,
-				  .slots = m->holder.slots,
-				  .now_ns = m->ctx.now_ns};
-
-	if (!m->opts.heavy_load || !has_keys(m) || !m->holder.known)
-		return;
-	if (!holder_equal(&m->capacity.of, &m->holder.id)) {
-		m->capacity = (struct capacity){.of = m->holder.id};
-		m->gate.work = (struct work_time){0};
-		if (own && holder_equal(&own->card.upstream, &m->holder.id))
-			m->capacity.weight = own->card.key_weight;
-	}
-	if (capacity_update(&m->capacity, &o))
-		mesh_log(m->ctx.out, LOG_INFO,
-			 "event=key_weight weight=%u of=%u work_ms=%lu",
-			 m->capacity.weight, CAPACITY_WEIGHT_UNIT,
-			 (unsigned long)(work_time_stated_ns(o.work) /
-					 NS_PER_MS));
-}
-
 /* The card has what is known of the upstream, if only that it leaves. */
 static void update_card(struct mesh *m)
 {
@@ -356,7 +320,6 @@
 		return;
 	card.upstream = left ? h->left : h->id;
 	card.slots = h->slots;
-	card.key_weight = m->capacity.weight;
 	card.draining = left || h->draining;
 	session_set_card(&m->session, &card);
 }
@@ -540,7 +503,6 @@
 	struct local_gate g = local_gate(m);
 
 	holder_work(&m->holder, c, &m->session);
-	update_capacity(m);
 	update_card(m);
 	session_work(&m->session, c);
 	keyplan_work(&m->keyplan, c, &m->session);
--- a/core/mesh.h
+++ b/core/mesh.h
@@ -25,7 +25,6 @@
 	struct holder holder;
 	struct keyplan keyplan;
 	struct gatekeeper gate;
-	struct capacity capacity;
 	struct dispatch dispatch;
 	bool was_ready;		/* it has accepted callers' requests */
 	uint64_t hear_peers_ns; /* it is ready then; 0: no records yet */
--- a/core/message.h
+++ b/core/message.h
@@ -115,7 +115,6 @@
 	uint32_t work_percent;
 	/* Attempts of the last seconds that the upstream turned down. */
 	uint32_t shed_permille;
-	uint64_t usual_ns; /* mean run time of some seconds; 0: unknown */
 };
 
 struct msg_load {
--- a/core/record.h
+++ b/core/record.h
@@ -23,7 +23,6 @@
 	struct holder_id upstream;
 	uint32_t slots;
 	bool draining;
-	uint32_t key_weight; /* see core/load/capacity.h; 0: not measured */
 };
 
 enum record_kind {
--- a/core/session.c
+++ b/core/session.c
@@ -697,14 +697,11 @@
 void session_set_card(struct session *s, const struct node_card *card)
 {
 	if (holder_equal(&s->card.upstream, &card->upstream) &&
-	    s->card.draining == card->draining &&
-	    s->card.slots == card->slots &&
-	    s->card.key_weight == card->key_weight)
+	    s->card.draining == card->draining && s->card.slots == card->slots)
 		return;
 	s->card.upstream = card->upstream;
 	s->card.draining = card->draining;
 	s->card.slots = card->slots;
-	s->card.key_weight = card->key_weight;
 	s->card_dirty = true;
 }
 
--- a/wire/mesh_codec.c
+++ b/wire/mesh_codec.c
@@ -30,10 +30,8 @@
 	PACK_U64_OF(struct node_card, upstream.born),
 	PACK_U32_OF(struct node_card, slots),
 	PACK_BOOL_OF(struct node_card, draining),
-	PACK_U32_OF(struct node_card, key_weight),
 };
-static const struct pack_table card_table =
-	PACK_TABLE_WITH_OPTIONAL(card_fields, 1);
+static const struct pack_table card_table = PACK_TABLE(card_fields);
 
 static const struct pack_field holder_fields[] = {
 	PACK_STR_OF(struct holder_id, node),
