Manifest: API keys of organisations, open routes, their deltas

The index by key is built once for a manifest in force. Deltas carry the organisations that changed and the digest covers them. A delta that says nothing of organisations comes from a build without API keys and is not applied: the document is read instead.

--- a/core/manifest.c
+++ b/core/manifest.c
@@ -6,6 +6,7 @@
 #include <xxhash.h>
 
 #include "core/mem.h"
+#include "core/organisations/api_keys.h"
 
 #define ROUTE_TIMEOUT_DEFAULT_MS    2000
 #define ROUTE_BODY_DEFAULT_BYTES    (1 << 20)
@@ -43,6 +44,16 @@
 	m->index = NULL;
 }
 
+struct organisation *organisation_new(void)
+{
+	struct organisation *o = mem_new(struct organisation);
+
+	o->weight = ORGANISATION_WEIGHT_DEFAULT;
+	list_init(&o->link);
+	list_init(&o->api_keys);
+	return o;
+}
+
 void organisation_delete(struct organisation *o)
 {
 	struct api_key *k, *tmp;
@@ -68,6 +79,8 @@
 {
 	struct api_key *k = mem_new(struct api_key);
 
+	list_init(&k->by_text);
+	k->organisation = o;
 	mem_copy_str(k->text, text, sizeof(k->text));
 	list_push_back(&o->api_keys, &k->link);
 }
@@ -82,6 +95,7 @@
 	if (!m)
 		return;
 	drop_index(m);
+	api_keys_delete(m->keys);
 	list_for_each_entry_safe(r, rt, &m->routes, link)
 		free(r);
 	list_for_each_entry_safe(o, ot, &m->organisations, link)
@@ -120,6 +134,7 @@
 		list_push_back(&c->organisations, &organisation_copy(o)->link);
 	copy_items(&c->data_centres, &m->data_centres, struct data_centre);
 	copy_items(&c->services, &m->services, struct service);
+	c->api_keys_required = m->api_keys_required;
 	c->limits = m->limits;
 	c->version = m->version;
 	return c;
@@ -151,10 +166,8 @@
 
 struct organisation *manifest_add_organisation(struct manifest *m)
 {
-	struct organisation *o = mem_new(struct organisation);
+	struct organisation *o = organisation_new();
 
-	o->weight = ORGANISATION_WEIGHT_DEFAULT;
-	list_init(&o->api_keys);
 	list_push_back(&m->organisations, &o->link);
 	return o;
 }
@@ -264,6 +277,8 @@
 			       &r->by_prefix);
 	}
 	m->index = x;
+	api_keys_delete(m->keys);
+	m->keys = api_keys_new(&m->organisations);
 }
 
 static const struct route *find_prefix(const struct route_index *x,
@@ -337,3 +352,38 @@
 			return true;
 	return false;
 }
+
+bool region_set_intersect(const struct region_set *a,
+			  const struct region_set *b, struct region_set *both)
+{
+	struct region_set out = {0};
+
+	if (!a->count || !b->count) {
+		*both = a->count ? *a : *b;
+		return true;
+	}
+	for (uint32_t i = 0; i < a->count; i++)
+		if (region_set_allows(b, a->names[i]))
+			mem_copy_str(out.names[out.count++], a->names[i],
+				     JD_NAME_MAX);
+	*both = out;
+	return out.count > 0;
+}
+
+const char *route_draw_service(const struct route *r, struct rng *rng)
+{
+	uint64_t total = 0;
+	uint64_t draw;
+
+	if (!r->split_count)
+		return r->service;
+	for (uint32_t i = 0; i < r->split_count; i++)
+		total += r->splits[i].weight;
+	draw = rng_below(rng, total);
+	for (uint32_t i = 0; i < r->split_count; i++) {
+		if (draw < r->splits[i].weight)
+			return r->splits[i].service;
+		draw -= r->splits[i].weight;
+	}
+	return r->splits[0].service;
+}
--- a/core/manifest.h
+++ b/core/manifest.h
@@ -3,6 +3,7 @@
 #define JD_CORE_MANIFEST_H
 
 #include "core/list.h"
+#include "core/rng.h"
 #include "core/types.h"
 
 #define MANIFEST_SHARDS_DEFAULT 16384
@@ -75,6 +76,8 @@
 /** A secret by which a caller shows that it belongs to an organisation. */
 struct api_key {
 	struct list link;
+	struct list by_text; /* in its bucket of the index */
+	struct organisation *organisation;
 	char text[JD_API_KEY_MAX];
 };
 
@@ -129,11 +132,14 @@
 };
 
 struct manifest {
-	struct list routes;	   /* of struct route */
-	struct route_index *index; /* NULL: none, the routes are scanned */
-	struct list organisations; /* of struct organisation */
-	struct list data_centres;  /* of struct data_centre */
-	struct list services;	   /* of struct service */
+	struct list routes;	    /* of struct route */
+	struct route_index *index;  /* NULL: none, the routes are scanned */
+	struct list organisations;  /* of struct organisation */
+	struct list data_centres;   /* of struct data_centre */
+	struct list services;	    /* of struct service */
+	struct api_key_index *keys; /* NULL: none, the keys are scanned */
+	/* Callers of routes that are not open need an API key. */
+	bool api_keys_required;
 	struct caller_limits limits;
 	uint64_t version;   /* assigned by the operators; 0: none */
 	char change_id[64]; /* of the apply command that wrote it */
@@ -143,6 +149,8 @@
 void manifest_delete(struct manifest *m);
 struct manifest *manifest_copy(const struct manifest *m);
 
+/** An organisation with its default values, in no list. */
+struct organisation *organisation_new(void);
 void organisation_delete(struct organisation *o);
 /** A copy in no list. */
 struct organisation *organisation_copy(const struct organisation *o);
@@ -175,8 +183,9 @@
 					const char *host, const char *path);
 
 /**
- * Builds an index for manifest_match_host(). Do so when the routes are
- * complete: manifest_add_route() drops it.
+ * Builds the indices of routes and API keys. Do so when the manifest is
+ * complete: manifest_add_route() drops that of the routes, and keys that are
+ * added later are in none.
  */
 void manifest_build_index(struct manifest *m);
 
@@ -189,7 +198,17 @@
 /** True when a request with @method may run more than once on this route. */
 bool route_idempotent(const struct route *r, const char *method);
 
+/** The service of one request, drawn by the weights of the route's splits. */
+const char *route_draw_service(const struct route *r, struct rng *rng);
+
 /** True when @set is empty or contains @region. */
 bool region_set_allows(const struct region_set *set, const char *region);
 
+/**
+ * Sets @both to the regions that @a and @b both allow; false if there is none,
+ * and @both is then of no use.
+ */
+bool region_set_intersect(const struct region_set *a,
+			  const struct region_set *b, struct region_set *both);
+
 #endif
--- a/core/manifest_delta.c
+++ b/core/manifest_delta.c
@@ -14,6 +14,7 @@
 	list_init(&d->removed);
 	list_init(&d->changed);
 	list_init(&d->services);
+	organisations_delta_init(&d->organisations);
 	return d;
 }
 
@@ -37,6 +38,7 @@
 		free(r);
 	list_for_each_entry_safe(s, st, &d->services, link)
 		free(s);
+	organisations_delta_done(&d->organisations);
 	free(d);
 }
 
@@ -95,6 +97,9 @@
 	for (uint32_t i = 0; i < r->home_regions.count; i++)
 		hash_str(h, r->home_regions.names[i]);
 	hash_u64(h, r->home_regions.count);
+	/* Builds that know no open routes compute the same digest without. */
+	if (r->open)
+		hash_u64(h, r->open);
 	return XXH3_64bits_digest(h);
 }
 
@@ -124,7 +129,7 @@
 	XXH3_state_t *h = XXH3_createState();
 	const struct route *r;
 	const struct service *s;
-	uint64_t sum = head_digest(h, m);
+	uint64_t sum = head_digest(h, m) + organisations_digest(m);
 
 	list_for_each_entry(r, &m->routes, link)
 		sum += route_digest(h, r);
@@ -246,6 +251,7 @@
 
 	list_for_each_entry(r, &m->routes, link)
 		push_route_copy(&d->changed, r);
+	organisations_delta_whole(&d->organisations, m);
 	return d;
 }
 
@@ -255,10 +261,11 @@
 					      revision_t revision)
 {
 	struct manifest_delta *d = delta_without_routes(b, base, revision);
-	struct manifest *rebuilt;
+	struct manifest *rebuilt = NULL;
 
-	rebuilt =
-		add_route_changes(d, a, b) ? manifest_delta_apply(d, a) : NULL;
+	if (add_route_changes(d, a, b) &&
+	    organisations_delta_between(&d->organisations, a, b))
+		rebuilt = manifest_delta_apply(d, a);
 	if (!rebuilt) {
 		manifest_delta_unref(d);
 		return NULL;
@@ -315,10 +322,14 @@
 struct manifest *manifest_delta_apply(const struct manifest_delta *d,
 				      const struct manifest *m)
 {
-	struct manifest *out = manifest_new();
+	struct manifest *out;
 	const struct route *r;
 	const struct service *s;
 
+	/* Taken for a manifest without, it would open every route. */
+	if (!d->organisations.known)
+		return NULL;
+	out = manifest_new();
 	out->version = d->version;
 	out->limits = d->limits;
 	if (d->base)
@@ -327,6 +338,7 @@
 		push_route_copy(&out->routes, r);
 	list_for_each_entry(s, &d->services, link)
 		push_service_copy(&out->services, s);
+	organisations_delta_apply(&d->organisations, d->base ? m : NULL, out);
 	if (manifest_digest(out) == d->digest)
 		return out;
 	manifest_delete(out);
--- a/core/manifest_delta.h
+++ b/core/manifest_delta.h
@@ -6,6 +6,7 @@
 #define JD_CORE_MANIFEST_DELTA_H
 
 #include "core/manifest.h"
+#include "core/organisations/organisations_delta.h"
 
 /*
  * A change of more routes than the new manifest has, as when most are removed,
@@ -31,6 +32,7 @@
 	struct list removed;  /* of struct removed_route */
 	struct list changed;  /* of struct route: added or replaced ones */
 	struct list services; /* of struct service: all of them */
+	struct organisations_delta organisations;
 };
 
 /** Creates a delta without changes, with one reference. */
@@ -61,8 +63,9 @@
 
 /**
  * The manifest that @d makes of @m, owned by the caller; NULL when its digest
- * differs from @d's, as when @m is not the manifest at @d's base. @m may be
- * NULL if that is the empty one.
+ * differs from @d's, as when @m is not the manifest at @d's base, or if @d does
+ * not say what organisations there are. @m may be NULL if that is the empty
+ * one.
  */
 struct manifest *manifest_delta_apply(const struct manifest_delta *d,
 				      const struct manifest *m);
--- a/tests/manifest_codec_test.cpp
+++ b/tests/manifest_codec_test.cpp
@@ -48,6 +48,19 @@
 		r->objective_ms = 700;
 		r->invalid = true;
 		r->idempotent = UINT32_MAX;
+		r->open = true;
+		b->api_keys_required = true;
+		struct organisation *o = manifest_add_organisation(b);
+
+		mem_copy_str(o->name, "museum", sizeof(o->name));
+		o->has_priority = true;
+		o->priority = 7;
+		o->rate_per_s = 2.5;
+		o->burst = 8;
+		o->home_regions.count = 1;
+		mem_copy_str(o->home_regions.names[0], "south", JD_NAME_MAX);
+		organisation_add_key(o, "first");
+		organisation_add_key(o, "second");
 		b->limits.header_bytes = 16384;
 		b->limits.body_bytes = 1000;
 		b->limits.header_timeout_ms = 3000;
@@ -84,10 +97,49 @@
 	EXPECT_EQ(manifest_digest(out), manifest_digest(b));
 	EXPECT_DOUBLE_EQ(manifest_service(out, "archive")->cold_per_s, 14.5);
 	EXPECT_EQ(manifest_route(out, "r-2")->splits[1].weight, 90u);
+	EXPECT_TRUE(manifest_route(out, "r-2")->open);
+	EXPECT_TRUE(out->api_keys_required);
+	const struct organisation *o = manifest_organisation(out, "museum");
+
+	ASSERT_NE(o, nullptr);
+	EXPECT_TRUE(o->has_priority);
+	EXPECT_EQ(o->priority, 7u);
+	EXPECT_DOUBLE_EQ(o->rate_per_s, 2.5);
+	EXPECT_DOUBLE_EQ(o->burst, 8);
+	EXPECT_STREQ(o->home_regions.names[0], "south");
 	manifest_delete(out);
 	message_delete(got);
 }
 
+/* The changes of @records as a build without API keys sends them. */
+static struct message *without_organisations(const struct message *m)
+{
+	struct record *r =
+		list_entry(m->u.changes.records.next, struct record, link);
+	struct message *got;
+	struct wire_buf b = {};
+	struct status st;
+
+	r->delta->organisations.known = false;
+	wire_encode_message(m, &b);
+	got = wire_decode_message(b.data, b.len, &st);
+	free(b.data);
+	return got;
+}
+
+TEST_F(ManifestCodecTest, DeltaWithoutOrganisationsIsReadAndNotApplied)
+{
+	struct message *got = without_organisations(m);
+	struct record *r;
+
+	ASSERT_NE(got, nullptr);
+	r = list_entry(got->u.changes.records.next, struct record, link);
+	ASSERT_NE(r->delta, nullptr) << "it still says what is newer";
+	EXPECT_EQ(r->delta->version, 2u);
+	EXPECT_EQ(manifest_delta_apply(r->delta, a), nullptr);
+	message_delete(got);
+}
+
 /* Guards against the loss of all changes for a delta of a later build. */
 TEST_F(ManifestCodecTest, UnknownDeltaLeavesTheNewsOfTheManifest)
 {
@@ -104,7 +156,7 @@
 	msgpack_packer_init(&pk, &sb, msgpack_sbuffer_write);
 	mesh_pack_records(&pk, &m->u.changes.records);
 	/* The number of the delta's base, 10, becomes nil. */
-	pos = std::string(sb.data, sb.size).find("\x94\x9a\x0a");
+	pos = std::string(sb.data, sb.size).find("\x95\x9a\x0a");
 	ASSERT_NE(pos, std::string::npos);
 	sb.data[pos + 2] = (char)0xc0;
 	msgpack_unpacked_init(&u);
--- a/tests/manifest_delta_test.cpp
+++ b/tests/manifest_delta_test.cpp
@@ -201,3 +201,141 @@
 	}
 	manifest_delete(m);
 }
+
+static struct organisation *add_organisation(struct manifest *m, int i,
+					     const char *key)
+{
+	struct organisation *o = manifest_add_organisation(m);
+
+	m->api_keys_required = true;
+	text_format(o->name, sizeof(o->name), "o-%d", i);
+	organisation_add_key(o, key);
+	return o;
+}
+
+/* Each organisation is absent, the same, or has another key in the second. */
+RC_GTEST_PROP(ManifestDelta, CarriesTheChangesOfOrganisations,
+	      (const std::vector<uint8_t> &organisations))
+{
+	struct manifest *a = new_manifest(1);
+	struct manifest *b = new_manifest(2);
+	struct manifest_delta *d;
+	size_t differ = 0;
+
+	for (size_t i = 0; i < organisations.size(); i++) {
+		int kind = organisations[i] % 5;
+
+		if (kind != 0)
+			add_organisation(a, (int)i, "old");
+		if (kind != 1)
+			add_organisation(b, (int)i, kind == 2 ? "new" : "old");
+		differ += kind < 3;
+	}
+	d = manifest_delta_between(a, 10, b, 20);
+	RC_ASSERT((d == nullptr) ==
+		  (differ > std::max(length(&b->organisations),
+				     (size_t)ORGANISATIONS_DELTA_MIN)));
+	if (d) {
+		struct manifest *out = manifest_delta_apply(d, a);
+
+		RC_ASSERT(length(&d->organisations.removed) +
+				  length(&d->organisations.changed) ==
+			  differ);
+		RC_ASSERT(list_empty(&d->changed));
+		RC_ASSERT(out != nullptr);
+		RC_ASSERT(manifest_digest(out) == manifest_digest(b));
+		RC_ASSERT(length(&out->organisations) ==
+			  length(&b->organisations));
+		RC_ASSERT(out->api_keys_required == b->api_keys_required);
+		manifest_delete(out);
+	}
+	manifest_delta_unref(d);
+	manifest_delete(a);
+	manifest_delete(b);
+}
+
+/* A withdrawn key among 5,000 organisations with two keys each. */
+TEST(ManifestDelta, OneKeyOfManyIsOneChange)
+{
+	struct manifest *a = new_manifest(1);
+	struct manifest *b;
+	struct manifest *out;
+	struct manifest_delta *d;
+	struct organisation *o;
+	struct api_key *withdrawn;
+
+	for (int i = 0; i < 5000; i++)
+		organisation_add_key(add_organisation(a, i, "first"), "second");
+	b = manifest_copy(a);
+	o = list_entry(b->organisations.prev, struct organisation, link);
+	withdrawn = list_entry(o->api_keys.next, struct api_key, link);
+	list_remove(&withdrawn->link);
+	free(withdrawn);
+	d = manifest_delta_between(a, 10, b, 20);
+	ASSERT_NE(d, nullptr);
+	EXPECT_EQ(length(&d->organisations.changed), 1u);
+	out = manifest_delta_apply(d, a);
+	ASSERT_NE(out, nullptr);
+	EXPECT_EQ(length(&out->organisations), 5000u);
+	EXPECT_EQ(manifest_digest(out), manifest_digest(b));
+	EXPECT_NE(manifest_digest(a), manifest_digest(b));
+	manifest_delete(out);
+	manifest_delta_unref(d);
+	manifest_delete(a);
+	manifest_delete(b);
+}
+
+/*
+ * A delta of a build without API keys must not make a manifest that requires
+ * none, whether it holds changes or all of its manifest.
+ */
+TEST(ManifestDelta, DoesNotApplyIfItSaysNothingOfOrganisations)
+{
+	struct manifest *a = new_manifest(1);
+	struct manifest *b = new_manifest(2);
+	struct manifest_delta *d = manifest_delta_between(a, 10, b, 20);
+	struct manifest_delta *whole = manifest_delta_whole(b, 20);
+
+	for (struct manifest_delta *it : {d, whole}) {
+		struct manifest *out = manifest_delta_apply(it, a);
+
+		EXPECT_NE(out, nullptr);
+		manifest_delete(out);
+		it->organisations.known = false;
+		EXPECT_EQ(manifest_delta_apply(it, a), nullptr);
+		manifest_delta_unref(it);
+	}
+	manifest_delete(a);
+	manifest_delete(b);
+}
+
+/* Other builds compute the same as long as nobody uses what is new. */
+TEST(ManifestDelta, DigestHoldsOrganisationsAndOpenRoutes)
+{
+	struct manifest *m = new_manifest(1);
+	std::vector<uint64_t> seen;
+
+	add_route(m, 1, 1000);
+	seen.push_back(manifest_digest(m));
+	list_entry(m->routes.next, struct route, link)->open = true;
+	seen.push_back(manifest_digest(m));
+	m->api_keys_required = true;
+	seen.push_back(manifest_digest(m));
+	struct organisation *o = add_organisation(m, 1, "key");
+	seen.push_back(manifest_digest(m));
+	o->has_priority = true;
+	seen.push_back(manifest_digest(m));
+	o->priority = 2;
+	seen.push_back(manifest_digest(m));
+	o->rate_per_s = 9;
+	seen.push_back(manifest_digest(m));
+	o->burst = 4;
+	seen.push_back(manifest_digest(m));
+	o->home_regions.count = 1;
+	seen.push_back(manifest_digest(m));
+	organisation_add_key(o, "other");
+	seen.push_back(manifest_digest(m));
+	std::sort(seen.begin(), seen.end());
+	EXPECT_EQ(std::unique(seen.begin(), seen.end()), seen.end());
+	manifest_delete(m);
+}
--- a/tests/records_test.cpp
+++ b/tests/records_test.cpp
@@ -5,6 +5,7 @@
 
 extern "C" {
 #include "core/mem.h"
+#include "core/organisations/api_keys.h"
 #include "io/base64.h"
 #include "platform/records.h"
 }
@@ -64,6 +65,91 @@
 	EXPECT_EQ(config_decode(no_version.data(), no_version.size()), nullptr);
 }
 
+static struct manifest *decode_with(const std::string &organisations)
+{
+	std::string text = config;
+
+	text.insert(text.size() - 1, ",\"tenants\":" + organisations);
+	return config_decode(text.data(), text.size());
+}
+
+TEST(Records, OrganisationsAreDecoded)
+{
+	struct manifest *m =
+		decode_with("[{\"name\":\"museum\",\"apiKeys\":[\"k1\",\"k2\"],"
+			    "\"priority\":0,\"ratePerS\":183.5,\"burst\":20,"
+			    "\"allowedRegions\":[\"north\"]},"
+			    "{\"name\":\"families\",\"apiKeys\":[]}]");
+	const struct organisation *o;
+
+	ASSERT_NE(m, nullptr);
+	EXPECT_TRUE(m->api_keys_required);
+	o = api_keys_find(m, "k2");
+	ASSERT_NE(o, nullptr);
+	EXPECT_STREQ(o->name, "museum");
+	EXPECT_TRUE(o->has_priority);
+	EXPECT_EQ(o->priority, 0u);
+	EXPECT_DOUBLE_EQ(o->rate_per_s, 183.5);
+	EXPECT_DOUBLE_EQ(o->burst, 20);
+	EXPECT_FALSE(region_set_allows(&o->home_regions, "south"));
+	o = manifest_organisation(m, "families");
+	ASSERT_NE(o, nullptr);
+	EXPECT_FALSE(o->has_priority);
+	EXPECT_DOUBLE_EQ(o->rate_per_s, 0);
+	manifest_delete(m);
+}
+
+TEST(Records, AConfigurationWithoutOrganisationsRequiresNoKeys)
+{
+	for (const char *none : {"null", "[]"}) {
+		struct manifest *m = decode_with(none);
+
+		ASSERT_NE(m, nullptr);
+		EXPECT_FALSE(m->api_keys_required) << none;
+		manifest_delete(m);
+	}
+}
+
+/* Whatever can't be represented is unknown; it opens no route. */
+TEST(Records, InvalidOrganisationsOpenNothing)
+{
+	std::string longest(JD_API_KEY_MAX - 1, 'k');
+
+	for (const std::string &bad :
+	     {std::string("{}"), std::string("\"x\""), std::string("[7]"),
+	      std::string("[{\"apiKeys\":[\"k1\"]}]"),
+	      std::string("[{\"name\":\"a\\r\\nb\",\"apiKeys\":[\"k1\"]}]"),
+	      std::string("[{\"name\":\"a\",\"apiKeys\":\"k1\"}]"),
+	      std::string("[{\"name\":\"a\",\"apiKeys\":[\"k1\"],"
+			  "\"allowedRegions\":7}]"),
+	      "[{\"name\":\"a\",\"apiKeys\":[\"\",3,\"k 1\",\"" + longest +
+		      "k\"]}]"}) {
+		struct manifest *m = decode_with(bad);
+
+		ASSERT_NE(m, nullptr);
+		EXPECT_TRUE(m->api_keys_required) << bad;
+		EXPECT_EQ(api_keys_find(m, "k1"), nullptr) << bad;
+		EXPECT_EQ(api_keys_find(m, ""), nullptr) << bad;
+		EXPECT_EQ(api_keys_find(m, longest.c_str()), nullptr) << bad;
+		EXPECT_NE(manifest_route(m, "r1"), nullptr);
+		manifest_delete(m);
+	}
+}
+
+TEST(Records, OnlyAPublicRouteIsOpen)
+{
+	std::string text = config;
+	struct manifest *m;
+
+	text.replace(text.find("\"priority\":2"), 12,
+		     "\"priority\":2,\"public\":true");
+	m = config_decode(text.data(), text.size());
+	ASSERT_NE(m, nullptr);
+	EXPECT_TRUE(manifest_route(m, "r1")->open);
+	EXPECT_FALSE(manifest_route(m, "r2")->open);
+	manifest_delete(m);
+}
+
 RC_GTEST_PROP(Records, ArbitraryBytesNeverCrash, (const std::string &bytes))
 {
 	manifest_delete(config_decode(bytes.data(), bytes.size()));
--- a/wire/manifest_codec.c
+++ b/wire/manifest_codec.c
@@ -1,6 +1,7 @@
 #include "wire/manifest_codec.h"
 
 #include <stdlib.h>
+#include <string.h>
 
 #include "core/mem.h"
 #include "wire/pack.h"
@@ -11,6 +12,7 @@
 	DELTA_REMOVED,
 	DELTA_CHANGED,
 	DELTA_SERVICES,
+	DELTA_ORGANISATIONS, /* missing from builds without API keys */
 	DELTA_ITEM_COUNT,
 };
 
@@ -40,8 +42,10 @@
 	PACK_U64_OF(struct route, timeout_ms),
 	PACK_U64_OF(struct route, objective_ms),
 	PACK_BOOL_OF(struct route, invalid),
+	PACK_BOOL_OF(struct route, open),
 };
-static const struct pack_table route_table = PACK_TABLE(route_fields);
+static const struct pack_table route_table =
+	PACK_TABLE_WITH_OPTIONAL(route_fields, 1);
 
 static const struct pack_field split_fields[] = {
 	PACK_STR_OF(struct split, service),
@@ -56,6 +60,32 @@
 };
 static const struct pack_table service_table = PACK_TABLE(service_fields);
 
+/* Items of the encoded changes of organisations. */
+enum organisations_item {
+	ORGANISATIONS_REQUIRED,
+	ORGANISATIONS_REMOVED,
+	ORGANISATIONS_CHANGED,
+	ORGANISATIONS_ITEM_COUNT,
+};
+
+/* Items of an encoded organisation. */
+enum organisation_item {
+	ORGANISATION_FIELDS,
+	ORGANISATION_RATE,
+	ORGANISATION_BURST,
+	ORGANISATION_REGIONS,
+	ORGANISATION_KEYS,
+	ORGANISATION_ITEM_COUNT,
+};
+
+static const struct pack_field organisation_fields[] = {
+	PACK_STR_OF(struct organisation, name),
+	PACK_BOOL_OF(struct organisation, has_priority),
+	PACK_U32_OF(struct organisation, priority),
+};
+static const struct pack_table organisation_table =
+	PACK_TABLE(organisation_fields);
+
 static size_t list_length(const struct list *l)
 {
 	size_t n = 0;
@@ -65,6 +95,13 @@
 	return n;
 }
 
+static void pack_regions(msgpack_packer *pk, const struct region_set *set)
+{
+	msgpack_pack_array(pk, set->count);
+	for (uint32_t i = 0; i < set->count; i++)
+		pack_str(pk, set->names[i]);
+}
+
 /* A route is an array: its fields, its splits, its regions. */
 static void pack_route(msgpack_packer *pk, const struct route *r)
 {
@@ -73,9 +110,7 @@
 	msgpack_pack_array(pk, r->split_count);
 	for (uint32_t i = 0; i < r->split_count; i++)
 		pack_struct(pk, &r->splits[i], &split_table);
-	msgpack_pack_array(pk, r->home_regions.count);
-	for (uint32_t i = 0; i < r->home_regions.count; i++)
-		pack_str(pk, r->home_regions.names[i]);
+	pack_regions(pk, &r->home_regions);
 }
 
 /* A service is an array: its fields, its rate when cold. */
@@ -86,6 +121,40 @@
 	msgpack_pack_double(pk, s->cold_per_s);
 }
 
+static void pack_organisation(msgpack_packer *pk, const struct organisation *o)
+{
+	const struct api_key *k;
+
+	msgpack_pack_array(pk, ORGANISATION_ITEM_COUNT);
+	pack_struct(pk, o, &organisation_table);
+	msgpack_pack_double(pk, o->rate_per_s);
+	msgpack_pack_double(pk, o->burst);
+	pack_regions(pk, &o->home_regions);
+	msgpack_pack_array(pk, list_length(&o->api_keys));
+	list_for_each_entry(k, &o->api_keys, link)
+		pack_str(pk, k->text);
+}
+
+static void pack_organisations(msgpack_packer *pk,
+			       const struct organisations_delta *d)
+{
+	const struct removed_organisation *x;
+	const struct organisation *o;
+
+	if (!d->known) {
+		msgpack_pack_nil(pk);
+		return;
+	}
+	msgpack_pack_array(pk, ORGANISATIONS_ITEM_COUNT);
+	msgpack_pack_uint8(pk, d->api_keys_required);
+	msgpack_pack_array(pk, list_length(&d->removed));
+	list_for_each_entry(x, &d->removed, link)
+		pack_str(pk, x->name);
+	msgpack_pack_array(pk, list_length(&d->changed));
+	list_for_each_entry(o, &d->changed, link)
+		pack_organisation(pk, o);
+}
+
 void pack_manifest_delta(msgpack_packer *pk, const struct manifest_delta *d)
 {
 	const struct removed_route *x;
@@ -103,6 +172,7 @@
 	msgpack_pack_array(pk, list_length(&d->services));
 	list_for_each_entry(s, &d->services, link)
 		pack_service(pk, s);
+	pack_organisations(pk, &d->organisations);
 }
 
 static bool is_array(const msgpack_object *o)
@@ -153,15 +223,76 @@
 	       unpack_regions(unpack_at(o, 2), &r->home_regions);
 }
 
+static bool unpack_double(const msgpack_object *o, double *v)
+{
+	if (!o || (o->type != MSGPACK_OBJECT_FLOAT64 &&
+		   o->type != MSGPACK_OBJECT_FLOAT32))
+		return false;
+	*v = o->via.f64;
+	return true;
+}
+
 static bool unpack_service(const msgpack_object *o, struct service *s)
 {
-	const msgpack_object *rate = unpack_at(o, 1);
+	return unpack_struct(unpack_at(o, 0), s, &service_table) &&
+	       unpack_double(unpack_at(o, 1), &s->cold_per_s);
+}
+
+/* Cut, a key would be another one. */
+static bool unpack_key(const msgpack_object *o, struct organisation *to)
+{
+	char *text = unpack_str(o);
+	bool fits = text && *text && strlen(text) < JD_API_KEY_MAX;
+
+	if (fits)
+		organisation_add_key(to, text);
+	free(text);
+	return fits;
+}
+
+static bool unpack_organisation(const msgpack_object *o,
+				struct organisation *to)
+{
+	const msgpack_object *keys = unpack_at(o, ORGANISATION_KEYS);
+	const msgpack_object *it;
+
+	if (!is_array(keys) ||
+	    !unpack_struct(unpack_at(o, ORGANISATION_FIELDS), to,
+			   &organisation_table) ||
+	    !unpack_double(unpack_at(o, ORGANISATION_RATE), &to->rate_per_s) ||
+	    !unpack_double(unpack_at(o, ORGANISATION_BURST), &to->burst) ||
+	    !unpack_regions(unpack_at(o, ORGANISATION_REGIONS),
+			    &to->home_regions))
+		return false;
+	for (size_t i = 0; (it = unpack_at(keys, i)); i++)
+		if (!unpack_key(it, to))
+			return false;
+	return true;
+}
+
+static bool unpack_organisations(const msgpack_object *o,
+				 struct organisations_delta *d)
+{
+	const msgpack_object *removed = unpack_at(o, ORGANISATIONS_REMOVED);
+	const msgpack_object *changed = unpack_at(o, ORGANISATIONS_CHANGED);
+	const msgpack_object *it;
+	uint64_t required;
 
-	if (!rate || !unpack_struct(unpack_at(o, 0), s, &service_table) ||
-	    (rate->type != MSGPACK_OBJECT_FLOAT64 &&
-	     rate->type != MSGPACK_OBJECT_FLOAT32))
+	if (!o || o->type == MSGPACK_OBJECT_NIL)
+		return true;
+	if (!is_array(removed) || !is_array(changed) ||
+	    !unpack_u64(unpack_at(o, ORGANISATIONS_REQUIRED), &required))
 		return false;
-	s->cold_per_s = rate->via.f64;
+	d->known = true;
+	d->api_keys_required = required != 0;
+	for (size_t i = 0; (it = unpack_at(removed, i)); i++)
+		if (!unpack_name(it, organisations_delta_add_removed(d)->name,
+				 JD_NAME_MAX))
+			return false;
+	for (size_t i = 0; (it = unpack_at(changed, i)); i++)
+		if (!unpack_organisation(it,
+					 organisations_delta_add_changed(d)))
+			return false;
 	return true;
 }
 
@@ -185,7 +316,8 @@
 	for (size_t i = 0; (it = unpack_at(services, i)); i++)
 		if (!unpack_service(it, manifest_delta_add_service(d)))
 			return false;
-	return true;
+	return unpack_organisations(unpack_at(o, DELTA_ORGANISATIONS),
+				    &d->organisations);
 }
 
 struct manifest_delta *unpack_manifest_delta(const msgpack_object *o)
