Entry: callers are identified by API key

Requests were forwarded with their Authorization header and without an organisation. identify_caller() maps the key to its organisation, whose priority goes before the route's and whose home regions bind with the route's. An unknown key is refused with 401, or with 503 while the manifest may be outdated. Key and forged organisation are removed before the request is forwarded; the gate adds the organisation for the upstream. Without organisations nothing changes.

--- a/core/dispatch.c
+++ b/core/dispatch.c
@@ -5,6 +5,7 @@
 
 #include "core/load/gate_pick.h"
 #include "core/mem.h"
+#include "core/organisations/identify.h"
 #include "core/relay.h"
 
 /* Pending requests are checked for what is due at this interval. */
@@ -302,6 +303,7 @@
 	f->shard = p->shard;
 	f->idempotent = p->idempotent;
 	mem_copy_str(f->route, p->route, sizeof(f->route));
+	mem_copy_str(f->organisation, p->organisation, sizeof(f->organisation));
 	mem_copy_str(f->caller_id, p->caller_id, sizeof(f->caller_id));
 	mem_copy_str(f->caller_service, c->opts->service,
 		     sizeof(f->caller_service));
@@ -375,24 +377,6 @@
 	hold_request(d, c, p, HELD_RETRY_INTERVAL_NS);
 }
 
-static const char *pick_service(struct mesh_ctx *c, const struct route *r)
-{
-	uint64_t total = 0;
-	uint64_t draw;
-
-	if (!r->split_count)
-		return r->service;
-	for (uint32_t i = 0; i < r->split_count; i++)
-		total += r->splits[i].weight;
-	draw = rng_below(&c->rng, total);
-	for (uint32_t i = 0; i < r->split_count; i++) {
-		if (draw < r->splits[i].weight)
-			return r->splits[i].service;
-		draw -= r->splits[i].weight;
-	}
-	return r->splits[0].service;
-}
-
 /* How long @p may be held in wait for a gate. */
 static uint64_t hold_limit_ns(const struct dispatch *d,
 			      const struct mesh_ctx *c,
@@ -409,10 +393,11 @@
 
 static struct pending_request *pending_new(struct dispatch *d,
 					   struct mesh_ctx *c,
-					   const struct route *route,
+					   const struct request_rules *rules,
 					   struct caller_request *r)
 {
 	struct pending_request *p = mem_new(struct pending_request);
+	const struct route *route = rules->route;
 	const struct service *sv;
 	uint64_t timeout_at_ns = c->now_ns + route->timeout_ms * NS_PER_MS;
 	uint64_t objective_ns = route->objective_ms * NS_PER_MS;
@@ -423,12 +408,15 @@
 	p->caller = r->caller;
 	mem_copy_str(p->caller_id, r->id, sizeof(p->caller_id));
 	mem_copy_str(p->route, route->name, sizeof(p->route));
-	mem_copy_str(p->service, pick_service(c, route), sizeof(p->service));
+	mem_copy_str(p->service, route_draw_service(route, &c->rng),
+		     sizeof(p->service));
 	sv = manifest_service(c->dir.manifest, p->service);
 	p->keyed = sv && sv->keyed;
 	p->shard = r->shard;
-	p->regions = route->home_regions;
-	p->priority = route->priority;
+	mem_copy_str(p->organisation, rules_organisation(rules),
+		     sizeof(p->organisation));
+	p->regions = rules->regions;
+	p->priority = rules->priority;
 	p->max_attempts = route->max_attempts ? route->max_attempts : 1;
 	p->idempotent = route->idempotent != 0;
 	p->received_ns = c->now_ns;
@@ -459,17 +447,22 @@
 
 static enum refusal admission_refusal(const struct dispatch *d,
 				      const struct mesh_ctx *c,
-				      const struct caller_request *r,
-				      const struct route **route)
+				      struct caller_request *r,
+				      struct request_rules *rules)
 {
+	enum refusal why;
+
 	if (!c->dir.manifest)
 		return REFUSAL_NO_MANIFEST;
-	*route = manifest_match_host(c->dir.manifest, r->host,
-				     r->request->target);
-	if (!*route)
+	rules->route = manifest_match_host(c->dir.manifest, r->host,
+					   r->request->target);
+	if (!rules->route)
 		return final_refusal(c, REFUSAL_NO_ROUTE);
-	if ((*route)->invalid)
+	if (rules->route->invalid)
 		return REFUSAL_INVALID_ROUTE;
+	why = identify_caller(c->dir.manifest, r, rules);
+	if (why != REFUSAL_NONE)
+		return final_refusal(c, why);
 	if (r->oversized)
 		return final_refusal(c, REFUSAL_TOO_LARGE);
 	if (r->bad_deadline)
@@ -484,8 +477,8 @@
 void dispatch_on_request(struct dispatch *d, struct mesh_ctx *c,
 			 struct local_gate *g, struct caller_request *r)
 {
-	const struct route *route = NULL;
-	enum refusal why = admission_refusal(d, c, r, &route);
+	struct request_rules rules = {0};
+	enum refusal why = admission_refusal(d, c, r, &rules);
 	struct pending_request *p;
 
 	d->requests++;
@@ -493,7 +486,7 @@
 		refuse_request(d, c, r, why);
 		return;
 	}
-	p = pending_new(d, c, route, r);
+	p = pending_new(d, c, &rules, r);
 	/* The retry budget is a share of external requests only. */
 	if (!route_is_internal(d, p->route))
 		retries_earn(&d->retries, c, p->service);
--- a/core/gatekeeper.c
+++ b/core/gatekeeper.c
@@ -234,6 +234,7 @@
 	mem_copy_str(a->caller_id, f->caller_id, sizeof(a->caller_id));
 	mem_copy_str(a->caller_service, f->caller_service,
 		     sizeof(a->caller_service));
+	mem_copy_str(a->organisation, f->organisation, sizeof(a->organisation));
 	a->request = f->request;
 	f->request = NULL;
 	return a;
@@ -410,6 +411,8 @@
 	mem_copy_str(act->caller_id, a->caller_id, sizeof(act->caller_id));
 	mem_copy_str(act->caller_service, a->caller_service,
 		     sizeof(act->caller_service));
+	mem_copy_str(act->organisation, a->organisation,
+		     sizeof(act->organisation));
 	act->deadline_ns = a->deadline_ns - ANSWER_TRANSIT_NS;
 	act->write_before_ns = write_before_ns;
 	act->request = a->request;
--- a/core/gatekeeper.h
+++ b/core/gatekeeper.h
@@ -34,6 +34,7 @@
 	char route[JD_NAME_MAX];
 	char caller_id[JD_CALLER_ID_MAX]; /* the caller's own request id */
 	char caller_service[JD_NAME_MAX]; /* of the VM where it began */
+	char organisation[JD_NAME_MAX];	  /* empty: none */
 	struct http_request *request;	  /* NULL once it has started */
 };
 
--- a/core/http.c
+++ b/core/http.c
@@ -31,6 +31,15 @@
 			header_delete(h);
 }
 
+void payload_drop_header(struct payload *p, const char *name)
+{
+	struct header *h, *tmp;
+
+	list_for_each_entry_safe(h, tmp, &p->headers, link)
+		if (!strcasecmp(h->name, name))
+			header_delete(h);
+}
+
 void payload_done(struct payload *p)
 {
 	struct header *h, *tmp;
--- a/core/http.h
+++ b/core/http.h
@@ -41,6 +41,8 @@
 const char *payload_header(const struct payload *p, const char *name);
 /** Removes all headers whose name starts with @prefix, in any case. */
 void payload_remove_headers(struct payload *p, const char *prefix);
+/** Removes all headers @name, in any case. */
+void payload_drop_header(struct payload *p, const char *name);
 /** Replaces the body by a copy of @len bytes. */
 void payload_set_body(struct payload *p, const void *body, size_t len);
 /** Adds the headers of @from to @to and replaces its body. */
--- a/core/refusal.c
+++ b/core/refusal.c
@@ -29,6 +29,7 @@
 	[REFUSAL_OVER_QUOTA] = {"over_quota", 429, false},
 	[REFUSAL_NO_QUOTA_SHARE] = {"no_quota_share", 503, true},
 	[REFUSAL_NO_ROOM] = {"no_room", 503, true},
+	[REFUSAL_NO_COMMON_REGION] = {"no_common_region", 503, false},
 };
 
 const struct refusal_info *refusal_find(enum refusal r)
--- a/core/refusal.h
+++ b/core/refusal.h
@@ -33,6 +33,7 @@
 	REFUSAL_OVER_QUOTA,	  /* its organisation has used up its quota */
 	REFUSAL_NO_QUOTA_SHARE,	  /* what is left of the quota is not known */
 	REFUSAL_NO_ROOM,	  /* the service has none for its rank */
+	REFUSAL_NO_COMMON_REGION, /* of its route and its organisation */
 	REFUSAL_COUNT,
 };
 
--- a/tests/dispatch_test.cpp
+++ b/tests/dispatch_test.cpp
@@ -100,6 +100,30 @@
 	}
 	bool oversized = false; /* of the requests to send */
 	bool keyed = false;
+	std::string api_key;
+	/* Of the last forward. */
+	std::string organisation;
+	uint32_t priority = 0;
+	bool passed_credentials = false;
+	void note_forward(const struct msg_forward *f)
+	{
+		const struct payload *p = &f->request->payload;
+
+		organisation = f->organisation;
+		priority = f->priority;
+		passed_credentials = payload_header(p, "Authorization") ||
+				     payload_header(p, "X-Organisation");
+	}
+	struct organisation *add_organisation(const char *name, const char *key)
+	{
+		struct organisation *o =
+			manifest_add_organisation(c.dir.manifest);
+
+		c.dir.manifest->api_keys_required = true;
+		mem_copy_str(o->name, name, sizeof(o->name));
+		organisation_add_key(o, key);
+		return o;
+	}
 	/* Sends one request; returns the boot of the gate that got it. */
 	uint64_t send(struct request_id *id)
 	{
@@ -113,6 +137,11 @@
 		r.oversized = oversized;
 		r.keyed = keyed;
 		r.request = http_request_new("GET", "/x");
+		r.organisation_header = "X-Organisation";
+		mem_copy_str(r.api_key, api_key.c_str(), sizeof(r.api_key));
+		payload_add_header(&r.request->payload, "Authorization",
+				   ("Bearer " + api_key).c_str());
+		payload_add_header(&r.request->payload, "X-Organisation", "x");
 		dispatch_on_request(&d, &c, &local, &r);
 		http_request_unref(r.request);
 		while ((a = mesh_actions_pop(&out))) {
@@ -120,6 +149,7 @@
 			    a->u.send.message->kind == MSG_FORWARD) {
 				to = a->u.send.message->to;
 				*id = a->u.send.message->u.forward.id;
+				note_forward(&a->u.send.message->u.forward);
 			}
 			mesh_action_delete(a);
 		}
@@ -505,3 +535,132 @@
 	send_many(400, REFUSAL_NONE);
 	EXPECT_EQ(send_many(100, REFUSAL_NONE), 100);
 }
+
+TEST_F(DispatchTest, WithoutOrganisationsCredentialsArePassedOn)
+{
+	struct request_id id;
+
+	api_key = "k";
+	EXPECT_NE(send(&id), 0u);
+	EXPECT_EQ(organisation, "");
+	EXPECT_TRUE(passed_credentials);
+}
+
+TEST_F(DispatchTest, AKnownKeyForwardsTheOrganisationAndItsRank)
+{
+	struct request_id id;
+	struct organisation *o = add_organisation("museum", "k");
+
+	route()->priority = 1;
+	api_key = "k";
+	EXPECT_NE(send(&id), 0u);
+	EXPECT_EQ(organisation, "museum");
+	EXPECT_EQ(priority, 1u);
+	EXPECT_FALSE(passed_credentials);
+	o->has_priority = true;
+	o->priority = 4;
+	EXPECT_NE(send(&id), 0u);
+	EXPECT_EQ(priority, 4u);
+	route()->open = true;
+	api_key = "";
+	EXPECT_NE(send(&id), 0u);
+	EXPECT_EQ(organisation, "");
+	EXPECT_EQ(priority, 1u);
+	EXPECT_FALSE(passed_credentials);
+}
+
+/* A 401 is final, so it does not come from a manifest that may be outdated. */
+TEST_F(DispatchTest, AnUnknownKeyIsRefusedByTheNewestManifestOnly)
+{
+	struct request_id id;
+
+	add_organisation("museum", "k");
+	api_key = "other";
+	EXPECT_EQ(send(&id), 0u);
+	EXPECT_EQ(d.reasons[REFUSAL_UNKNOWN_API_KEY], 1u);
+	EXPECT_EQ(refusal_find(REFUSAL_UNKNOWN_API_KEY)->http_code, 401);
+	c.dir.manifest_wanted = 9;
+	EXPECT_EQ(send(&id), 0u);
+	EXPECT_EQ(d.reasons[REFUSAL_UNKNOWN_API_KEY], 1u);
+	EXPECT_EQ(d.reasons[REFUSAL_OLD_MANIFEST], 1u);
+}
+
+/*
+ * Guards against a withdrawn key in use: nothing of an earlier request on the
+ * same connection, or of an earlier process, stands for the key.
+ */
+TEST_F(DispatchTest, AWithdrawnKeyIsRefusedAsSoonAsItsManifestIsInForce)
+{
+	struct request_id id;
+	struct record *r = record_new(RECORD_MANIFEST, "");
+	struct manifest *next;
+	struct list records;
+
+	add_organisation("museum", "k");
+	api_key = "k";
+	EXPECT_NE(send(&id), 0u);
+	next = manifest_copy(c.dir.manifest);
+	next->version++;
+	list_init(&records);
+	list_push_back(&records, &r->link);
+	r->revision = 20;
+	r->u.manifest = next;
+	organisation_delete(list_entry(next->organisations.next,
+				       struct organisation, link));
+	list_init(&next->organisations);
+	directory_apply(&c.dir, &records, false, 20, c.now_ns, &out);
+	records_delete(&records);
+	ASSERT_EQ(c.dir.manifest, next);
+	next_caller--;
+	EXPECT_EQ(send(&id), 0u);
+	EXPECT_EQ(d.reasons[REFUSAL_UNKNOWN_API_KEY], 1u);
+	/* A process that has just started. */
+	manifest_delete(c.dir.manifest);
+	c.dir.manifest = nullptr;
+	EXPECT_EQ(send(&id), 0u);
+	EXPECT_EQ(d.reasons[REFUSAL_NO_MANIFEST], 1u);
+}
+
+TEST_F(DispatchTest, HomeRegionsOfTheOrganisationBindTheGate)
+{
+	struct request_id id;
+	struct organisation *o = add_organisation("museum", "k");
+
+	api_key = "k";
+	EXPECT_EQ(send(&id), 2u);
+	o->home_regions.count = 1;
+	mem_copy_str(o->home_regions.names[0], "r1", JD_NAME_MAX);
+	EXPECT_EQ(send(&id), 3u);
+	route()->home_regions.count = 1;
+	mem_copy_str(route()->home_regions.names[0], "r0", JD_NAME_MAX);
+	EXPECT_EQ(send(&id), 0u);
+	EXPECT_EQ(d.reasons[REFUSAL_NO_COMMON_REGION], 1u);
+}
+
+/* Held for want of a gate, the request does not leave its home regions. */
+TEST_F(DispatchTest, AHeldRequestKeepsTheHomeRegionsOfItsOrganisation)
+{
+	struct request_id id;
+	struct organisation *o = add_organisation("museum", "k");
+	struct mesh_action *a;
+	uint64_t to = 0;
+
+	api_key = "k";
+	o->home_regions.count = 1;
+	mem_copy_str(o->home_regions.names[0], "r1", JD_NAME_MAX);
+	directory_node(&c.dir, "far")->load.open = false;
+	EXPECT_EQ(send(&id), 0u);
+	EXPECT_EQ(d.count, 1u);
+	c.now_ns += 30 * NS_PER_MS;
+	dispatch_work(&d, &c, &local);
+	EXPECT_TRUE(list_empty(&out.items));
+	directory_node(&c.dir, "far")->load.open = true;
+	c.now_ns += 30 * NS_PER_MS;
+	dispatch_work(&d, &c, &local);
+	while ((a = mesh_actions_pop(&out))) {
+		if (a->kind == MA_SEND)
+			to = a->u.send.message->to;
+		mesh_action_delete(a);
+	}
+	EXPECT_EQ(to, 3u);
+}
--- a/tests/gatekeeper_test.cpp
+++ b/tests/gatekeeper_test.cpp
@@ -1,5 +1,6 @@
 #include "jd_test.hpp"
 
+#include <string>
 #include <vector>
 
 extern "C" {
@@ -15,6 +16,7 @@
 	struct holder h;
 	struct gatekeeper g;
 	uint64_t counter = 0;
+	std::string organisation; /* of the last call */
 
 	GatekeeperTest()
 	{
@@ -59,6 +61,7 @@
 		mem_copy_str(f.route, route, sizeof(f.route));
 		mem_copy_str(f.caller_service, from_service,
 			     sizeof(f.caller_service));
+		mem_copy_str(f.organisation, "museum", sizeof(f.organisation));
 		f.request = http_request_new("GET", "/");
 		gatekeeper_offer(&g, &c, &h, &f, 7, 0);
 		return counter;
@@ -72,8 +75,10 @@
 		h.heard_ns = c.now_ns;
 		gatekeeper_work(&g, &c, &h);
 		while ((a = mesh_actions_pop(&out))) {
-			if (a->kind == MA_UPSTREAM_CALL)
+			if (a->kind == MA_UPSTREAM_CALL) {
 				calls.push_back(a->u.call.call);
+				organisation = a->u.call.organisation;
+			}
 			mesh_action_delete(a);
 		}
 		return calls;
@@ -112,6 +117,13 @@
 	EXPECT_EQ(start_calls().size(), 1u);
 }
 
+TEST_F(GatekeeperTest, TheCallNamesTheOrganisation)
+{
+	offer("r", 1);
+	EXPECT_EQ(start_calls().size(), 1u);
+	EXPECT_EQ(organisation, "museum");
+}
+
 TEST_F(GatekeeperTest, AHigherPriorityRunsFirst)
 {
 	uint64_t id;
--- a/tests/requests_test.cpp
+++ b/tests/requests_test.cpp
@@ -1,5 +1,7 @@
 #include "jd_test.hpp"
 
+#include <string>
+
 extern "C" {
 #include "core/mem.h"
 #include "platform/requests.h"
@@ -54,6 +56,69 @@
 	http_request_unref(out.request);
 }
 
+static const char TENANT[] = "Jackdawpaddle-Tenant-Id";
+
+/* The key that @values of Authorization headers carry; "bad" if it can't be. */
+static std::string key_of(std::initializer_list<const char *> values)
+{
+	struct http_request *r = http_request_new("GET", "/");
+	struct caller_request out;
+
+	for (const char *v : values)
+		payload_add_header(&r->payload, "authorization", v);
+	request_decode(r, 1, false, 0, &out);
+	EXPECT_STREQ(out.organisation_header, TENANT);
+	http_request_unref(out.request);
+	return out.bad_api_key ? "bad" : out.api_key;
+}
+
+TEST(Requests, TheApiKeyIsDecoded)
+{
+	std::string longest(JD_API_KEY_MAX - 1, 'k');
+
+	EXPECT_EQ(key_of({"Bearer k1"}), "k1");
+	EXPECT_EQ(key_of({" bEARER \t k1 "}), "k1");
+	EXPECT_EQ(key_of({("Bearer " + longest).c_str()}), longest);
+	EXPECT_EQ(key_of({}), "");
+	EXPECT_EQ(key_of({"Basic k1"}), "");
+	EXPECT_EQ(key_of({"Bearerk1"}), "");
+	EXPECT_EQ(key_of({"Bearer"}), "bad");
+	EXPECT_EQ(key_of({"Bearer k1 k2"}), "bad");
+	EXPECT_EQ(key_of({("Bearer k" + longest).c_str()}), "bad");
+	EXPECT_EQ(key_of({"Bearer k1", "Bearer k1"}), "bad");
+	EXPECT_EQ(key_of({"Bearer k1", "Basic x"}), "bad");
+	EXPECT_EQ(key_of({"Basic x", "Bearer k1"}), "bad");
+}
+
+/* It is not known here whether the configuration has organisations. */
+TEST(Requests, DecodingKeepsWhatOtherFleetsPassOn)
+{
+	struct caller_request out;
+
+	request_decode(request({{"Authorization", "Bearer k"}, {TENANT, "x"}}),
+		       1, false, 0, &out);
+	EXPECT_STREQ(payload_header(&out.request->payload, "Authorization"),
+		     "Bearer k");
+	EXPECT_STREQ(payload_header(&out.request->payload, TENANT), "x");
+	http_request_unref(out.request);
+}
+
+TEST(Requests, TheUpstreamLearnsTheOrganisation)
+{
+	struct act_mesh_upstream_call a = {};
+	struct http_request *r;
+
+	a.request = request({{"Host", "a.example"}});
+	r = request_for_upstream(&a, 0);
+	EXPECT_EQ(payload_header(&r->payload, TENANT), nullptr);
+	http_request_unref(r);
+	mem_copy_str(a.organisation, "museum", sizeof(a.organisation));
+	r = request_for_upstream(&a, 0);
+	EXPECT_STREQ(payload_header(&r->payload, TENANT), "museum");
+	http_request_unref(r);
+	http_request_unref(a.request);
+}
+
 TEST(Requests, InvalidNumbersAreNotUsed)
 {
 	struct caller_request out;
