--- a/tests/records_test.cpp
+++ b/tests/records_test.cpp
@@ -136,6 +136,26 @@
 	}
 }
 
+TEST(Records, AKeyOfTwoOrganisationsIsLoggedWithoutTheKey)
+{
+	testing::internal::CaptureStderr();
+	struct manifest *m =
+		decode_with("[{\"name\":\"a\",\"apiKeys\":[\"k1\",\"k2\"]},"
+			    "{\"name\":\"b\",\"apiKeys\":[\"k1\",\"k 3\"]}]");
+	std::string log = testing::internal::GetCapturedStderr();
+
+	ASSERT_NE(m, nullptr);
+	EXPECT_EQ(api_keys_find(m, "k1"), nullptr);
+	EXPECT_NE(api_keys_find(m, "k2"), nullptr);
+	EXPECT_NE(log.find("event=api_key_shared organisation=a"),
+		  std::string::npos);
+	EXPECT_NE(log.find("event=api_key_ignored organisation=b position=1"),
+		  std::string::npos);
+	EXPECT_EQ(log.find("k1"), std::string::npos) << log;
+	EXPECT_EQ(log.find("k 3"), std::string::npos) << log;
+	manifest_delete(m);
+}
+
 TEST(Records, OnlyAPublicRouteIsOpen)
 {
 	std::string text = config;
