--- a/core/holder.c
+++ b/core/holder.c
@@ -91,16 +91,29 @@
 						 c->opts->announce_interval_ns;
 }
 
-bool holder_holds_key(const struct holder *h, uint32_t key, uint64_t now_ns)
+static const struct held_row *usable_row(const struct holder *h, uint32_t key,
+					 uint64_t now_ns)
 {
 	const struct held_row *r;
 
 	if (now_ns >= h->usable_until_ns)
-		return false;
+		return NULL;
 	list_for_each_entry(r, &h->granted, link)
 		if (key >= r->from && key <= r->to)
-			return true;
-	return false;
+			return r;
+	return NULL;
+}
+
+bool holder_holds_key(const struct holder *h, uint32_t key, uint64_t now_ns)
+{
+	return usable_row(h, key, now_ns) != NULL;
+}
+
+uint64_t holder_key_fence(const struct holder *h, uint32_t key, uint64_t now_ns)
+{
+	const struct held_row *r = usable_row(h, key, now_ns);
+
+	return r ? r->fence : 0;
 }
 
 static void start_lifetime(struct holder *h, struct mesh_ctx *c,
--- a/core/holder.h
+++ b/core/holder.h
@@ -110,6 +110,10 @@
 /** True if the upstream holds @key at @now_ns. */
 bool holder_holds_key(const struct holder *h, uint32_t key, uint64_t now_ns);
 
+/** The fence under which it holds @key; 0: it does not. */
+uint64_t holder_key_fence(const struct holder *h, uint32_t key,
+			  uint64_t now_ns);
+
 /** True if new requests may be sent to the upstream. */
 bool holder_accepts_requests(const struct holder *h, const struct mesh_ctx *c);
 
