Entries hold requests to the quota of their organisation

A request of an organisation with a limit takes a share of its quota before it is routed, waits for the keeper's answer, or is refused: 429 over the quota, 503 without a share, both with a Retry-After. A share of a request that has not run is used again. Without limits nothing is asked or counted.

--- a/core/dispatch.c
+++ b/core/dispatch.c
@@ -3,6 +3,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "core/load/attempt_gate.h"
 #include "core/load/gate_pick.h"
 #include "core/mem.h"
 #include "core/organisations/identify.h"
@@ -10,8 +11,6 @@
 
 /* Pending requests are checked for what is due at this interval. */
 #define CHECK_INTERVAL_NS      (10 * NS_PER_MS)
-/* A gate that has an attempt and is silent for this time is probed. */
-#define PROBE_AFTER_NS	       (500 * NS_PER_MS)
 /* A held request is tried again at this interval. */
 #define HELD_RETRY_INTERVAL_NS (25 * NS_PER_MS)
 /* A gate that refused a request with a full queue is avoided for this time. */
@@ -54,6 +53,7 @@
 	list_init(&d->held);
 	d->next_id = 1;
 	retries_init(&d->retries);
+	quotas_init(&d->quotas);
 	list_init(&d->internal_routes);
 	list_init(&d->answer_sizes);
 	histogram_init(&d->latency);
@@ -62,6 +62,7 @@
 
 static void pending_delete(struct dispatch *d, struct pending_request *p)
 {
+	quotas_forget(&d->quotas, p);
 	list_remove(&p->link);
 	list_remove(&p->by_caller);
 	list_remove(&p->held);
@@ -84,6 +85,7 @@
 			pending_delete(d, p);
 	}
 	retries_done(&d->retries);
+	quotas_done(&d->quotas);
 	list_for_each_entry_safe(r, rt, &d->internal_routes, link)
 		free(r);
 	list_for_each_entry_safe(s, st, &d->answer_sizes, link)
@@ -265,7 +267,9 @@
 	a = add_reply(d, c, p);
 	a->refusal = why;
 	a->code = code;
-	if (!ran && code == 503)
+	if (!ran)
+		quotas_on_not_run(&d->quotas, c, p);
+	if (!ran && (code == 503 || code == 429))
 		a->retry_after_ns = p->retry_after_ns > RETRY_AFTER_MIN_NS
 					    ? p->retry_after_ns
 					    : RETRY_AFTER_MIN_NS;
@@ -403,6 +407,7 @@
 	uint64_t objective_ns = route->objective_ms * NS_PER_MS;
 
 	list_init(&p->held);
+	list_init(&p->quota.link);
 	p->id.node = c->opts->boot;
 	p->id.counter = d->next_id++;
 	p->caller = r->caller;
@@ -474,6 +479,28 @@
 	return REFUSAL_NONE;
 }
 
+/* Goes on with @p by the verdict on its organisation's quota. */
+static void follow_verdict(struct dispatch *d, struct mesh_ctx *c,
+			   struct local_gate *g, struct pending_request *p,
+			   enum quota_verdict verdict)
+{
+	switch (verdict) {
+	case QUOTA_WAITS:
+		p->state = PENDING_QUOTA;
+		break;
+	case QUOTA_PASSES:
+		p->state = PENDING_HELD;
+		route_request(d, c, g, p);
+		break;
+	case QUOTA_OVER:
+		end_without_answer(d, c, p, REFUSAL_OVER_QUOTA);
+		break;
+	case QUOTA_NO_SHARE:
+		end_without_answer(d, c, p, REFUSAL_NO_QUOTA_SHARE);
+		break;
+	}
+}
+
 void dispatch_on_request(struct dispatch *d, struct mesh_ctx *c,
 			 struct local_gate *g, struct caller_request *r)
 {
@@ -498,7 +525,7 @@
 		end_without_answer(d, c, p, REFUSAL_DEADLINE);
 		return;
 	}
-	route_request(d, c, g, p);
+	follow_verdict(d, c, g, p, quotas_admit(&d->quotas, c, p));
 }
 
 static void cancel_attempt(struct mesh_ctx *c, struct local_gate *g,
@@ -535,6 +562,8 @@
 		if (p->caller != caller)
 			continue;
 		cancel_attempt(c, g, p);
+		if (p->state != PENDING_SENT && !p->may_have_run)
+			quotas_on_not_run(&d->quotas, c, p);
 		pending_delete(d, p);
 	}
 }
@@ -714,38 +743,6 @@
 	}
 }
 
-/* True when the process that has the attempt is lost or was replaced. */
-static bool is_gate_lost(const struct mesh_ctx *c,
-			 const struct pending_request *p)
-{
-	const struct dir_node *n = directory_node(&c->dir, p->gate_node);
-	uint64_t silent_since_ns =
-		n && n->heard_ns > p->sent_ns ? n->heard_ns : p->sent_ns;
-
-	if (p->state != PENDING_SENT || p->gate_boot == c->opts->boot)
-		return false;
-	if (!n || n->boot != p->gate_boot)
-		return true;
-	/* It has not answered a probe in time; one before @p says nothing. */
-	if (n->probed_ns > silent_since_ns &&
-	    c->now_ns > n->probed_ns + DIR_PROBE_TIMEOUT_NS)
-		return true;
-	return c->now_ns >
-	       silent_since_ns + directory_silence_limit_ns(&c->dir, n);
-}
-
-/*
- * True when no answer can come any more. A gate that is only silent may answer
- * yet, and its upstream may be at work at the request.
- */
-static bool is_gate_gone(const struct mesh_ctx *c,
-			 const struct pending_request *p)
-{
-	const struct dir_node *n = directory_node(&c->dir, p->gate_node);
-
-	return !n || n->boot != p->gate_boot || !n->revision;
-}
-
 /* True when another gate can get @p at once. */
 static bool can_move(struct dispatch *d, struct mesh_ctx *c,
 		     const struct pending_request *p)
@@ -757,24 +754,6 @@
 	       find_gate(d, c, p);
 }
 
-/* Has the gate of @p probed if it has sent neither an answer nor a report. */
-static void probe_silent_gate(struct mesh_ctx *c,
-			      const struct pending_request *p)
-{
-	struct dir_node *n;
-
-	if (p->state != PENDING_SENT || p->gate_boot == c->opts->boot ||
-	    c->now_ns < p->sent_ns + PROBE_AFTER_NS)
-		return;
-	n = directory_node(&c->dir, p->gate_node);
-	if (n && n->boot == p->gate_boot &&
-	    c->now_ns > n->heard_ns + PROBE_AFTER_NS &&
-	    (n->probed_ns <= n->heard_ns || n->probed_ns <= p->sent_ns)) {
-		n->probe_due = true;
-		c->dir.urgent_reports = true;
-	}
-}
-
 static void check_request(struct dispatch *d, struct mesh_ctx *c,
 			  struct local_gate *g, struct pending_request *p)
 {
@@ -786,8 +765,9 @@
 						   : REFUSAL_DEADLINE);
 		return;
 	}
-	probe_silent_gate(c, p);
-	if (is_gate_lost(c, p) && (is_gate_gone(c, p) || can_move(d, c, p)))
+	attempt_probe_gate(c, p);
+	if (attempt_gate_lost(c, p) &&
+	    (attempt_gate_gone(c, p) || can_move(d, c, p)))
 		on_unknown(d, c, g, p, REFUSAL_CONNECTION_LOST);
 }
 
@@ -795,6 +775,9 @@
 {
 	struct pending_request *p, *tmp;
 
+	quotas_work(&d->quotas, c, g->holder);
+	while ((p = quotas_next_decided(&d->quotas, c)))
+		follow_verdict(d, c, g, p, p->quota.verdict);
 	if (c->now_ns < d->next_expiry_ns)
 		return;
 	d->next_expiry_ns = c->now_ns + CHECK_INTERVAL_NS;
@@ -824,5 +807,8 @@
 
 uint64_t dispatch_next_ns(const struct dispatch *d)
 {
-	return d->count ? d->next_expiry_ns : UINT64_MAX;
+	uint64_t quotas_ns = quotas_next_ns(&d->quotas);
+
+	return d->count && d->next_expiry_ns < quotas_ns ? d->next_expiry_ns
+							 : quotas_ns;
 }
--- a/core/dispatch.h
+++ b/core/dispatch.h
@@ -10,6 +10,7 @@
 #include "core/gatekeeper.h"
 #include "core/histogram.h"
 #include "core/load/retries.h"
+#include "core/organisations/quotas.h"
 #include "core/pending.h"
 
 #define DISPATCH_BUCKETS      1024
@@ -41,6 +42,7 @@
 	bool stopping;		 /* replies close the caller's connection */
 	bool closed;		 /* new requests are refused */
 	struct retries retries;
+	struct quotas quotas;
 	struct list internal_routes; /* of struct internal_route */
 	struct list answer_sizes;    /* of struct route_answer_size */
 	struct histogram latency;
--- a/core/mesh.c
+++ b/core/mesh.c
@@ -261,6 +261,13 @@
 	case MSG_MANIFEST_GET:
 		relay_send_manifest(c, msg->from, &msg->u.manifest_get);
 		break;
+	case MSG_QUOTA_ASK:
+		quotas_on_ask(&m->dispatch.quotas, c, &m->holder, msg->from,
+			      &msg->u.quota_ask);
+		break;
+	case MSG_QUOTA_GRANT:
+		quotas_on_grant(&m->dispatch.quotas, c, &msg->u.quota_grant);
+		break;
 	default:
 		break;
 	}
--- a/core/pending.h
+++ b/core/pending.h
@@ -4,6 +4,7 @@
 
 #include "core/http.h"
 #include "core/manifest.h"
+#include "core/organisations/quota_share.h"
 #include "core/refusal.h"
 #include "core/types.h"
 
@@ -11,8 +12,9 @@
 #define DISPATCH_TRIED_MAX 8
 
 enum pending_state {
-	PENDING_HELD, /* waits for a gate that can take it */
-	PENDING_SENT, /* an attempt is at a gate */
+	PENDING_QUOTA, /* waits for a share of its organisation's quota */
+	PENDING_HELD,  /* waits for a gate that can take it */
+	PENDING_SENT,  /* an attempt is at a gate */
 };
 
 /** One caller's request, until the reply. */
@@ -23,6 +25,7 @@
 	struct request_id id;
 	uint64_t caller; /* handle for the reply */
 	enum pending_state state;
+	struct quota_waiter quota;
 	char caller_id[JD_CALLER_ID_MAX]; /* the caller's own request id */
 	char route[JD_NAME_MAX];
 	char service[JD_NAME_MAX];
