quota_test: doubled grants, and shares kept over a pause

Two mechanisms turned no test of the bound red on a scratch copy: taking each grant once, and the lifetime of shares. A fleet in which each message comes twice, and one with a narrow margin whose callers pause, now do so.

quota_test: 35 tests pass; without the mechanisms ADoubledGrantIsUsedOnce and SharesKeptOverAPauseFitTheMargin fail.

--- a/tests/quota_test.cpp
+++ b/tests/quota_test.cpp
@@ -232,6 +232,30 @@
 	EXPECT_BOUND(f);
 }
 
+TEST(Quota, ADoubledGrantIsUsedOnce)
+{
+	QuotaFleet f(7);
+
+	f.doubled_permille = 1000;
+	f.run_for(2 * NS_PER_S);
+	hot(f, 20 * NS_PER_S);
+	EXPECT_BOUND(f);
+}
+
+/* Shares granted ahead, a pause in which the bucket fills, then a flood. */
+TEST(Quota, SharesKeptOverAPauseFitTheMargin)
+{
+	for (uint64_t pause_ms : {50, 200, 400, 800, 1200, 1600, 2000}) {
+		QuotaFleet f(7, {50, 50, 5 * NS_PER_S, 0.02, 0});
+
+		f.run_for(2 * NS_PER_S);
+		f.load(3 * NS_PER_S, 45, [&] { return 1; });
+		f.run_for(pause_ms * SIM_MS);
+		f.load(6 * NS_PER_S, 1000, [&] { return f.anywhere(); });
+		EXPECT_BOUND(f) << pause_ms;
+	}
+}
+
 TEST(Quota, ALowerLimitBindsAfterAWindow)
 {
 	QuotaFleet f(7);
