mesh_quota_test: quotas in a whole simulated fleet

Bank and shares had been tested by themselves. Here real nodes keep the quota by the keys that their upstreams hold, while nodes are killed, frozen and cut off, and upstreams crash. MeshSim gets an organisation and notes when requests run.

--- a/tests/mesh_sim.hpp
+++ b/tests/mesh_sim.hpp
@@ -85,6 +85,8 @@
 	int dcs = 3;
 	uint64_t start_spread_ns = 0; /* the processes start within it */
 	uint64_t check_interval_ns = 2 * SIM_MS; /* of the holders of keys */
+	/* Of the only organisation, and its burst; 0: there is none. */
+	double organisation_rate = 0;
 	/*
 	 * Time of a node's loop for each event, for each message that it sends,
 	 * and for each copy of one that it has encoded before. While a loop is
@@ -177,6 +179,7 @@
 	std::map<uint64_t, int> replies;	   /* by caller: their number */
 	std::map<uint64_t, int> codes;		   /* by caller: HTTP status */
 	std::map<std::string, int> run_counts;	   /* by request id */
+	std::vector<uint64_t> run_times;	   /* of all of them */
 	std::map<std::string, bool> is_idempotent; /* by request id */
 	std::map<uint64_t, std::string> caller_ids;
 	std::set<std::string> refused_ids; /* replied to as not run */
@@ -306,6 +309,20 @@
 		rt->timeout_ms = 2000;
 	}
 
+	void add_organisation(struct manifest *m) const
+	{
+		struct organisation *o;
+
+		if (!opts.organisation_rate)
+			return;
+		o = manifest_add_organisation(m);
+		mem_copy_str(o->name, "org", sizeof(o->name));
+		organisation_add_key(o, "secret");
+		m->api_keys_required = true;
+		o->rate_per_s = opts.organisation_rate;
+		o->burst = opts.organisation_rate;
+	}
+
 	void put_manifest(uint64_t version)
 	{
 		struct record *r = record_new(RECORD_MANIFEST, "");
@@ -326,6 +343,7 @@
 				  i % 2);
 		for (auto &more : more_routes)
 			add_route(m, more.c_str(), "plain", true);
+		add_organisation(m);
 		r->u.manifest = m;
 		operators_manifest = {copy(r), record_delete};
 		put_operators_manifest(r);
@@ -884,6 +902,9 @@
 		mo.retry_ratio = 0.2;
 		mo.retry_window_ns = 10 * NS_PER_S;
 		mo.retry_slack = 64;
+		mo.quota_window_ns = 5 * NS_PER_S;
+		mo.quota_overage = 0.1;
+		mo.quota_slack = 20;
 		procs[i] = Process();
 		procs[i].boot = mo.boot;
 		procs[i].mesh = mesh_new(&mo, now);
@@ -1496,6 +1517,7 @@
 			e.refusal = REFUSAL_NOT_OWNER;
 			took = SIM_MS;
 		} else {
+			run_times.push_back(now);
 			if (run_counts[id]++ && !is_idempotent[id])
 				add_violation("ran twice: " + id);
 			if (refused_ids.count(id))
@@ -1549,6 +1571,8 @@
 		text_format(text, sizeof(text), "/%s/x", route);
 		r->request = http_request_new("GET", text);
 		r->keyed = route[0] == 'k';
+		if (opts.organisation_rate)
+			mem_copy_str(r->api_key, "secret", JD_API_KEY_MAX);
 		r->shard = key;
 		text_format(text, sizeof(text), "%u", key);
 		payload_add_header(&r->request->payload, "shard", text);
