A status is three digits from 200 to 599, on every path

Status 000 was rejected here, but the parsers are lax elsewhere: http_parser takes leading zeros, so a leased fleet passed 0200 on as 200; evhttp reads the status with atoi(), so the fleet with keepers, both clients of the store and the command line took 200x, +200, 0200 and for 200, and a renewal answered 404x ended the lease. Only bytes bounded interim answers there. A node believed an answer of status 0 to 999, or none at all, in another node's message. A 204 that announces a body kept its connection, on which that body came as the next answer.

Change: io/status_line checks the status lines of an answer with its interim ones, at most 16; io/http_client uses it, and io/answer_check (which was answer_limit) for all users of evhttp. A status of none fails the call with the outcome unknown, closes the connection and leaves event=answer_invalid. message_drop_invalid_answer() does so for messages, is_passed_on() for any other front end. A 204 with a body's framing closes its connection.

Measured: the new tests on the code before: http_client_test 0200 and answered, the 204's connection used again; upstream_client_test 6 of 19 statuses done, the 204's body taken for the next answer, 17 interim answers passed; kv_client_test 8 of 19 statuses wrong; store_client_test 4 of 11; http_call_test returned the text of a 200x; requests_test 5 statuses passed on; router_test replied "done"; dispatch_test ended by a segmentation fault on an answer without one. All pass now, also with the sanitizers.

--- a/cli/http_call.c
+++ b/cli/http_call.c
@@ -9,7 +9,7 @@
 #include "core/list.h"
 #include "core/mem.h"
 #include "io/addr.h"
-#include "io/answer_limit.h"
+#include "io/answer_check.h"
 
 #define CONCURRENT_CALLS_MAX 64
 #define ANSWER_MAX_BYTES     (16u << 20)
@@ -34,19 +34,20 @@
 	struct http_batch *batch;
 	struct http_get *get;
 	struct evhttp_connection *conn;
-	struct answer_limit limit;
+	struct answer_check check;
 	struct evhttp_request *req;
 	struct event *timer;
 };
 
 static void start_pending(struct http_batch *b);
 
-static char *answer_text(struct evhttp_request *req)
+static char *answer_text(const struct call *c, struct evhttp_request *req)
 {
 	struct evbuffer *b;
 	size_t len;
 
-	if (!req || evhttp_request_get_response_code(req) != HTTP_OK)
+	if (!req || !answer_check_ok(&c->check) ||
+	    evhttp_request_get_response_code(req) != HTTP_OK)
 		return NULL;
 	b = evhttp_request_get_input_buffer(req);
 	len = evbuffer_get_length(b);
@@ -59,7 +60,7 @@
 	struct http_batch *b = c->batch;
 
 	event_del(c->timer);
-	c->get->text = answer_text(req);
+	c->get->text = answer_text(c, req);
 	b->running--;
 	start_pending(b);
 }
@@ -110,7 +111,7 @@
 	c->batch = b;
 	c->get = get;
 	c->conn = conn;
-	answer_limit_init(&c->limit, conn, ANSWER_MAX_BYTES);
+	answer_check_init(&c->check, conn, ANSWER_MAX_BYTES);
 	c->timer = evtimer_new(b->base, on_timeout, c);
 	evtimer_add(c->timer, &tv);
 	list_push_back(&b->calls, &c->link);
--- a/core/dispatch.c
+++ b/core/dispatch.c
@@ -693,9 +693,12 @@
 	    p->gate_boot != from)
 		return;
 	n = directory_node(&c->dir, p->gate_node);
-	if (n && from != c->opts->boot) {
+	if (n && from != c->opts->boot)
 		directory_note_load(n, &a->load, c->now_ns);
-	}
+	if (message_drop_invalid_answer(a))
+		mesh_log(c->out, LOG_WARN,
+			 "event=answer_invalid why=status id=%s node=%s",
+			 p->caller_id, p->gate_node);
 	if (n && p->keyed && a->refusal != REFUSAL_QUEUE_FULL)
 		n->taken++;
 	if (a->internal_route)
--- a/core/http.c
+++ b/core/http.c
@@ -7,6 +7,11 @@
 #include "core/mem.h"
 #include "core/text.h"
 
+#define INTERIM_STATUS_MIN  100
+#define SWITCHING_PROTOCOLS 101
+#define FINAL_STATUS_MIN    200
+#define FINAL_STATUS_MAX    599
+
 void payload_init(struct payload *p)
 {
 	list_init(&p->headers);
@@ -132,6 +137,17 @@
 	return r;
 }
 
+bool http_status_is_final(int code)
+{
+	return code >= FINAL_STATUS_MIN && code <= FINAL_STATUS_MAX;
+}
+
+bool http_status_is_interim(int code)
+{
+	return code >= INTERIM_STATUS_MIN && code < FINAL_STATUS_MIN &&
+	       code != SWITCHING_PROTOCOLS;
+}
+
 struct http_answer *http_answer_new(int code)
 {
 	struct http_answer *a = mem_new(struct http_answer);
--- a/core/http.h
+++ b/core/http.h
@@ -63,6 +63,14 @@
 /** Adds a reference to @r and returns it. */
 struct http_request *http_request_ref(struct http_request *r);
 
+/** True for the status of an answer, after which no other one follows. */
+bool http_status_is_final(int code);
+/**
+ * True for the status of an interim answer, which a final one follows. None is
+ * 101: no request that is sent asks for it.
+ */
+bool http_status_is_interim(int code);
+
 struct http_answer *http_answer_new(int code);
 void http_answer_delete(struct http_answer *a);
 struct http_answer *http_answer_copy(const struct http_answer *a);
--- a/core/message.c
+++ b/core/message.c
@@ -125,3 +125,15 @@
 {
 	return o < OUTCOME_COUNT ? outcome_names[o] : "?";
 }
+
+bool message_drop_invalid_answer(struct msg_answer *a)
+{
+	if (a->outcome != OUTCOME_DONE ||
+	    (a->answer && http_status_is_final(a->answer->code)))
+		return false;
+	http_answer_delete(a->answer);
+	a->answer = NULL;
+	a->outcome = OUTCOME_UNKNOWN;
+	a->refusal = REFUSAL_CONNECTION_LOST;
+	return true;
+}
--- a/core/message.h
+++ b/core/message.h
@@ -227,6 +227,13 @@
  */
 uint32_t messages_drop_cancelled(struct list *batch);
 
+/**
+ * Makes the outcome unknown if @a states an upstream's answer but has none, or
+ * one whose status is none of an answer: another build may have sent it. True
+ * if it did.
+ */
+bool message_drop_invalid_answer(struct msg_answer *a);
+
 /** Lower-case names; "?" for values out of range. */
 const char *message_name(enum message_kind kind);
 const char *outcome_name(enum outcome o);
--- a/core/node.c
+++ b/core/node.c
@@ -284,6 +284,10 @@
 			    m->from);
 		break;
 	case MSG_ANSWER:
+		if (message_drop_invalid_answer(&m->u.answer))
+			actions_log(c->out, LOG_WARN,
+				    "event=answer_invalid why=status from=%lx",
+				    (unsigned long)m->from);
 		router_on_answer(&n->router, c, m->from, &m->u.answer);
 		break;
 	case MSG_CANCEL:
--- a/io/http_client.c
+++ b/io/http_client.c
@@ -16,6 +16,7 @@
 #include "io/clock.h"
 #include "io/log.h"
 #include "io/socket_opts.h"
+#include "io/status_line.h"
 
 #define CONNECT_TIMEOUT_NS	(400 * NS_PER_MS)
 /* Idle connections are closed before the upstream closes them. */
@@ -23,8 +24,6 @@
 #define KEEP_ALIVE_FRACTION	0.8
 /* Answers to earlier requests that are dropped before the call fails. */
 #define STALE_ANSWERS_MAX	4
-/* 1xx answers before the final one. */
-#define INTERIM_ANSWERS_MAX	16
 /*
  * Bytes of a call's answers that are no body: heads, 1xx and stale ones
  * included, chunk headers and trailers. Short chunks need more than this.
@@ -50,7 +49,6 @@
 	bool wrote;    /* the current request was passed to bev */
 	bool reusable; /* the answer allows another request */
 	uint32_t stale_answers;
-	uint32_t interim_answers;
 	uint64_t received_bytes; /* since the request was written */
 	uint64_t body_bytes;	 /* the part of them that is body */
 	/* hashes of the identifying values that were written */
@@ -61,6 +59,7 @@
 	struct event *timer;
 	struct client_call call; /* its request is NULL while idle */
 	http_parser parser;
+	struct status_line status_line;
 	struct http_answer *answer;
 	struct byte_buf field;
 	struct byte_buf value;
@@ -233,13 +232,6 @@
 	       code == 204 || code == 304;
 }
 
-/* False for bytes that parse but are no answer to an HTTP/1 request. */
-static bool is_valid_status(const http_parser *p)
-{
-	return p->http_major == 1 && p->status_code >= 100 &&
-	       p->status_code < 600 && p->status_code != 101;
-}
-
 /* True if the body is in a transfer coding that the parser does not undo. */
 static bool has_unknown_coding(const struct payload *p)
 {
@@ -258,8 +250,6 @@
 	struct client_conn *cn = p->data;
 
 	flush_header(cn);
-	if (!is_valid_status(p))
-		return -1;
 	cn->head_ended = true;
 	cn->answer->code = (int)p->status_code;
 	if (has_no_body(cn, cn->answer->code))
@@ -285,12 +275,20 @@
 	return 0;
 }
 
+/* True if a 204 declares a body, which may follow as if it were an answer. */
+static bool declares_undue_body(const http_parser *p)
+{
+	return p->status_code == 204 &&
+	       ((p->flags & F_CHUNKED) ||
+		(p->content_length && p->content_length != UINT64_MAX));
+}
+
 static int on_complete(http_parser *p)
 {
 	struct client_conn *cn = p->data;
 
 	cn->complete = true;
-	cn->reusable = http_should_keep_alive(p);
+	cn->reusable = http_should_keep_alive(p) && !declares_undue_body(p);
 	http_parser_pause(p, 1);
 	return 0;
 }
@@ -414,10 +412,6 @@
 {
 	/* A 1xx answer is followed by the final one. */
 	if (cn->answer->code / 100 == 1) {
-		if (++cn->interim_answers > INTERIM_ANSWERS_MAX) {
-			abandon_answer(cn, "too_many_interim");
-			return false;
-		}
 		answer_reset(cn);
 		parser_reset(cn);
 		return true;
@@ -432,6 +426,7 @@
 		}
 		answer_reset(cn);
 		parser_reset(cn);
+		status_line_reset(&cn->status_line);
 		return true;
 	}
 	update_idle_timeout(cn);
@@ -490,12 +485,19 @@
 	while ((len = evbuffer_get_contiguous_space(in)) > 0) {
 		const char *data =
 			(const char *)evbuffer_pullup(in, (ssize_t)len);
-		size_t parsed = http_parser_execute(
-			&cn->parser, &parser_settings, data, len);
-		enum http_errno err = HTTP_PARSER_ERRNO(&cn->parser);
+		enum http_errno err;
+		size_t parsed;
 
+		parsed = http_parser_execute(&cn->parser, &parser_settings,
+					     data, len);
+		err = HTTP_PARSER_ERRNO(&cn->parser);
+		status_line_read(&cn->status_line, data, parsed);
 		evbuffer_drain(in, parsed);
 		cn->received_bytes += parsed;
+		if (cn->status_line.state == STATUS_LINE_INVALID) {
+			abandon_answer(cn, "status");
+			return;
+		}
 		if (exceeds_framing(cn)) {
 			abandon_answer(cn, "head_too_long");
 			return;
@@ -547,10 +549,10 @@
 	record_sent(cn);
 	cn->wrote = true;
 	cn->stale_answers = 0;
-	cn->interim_answers = 0;
 	cn->received_bytes = 0;
 	cn->body_bytes = 0;
 	parser_reset(cn);
+	status_line_reset(&cn->status_line);
 	answer_reset(cn);
 	bufferevent_write_buffer(cn->bev, out);
 	evbuffer_free(out);
--- a/io/http_convert.c
+++ b/io/http_convert.c
@@ -8,9 +8,7 @@
 
 #include "core/text.h"
 
-#define HTTP_CONTINUE	 100
-#define FINAL_STATUS_MIN 200
-#define FINAL_STATUS_MAX 599
+#define HTTP_CONTINUE 100
 
 static const struct {
 	const char *name;
@@ -144,8 +142,7 @@
 		evhttp_clear_headers(evhttp_request_get_input_headers(req));
 		return true;
 	}
-	return code >= FINAL_STATUS_MIN && code <= FINAL_STATUS_MAX &&
-	       is_body_length_known(req);
+	return http_status_is_final(code) && is_body_length_known(req);
 }
 
 void payload_to_evhttp(const struct payload *p, struct evhttp_request *req)
--- a/io/store_client.c
+++ b/io/store_client.c
@@ -9,7 +9,7 @@
 #include "core/mem.h"
 #include "core/text.h"
 #include "io/addr.h"
-#include "io/answer_limit.h"
+#include "io/answer_check.h"
 #include "io/base64.h"
 #include "io/clock.h"
 #include "io/log.h"
@@ -44,7 +44,7 @@
 	struct list link;
 	struct store_client *client;
 	struct evhttp_connection *conn;
-	struct answer_limit limit;
+	struct answer_check check;
 	struct event *timer;
 	struct act_store act; /* owns act.doc */
 };
@@ -210,7 +210,8 @@
 	json_t *root = NULL;
 
 	list_init(&ev.docs);
-	if (req && evhttp_request_get_response_code(req) == HTTP_OK) {
+	if (req && answer_check_ok(&c->check) &&
+	    evhttp_request_get_response_code(req) == HTTP_OK) {
 		struct evbuffer *in = evhttp_request_get_input_buffer(req);
 		size_t len = evbuffer_get_length(in);
 
@@ -290,7 +291,7 @@
 	c->timer = evtimer_new(s->base, on_timeout, c);
 	evtimer_add(c->timer, &tv);
 	c->conn = evhttp_connection_base_new(s->base, NULL, s->ip, s->port);
-	answer_limit_init(&c->limit, c->conn, ANSWER_MAX_BYTES);
+	answer_check_init(&c->check, c->conn, ANSWER_MAX_BYTES);
 	req = evhttp_request_new(on_answer, c);
 	o = call_json(&c->act, now);
 	body = json_dumps(o, JSON_COMPACT);
--- a/io/upstream_client.c
+++ b/io/upstream_client.c
@@ -13,7 +13,7 @@
 #include "core/mem.h"
 #include "core/text.h"
 #include "io/addr.h"
-#include "io/answer_limit.h"
+#include "io/answer_check.h"
 #include "io/clock.h"
 #include "io/http_convert.h"
 #include "io/log.h"
@@ -35,7 +35,7 @@
 	struct upstream_client *client;
 	char addr[JD_ADDR_MAX];
 	struct evhttp_connection *http;
-	struct answer_limit limit;
+	struct answer_check check;
 	struct pending_call *call; /* NULL while idle */
 	bool echoes_ids;	   /* the upstream has echoed a request's id */
 	/* evhttp's callback and argument, while on_connect() replaces them. */
@@ -66,7 +66,7 @@
 	struct list link;
 	struct upstream_client *client;
 	struct evhttp_connection *http;
-	struct answer_limit limit;
+	struct answer_check check;
 	struct event *delete_timer;
 };
 
@@ -146,7 +146,7 @@
 	mem_copy_str(cn->addr, addr, sizeof(cn->addr));
 	addr_split(addr, ip, sizeof(ip), &port);
 	cn->http = evhttp_connection_base_new(u->base, NULL, ip, port);
-	answer_limit_init(&cn->limit, cn->http, HTTP_ANSWER_MAX_BYTES);
+	answer_check_init(&cn->check, cn->http, HTTP_ANSWER_MAX_BYTES);
 	evbuffer_add_cb(bufferevent_get_output(
 				evhttp_connection_get_bufferevent(cn->http)),
 			on_output_change, cn);
@@ -240,6 +240,29 @@
 	return false;
 }
 
+/* True if a 204 declares a body, which may follow as if it were an answer. */
+static bool declares_undue_body(struct evhttp_request *req)
+{
+	const struct evkeyvalq *h = evhttp_request_get_input_headers(req);
+	const char *length = evhttp_find_header(h, "Content-Length");
+
+	return evhttp_request_get_response_code(req) == HTTP_NOCONTENT &&
+	       (evhttp_find_header(h, "Transfer-Encoding") ||
+		(length && strcmp(length, "0") != 0));
+}
+
+static bool is_valid_head(const struct upstream_conn *cn,
+			  struct evhttp_request *req)
+{
+	if (!answer_check_ok(&cn->check))
+		return false;
+	if (http_check_answer_head(req))
+		return true;
+	log_event(LOG_WARN, "event=answer_invalid why=head code=%d addr=%s",
+		  evhttp_request_get_response_code(req), cn->addr);
+	return false;
+}
+
 /*
  * Makes evhttp close the connection after a refusal: a second copy of it, sent
  * on a kept connection, would be taken for the answer to the next request.
@@ -252,7 +275,7 @@
 
 	if (!cn->call)
 		return -1;
-	if (!http_check_answer_head(req))
+	if (!is_valid_head(cn, req))
 		return -1;
 	if (has_other_id(cn, evhttp_find_header(h, HEADER_REQUEST_ID),
 			 is_refusal)) {
@@ -261,7 +284,7 @@
 			  cn->addr);
 		return -1;
 	}
-	if (!is_refusal)
+	if (!is_refusal && !declares_undue_body(req))
 		return 0;
 	while (evhttp_remove_header(h, "Connection") == 0)
 		;
@@ -457,7 +480,7 @@
 	cn->call->req = evhttp_request_new(on_answer, cn);
 	evhttp_request_set_header_cb(cn->call->req, on_head);
 	evhttp_request_set_error_cb(cn->call->req, on_error);
-	answer_limit_start(&cn->limit);
+	answer_check_start(&cn->check);
 	payload_to_evhttp(&act->request->payload, cn->call->req);
 	add_headers(cn->call->req, act, now_ns);
 	start_timer(cn, now_ns);
@@ -513,7 +536,8 @@
 
 	/* evhttp can't free a connection inside its own callback. */
 	evtimer_add(g->delete_timer, &now);
-	if (!req || evhttp_request_get_response_code(req) / 100 != 2)
+	if (!req || !answer_check_ok(&g->check) ||
+	    evhttp_request_get_response_code(req) / 100 != 2)
 		u->done(u->arg, &a);
 }
 
@@ -562,7 +586,7 @@
 	addr_split(g->addr, ip, sizeof(ip), &port);
 	call->client = u;
 	call->http = evhttp_connection_base_new(u->base, NULL, ip, port);
-	answer_limit_init(&call->limit, call->http, GRANT_ANSWER_MAX_BYTES);
+	answer_check_init(&call->check, call->http, GRANT_ANSWER_MAX_BYTES);
 	call->delete_timer = evtimer_new(u->base, on_delete_timer, call);
 	list_push_back(&u->grants, &call->link);
 	evhttp_connection_set_timeout(call->http, GRANT_TIMEOUT_S);
--- a/tests/dispatch_test.cpp
+++ b/tests/dispatch_test.cpp
@@ -664,3 +664,35 @@
 	}
 	EXPECT_EQ(to, 3u);
 }
+
+/* Guards against a status of no answer that reaches the caller as an answer. */
+TEST_F(DispatchTest, AnAnswerWithoutAStatusIsUnknown)
+{
+	route()->idempotent = 0;
+	for (int code : {-1, 0, 99, 101, 600, 999}) {
+		struct request_id id = {};
+		uint64_t boot = send(&id);
+		struct msg_answer a = {};
+		struct mesh_action *act;
+		int replied = 0;
+		bool logged = false;
+
+		a.id = id;
+		a.attempt = 1;
+		a.outcome = OUTCOME_DONE;
+		a.load = directory_by_boot(&c.dir, boot)->load;
+		a.answer = code < 0 ? NULL : http_answer_new(code);
+		dispatch_on_answer(&d, &c, &local, boot, &a);
+		while ((act = mesh_actions_pop(&out))) {
+			if (act->kind == MA_REPLY) {
+				replied = act->u.reply.code;
+				EXPECT_EQ(act->u.reply.answer, nullptr);
+			}
+			logged |= act->kind == MA_LOG &&
+				  strstr(act->u.log.line, "answer_invalid");
+			mesh_action_delete(act);
+		}
+		EXPECT_EQ(replied, 502) << code;
+		EXPECT_TRUE(logged) << code;
+	}
+}
--- a/tests/http_call_test.cpp
+++ b/tests/http_call_test.cpp
@@ -106,3 +106,9 @@
 	serve("HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nok", "");
 	expect_unknown_in_time();
 }
+
+TEST_F(HttpCall, InvalidStatusIsNoAnswer)
+{
+	serve("HTTP/1.1 200x OK\r\nContent-Length: 2\r\n\r\nok", "");
+	expect_unknown_in_time();
+}
--- a/tests/http_client_test.cpp
+++ b/tests/http_client_test.cpp
@@ -801,6 +801,30 @@
 	close(fd);
 }
 
+/* A body where none may be could hold an answer to the next request. */
+TEST_F(HttpClientTest, BodyAfterNoContentIsNotAwaitedOnItsConnection)
+{
+	start_listening();
+	for (const char *framing :
+	     {"Content-Length: 9\r\n", "Transfer-Encoding: chunked\r\n"}) {
+		size_t before = results.size();
+		int fd = call_on_new_connection("GET", "a");
+
+		send_text(fd, "HTTP/1.1 204 No Content\r\nId: a\r\n" +
+				      std::string(framing) + "\r\n");
+		ASSERT_EQ(results.size(), before + 1);
+		EXPECT_EQ(results.back().code, 204);
+		int next = call_on_new_connection("GET", "b");
+
+		send_text(next, answer_text("b", "mine"));
+		EXPECT_EQ(results.back().body, "mine") << framing;
+		close(fd);
+		close(next);
+		run_loop(10);
+	}
+	EXPECT_EQ(http_client_connects(c), 4u);
+}
+
 static const size_t KB = 1024;
 static const size_t MB = 1024 * KB;
 static const std::string CHUNKED_200 =
@@ -813,13 +837,31 @@
 TEST_F(HttpClientTest, StatusOutsideOfHttp1IsNoAnswer)
 {
 	start_listening();
-	for (const char *status :
-	     {"HTTP/1.1 000 X", "HTTP/1.1 7 X", "HTTP/1.1 099 X",
-	      "HTTP/1.1 600 X", "HTTP/1.1 999 X", "HTTP/1.1 1000 X",
-	      "HTTP/0.9 200 OK", "HTTP/2.0 200 OK", "HTTP/3.1 404 X",
-	      "HTTP/1.1 101 Switching Protocols", "HTTP/1.1 -44 X",
-	      "HTTP/1.1 4o4 X", "HTTP/11 404 X", "ICY 404 X",
-	      "http/1.1 404 X"}) {
+	for (const char *status : {"HTTP/1.1 0200 X",
+				   "HTTP/1.1 00000404 X",
+				   "HTTP/1.1 20 X",
+				   "HTTP/1.1 2x0 X",
+				   "HTTP/1.1 200x X",
+				   "HTTP/1.1 +200 X",
+				   "HTTP/1.1 4294967496 X",
+				   "HTTP/1.1",
+				   "HTTP/1.1 ",
+				   "200 OK",
+				   "HTTP/1.1 000 X",
+				   "HTTP/1.1 7 X",
+				   "HTTP/1.1 099 X",
+				   "HTTP/1.1 600 X",
+				   "HTTP/1.1 999 X",
+				   "HTTP/1.1 1000 X",
+				   "HTTP/0.9 200 OK",
+				   "HTTP/2.0 200 OK",
+				   "HTTP/3.1 404 X",
+				   "HTTP/1.1 101 Switching Protocols",
+				   "HTTP/1.1 -44 X",
+				   "HTTP/1.1 4o4 X",
+				   "HTTP/11 404 X",
+				   "ICY 404 X",
+				   "http/1.1 404 X"}) {
 		Result r = end_of_answer("GET",
 					 std::string(status) +
 						 "\r\nId: a\r\n"
--- a/tests/kv_client_test.cpp
+++ b/tests/kv_client_test.cpp
@@ -539,7 +539,10 @@
 /* Only a final status says what became of a call. */
 TEST_F(RawStore, InvalidStatusIsNoAnswer)
 {
-	for (const char *status : {"1", "101", "103", "600"}) {
+	for (const char *status :
+	     {"1", "101", "103", "600", "000", "099", "999", "1000", "20",
+	      "2x0", "200x", "0200", "+200", "4294967496", "404x", "0404",
+	      "503x", "412x", ""}) {
 		server.on_request = [&](RawServer &s, struct bufferevent *bev,
 					size_t) {
 			s.write(bev, std::string("HTTP/1.1 ") + status +
--- a/tests/message_test.cpp
+++ b/tests/message_test.cpp
@@ -72,3 +72,27 @@
 	EXPECT_EQ(messages_drop_cancelled(&batch), 0u);
 	EXPECT_EQ(batch_size(), 4u);
 }
+
+/* Such a message from another build ended the process that got it. */
+TEST(Message, AnswerWithoutAStatusIsUnknown)
+{
+	for (int code : {-1, 0, 99, 100, 101, 199, 600, 999}) {
+		struct msg_answer a = {};
+
+		a.outcome = OUTCOME_DONE;
+		a.answer = code < 0 ? NULL : http_answer_new(code);
+		EXPECT_TRUE(message_drop_invalid_answer(&a)) << code;
+		EXPECT_EQ(a.outcome, OUTCOME_UNKNOWN) << code;
+		EXPECT_EQ(a.refusal, REFUSAL_CONNECTION_LOST) << code;
+		EXPECT_EQ(a.answer, nullptr) << code;
+	}
+	for (int code : {200, 404, 599}) {
+		struct msg_answer a = {};
+
+		a.outcome = OUTCOME_DONE;
+		a.answer = http_answer_new(code);
+		EXPECT_FALSE(message_drop_invalid_answer(&a)) << code;
+		EXPECT_EQ(a.outcome, OUTCOME_DONE) << code;
+		http_answer_delete(a.answer);
+	}
+}
--- a/tests/requests_test.cpp
+++ b/tests/requests_test.cpp
@@ -199,6 +199,11 @@
 		{429, {{SIGNATURE, "s"}}, OUTCOME_UNKNOWN},
 		{421, {}, OUTCOME_NOT_RUN},
 		{408, {}, OUTCOME_UNKNOWN},
+		{0, {{SIGNATURE, "s"}}, OUTCOME_UNKNOWN},
+		{99, {{SIGNATURE, "s"}}, OUTCOME_UNKNOWN},
+		{101, {{SIGNATURE, "s"}}, OUTCOME_UNKNOWN},
+		{600, {{SIGNATURE, "s"}}, OUTCOME_UNKNOWN},
+		{999, {{SIGNATURE, "s"}}, OUTCOME_UNKNOWN},
 	};
 
 	for (auto &c : cases) {
--- a/tests/router_test.cpp
+++ b/tests/router_test.cpp
@@ -334,6 +334,29 @@
 }
 
 // A retry that ended as not_run once hid an earlier attempt that may have run.
+TEST_F(Router, AnAnswerWithoutAStatusIsUnknown)
+{
+	assign_owner("keyed", OTHER);
+	for (int code : {-1, 0, 99, 101, 600, 999}) {
+		struct event ev = {};
+		struct msg_forward f;
+
+		send_request("POST", "/keyed/k");
+		f = next_forward();
+		ev.kind = EV_MESSAGE;
+		ev.u.message = message_new(MSG_ANSWER);
+		ev.u.message->from = OTHER;
+		ev.u.message->to = n->ctx.boot;
+		ev.u.message->u.answer.id = f.id;
+		ev.u.message->u.answer.attempt = f.attempt;
+		ev.u.message->u.answer.outcome = OUTCOME_DONE;
+		if (code >= 0)
+			ev.u.message->u.answer.answer = http_answer_new(code);
+		handle(&ev);
+		expect_reply(OUTCOME_UNKNOWN, REFUSAL_CONNECTION_LOST);
+	}
+}
+
 TEST_F(Router, NotRunIsNotReportedAfterAnAttemptThatMayHaveRun)
 {
 	assign_owner("keyed", OTHER);
--- /dev/null
+++ b/tests/status_line_test.cpp
@@ -0,0 +1,76 @@
+#include "jd_test.hpp"
+
+#include <string>
+
+extern "C" {
+#include "io/status_line.h"
+}
+
+static enum status_line_state read_whole(const std::string &text)
+{
+	struct status_line s;
+
+	status_line_reset(&s);
+	status_line_read(&s, text.data(), text.size());
+	return s.state;
+}
+
+/* The same, one byte at a time. */
+static enum status_line_state read_bytes(const std::string &text)
+{
+	struct status_line s;
+
+	status_line_reset(&s);
+	for (char c : text)
+		status_line_read(&s, &c, 1);
+	return s.state;
+}
+
+static const std::string INTERIM =
+	"HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n";
+
+TEST(StatusLine, FinalStatusIsFound)
+{
+	for (std::string text : {"HTTP/1.1 200 OK\r\n", "HTTP/1.1 200\r\n",
+				 "HTTP/1.0 599\n", "\r\n\r\nHTTP/1.1 404 ",
+				 "HTTP/1.1  204 ", "HTTP/1.1 200 \x80\xff"})
+		for (std::string before :
+		     {std::string(), INTERIM,
+		      INTERIM + "HTTP/1.1 100\n\n" + INTERIM}) {
+			EXPECT_EQ(read_whole(before + text), STATUS_LINE_FINAL)
+				<< before + text;
+			EXPECT_EQ(read_bytes(before + text), STATUS_LINE_FINAL)
+				<< before + text;
+		}
+}
+
+TEST(StatusLine, OtherBytesAreInvalid)
+{
+	for (std::string text :
+	     {"HTTP/1.1 000 ",	"HTTP/1.1 099 ",  "HTTP/1.1 101 ",
+	      "HTTP/1.1 600 ",	"HTTP/1.1 999 ",  "HTTP/1.1 1000 ",
+	      "HTTP/1.1 20 ",	"HTTP/1.1 2x0 ",  "HTTP/1.1 200x",
+	      "HTTP/1.1 0200",	"HTTP/1.1 +200 ", "HTTP/1.1 -200 ",
+	      "HTTP/1.1\t200 ", "HTTP/1.1 200\t", "HTTP/1.1 \r\n",
+	      "HTTP/1.1\r\n",	"HTTP/1. 200 ",	  "HTTP/11 200 ",
+	      "HTTP/2 200 ",	"HTTP/0.9 200 ",  "http/1.1 200 ",
+	      "ICY 200 ",	"200 ",		  "\xff"})
+		for (std::string before : {std::string(), INTERIM}) {
+			EXPECT_EQ(read_whole(before + text),
+				  STATUS_LINE_INVALID)
+				<< before + text;
+			EXPECT_EQ(read_bytes(before + text),
+				  STATUS_LINE_INVALID)
+				<< before + text;
+		}
+}
+
+TEST(StatusLine, InterimAnswersAreBounded)
+{
+	std::string text;
+
+	for (int i = 0; i < 16; i++)
+		text += INTERIM;
+	EXPECT_EQ(read_whole(text + "HTTP/1.1 200 "), STATUS_LINE_FINAL);
+	EXPECT_EQ(read_whole(text + INTERIM), STATUS_LINE_INVALID);
+}
--- a/tests/store_client_test.cpp
+++ b/tests/store_client_test.cpp
@@ -87,6 +87,18 @@
 		  STATUS_UNKNOWN);
 }
 
+/* Only a status of three digits says what became of a call. */
+TEST_F(StoreClient, InvalidStatusIsUnknown)
+{
+	for (const char *status : {"000", "099", "101", "600", "20", "2x0",
+				   "200x", "0200", "+200", "4294967496", ""})
+		EXPECT_EQ(call(STORE_CAS, "HTTP/1.1 " + std::string(status) +
+						  " X\r\n" +
+						  answer(WRITTEN).substr(17)),
+			  STATUS_UNKNOWN)
+			<< status;
+}
+
 /* Bytes without end neither fill the memory nor last until the deadline. */
 TEST_F(StoreClient, AnswerWithoutEndFailsEarlyAndBounded)
 {
--- a/tests/upstream_client_test.cpp
+++ b/tests/upstream_client_test.cpp
@@ -14,6 +14,7 @@
 #include "core/mem.h"
 #include "fakes/upstream_server.h"
 #include "io/clock.h"
+#include "io/log.h"
 #include "io/upstream_client.h"
 }
 
@@ -646,12 +647,42 @@
 	EXPECT_EQ(u.outcome(), OUTCOME_DONE);
 }
 
+/* Before the other tests of invalid answers: repeats are not logged. */
+TEST(UpstreamClient, InvalidStatusIsLoggedAndClosesTheConnection)
+{
+	RawUpstream u;
+	char byte;
+
+	log_init(LOG_INFO, "n1");
+	for (const char *status : {"200x", "103"}) {
+		u.call();
+		testing::internal::CaptureStderr();
+		u.write_text(std::string("HTTP/1.1 ") + status +
+			     " X\r\nContent-Length: 0\r\n\r\n");
+		EXPECT_EQ(u.outcome(), OUTCOME_UNKNOWN);
+		EXPECT_NE(testing::internal::GetCapturedStderr().find(
+				  "event=answer_invalid"),
+			  std::string::npos)
+			<< status;
+		ssize_t n = -1;
+
+		u.harness.run_until([&] {
+			n = recv(u.fd, &byte, 1, MSG_DONTWAIT);
+			return n >= 0 || errno != EAGAIN;
+		});
+		EXPECT_TRUE(n == 0 || errno == ECONNRESET) << status;
+	}
+}
+
 /* Only a final status ends a call; anything else is no answer. */
 TEST(UpstreamClient, InvalidStatusIsUnknown)
 {
 	RawUpstream u;
 
-	for (const char *status : {"1", "-200", "99", "101", "103", "600"}) {
+	for (const char *status :
+	     {"1", "-200", "99", "101", "103", "600", "000", "099", "999",
+	      "1000", "20", "2x0", "200x", "0200", "+200", "\t200",
+	      "4294967496", "", "200\t"}) {
 		u.call();
 		u.write_text(std::string("HTTP/1.1 ") + status +
 			     " X\r\nContent-Length: 0\r\n\r\n");
@@ -659,6 +690,43 @@
 	}
 }
 
+/* A body where none may be could hold an answer to the next request. */
+TEST(UpstreamClient, BodyAfterNoContentIsNotTheNextAnswer)
+{
+	static const std::string hidden =
+		"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nno";
+	RawUpstream u;
+	int first;
+
+	u.call();
+	u.write_text("HTTP/1.1 204 No Content\r\nContent-Length: " +
+		     std::to_string(hidden.size()) + "\r\n\r\n");
+	EXPECT_EQ(u.outcome(), OUTCOME_DONE);
+	first = dup(u.fd);
+	u.call();
+	(void)!send(first, hidden.data(), hidden.size(), MSG_NOSIGNAL);
+	close(first);
+	for (int i = 0; i < 200; i++)
+		event_base_loop(u.harness.base, EVLOOP_ONCE | EVLOOP_NONBLOCK);
+	EXPECT_EQ(u.harness.answers.size(), 1u);
+	u.write_text("HTTP/1.1 201 Created\r\nContent-Length: 0\r\n\r\n");
+	ASSERT_EQ(u.outcome(), OUTCOME_DONE);
+	EXPECT_EQ(u.answer().answer->code, 201);
+}
+
+/* Interim answers are bounded by their number, too. */
+TEST(UpstreamClient, ManyInterimAnswersAreNoAnswer)
+{
+	RawUpstream u;
+	std::string text;
+
+	for (int i = 0; i < 17; i++)
+		text += "HTTP/1.1 100 Continue\r\n\r\n";
+	u.call();
+	u.write_text(text + "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+	EXPECT_EQ(u.outcome(), OUTCOME_UNKNOWN);
+}
+
 /* The final answer has none of the headers of an interim one. */
 TEST(UpstreamClient, HeadersOfInterimAnswerAreDropped)
 {
