A call of which no byte has left its buffer has not run

Cause: a call counted as sent once it was in the connection's buffer. One that ended before the buffer was written, such as one cancelled in the same iteration of the loop, was reported as unknown although nothing had left.

Change: bytes that leave the buffer mark the call as sent. The connection is disabled before it is freed, so that a callback that is due can't keep it writing.

Measured: http_client_test CancelBeforeTheFirstByteLeavesNothing fails if the call counts from the buffer; 92 tests pass, also with the sanitizers. No test fails without the disabling.

--- a/io/http_client.c
+++ b/io/http_client.c
@@ -47,6 +47,7 @@
 	char addr[JD_ADDR_MAX];
 	bool connected;
 	bool wrote;    /* the current request was passed to bev */
+	bool sent;     /* bytes have left since; the request may run */
 	bool reusable; /* the answer allows another request */
 	uint32_t stale_answers;
 	uint64_t received_bytes; /* since the request was written */
@@ -108,9 +109,22 @@
 	cn->complete = false;
 }
 
+static void on_output_change(struct evbuffer *b,
+			     const struct evbuffer_cb_info *info, void *arg)
+{
+	struct client_conn *cn = arg;
+
+	(void)b;
+	cn->sent |= info->n_deleted > 0;
+}
+
 static void conn_delete(struct client_conn *cn)
 {
 	list_remove(&cn->link);
+	/* A callback that is due would keep it open, and it would write on. */
+	bufferevent_disable(cn->bev, EV_READ | EV_WRITE);
+	evbuffer_remove_cb(bufferevent_get_output(cn->bev), on_output_change,
+			   cn);
 	bufferevent_free(cn->bev);
 	event_free(cn->timer);
 	answer_reset(cn);
@@ -516,6 +530,11 @@
 	}
 }
 
+static enum client_end end_without_answer(const struct client_conn *cn)
+{
+	return cn->sent ? CLIENT_INCOMPLETE : CLIENT_NOT_SENT;
+}
+
 /*
  * An answer without a length is complete when the upstream closes the
  * connection; a reset does not complete it.
@@ -527,7 +546,7 @@
 	    answers_request(cn))
 		finish_call(cn, CLIENT_ANSWERED, false);
 	else
-		finish_call(cn, CLIENT_INCOMPLETE, false);
+		finish_call(cn, end_without_answer(cn), false);
 }
 
 static void write_request(struct client_conn *cn)
@@ -548,6 +567,7 @@
 		evbuffer_add(out, r->payload.body, r->payload.body_len);
 	record_sent(cn);
 	cn->wrote = true;
+	cn->sent = false;
 	cn->stale_answers = 0;
 	cn->received_bytes = 0;
 	cn->body_bytes = 0;
@@ -558,11 +578,6 @@
 	evbuffer_free(out);
 }
 
-static enum client_end end_without_answer(const struct client_conn *cn)
-{
-	return cn->wrote ? CLIENT_INCOMPLETE : CLIENT_NOT_SENT;
-}
-
 static void set_timer(struct client_conn *cn, uint64_t at_ns)
 {
 	uint64_t now = clock_now_ns();
@@ -663,11 +678,11 @@
 		set_timer(cn, cn->call.deadline_ns);
 		return;
 	}
-	if (!cn->wrote)
+	if (!cn->sent)
 		log_event(LOG_WARN, "event=request_not_sent why=%s addr=%s",
 			  cn->connected ? "too_late" : "connect_timeout",
 			  cn->addr);
-	finish_call(cn, cn->wrote ? CLIENT_TIMED_OUT : CLIENT_NOT_SENT, false);
+	finish_call(cn, cn->sent ? CLIENT_TIMED_OUT : CLIENT_NOT_SENT, false);
 }
 
 static struct client_conn *conn_new(struct http_client *c, const char *addr)
@@ -681,6 +696,7 @@
 					 BEV_OPT_CLOSE_ON_FREE |
 						 BEV_OPT_DEFER_CALLBACKS);
 	cn->timer = evtimer_new(c->opts.base, on_timer, cn);
+	evbuffer_add_cb(bufferevent_get_output(cn->bev), on_output_change, cn);
 	bufferevent_setcb(cn->bev, on_read, NULL, on_event, cn);
 	bufferevent_enable(cn->bev, EV_READ | EV_WRITE);
 	list_init(&cn->link);
@@ -725,6 +741,7 @@
 	cn->call = *call;
 	cn->call.request = http_request_ref(call->request);
 	cn->wrote = false;
+	cn->sent = false;
 	if (reused && clock_now_ns() < call->write_before_ns) {
 		set_timer(cn, call->deadline_ns);
 		write_request(cn);
--- a/tests/http_client_test.cpp
+++ b/tests/http_client_test.cpp
@@ -386,6 +386,38 @@
 	close(fd);
 }
 
+/*
+ * A request that is cancelled before any of its bytes has left has not run, and
+ * none of them may leave later, also if a callback is due on the connection.
+ */
+TEST_F(HttpClientTest, CancelBeforeTheFirstByteLeavesNothing)
+{
+	start_listening();
+	for (bool event_is_due : {false, true}) {
+		size_t before = results.size();
+		int fd = call_on_new_connection("GET", "a");
+
+		send_text(fd, answer_text("a", ""));
+		start_call(2, "b");
+		if (event_is_due) {
+			shutdown(fd, SHUT_WR);
+			run_between_read_and_handling(
+				[&] { http_client_cancel(c, 2); });
+		} else {
+			http_client_cancel(c, 2);
+		}
+		run_loop(30);
+		ASSERT_EQ(results.size(), before + 2);
+		EXPECT_EQ(read_all(fd) == "",
+			  results.back().end == CLIENT_NOT_SENT);
+		if (!event_is_due) {
+			EXPECT_EQ(results.back().end, CLIENT_NOT_SENT);
+		}
+		close(fd);
+		run_loop(10);
+	}
+}
+
 TEST_F(HttpClientTest, BodyAfterHeadAnswerIsNotTakenForNextAnswer)
 {
 	struct client_call head = {};
