A forward that waits for a connection is reported before its deadline

Cause: a bulk forward without a connection was kept for 0.5 s, also where its entry had to reply earlier: the entry then took it for possibly run.

Change: it is kept for as long as it has time left, if that is shorter, and dropped on time also behind messages that are kept longer.

--- a/io/peers.c
+++ b/io/peers.c
@@ -149,11 +149,13 @@
 static void flush_pending(struct peers *p, struct peer *peer, uint64_t now_ns)
 {
 	struct pending_message *m, *tmp;
+	bool blocked = false;
 
 	list_for_each_entry_safe(m, tmp, &peer->pending, link) {
-		if (!send_now(p, peer, &m->msg)) {
+		blocked = blocked || !send_now(p, peer, &m->msg);
+		if (blocked) {
 			if (now_ns < m->deadline_ns)
-				return;
+				continue;
 			drop_pending(p, m);
 		}
 		pending_delete(peer, m);
@@ -309,7 +311,7 @@
 
 /* Keeps the bytes of @msg until the node is connected; false at the limit. */
 static bool keep_pending(struct peers *p, struct peer *peer, zmq_msg_t *msg,
-			 uint64_t now_ns)
+			 uint64_t deadline_ns)
 {
 	size_t len = zmq_msg_size(msg);
 	struct pending_message *m;
@@ -317,7 +319,7 @@
 	if (peer->pending_bytes + len > PENDING_MAX_BYTES)
 		return false;
 	m = mem_new(struct pending_message);
-	m->deadline_ns = now_ns + PENDING_MAX_NS;
+	m->deadline_ns = deadline_ns;
 	zmq_msg_init(&m->msg);
 	zmq_msg_move(&m->msg, msg);
 	peer->pending_bytes += len;
@@ -345,6 +347,16 @@
 	zmq_msg_init_data(msg, b.data, b.len, free_sent_bytes, NULL);
 }
 
+/* The sender of a forward must learn in time that it was not sent. */
+static uint64_t pending_deadline_ns(const struct message *m, uint64_t now_ns)
+{
+	uint64_t left_ns =
+		m->kind == MSG_FORWARD ? m->u.forward.time_left_ns : 0;
+
+	return now_ns +
+	       (left_ns && left_ns < PENDING_MAX_NS ? left_ns : PENDING_MAX_NS);
+}
+
 bool peers_send(struct peers *p, const char *addr, const struct message *m,
 		struct peers_send_opts opts)
 {
@@ -363,7 +375,7 @@
 	len = zmq_msg_size(&msg);
 	ok = send_now(p, peer, &msg);
 	if (!ok && (opts.bulk || m->kind != MSG_FORWARD))
-		ok = keep_pending(p, peer, &msg, now);
+		ok = keep_pending(p, peer, &msg, pending_deadline_ns(m, now));
 	if (ok)
 		traffic_add(&p->stats.traffic, m, len, opts.other_region);
 	else
@@ -390,7 +402,7 @@
 		zmq_msg_init(&copy);
 		zmq_msg_copy(&copy, &msg);
 		if (send_now(p, peer, &copy) ||
-		    keep_pending(p, peer, &copy, now))
+		    keep_pending(p, peer, &copy, now + PENDING_MAX_NS))
 			traffic_add(&p->stats.traffic, m, zmq_msg_size(&msg),
 				    false);
 		else
--- a/tests/peers_test.cpp
+++ b/tests/peers_test.cpp
@@ -247,6 +247,54 @@
 	peers_delete(p);
 }
 
+static std::vector<uint64_t> unsent_order;
+
+static void record_unsent(void *arg, struct message *m)
+{
+	(void)arg;
+	if (m->kind == MSG_FORWARD)
+		unsent_order.push_back(m->u.forward.id.counter);
+	message_delete(m);
+}
+
+// And before its entry has to reply, while others wait longer.
+TEST_F(Peers, AForwardThatCantBeSentIsReportedInTime)
+{
+	struct peers_opts o = {};
+	struct status st;
+	std::string addr = free_addr();
+	std::string nobody = free_addr();
+	struct peers *p;
+
+	o.base = base;
+	o.addr = addr.c_str();
+	o.fn = record_unsent;
+	o.on_unsent = record_unsent;
+	p = peers_new(&o, &st);
+	ASSERT_NE(p, nullptr) << st.msg;
+	/* Again if the loop has stood still until both were due. */
+	for (int i = 0; i < 20; i++) {
+		unsent_order.clear();
+		for (uint64_t id : {1, 2}) {
+			struct message *m = message_new(MSG_FORWARD);
+
+			m->from = SENDER;
+			m->u.forward.id.counter = id;
+			m->u.forward.time_left_ns =
+				id == 1 ? 60 * NS_PER_S : 20 * NS_PER_MS;
+			m->u.forward.request = http_request_new("POST", "/");
+			EXPECT_TRUE(peers_send(p, nobody.c_str(), m,
+					       {.bulk = true}));
+			message_delete(m);
+		}
+		run_until([&] { return unsent_order.size() == 2; });
+		if (unsent_order[0] == 2)
+			break;
+	}
+	EXPECT_EQ(unsent_order[0], 2u);
+	peers_delete(p);
+}
+
 TEST_F(Peers, LargeBodyArrivesComplete)
 {
 	const size_t size = 4 << 20;
