Entry: a forward that no process has read has not run

Cause: a process that is started again has the address of the one before, and entries that don't have its card yet send it forwards for that one. It dropped them; when the card came, their requests ended as possibly run, with a 502 that leaves the caller of an order without a way on. The same held for attempts in the queue of the entry's own gate at the deadline and at a stop. And a forward that could not be sent made its gate look alive and idle.

Change: the process answers in the name of the one before that the forward has not run; the request moves to another gate without a part of the retry budget, or ends with a 503. Cancelling an attempt at the own gate tells whether it was started.

--- a/core/dispatch.c
+++ b/core/dispatch.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include "core/load/gate_pick.h"
+#include "core/load/not_run.h"
 #include "core/mem.h"
 #include "core/organisations/identify.h"
 #include "core/relay.h"
@@ -312,12 +313,6 @@
 	return f;
 }
 
-/* True if the request goes apart from small messages to the same node. */
-static bool is_bulk(const struct pending_request *p)
-{
-	return p->request->payload.body_len >= MESH_BULK_BYTES;
-}
-
 static void send_attempt(struct mesh_ctx *c, struct local_gate *g,
 			 struct pending_request *p, struct dir_node *n)
 {
@@ -337,7 +332,7 @@
 		message_delete(m);
 		return;
 	}
-	mesh_send(c, n->boot, n->card.peer_addr, m)->bulk = is_bulk(p);
+	mesh_send(c, n->boot, n->card.peer_addr, m)->bulk = pending_is_bulk(p);
 }
 
 static void hold_request(struct dispatch *d, const struct mesh_ctx *c,
@@ -501,30 +496,6 @@
 	route_request(d, c, g, p);
 }
 
-static void cancel_attempt(struct mesh_ctx *c, struct local_gate *g,
-			   const struct pending_request *p)
-{
-	struct message *m;
-	struct dir_node *n;
-
-	if (p->state != PENDING_SENT)
-		return;
-	m = message_new(MSG_CANCEL);
-	m->u.cancel.id = p->id;
-	m->u.cancel.attempt = p->attempt;
-	n = directory_node(&c->dir, p->gate_node);
-	if (p->gate_boot == c->opts->boot) {
-		gatekeeper_cancel(g->gate, c, c->opts->boot, &m->u.cancel);
-		message_delete(m);
-	} else if (n) {
-		/* Behind the request that it cancels. */
-		mesh_send(c, p->gate_boot, n->card.peer_addr, m)->bulk =
-			is_bulk(p);
-	} else {
-		message_delete(m);
-	}
-}
-
 void dispatch_on_caller_disconnected(struct dispatch *d, struct mesh_ctx *c,
 				     struct local_gate *g, uint64_t caller)
 {
@@ -534,7 +505,7 @@
 		p, tmp, &d->by_caller[caller % DISPATCH_BUCKETS], by_caller) {
 		if (p->caller != caller)
 			continue;
-		cancel_attempt(c, g, p);
+		not_run_cancel(c, g->gate, p);
 		pending_delete(d, p);
 	}
 }
@@ -694,7 +665,7 @@
 		return;
 	n = directory_node(&c->dir, p->gate_node);
 	if (n && from != c->opts->boot)
-		directory_note_load(n, &a->load, c->now_ns);
+		not_run_note_load(n, a, c->now_ns);
 	if (message_drop_invalid_answer(a))
 		mesh_log(c->out, LOG_WARN,
 			 "event=answer_invalid why=status id=%s node=%s",
@@ -782,8 +753,7 @@
 			  struct local_gate *g, struct pending_request *p)
 {
 	if (c->now_ns >= p->deadline_ns) {
-		cancel_attempt(c, g, p);
-		p->may_have_run |= p->state == PENDING_SENT;
+		p->may_have_run |= not_run_cancel(c, g->gate, p);
 		end_without_answer(d, c, p,
 				   p->may_have_run ? REFUSAL_NO_ANSWER
 						   : REFUSAL_DEADLINE);
@@ -818,8 +788,7 @@
 		list_for_each_entry_safe(p, tmp, &d->by_id[i], link) {
 			if (p->state == PENDING_SENT && !include_sent)
 				continue;
-			cancel_attempt(c, g, p);
-			p->may_have_run |= p->state == PENDING_SENT;
+			p->may_have_run |= not_run_cancel(c, g->gate, p);
 			end_without_answer(d, c, p, REFUSAL_LEAVING);
 		}
 	}
--- a/core/gatekeeper.c
+++ b/core/gatekeeper.c
@@ -313,7 +313,7 @@
 	return NULL;
 }
 
-void gatekeeper_cancel(struct gatekeeper *g, struct mesh_ctx *c, uint64_t from,
+bool gatekeeper_cancel(struct gatekeeper *g, struct mesh_ctx *c, uint64_t from,
 		       const struct msg_cancel *m)
 {
 	struct gate_attempt *a =
@@ -321,13 +321,15 @@
 
 	if (a) {
 		end_attempt(g, a, OUTCOME_NOT_RUN, REFUSAL_DEADLINE, NULL);
-		return;
+		return true;
 	}
 	a = find_attempt(&g->running, from, m->id, m->attempt);
-	if (!a || a->state == ATTEMPT_CANCELLED)
-		return;
-	a->state = ATTEMPT_CANCELLED;
-	mesh_actions_add(c->out, MA_CANCEL_UPSTREAM_CALL)->u.cancel = a->call;
+	if (a && a->state != ATTEMPT_CANCELLED) {
+		a->state = ATTEMPT_CANCELLED;
+		mesh_actions_add(c->out, MA_CANCEL_UPSTREAM_CALL)->u.cancel =
+			a->call;
+	}
+	return false;
 }
 
 static void update_mean_times(struct gatekeeper *g, const struct mesh_ctx *c,
--- a/core/gatekeeper.h
+++ b/core/gatekeeper.h
@@ -87,8 +87,11 @@
 		      const struct holder *h, struct msg_forward *f,
 		      uint64_t from, uint64_t delay_ns);
 
-/** Ends an attempt that its entry has given up; unknown ones are ignored. */
-void gatekeeper_cancel(struct gatekeeper *g, struct mesh_ctx *c, uint64_t from,
+/**
+ * Ends an attempt that its entry has given up; unknown ones are ignored. True
+ * if it was waiting: no byte of it has reached the upstream, nor will.
+ */
+bool gatekeeper_cancel(struct gatekeeper *g, struct mesh_ctx *c, uint64_t from,
 		       const struct msg_cancel *m);
 
 /**
--- a/core/mesh.c
+++ b/core/mesh.c
@@ -3,6 +3,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "core/load/not_run.h"
 #include "core/mem.h"
 #include "core/relay.h"
 
@@ -224,8 +225,11 @@
 	struct local_gate g = local_gate(m);
 	struct dir_node *n;
 
-	if (msg->to && msg->to != m->opts.boot && msg->kind != MSG_LOAD)
+	if (msg->to && msg->to != m->opts.boot && msg->kind != MSG_LOAD) {
+		if (msg->kind == MSG_FORWARD)
+			not_run_tell_sender(c, msg);
 		return;
+	}
 	switch (msg->kind) {
 	case MSG_FORWARD:
 		n = directory_by_boot(&c->dir, msg->from);
--- a/core/pending.h
+++ b/core/pending.h
@@ -4,6 +4,7 @@
 
 #include "core/http.h"
 #include "core/manifest.h"
+#include "core/mesh_ctx.h"
 #include "core/refusal.h"
 #include "core/types.h"
 
@@ -53,4 +54,10 @@
 	struct http_request *request;
 };
 
+/** True if it travels apart from small messages to the same node. */
+static inline bool pending_is_bulk(const struct pending_request *p)
+{
+	return p->request->payload.body_len >= MESH_BULK_BYTES;
+}
+
 #endif
--- a/tests/gatekeeper_test.cpp
+++ b/tests/gatekeeper_test.cpp
@@ -291,15 +291,16 @@
 	m.id.counter = offer("r", 1);
 	m.attempt = 1;
 	start_calls();
-	gatekeeper_cancel(&g, &c, 7, &m);
+	EXPECT_FALSE(gatekeeper_cancel(&g, &c, 7, &m)) << "it may have run";
 	a = mesh_actions_pop(&out);
 	ASSERT_NE(a, nullptr);
 	EXPECT_EQ(a->kind, MA_CANCEL_UPSTREAM_CALL);
 	mesh_action_delete(a);
 	m.id.counter = offer("r", 1);
-	gatekeeper_cancel(&g, &c, 7, &m);
+	EXPECT_TRUE(gatekeeper_cancel(&g, &c, 7, &m)) << "it has not";
 	ASSERT_TRUE(pop_result(&id, &why));
 	EXPECT_EQ(id, m.id.counter);
+	EXPECT_FALSE(gatekeeper_cancel(&g, &c, 7, &m)) << "not known any more";
 }
 
 TEST_F(GatekeeperTest, TransitTimeCountsAgainstTheDeadline)
