--- a/io/http_client.c
+++ b/io/http_client.c
@@ -16,6 +16,7 @@
 #include "io/clock.h"
 #include "io/log.h"
 #include "io/socket_opts.h"
+#include "io/status_line.h"
 
 #define CONNECT_TIMEOUT_NS	(400 * NS_PER_MS)
 /* Idle connections are closed before the upstream closes them. */
@@ -23,8 +24,6 @@
 #define KEEP_ALIVE_FRACTION	0.8
 /* Answers to earlier requests that are dropped before the call fails. */
 #define STALE_ANSWERS_MAX	4
-/* 1xx answers before the final one. */
-#define INTERIM_ANSWERS_MAX	16
 /*
  * Bytes of a call's answers that are no body: heads, 1xx and stale ones
  * included, chunk headers and trailers. Short chunks need more than this.
@@ -48,9 +47,9 @@
 	char addr[JD_ADDR_MAX];
 	bool connected;
 	bool wrote;    /* the current request was passed to bev */
+	bool sent;     /* bytes have left since; the request may run */
 	bool reusable; /* the answer allows another request */
 	uint32_t stale_answers;
-	uint32_t interim_answers;
 	uint64_t received_bytes; /* since the request was written */
 	uint64_t body_bytes;	 /* the part of them that is body */
 	/* hashes of the identifying values that were written */
@@ -61,6 +60,7 @@
 	struct event *timer;
 	struct client_call call; /* its request is NULL while idle */
 	http_parser parser;
+	struct status_line status_line;
 	struct http_answer *answer;
 	struct byte_buf field;
 	struct byte_buf value;
@@ -109,9 +109,22 @@
 	cn->complete = false;
 }
 
+static void on_output_change(struct evbuffer *b,
+			     const struct evbuffer_cb_info *info, void *arg)
+{
+	struct client_conn *cn = arg;
+
+	(void)b;
+	cn->sent |= info->n_deleted > 0;
+}
+
 static void conn_delete(struct client_conn *cn)
 {
 	list_remove(&cn->link);
+	/* A callback that is due would keep it open, and it would write on. */
+	bufferevent_disable(cn->bev, EV_READ | EV_WRITE);
+	evbuffer_remove_cb(bufferevent_get_output(cn->bev), on_output_change,
+			   cn);
 	bufferevent_free(cn->bev);
 	event_free(cn->timer);
 	answer_reset(cn);
@@ -233,13 +246,6 @@
 	       code == 204 || code == 304;
 }
 
-/* False for bytes that parse but are no answer to an HTTP/1 request. */
-static bool is_valid_status(const http_parser *p)
-{
-	return p->http_major == 1 && p->status_code >= 100 &&
-	       p->status_code < 600 && p->status_code != 101;
-}
-
 /* True if the body is in a transfer coding that the parser does not undo. */
 static bool has_unknown_coding(const struct payload *p)
 {
@@ -258,8 +264,6 @@
 	struct client_conn *cn = p->data;
 
 	flush_header(cn);
-	if (!is_valid_status(p))
-		return -1;
 	cn->head_ended = true;
 	cn->answer->code = (int)p->status_code;
 	if (has_no_body(cn, cn->answer->code))
@@ -285,12 +289,20 @@
 	return 0;
 }
 
+/* True if a 204 declares a body, which may follow as if it were an answer. */
+static bool declares_undue_body(const http_parser *p)
+{
+	return p->status_code == 204 &&
+	       ((p->flags & F_CHUNKED) ||
+		(p->content_length && p->content_length != UINT64_MAX));
+}
+
 static int on_complete(http_parser *p)
 {
 	struct client_conn *cn = p->data;
 
 	cn->complete = true;
-	cn->reusable = http_should_keep_alive(p);
+	cn->reusable = http_should_keep_alive(p) && !declares_undue_body(p);
 	http_parser_pause(p, 1);
 	return 0;
 }
@@ -414,10 +426,6 @@
 {
 	/* A 1xx answer is followed by the final one. */
 	if (cn->answer->code / 100 == 1) {
-		if (++cn->interim_answers > INTERIM_ANSWERS_MAX) {
-			abandon_answer(cn, "too_many_interim");
-			return false;
-		}
 		answer_reset(cn);
 		parser_reset(cn);
 		return true;
@@ -432,6 +440,7 @@
 		}
 		answer_reset(cn);
 		parser_reset(cn);
+		status_line_reset(&cn->status_line);
 		return true;
 	}
 	update_idle_timeout(cn);
@@ -490,12 +499,19 @@
 	while ((len = evbuffer_get_contiguous_space(in)) > 0) {
 		const char *data =
 			(const char *)evbuffer_pullup(in, (ssize_t)len);
-		size_t parsed = http_parser_execute(
-			&cn->parser, &parser_settings, data, len);
-		enum http_errno err = HTTP_PARSER_ERRNO(&cn->parser);
+		enum http_errno err;
+		size_t parsed;
 
+		parsed = http_parser_execute(&cn->parser, &parser_settings,
+					     data, len);
+		err = HTTP_PARSER_ERRNO(&cn->parser);
+		status_line_read(&cn->status_line, data, parsed);
 		evbuffer_drain(in, parsed);
 		cn->received_bytes += parsed;
+		if (cn->status_line.state == STATUS_LINE_INVALID) {
+			abandon_answer(cn, "status");
+			return;
+		}
 		if (exceeds_framing(cn)) {
 			abandon_answer(cn, "head_too_long");
 			return;
@@ -514,6 +530,11 @@
 	}
 }
 
+static enum client_end end_without_answer(const struct client_conn *cn)
+{
+	return cn->sent ? CLIENT_INCOMPLETE : CLIENT_NOT_SENT;
+}
+
 /*
  * An answer without a length is complete when the upstream closes the
  * connection; a reset does not complete it.
@@ -525,7 +546,7 @@
 	    answers_request(cn))
 		finish_call(cn, CLIENT_ANSWERED, false);
 	else
-		finish_call(cn, CLIENT_INCOMPLETE, false);
+		finish_call(cn, end_without_answer(cn), false);
 }
 
 static void write_request(struct client_conn *cn)
@@ -546,21 +567,17 @@
 		evbuffer_add(out, r->payload.body, r->payload.body_len);
 	record_sent(cn);
 	cn->wrote = true;
+	cn->sent = false;
 	cn->stale_answers = 0;
-	cn->interim_answers = 0;
 	cn->received_bytes = 0;
 	cn->body_bytes = 0;
 	parser_reset(cn);
+	status_line_reset(&cn->status_line);
 	answer_reset(cn);
 	bufferevent_write_buffer(cn->bev, out);
 	evbuffer_free(out);
 }
 
-static enum client_end end_without_answer(const struct client_conn *cn)
-{
-	return cn->wrote ? CLIENT_INCOMPLETE : CLIENT_NOT_SENT;
-}
-
 static void set_timer(struct client_conn *cn, uint64_t at_ns)
 {
 	uint64_t now = clock_now_ns();
@@ -661,11 +678,11 @@
 		set_timer(cn, cn->call.deadline_ns);
 		return;
 	}
-	if (!cn->wrote)
+	if (!cn->sent)
 		log_event(LOG_WARN, "event=request_not_sent why=%s addr=%s",
 			  cn->connected ? "too_late" : "connect_timeout",
 			  cn->addr);
-	finish_call(cn, cn->wrote ? CLIENT_TIMED_OUT : CLIENT_NOT_SENT, false);
+	finish_call(cn, cn->sent ? CLIENT_TIMED_OUT : CLIENT_NOT_SENT, false);
 }
 
 static struct client_conn *conn_new(struct http_client *c, const char *addr)
@@ -679,6 +696,7 @@
 					 BEV_OPT_CLOSE_ON_FREE |
 						 BEV_OPT_DEFER_CALLBACKS);
 	cn->timer = evtimer_new(c->opts.base, on_timer, cn);
+	evbuffer_add_cb(bufferevent_get_output(cn->bev), on_output_change, cn);
 	bufferevent_setcb(cn->bev, on_read, NULL, on_event, cn);
 	bufferevent_enable(cn->bev, EV_READ | EV_WRITE);
 	list_init(&cn->link);
@@ -723,6 +741,7 @@
 	cn->call = *call;
 	cn->call.request = http_request_ref(call->request);
 	cn->wrote = false;
+	cn->sent = false;
 	if (reused && clock_now_ns() < call->write_before_ns) {
 		set_timer(cn, call->deadline_ns);
 		write_request(cn);
