Forwards say which requests are calls and which callers come back

A gate can't tell a call of a run from a new request before it has seen 40 of the route, nor a caller's second attempt from its first; the entry can. Two optional fields of MSG_FORWARD: an older entry sends neither, an older gate ignores them. codec_test passes; nothing uses them yet.

--- a/core/message.h
+++ b/core/message.h
@@ -98,6 +98,8 @@
 	bool keyed;
 	char caller_id[JD_CALLER_ID_MAX]; /* request id set by the caller */
 	char caller_service[JD_NAME_MAX]; /* service of the VM it came from */
+	bool call;  /* a run that has started waits for it */
+	bool again; /* its caller comes back after a failure */
 	struct http_request *request;
 };
 
--- a/core/pending.h
+++ b/core/pending.h
@@ -32,7 +32,9 @@
 	char service[JD_NAME_MAX];
 	char organisation[JD_NAME_MAX]; /* empty: none */
 	struct region_set regions;	/* that may serve it */
-	uint32_t priority;
+	uint32_t priority;		/* of a call: its run's */
+	bool call;	       /* made by a run of this node's upstream */
+	bool again;	       /* its caller comes back after a failure */
 	uint32_t max_attempts; /* bound on upstream_attempts */
 	bool idempotent;
 	bool keyed;
--- a/wire/codec.c
+++ b/wire/codec.c
@@ -74,6 +74,8 @@
 	PACK_BOOL_OF(struct msg_forward, keyed),
 	PACK_STR_OF(struct msg_forward, caller_id),
 	PACK_STR_OF(struct msg_forward, caller_service),
+	PACK_BOOL_OF(struct msg_forward, call),
+	PACK_BOOL_OF(struct msg_forward, again),
 };
 
 /* The fields of the struct gate_load that @type has as its member load. */
@@ -172,7 +174,7 @@
 	[MSG_SYNC] = PACK_TABLE(sync_fields),
 	[MSG_RELEASE] = PACK_TABLE(release_fields),
 	[MSG_HOT_KEYS] = PACK_TABLE(hot_keys_fields),
-	[MSG_FORWARD] = PACK_TABLE(forward_fields),
+	[MSG_FORWARD] = PACK_TABLE_WITH_OPTIONAL(forward_fields, 2),
 	[MSG_ANSWER] = PACK_TABLE_WITH_OPTIONAL(answer_fields, 4),
 	[MSG_CANCEL] = PACK_TABLE(cancel_fields),
 	[MSG_LOAD] = PACK_TABLE_WITH_OPTIONAL(load_fields, 7),
