Gates serve what can be in time first and refuse what can't early

Change, under heavy load only: order by lateness, rank, call, objective; a margin of one deviation; slots kept for calls; the demand of more urgent ranks counts as wait; what has become hopeless ends as no_room.

--- a/core/gatekeeper.c
+++ b/core/gatekeeper.c
@@ -1,5 +1,6 @@
 #include "core/gatekeeper.h"
 
+#include <math.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -37,6 +38,7 @@
 	list_init(&g->routes);
 	g->next_call = 1;
 	g->mean_ns = SERVICE_TIME_INITIAL_NS;
+	g->slot_ns = SERVICE_TIME_INITIAL_NS;
 	g->work_percent = 100;
 }
 
@@ -164,6 +166,37 @@
 	return a->objective_at_ns < b->objective_at_ns;
 }
 
+static struct order_terms terms_of(const struct gate_attempt *a)
+{
+	return (struct order_terms){
+		.rank = a->priority,
+		.call = a->internal,
+		.late = a->late,
+		.again = a->again,
+		.objective_at_ns = a->objective_at_ns,
+		.deadline_ns = a->deadline_ns,
+		.late_until_ns = a->late_until_ns,
+	};
+}
+
+static bool goes_before(const struct mesh_ctx *c, const struct gate_attempt *a,
+			const struct gate_attempt *b)
+{
+	struct order_terms ta = terms_of(a);
+	struct order_terms tb = terms_of(b);
+
+	return c->opts->heavy_load ? order_before(&ta, &tb) : runs_before(a, b);
+}
+
+/* Slots that @a may not take, as calls need them. */
+static uint32_t kept_free(const struct gatekeeper *g, const struct mesh_ctx *c,
+			  const struct holder *h, const struct gate_attempt *a)
+{
+	if (!c->opts->heavy_load || a->internal)
+		return 0;
+	return call_room_free(&g->call_room, slot_limit(h), c->now_ns);
+}
+
 static double cold_rate_per_s(const struct mesh_ctx *c)
 {
 	const struct service *sv =
@@ -197,12 +230,13 @@
 	return (uint64_t)wait_ns;
 }
 
-static void enqueue(struct gatekeeper *g, struct gate_attempt *a)
+static void enqueue(struct gatekeeper *g, const struct mesh_ctx *c,
+		    struct gate_attempt *a)
 {
 	struct gate_attempt *other;
 
 	list_for_each_entry(other, &g->waiting, link)
-		if (runs_before(a, other))
+		if (goes_before(c, a, other))
 			break;
 	list_insert_before(&other->link, &a->link);
 	g->waiting_count++;
@@ -227,7 +261,8 @@
 	a->deadline_ns = c->now_ns + time_left_ns;
 	a->objective_at_ns = c->now_ns + objective_left_ns;
 	a->priority = f->priority;
-	a->internal = is_internal_route(stats_for(g, f->route));
+	a->internal = f->call || is_internal_route(stats_for(g, f->route));
+	a->again = f->again;
 	a->keyed = f->keyed;
 	a->shard = f->shard;
 	mem_copy_str(a->route, f->route, sizeof(a->route));
@@ -283,6 +318,69 @@
 	       ready_ns > (a->internal ? a->deadline_ns : a->objective_at_ns);
 }
 
+static struct order_run run_of(struct gatekeeper *g,
+			       const struct gate_attempt *a)
+{
+	const struct route_stats *s = stats_for(g, a->route);
+
+	return (struct order_run){.mean_ns = s->mean_ns,
+				  .deviation_ns = s->deviation_ns};
+}
+
+/* The queue's pace for @a: the slots that it may not take count as busy. */
+static struct order_pace pace_for(const struct gatekeeper *g,
+				  const struct mesh_ctx *c,
+				  const struct holder *h,
+				  const struct gate_attempt *a)
+{
+	return (struct order_pace){
+		.now_ns = c->now_ns,
+		.running = g->running_count,
+		.limit = slot_limit(h) - kept_free(g, c, h, a),
+		.mean_ns = g->slot_ns,
+		.cold_per_s =
+			c->now_ns < h->cold_until_ns ? cold_rate_per_s(c) : 0,
+	};
+}
+
+static void note_late(struct gate_attempt *a, const struct order_run *r,
+		      uint64_t now_ns)
+{
+	struct order_terms t = terms_of(a);
+
+	order_note_late(&t, r, now_ns);
+	a->late = t.late;
+	a->late_until_ns = t.late_until_ns;
+}
+
+/* Those that come back go before the others of their rank. */
+static uint32_t demand_class(const struct gate_attempt *a)
+{
+	return 2 * a->priority + !a->again;
+}
+
+/* True when @a can't be answered in time behind those that go before it. */
+static bool has_no_room(struct gatekeeper *g, const struct mesh_ctx *c,
+			const struct holder *h, struct gate_attempt *a)
+{
+	const struct gate_attempt *other;
+	struct order_run r = run_of(g, a);
+	struct order_pace p = pace_for(g, c, h, a);
+	struct order_terms t;
+	uint32_t ahead = 0;
+
+	p.share_left = rank_demand_share_left(&g->demand, demand_class(a),
+					      slot_limit(h), c->now_ns);
+	note_late(a, &r, c->now_ns);
+	t = terms_of(a);
+	list_for_each_entry(other, &g->waiting, link)
+		ahead += !goes_before(c, a, other);
+	if (!order_admits(&t, &p, &r, ahead))
+		return true;
+	rank_demand_note(&g->demand, demand_class(a), r.mean_ns, c->now_ns);
+	return false;
+}
+
 void gatekeeper_offer(struct gatekeeper *g, struct mesh_ctx *c,
 		      const struct holder *h, struct msg_forward *f,
 		      uint64_t from, uint64_t delay_ns)
@@ -294,9 +392,11 @@
 		g->transit_ns += TRANSIT_NEWEST_WEIGHT *
 				 ((double)delay_ns - g->transit_ns);
 	count_origin(g, c, f);
-	if (why == REFUSAL_NONE && would_be_late(g, c, h, a))
+	if (why == REFUSAL_NONE &&
+	    (c->opts->heavy_load ? has_no_room(g, c, h, a)
+				 : would_be_late(g, c, h, a)))
 		why = REFUSAL_QUEUE_FULL;
-	enqueue(g, a);
+	enqueue(g, c, a);
 	if (why != REFUSAL_NONE)
 		end_attempt(g, a, OUTCOME_NOT_RUN, why, NULL);
 }
@@ -338,6 +438,8 @@
 	double took_ns = (double)(c->now_ns - a->started_ns);
 	struct route_stats *s = stats_for(g, a->route);
 
+	s->deviation_ns += MEAN_NEWEST_WEIGHT *
+			   (fabs(took_ns - s->mean_ns) - s->deviation_ns);
 	s->mean_ns += MEAN_NEWEST_WEIGHT * (took_ns - s->mean_ns);
 	g->mean_ns += MEAN_NEWEST_WEIGHT * (took_ns - g->mean_ns);
 }
@@ -352,8 +454,14 @@
 	list_for_each_entry(a, &g->running, link) {
 		if (a->call != e->call)
 			continue;
+		g->slot_ns +=
+			MEAN_NEWEST_WEIGHT *
+			((double)(c->now_ns - a->started_ns) - g->slot_ns);
 		if (e->outcome == OUTCOME_DONE && e->answer->code < 500)
 			update_mean_times(g, c, a);
+		if (a->internal)
+			call_room_note(&g->call_room, g->call_room.running - 1,
+				       c->now_ns);
 		end_attempt(g, a, e->outcome, e->refusal, e->answer);
 		e->answer = NULL;
 		return;
@@ -404,6 +512,9 @@
 	list_push_back(&g->running, &a->link);
 	g->waiting_count--;
 	g->running_count++;
+	if (a->internal)
+		call_room_note(&g->call_room, g->call_room.running + 1,
+			       c->now_ns);
 	a->state = ATTEMPT_RUNNING;
 	a->call = g->next_call++;
 	a->started_ns = c->now_ns;
@@ -416,6 +527,7 @@
 	mem_copy_str(act->organisation, a->organisation,
 		     sizeof(act->organisation));
 	act->deadline_ns = a->deadline_ns - ANSWER_TRANSIT_NS;
+	a->upstream_deadline_ns = act->deadline_ns;
 	act->write_before_ns = write_before_ns;
 	act->request = a->request;
 	a->request = NULL;
@@ -439,15 +551,85 @@
 	}
 }
 
+/* Moves @a behind all that can still meet their objectives. */
+static void put_back(struct gatekeeper *g, const struct mesh_ctx *c,
+		     struct gate_attempt *a, const struct order_run *r)
+{
+	struct order_terms t = terms_of(a);
+
+	t.objective_at_ns = c->now_ns;
+	order_note_late(&t, r, c->now_ns);
+	a->late = t.late;
+	a->late_until_ns = t.late_until_ns;
+	list_remove(&a->link);
+	g->waiting_count--;
+	enqueue(g, c, a);
+}
+
+static void refuse_hopeless(struct gatekeeper *g, struct mesh_ctx *c,
+			    struct gate_attempt *a)
+{
+	g->hopeless++;
+	mesh_log(c->out, LOG_INFO,
+		 "event=attempt_hopeless id=%s route=%s rank=%u call=%d "
+		 "late=%d waiting=%u running=%u left_ms=%ld",
+		 a->caller_id, a->route, a->priority, a->internal, a->late,
+		 g->waiting_count, g->running_count,
+		 (long)((int64_t)(a->deadline_ns - c->now_ns) /
+			(int64_t)NS_PER_MS));
+	end_attempt(g, a, OUTCOME_NOT_RUN, REFUSAL_NO_ROOM, NULL);
+}
+
+/* Reviews the queue: what has been pushed back gives way or ends early. */
+static void review_queue(struct gatekeeper *g, struct mesh_ctx *c,
+			 const struct holder *h)
+{
+	struct gate_attempt *a, *tmp;
+	uint32_t ahead = 0;
+
+	list_for_each_entry_safe(a, tmp, &g->waiting, link) {
+		struct order_run r = run_of(g, a);
+		struct order_pace p = pace_for(g, c, h, a);
+		struct order_terms t = terms_of(a);
+
+		switch (order_review(&t, &p, &r, ahead)) {
+		case ORDER_STAYS:
+			ahead++;
+			break;
+		case ORDER_BECOMES_LATE:
+			g->put_back++;
+			put_back(g, c, a, &r);
+			break;
+		case ORDER_HOPELESS:
+			refuse_hopeless(g, c, a);
+			break;
+		}
+	}
+}
+
+/* The attempt that starts next; NULL: none of them may now. */
+static struct gate_attempt *next_to_start(struct gatekeeper *g,
+					  const struct mesh_ctx *c,
+					  const struct holder *h)
+{
+	struct gate_attempt *a;
+
+	list_for_each_entry(a, &g->waiting, link)
+		if (g->running_count + kept_free(g, c, h, a) < slot_limit(h))
+			return a;
+	return NULL;
+}
+
 void gatekeeper_work(struct gatekeeper *g, struct mesh_ctx *c,
 		     const struct holder *h)
 {
+	struct gate_attempt *a;
+
 	g->next_wake_ns = UINT64_MAX;
 	end_unservable(g, c, h);
-	while (!list_empty(&g->waiting) && g->running_count < slot_limit(h)) {
-		struct gate_attempt *a =
-			list_entry(g->waiting.next, struct gate_attempt, link);
-
+	if (c->opts->heavy_load)
+		review_queue(g, c, h);
+	while ((a = next_to_start(g, c, h))) {
 		if (!take_cold_token(g, c, h))
 			break;
 		start_attempt(g, c, h, a,
--- a/core/gatekeeper.h
+++ b/core/gatekeeper.h
@@ -8,6 +8,8 @@
 #define JD_CORE_GATEKEEPER_H
 
 #include "core/holder.h"
+#include "core/load/gate_order.h"
+#include "core/load/rank_demand.h"
 
 enum attempt_state {
 	ATTEMPT_WAITING,
@@ -27,8 +29,12 @@
 	uint64_t started_ns;
 	uint64_t deadline_ns;	  /* of the entry, on the clock of this node */
 	uint64_t objective_at_ns; /* a later answer misses the objective */
-	uint32_t priority;	  /* of the route; 0 is served first */
-	bool internal;		  /* the route was internal on arrival */
+	uint64_t upstream_deadline_ns; /* that it was started with */
+	uint64_t late_until_ns;	       /* see struct order_terms */
+	bool late;
+	bool again;	   /* its caller comes back after a failure */
+	uint32_t priority; /* of the route; 0 is served first */
+	bool internal;	   /* the route was internal on arrival */
 	bool keyed;
 	uint32_t shard; /* the key's number, when keyed */
 	char route[JD_NAME_MAX];
@@ -51,6 +57,7 @@
 	struct list link;
 	char route[JD_NAME_MAX];
 	double mean_ns; /* time of a request at the upstream, moving average */
+	double deviation_ns; /* mean absolute deviation from it */
 	/* Requests by the service of the VM where they began. */
 	uint32_t from_own_service;
 	uint32_t from_other_services;
@@ -73,6 +80,11 @@
 	uint64_t next_wake_ns;
 	uint64_t served;  /* attempts that the upstream answered */
 	uint64_t refused; /* attempts that were not run */
+	double slot_ns;	  /* time that any attempt holds a slot, average */
+	struct call_room call_room;
+	struct rank_demand demand;
+	uint64_t put_back; /* attempts that missed their objective waiting */
+	uint64_t hopeless; /* attempts refused as they waited in vain */
 };
 
 void gatekeeper_init(struct gatekeeper *g);
--- a/core/load/gate_order.c
+++ b/core/load/gate_order.c
@@ -4,7 +4,7 @@
  * What misses its objective may wait for this part of the time that its caller
  * has left: the rest is for the caller to try elsewhere.
  */
-#define LATE_WAIT_SHARE 0.25
+#define LATE_WAIT_SHARE 0.1
 
 bool order_before(const struct order_terms *a, const struct order_terms *b)
 {
@@ -24,6 +24,8 @@
 
 	if (p->running >= p->limit)
 		wait_ns = (ahead + 1) * p->mean_ns / (p->limit ? p->limit : 1);
+	if (p->share_left > 0)
+		wait_ns /= p->share_left;
 	if (p->cold_per_s > 0) {
 		cold_ns = ahead * (double)NS_PER_S / p->cold_per_s;
 		if (cold_ns > wait_ns)
@@ -59,6 +61,9 @@
 		return ready_ns <= t->deadline_ns;
 	if (t->late)
 		return start_ns <= t->late_until_ns;
+	/* Others that came later would get in instead. */
+	if (t->again)
+		return ready_ns <= t->deadline_ns;
 	/* About five in six runs take less than this. */
 	return ready_ns + (uint64_t)r->deviation_ns <= t->objective_at_ns;
 }
--- a/core/load/gate_order.h
+++ b/core/load/gate_order.h
@@ -15,6 +15,7 @@
 	uint32_t rank; /* of the run that it works for; 0 is the most urgent */
 	bool call;     /* made by a run that has started */
 	bool late;     /* it can't meet its objective any more */
+	bool again;    /* its caller was sent away before */
 	uint64_t objective_at_ns;
 	uint64_t deadline_ns;
 	uint64_t late_until_ns; /* if @late: it leaves the queue then */
@@ -24,10 +25,12 @@
 struct order_pace {
 	uint64_t now_ns;
 	uint32_t running;
-	uint32_t limit;	   /* requests that may run at once */
-	double mean_ns;	   /* of a run, over all routes */
-	double cold_per_s; /* starts that a cold upstream allows; 0: it's warm
-			    */
+	uint32_t limit; /* requests that may run at once */
+	double mean_ns; /* that a slot is held, however the run ends */
+	/* Starts that a cold upstream allows; 0: it is warm. */
+	double cold_per_s;
+	/* Of the room, as more urgent ranks go on arriving; 0: all of it. */
+	double share_left;
 };
 
 /** Run time of one route's requests. */
--- a/tests/gatekeeper_test.cpp
+++ b/tests/gatekeeper_test.cpp
@@ -17,6 +17,7 @@
 	struct gatekeeper g;
 	uint64_t counter = 0;
 	std::string organisation; /* of the last call */
+	bool as_call = false; /* entries say that it is a call */
 
 	GatekeeperTest()
 	{
@@ -57,6 +58,7 @@
 		f.objective_ns = objective_ms * NS_PER_MS;
 		f.priority = priority;
 		f.keyed = keyed;
+		f.call = as_call;
 		f.shard = shard;
 		mem_copy_str(f.route, route, sizeof(f.route));
 		mem_copy_str(f.caller_service, from_service,
@@ -316,3 +318,112 @@
 	ASSERT_TRUE(pop_result(&id, &why));
 	EXPECT_EQ(why, REFUSAL_DEADLINE);
 }
+
+/* A gate of a deployment whose load exceeds its room at times. */
+struct LoadedGateTest : public GatekeeperTest {
+	LoadedGateTest()
+	{
+		opts.heavy_load = true;
+	}
+	/* Ends all running calls, @ms after they began. */
+	void run_for(uint64_t ms)
+	{
+		std::vector<uint64_t> calls = start_calls();
+
+		c.now_ns += ms * NS_PER_MS;
+		for (uint64_t call : calls)
+			finish(call);
+	}
+	void learn(const char *route, const char *from_service, uint64_t ms)
+	{
+		for (int i = 0; i < 200; i++) {
+			offer(route, 1, 600, from_service);
+			run_for(ms);
+		}
+	}
+};
+
+/*
+ * Guards against requests that were admitted, pushed back by more urgent ones
+ * and refused only at their deadline.
+ */
+TEST_F(LoadedGateTest, WhatUrgentWorkPushesBackIsRefusedWhenThatIsKnown)
+{
+	uint64_t begin_ns = c.now_ns, id, low;
+	enum refusal why = REFUSAL_NONE;
+	std::vector<uint64_t> calls;
+
+	for (int i = 0; i < 4; i++)
+		offer("r", 0);
+	calls = start_calls();
+	low = offer("low", 2, 700);
+	for (int i = 0; !pop_result(&id, &why) && i < 100; i++) {
+		offer("r", 0, 5000);
+		c.now_ns += 20 * NS_PER_MS;
+		start_calls();
+	}
+	EXPECT_EQ(id, low);
+	EXPECT_EQ(why, REFUSAL_NO_ROOM);
+	EXPECT_LT(c.now_ns, begin_ns + 1000 * NS_PER_MS);
+	EXPECT_EQ(g.hopeless, 1u);
+	EXPECT_EQ(g.put_back, 1u);
+}
+
+/* The load: long requests fill the slots beside short calls of runs. */
+TEST_F(LoadedGateTest, LongRequestsLeaveASlotToCalls)
+{
+	learn("call", "other", 50);
+	for (int i = 0; i < 8; i++)
+		offer("long", 1, 4000);
+	EXPECT_EQ(start_calls().size(), 3u) << "of four slots";
+	offer("call", 1, 200, "other");
+	EXPECT_EQ(start_calls().size(), 1u);
+}
+
+/* The load: a wave of rank 0 takes three slots of four. */
+TEST_F(LoadedGateTest, LesserWorkIsRefusedOnArrivalDuringAWaveOfUrgentWork)
+{
+	uint64_t id;
+	enum refusal why = REFUSAL_NONE;
+
+	for (int i = 0; i < 60; i++) {
+		for (int k = 0; k < 3; k++)
+			offer("r", 0, 5000);
+		std::vector<uint64_t> calls = start_calls();
+
+		c.now_ns += 70 * NS_PER_MS;
+		for (uint64_t call : calls)
+			finish(call);
+	}
+	while (pop_result(&id, &why))
+		;
+	for (int i = 0; i < 4; i++)
+		offer("r", 0, 5000);
+	start_calls();
+	why = REFUSAL_NONE;
+	offer("r", 0, 300);
+	EXPECT_FALSE(pop_result(&id, &why));
+	offer("low", 1, 180);
+	ASSERT_TRUE(pop_result(&id, &why));
+	EXPECT_EQ(why, REFUSAL_QUEUE_FULL);
+}
+
+/* Entries tell calls apart before a gate that has just started can. */
+TEST_F(LoadedGateTest, ACallGoesBeforeRequestsOfItsRunsRankOnly)
+{
+	struct gate_attempt *first;
+	uint64_t urgent, call;
+
+	for (int i = 0; i < 4; i++)
+		offer("r", 1);
+	start_calls();
+	offer("new", 1);
+	as_call = true;
+	call = offer("call", 1, 900);
+	as_call = false;
+	first = list_entry(g.waiting.next, struct gate_attempt, link);
+	EXPECT_EQ(first->id.counter, call);
+	urgent = offer("urgent", 0);
+	first = list_entry(g.waiting.next, struct gate_attempt, link);
+	EXPECT_EQ(first->id.counter, urgent);
+}
