--- a/tests/mesh_sim.hpp
+++ b/tests/mesh_sim.hpp
@@ -64,6 +64,8 @@
 struct MeshSimOpts {
 	int nodes = 6; /* those with an odd index serve the keyed service */
 	uint64_t seed = 1;
+	/* Each so manieth node decides by load; 0: none does. */
+	int heavy_load_every = 0;
 	uint64_t lease_ns = 6 * NS_PER_S;
 	uint64_t stop_ns = 6 * NS_PER_S; /* longest planned stop */
 	uint64_t work_ns = 0; /* of a request at its upstream; 0: random */
@@ -905,6 +907,8 @@
 		mo.quota_window_ns = 5 * NS_PER_S;
 		mo.quota_overage = 0.1;
 		mo.quota_slack = 20;
+		mo.heavy_load =
+			opts.heavy_load_every && i % opts.heavy_load_every == 0;
 		procs[i] = Process();
 		procs[i].boot = mo.boot;
 		procs[i].mesh = mesh_new(&mo, now);
--- a/tests/mesh_test.cpp
+++ b/tests/mesh_test.cpp
@@ -633,6 +633,8 @@
 	opts.lost_call_share = 0.05;
 	opts.late_write_share = 0.05;
 	opts.copies = restores;
+	/* None, all or half of the nodes, as in a rollout. */
+	opts.heavy_load_every = (int)(seed % 3);
 	MeshSim sim(opts);
 
 	sim.run_for(4 * NS_PER_S);
