--- a/tests/dispatch_test.cpp
+++ b/tests/dispatch_test.cpp
@@ -775,6 +775,32 @@
 	EXPECT_EQ(d.arrivals.comebacks.recognised, 1u);
 }
 
+/* The load: each of two gates has four times what it can run at once. */
+TEST_F(LoadedDispatchTest, ARefusedCallerIsToldWhenRoomIsExpected)
+{
+	struct request_id id = {};
+	struct msg_answer a = {};
+	struct mesh_action *act;
+	uint64_t retry_after_ns = 0;
+	uint64_t to = send(&id);
+
+	directory_node(&c.dir, "near")->load.waiting = 40;
+	directory_node(&c.dir, "far")->load.waiting = 40;
+	a.id = id;
+	a.attempt = 1;
+	a.outcome = OUTCOME_NOT_RUN;
+	a.refusal = REFUSAL_NO_ROOM;
+	a.load = directory_by_boot(&c.dir, to)->load;
+	dispatch_on_answer(&d, &c, &local, to, &a);
+	while ((act = mesh_actions_pop(&out))) {
+		if (act->kind == MA_REPLY)
+			retry_after_ns = act->u.reply.retry_after_ns;
+		mesh_action_delete(act);
+	}
+	EXPECT_GE(retry_after_ns, 400 * NS_PER_MS);
+	EXPECT_LE(retry_after_ns, 1210 * NS_PER_MS);
+}
+
 /* It has waited at that gate for as long as it could. */
 TEST_F(LoadedDispatchTest, WhatWaitedInVainIsNotSentToAnotherGate)
 {
--- a/tests/gatekeeper_test.cpp
+++ b/tests/gatekeeper_test.cpp
@@ -17,7 +17,7 @@
 	struct gatekeeper g;
 	uint64_t counter = 0;
 	std::string organisation; /* of the last call */
-	bool as_call = false; /* entries say that it is a call */
+	bool as_call = false;	  /* entries say that it is a call */
 
 	GatekeeperTest()
 	{
@@ -408,6 +408,33 @@
 	EXPECT_EQ(why, REFUSAL_QUEUE_FULL);
 }
 
+/* The load: most runs fail early, as a service that they call is short. */
+TEST_F(LoadedGateTest, RunsThatFailEarlyMakeTheQueueFaster)
+{
+	uint64_t id;
+	enum refusal why = REFUSAL_NONE;
+
+	learn("r", "s", 200);
+	for (int i = 0; i < 100; i++) {
+		struct ev_upstream_end e = {};
+
+		offer("r", 1);
+		e.call = start_calls().at(0);
+		c.now_ns += 20 * NS_PER_MS;
+		e.outcome = OUTCOME_DONE;
+		e.answer = http_answer_new(500);
+		gatekeeper_on_upstream_end(&g, &c, &e);
+	}
+	while (pop_result(&id, &why))
+		;
+	for (int i = 0; i < 24; i++)
+		offer("r", 1, 600);
+	start_calls();
+	start_calls();
+	EXPECT_FALSE(pop_result(&id, &why));
+	EXPECT_EQ(g.put_back, 0u) << "20 wait for 100 ms at most";
+}
+
 /* Entries tell calls apart before a gate that has just started can. */
 TEST_F(LoadedGateTest, ACallGoesBeforeRequestsOfItsRunsRankOnly)
 {
