jackdaw platform check: entries that never match, limits that contradict

Cause: the command told only whether a node would take the document; a route that another one hides, a part without a weight or an organisation that no route can serve showed only when requests failed.

Findings without a position are printed without one. It doesn't compare the document with the one in force: the tables of fields lack those of leased fleets.

--- a/cli/command.c
+++ b/cli/command.c
@@ -89,7 +89,10 @@
 				    "fence and the row of the key."},
 	[COMMAND_PLATFORM_CHECK] = {"platform check", "FILE", 1, 1,
 				    "Check whether a node would accept a "
-				    "configuration document."},
+				    "configuration document, and show entries "
+				    "that never match and limits that "
+				    "contradict each other. Exit code 2 for "
+				    "any of these."},
 };
 
 static int run(enum command c, const struct cli_options *o)
--- a/cli/platform_view.c
+++ b/cli/platform_view.c
@@ -6,6 +6,8 @@
 #include <string.h>
 
 #include "cli/exit_code.h"
+#include "cli/findings_show.h"
+#include "core/config_lint.h"
 #include "core/directory.h"
 #include "core/mem.h"
 #include "io/clock.h"
@@ -175,7 +177,9 @@
 {
 	struct status st;
 	char *text = file_read(o->args[0], &st);
+	struct findings f;
 	struct manifest *m;
+	bool found;
 
 	if (!text) {
 		fprintf(stderr, "jackdaw: %s\n", st.msg);
@@ -189,7 +193,15 @@
 			o->args[0]);
 		return CLI_FINDINGS;
 	}
-	printf("%s: ok version=%lu\n", o->args[0], (unsigned long)m->version);
+	findings_init(&f);
+	config_lint(m, o->args[0], &f);
+	found = f.count > 0;
+	if (found || o->json)
+		findings_show(&f, o->json);
+	else
+		printf("%s: ok version=%lu\n", o->args[0],
+		       (unsigned long)m->version);
+	findings_done(&f);
 	manifest_delete(m);
-	return CLI_OK;
+	return found ? CLI_FINDINGS : CLI_OK;
 }
--- a/core/finding.c
+++ b/core/finding.c
@@ -80,6 +80,9 @@
 
 char *finding_line(const struct finding *f)
 {
+	if (!f->line)
+		return text_new("%s: %s: expected %s, found %s", f->file,
+				f->field, f->expected, f->found);
 	return text_new("%s:%d:%d: %s: expected %s, found %s", f->file, f->line,
 			f->column, f->field, f->expected, f->found);
 }
--- a/core/finding.h
+++ b/core/finding.h
@@ -39,7 +39,10 @@
 /** Bytes of a field's path, with the closing NUL. */
 #define FINDING_PATH_MAX 256
 
-/** One line "file:line:column: field: expected X, found Y"; free() it. */
+/**
+ * One line "file:line:column: field: expected X, found Y", without a position
+ * that is not known; free() it.
+ */
 char *finding_line(const struct finding *f);
 
 #endif
--- a/tests/finding_test.cpp
+++ b/tests/finding_test.cpp
@@ -59,3 +59,21 @@
 	EXPECT_EQ(count_findings("[[route]\nname = 1\n", &all), 1);
 	EXPECT_NE(all.find("m.toml:1:"), std::string::npos) << all;
 }
+
+TEST(Finding, ALineWithoutAPositionStatesNone)
+{
+	struct findings f;
+	struct finding_opts o = {};
+	char *line;
+
+	o.file = "config";
+	o.field = "route[0].path";
+	o.expected = "a";
+	o.found = "b";
+	findings_init(&f);
+	findings_add(&f, &o);
+	line = finding_line(list_entry(f.items.next, struct finding, link));
+	EXPECT_STREQ(line, "config: route[0].path: expected a, found b");
+	free(line);
+	findings_done(&f);
+}
--- a/tests/platform_view_test.cpp
+++ b/tests/platform_view_test.cpp
@@ -131,6 +131,30 @@
 	unlink(path.c_str());
 }
 
+TEST_F(PlatformView, CheckShowsWhatOperatorsCantHaveMeant)
+{
+	std::string path = jd::binary("config." + std::to_string(getpid()));
+	std::string text = CONFIG;
+	FILE *f = fopen(path.c_str(), "w");
+	jd::Result r;
+
+	text.replace(text.find("\"maxAttempts\":2"), 15, "\"maxAttempts\":0");
+	fputs(text.c_str(), f);
+	fclose(f);
+	EXPECT_EQ(jackdaw("check " + path).code, 2);
+	r = jackdaw("check " + path + " --json");
+	EXPECT_EQ(r.code, 2);
+	EXPECT_NE(r.out.find("route[0].max_attempts"), std::string::npos)
+		<< r.out;
+	f = fopen(path.c_str(), "w");
+	fputs(CONFIG, f);
+	fclose(f);
+	r = jackdaw("check " + path + " --json");
+	EXPECT_EQ(r.code, 0);
+	EXPECT_EQ(r.out, "[]\n");
+	unlink(path.c_str());
+}
+
 TEST(PlatformViewWithoutStore, StatusFails)
 {
 	jd::Result r =
