--- a/core/load/arrival.c
+++ b/core/load/arrival.c
@@ -75,7 +75,9 @@
 		.rng = &c->rng,
 	};
 
-	if (!c->opts->heavy_load)
+	/* A quota has room at its own time. */
+	if (!c->opts->heavy_load || p->refusal == REFUSAL_OVER_QUOTA ||
+	    p->refusal == REFUSAL_NO_QUOTA_SHARE)
 		return o.min_ns;
 	o.room_ns = pick_expected_wait_ns(c, p);
 	if (p->deadline_ns > c->now_ns)
