--- a/core/load/comeback.c
+++ b/core/load/comeback.c
@@ -58,6 +58,8 @@
 	uint32_t n = r->count < COMEBACK_SAMPLES ? r->count : COMEBACK_SAMPLES;
 	uint64_t max, quarter, range;
 
+	if (!n)
+		return;
 	memcpy(sorted, r->left_ns, n * sizeof(*sorted));
 	qsort(sorted, n, sizeof(*sorted), compare_ns);
 	max = sorted[n - 1];
