Even load from news that is a little old

Many entries choose at once by load that is up to 2.6 s old. A report reset the count of an entry's own requests, whether it showed them or not; a gate's speed was its mean over all routes, so that more short calls made it look faster; and a full gate got nearly as much as an idle one.

Under heavy load (the contract "pressure") an entry counts its own requests at a gate until they are answered, lets news of the others return to their mean, compares gates by their time for the same route, which answers state, and draws by free slots among gates at one distance. work_percent tells how slow the upstream's machine is now. No message is added: answers carry one number more.

--- a/Makefile
+++ b/Makefile
@@ -28,7 +28,7 @@
 	build/bench-soak --seed $(or $(SEED),1) --steps $(or $(STEPS),1000000)
 
 # Programs whose last lines are "bench: name=... ours=... baseline=...".
-BENCHES = tail
+BENCHES = tail even
 bench: build
 	set -e; for b in $(BENCHES); do build/bench-$$b; done
 
--- a/core/choice.c
+++ b/core/choice.c
@@ -60,7 +60,8 @@
 static double delay_ns(const struct choice_opts *o, const struct dir_node *n)
 {
 	double limit = n->load.limit ? n->load.limit : 1;
-	double busy = busy_now(o, n);
+	double busy = o->even ? even_busy(&n->even, &n->load, o->now_ns)
+			      : busy_now(o, n);
 	double service_ns = (double)n->load.service_ns;
 	double delay =
 		BUSY_COST_SHARE * service_ns * busy / limit + distance_ns(o, n);
@@ -71,21 +72,58 @@
 	       FAILURE_COST_FACTOR * n->failure_rate * (service_ns + delay);
 }
 
+static double room(const struct choice *ch, const struct dir_node *n)
+{
+	return even_room(&n->even, &n->load, ch->opts.now_ns);
+}
+
+static void measure_near_room(struct choice *ch, const struct dir_node *n)
+{
+	double distance = distance_ns(&ch->opts, n);
+
+	if (!ch->measured || distance < ch->least_distance_ns) {
+		ch->least_distance_ns = distance;
+		ch->near_room = 0;
+	}
+	if (distance <= ch->least_distance_ns && room(ch, n) > ch->near_room)
+		ch->near_room = room(ch, n);
+}
+
+/*
+ * Room decides between gates at one distance only: a farther one gets requests
+ * once its delay, distance included, is the lesser one.
+ */
+static double room_weight(const struct choice *ch, const struct dir_node *n)
+{
+	double free_share = room(ch, n);
+
+	if (distance_ns(&ch->opts, n) > ch->least_distance_ns &&
+	    free_share > ch->near_room)
+		return ch->near_room;
+	return free_share;
+}
+
 void choice_measure(struct choice *ch, const struct dir_node *n)
 {
 	double delay = delay_ns(&ch->opts, n);
 
+	if (ch->opts.even)
+		measure_near_room(ch, n);
 	if (!ch->measured || delay < ch->least_ns)
 		ch->least_ns = delay;
 	ch->measured = true;
 }
 
 /* Requests that the gate can serve in a second. */
-static double capacity_per_s(const struct dir_node *n)
+static double capacity_per_s(const struct choice_opts *o,
+			     const struct dir_node *n)
 {
 	double limit = n->load.limit ? n->load.limit : 1;
 	double service_ns = n->load.service_ns ? (double)n->load.service_ns : 1;
 
+	if (o->even)
+		return even_capacity_per_s(o->even, &n->even, &n->load,
+					   o->now_ns);
 	return limit * (double)NS_PER_S / service_ns;
 }
 
@@ -102,7 +140,9 @@
 	weight *= TRANSIT_SCALE_NS /
 		  (TRANSIT_SCALE_NS + (double)(n->load.transit_ms * NS_PER_MS));
 	if (ch->opts.kb < LINK_BOUND_KB)
-		weight *= capacity_per_s(n);
+		weight *= capacity_per_s(&ch->opts, n);
+	if (ch->opts.even)
+		weight *= room_weight(ch, n);
 	ch->weight += weight;
 	if (!ch->picked || draw * ch->weight < weight)
 		ch->picked = n;
--- a/core/choice.h
+++ b/core/choice.h
@@ -21,13 +21,16 @@
 	uint64_t objective_ns; /* of the route */
 	double kb;	       /* of the bodies of the request and its answer */
 	struct rng *rng;
+	const struct even_service *even; /* NULL: not under heavy load */
 };
 
 /** One choice: offer each gate twice, first to measure, then to draw. */
 struct choice {
 	struct choice_opts opts;
-	bool measured;		 /* any gate */
-	double least_ns;	 /* least delay of a gate */
+	bool measured;	 /* any gate */
+	double least_ns; /* least delay of a gate */
+	double least_distance_ns;
+	double near_room;	 /* most of a gate at the least distance */
 	double weight;		 /* of the gates drawn from so far */
 	struct dir_node *picked; /* NULL: none */
 };
--- a/core/directory.c
+++ b/core/directory.c
@@ -55,6 +55,7 @@
 	list_init(&d->report_far);
 	list_init(&d->keymaps);
 	list_init(&d->evacuated);
+	even_init(&d->even);
 }
 
 void directory_done(struct directory *d)
@@ -72,6 +73,7 @@
 	list_for_each_entry_safe(e, et, &d->evacuated, link)
 		free(e);
 	manifest_delete(d->manifest);
+	even_done(&d->even);
 }
 
 struct dir_node *directory_node(const struct directory *d, const char *name)
@@ -100,6 +102,7 @@
 	if (n->boot == boot)
 		return;
 	n->boot = boot;
+	memset(&n->even, 0, sizeof(n->even));
 	list_remove(&n->by_boot);
 	list_push_back(&d->by_boot[boot % DIR_BUCKETS], &n->by_boot);
 }
@@ -297,6 +300,7 @@
 	n = mem_new(struct dir_node);
 	mem_copy_str(n->name, name, sizeof(n->name));
 	n->name_hash = XXH32(n->name, strlen(n->name), 0);
+	n->key_share = KEY_SHARE_UNIT;
 	list_push_back(&d->nodes, &n->link);
 	list_push_back(&d->by_name[n->name_hash % DIR_BUCKETS], &n->by_name);
 	list_init(&n->by_boot);
@@ -334,6 +338,14 @@
 	memset(&n->clock, 0, sizeof(n->clock));
 }
 
+/* Clears what was measured of the previous upstream of a node. */
+static void forget_upstream(struct dir_node *n)
+{
+	n->key_share = KEY_SHARE_UNIT;
+	n->key_share_measured = false;
+	n->even.paces = 0;
+}
+
 /*
  * True if @r may be a card of an earlier process of the live node @n: the first
  * one that a restored store shows of it.
@@ -363,6 +375,8 @@
 	if (r->u.card.boot != n->card.boot && r->u.card.boot != n->boot &&
 	    !may_be_restored(d, n, r, now_ns))
 		reset_process_state(n);
+	if (strcmp(r->u.card.upstream.instance, n->card.upstream.instance) != 0)
+		forget_upstream(n);
 	n->revision = r->revision;
 	n->card = r->u.card;
 	if (!n->heard_ns) {
@@ -598,6 +612,7 @@
 	n->load = *load;
 	n->unreported_requests = 0;
 	n->heard_ns = now_ns;
+	even_note_load(&n->even, load, now_ns);
 }
 
 bool directory_same_region(const struct directory *d, const struct dir_node *n)
@@ -659,11 +674,15 @@
 	const struct dir_keymap *k = directory_keymap(d, service);
 	const struct dir_node *n;
 
-	list_for_each_entry(n, &d->nodes, link)
-		if (may_get_keys(d, n, service, now_ns))
-			list_push_back(
-				candidates,
-				&keymap_candidate_new(&n->card.upstream)->link);
+	list_for_each_entry(n, &d->nodes, link) {
+		struct keymap_candidate *candidate;
+
+		if (!may_get_keys(d, n, service, now_ns))
+			continue;
+		candidate = keymap_candidate_new(&n->card.upstream);
+		candidate->weight = n->key_share;
+		list_push_back(candidates, &candidate->link);
+	}
 	if (k)
 		keymap_count_keys(k->map, candidates);
 }
--- a/core/directory.h
+++ b/core/directory.h
@@ -6,6 +6,7 @@
 #ifndef JD_CORE_DIRECTORY_H
 #define JD_CORE_DIRECTORY_H
 
+#include "core/load/even.h"
 #include "core/load/throttle.h"
 #include "core/mesh_io.h"
 
@@ -21,7 +22,9 @@
 /* A node that does not answer a probe within this time is taken to be lost. */
 #define DIR_PROBE_TIMEOUT_NS	(900 * NS_PER_MS)
 
-#define DIR_BUCKETS 256
+#define DIR_BUCKETS    256
+/* Share of an upstream of mean capacity, or of unknown one. */
+#define KEY_SHARE_UNIT 64u
 
 /**
  * Estimates how long messages of one sender were under way, without a common
@@ -76,6 +79,9 @@
 	struct gate_load load; /* directory_note_load() */
 	double mean_busy; /* moving average of its requests, by its reports */
 	uint32_t unreported_requests; /* ours to it, not yet in @load */
+	struct even_gate even;
+	uint32_t key_share; /* of its service's keys, relative to the others */
+	bool key_share_measured;
 	/* Of keyed requests of ours to it, by class. */
 	struct throttle throttle[THROTTLE_CLASSES];
 	double failure_rate; /* moving average of our requests to it, 0 to 1 */
@@ -131,6 +137,7 @@
 	struct list report_new;	 /* that have got none yet */
 	struct list report_near; /* of this region */
 	struct list report_far;
+	struct even even;     /* service times, to compare gates by */
 	uint64_t apply_count; /* incremented whenever records are applied */
 };
 
--- a/core/dispatch.c
+++ b/core/dispatch.c
@@ -321,6 +321,7 @@
 	p->gate_boot = n->boot;
 	mem_copy_str(p->gate_node, n->name, sizeof(p->gate_node));
 	n->unreported_requests++;
+	even_note_sent(&n->even);
 	fill_forward(c, p, m);
 	if (!strcmp(n->name, c->opts->node)) {
 		gatekeeper_offer(g->gate, c, g->holder, &m->u.forward,
@@ -680,8 +681,11 @@
 	    p->gate_boot != from)
 		return;
 	n = directory_node(&c->dir, p->gate_node);
+	pick_mark_left(c, p);
 	if (n && from != c->opts->boot)
 		not_run_note_load(n, a, c->now_ns);
+	if (n)
+		pick_note_pace(c, p, n, a->route_ns);
 	if (message_drop_invalid_answer(a))
 		mesh_log(c->out, LOG_WARN,
 			 "event=answer_invalid why=status id=%s node=%s",
@@ -728,8 +732,10 @@
 	}
 	attempt_probe_gate(c, p);
 	if (attempt_gate_lost(c, p) &&
-	    (attempt_gate_gone(c, p) || can_move(d, c, p)))
+	    (attempt_gate_gone(c, p) || can_move(d, c, p))) {
+		pick_mark_left(c, p);
 		on_unknown(d, c, g, p, REFUSAL_CONNECTION_LOST);
+	}
 }
 
 void dispatch_work(struct dispatch *d, struct mesh_ctx *c, struct local_gate *g)
--- a/core/gatekeeper.c
+++ b/core/gatekeeper.c
@@ -139,6 +139,7 @@
 	r->answer.outcome = outcome;
 	r->answer.refusal = refusal;
 	r->answer.internal_route = a->internal;
+	r->answer.route_ns = even_pace_ns(&stats_for(g, a->route)->pace);
 	r->answer.answer = answer;
 	list_push_back(&g->results, &r->link);
 	g->served += outcome == OUTCOME_DONE;
@@ -440,6 +441,8 @@
 
 	s->deviation_ns += MEAN_NEWEST_WEIGHT *
 			   (fabs(took_ns - s->mean_ns) - s->deviation_ns);
+	if (c->opts->heavy_load)
+		even_pace_add(&s->pace, took_ns, g->work_percent);
 	s->mean_ns += MEAN_NEWEST_WEIGHT * (took_ns - s->mean_ns);
 	g->mean_ns += MEAN_NEWEST_WEIGHT * (took_ns - g->mean_ns);
 }
@@ -647,6 +650,7 @@
 	load->service_ns = (uint64_t)g->mean_ns;
 	load->transit_ms = (uint32_t)(g->transit_ns / (double)NS_PER_MS);
 	load->open = holder_accepts_requests(h, c);
+	load->work_percent = c->opts->heavy_load ? g->work_percent : 0;
 	load->cold = c->now_ns < h->cold_until_ns;
 	/* Requests that run at once at the cold rate, by Little's law. */
 	if (load->cold) {
--- a/core/gatekeeper.h
+++ b/core/gatekeeper.h
@@ -57,7 +57,8 @@
 	struct list link;
 	char route[JD_NAME_MAX];
 	double mean_ns; /* time of a request at the upstream, moving average */
-	double deviation_ns; /* mean absolute deviation from it */
+	double deviation_ns;   /* mean absolute deviation from it */
+	struct even_pace pace; /* under heavy load only */
 	/* Requests by the service of the VM where they began. */
 	uint32_t from_own_service;
 	uint32_t from_other_services;
--- a/core/load/gate_pick.c
+++ b/core/load/gate_pick.c
@@ -20,6 +20,28 @@
 			     JD_NODE_NAME_MAX);
 }
 
+void pick_mark_left(struct mesh_ctx *c, const struct pending_request *p)
+{
+	struct dir_node *n = directory_node(&c->dir, p->gate_node);
+
+	if (n && n->boot == p->gate_boot)
+		even_note_ended(&n->even);
+}
+
+void pick_note_pace(struct mesh_ctx *c, const struct pending_request *p,
+		    struct dir_node *n, uint64_t route_ns)
+{
+	struct even_answer a = {
+		.service = p->service,
+		.route = p->route,
+		.route_ns = route_ns,
+		.service_ns = n->load.service_ns,
+	};
+
+	if (c->opts->heavy_load)
+		even_note_pace(&c->dir.even, &n->even, &a);
+}
+
 static bool is_eligible(const struct pending_request *p,
 			const struct dir_node *n)
 {
@@ -45,6 +67,9 @@
 		.objective_ns = p->objective_at_ns - p->received_ns,
 		.kb = (double)p->request->payload.body_len / 1024 + answer_kb,
 		.rng = &c->rng,
+		.even = c->opts->heavy_load
+				? even_service_for(&c->dir.even, p->service)
+				: NULL,
 	};
 	struct choice ch;
 	struct dir_node *n;
--- a/core/load/gate_pick.h
+++ b/core/load/gate_pick.h
@@ -23,6 +23,13 @@
 /** Notes that the node has not served @p. */
 void pick_mark_tried(struct pending_request *p, const char *node);
 
+/** Notes that @p, sent to a gate, is no longer there for this entry. */
+void pick_mark_left(struct mesh_ctx *c, const struct pending_request *p);
+
+/** Under heavy load, notes the pace that an answer of @n to @p states. */
+void pick_note_pace(struct mesh_ctx *c, const struct pending_request *p,
+		    struct dir_node *n, uint64_t route_ns);
+
 /** Counts a request for @n; true if it is not to try, as most are refused. */
 bool pick_throttled(struct mesh_ctx *c, const struct pending_request *p,
 		    struct dir_node *n);
--- a/core/load/not_run.c
+++ b/core/load/not_run.c
@@ -1,5 +1,6 @@
 #include "core/load/not_run.h"
 
+#include "core/load/gate_pick.h"
 #include "core/message.h"
 
 void not_run_tell_sender(struct mesh_ctx *c, const struct message *m)
@@ -29,6 +30,7 @@
 
 	if (p->state != PENDING_SENT)
 		return false;
+	pick_mark_left(c, p);
 	if (p->gate_boot == c->opts->boot)
 		return !gatekeeper_cancel(own, c, c->opts->boot, &cancel);
 	if (!n)
--- a/core/mesh.c
+++ b/core/mesh.c
@@ -441,6 +441,7 @@
 	n->leaving = m->stop >= MESH_CLOSED;
 	n->unreported_requests = 0;
 	gatekeeper_fill_load(&m->gate, &m->ctx, &m->holder, &n->load);
+	even_note_load(&n->even, &n->load, m->ctx.now_ns);
 	if (n->revision)
 		return;
 	/* The directory has no card of this node yet. */
--- a/core/message.h
+++ b/core/message.h
@@ -179,6 +179,7 @@
 struct msg_answer {
 	struct request_id id;
 	uint32_t attempt;
+	uint64_t route_ns; /* the gate's mean time of the route; 0: unknown */
 	enum outcome outcome;
 	revision_t revision;	    /* newest one that the sender has */
 	enum refusal refusal;	    /* the reason, if not_run or unknown */
--- a/tests/choice_test.cpp
+++ b/tests/choice_test.cpp
@@ -503,6 +503,56 @@
 	EXPECT_LT(share_of(far), 0.1);
 }
 
+/* With core/load/even.h. */
+struct EvenChoiceTest : public ChoiceTest {
+	struct even e;
+
+	EvenChoiceTest()
+	{
+		even_init(&e);
+		opts.even = even_service_for(&e, "s");
+	}
+	~EvenChoiceTest() override
+	{
+		even_done(&e);
+	}
+	void set_busy(struct dir_node *n, uint32_t busy)
+	{
+		n->load.running = busy;
+		even_note_load(&n->even, &n->load, opts.now_ns);
+	}
+};
+
+/* The load: some gates of a data centre got more of a clump than others. */
+TEST_F(EvenChoiceTest, FreeSlotsDrawRequests)
+{
+	struct dir_node *busy = add("a", "a1");
+	struct dir_node *idle = add("a", "a1");
+
+	set_busy(busy, 8);
+	set_busy(idle, 2);
+	/* In proportion: eight free slots against two. */
+	EXPECT_GE(share_of(idle), 0.8);
+}
+
+/*
+ * The load: a data centre at the crest of its wave. Its full gates, which still
+ * answer in time, must not send work over the links for the room there.
+ */
+TEST_F(EvenChoiceTest, RoomFarAwayDrawsNoRequestsByItself)
+{
+	struct dir_node *near = add("a", "a1");
+	struct dir_node *far = add("b", "b1");
+
+	opts.objective_ns = 300 * NS_PER_MS;
+	set_busy(near, 10);
+	set_busy(far, 0);
+	EXPECT_LT(share_of(far), 0.5);
+	near->load.waiting = 40;
+	set_busy(near, 10);
+	EXPECT_GT(share_of(far), 0.9);
+}
+
 TEST_F(ChoiceTest, AGateBehindABusyLinkGetsLess)
 {
 	struct dir_node *busy = add("a", "a1");
--- a/tests/dispatch_test.cpp
+++ b/tests/dispatch_test.cpp
@@ -196,7 +196,7 @@
  */
 TEST_F(DispatchTest, LargeAnswersKeepRequestsInTheRegion)
 {
-	struct request_id id;
+	struct request_id id = {};
 
 	train_answer_size(400);
 	set_near_load(20);
@@ -213,7 +213,7 @@
 /* Requests sent to a gate count as its load until it reports its load. */
 TEST_F(DispatchTest, AnAnswerResetsTheCountOfSentRequests)
 {
-	struct request_id id;
+	struct request_id id = {};
 	struct msg_answer a = {};
 	struct dir_node *near = directory_node(&c.dir, "near");
 
@@ -231,10 +231,49 @@
 	EXPECT_EQ(near->heard_ns, c.now_ns);
 }
 
+/* Of an entry's own requests at a gate, under way and answered. */
+TEST_F(DispatchTest, OwnRequestsAtAGateAreCountedExactly)
+{
+	struct request_id id = {};
+	struct dir_node *near = directory_node(&c.dir, "near");
+	struct gate_load load = near->load;
+
+	for (int i = 0; i < 5; i++)
+		ASSERT_EQ(send(&id), near->boot);
+	directory_note_load(near, &load, c.now_ns);
+	EXPECT_EQ(near->even.in_flight, 5u);
+	answer(near->boot, id);
+	answer(near->boot, id); /* late and unknown */
+	EXPECT_EQ(near->even.in_flight, 4u);
+	dispatch_on_caller_disconnected(&d, &c, &local, 1);
+	EXPECT_EQ(near->even.in_flight, 3u);
+	c.now_ns += 5 * NS_PER_S; /* past the deadline */
+	dispatch_work(&d, &c, &local);
+	EXPECT_EQ(near->even.in_flight, 0u);
+}
+
+/* A process that was replaced has none of the requests of before. */
+TEST_F(DispatchTest, ANewProcessOfANodeHasNoneOfTheOwnRequests)
+{
+	struct request_id id = {};
+	struct dir_node *near = directory_node(&c.dir, "near");
+	uint64_t before = near->boot;
+
+	ASSERT_EQ(send(&id), before);
+	ASSERT_EQ(send(&id), before);
+	directory_set_boot(&c.dir, near, 9);
+	EXPECT_EQ(near->even.in_flight, 0u);
+	ASSERT_EQ(send(&id), 9u);
+	c.now_ns += 10 * NS_PER_S;
+	near->heard_ns = c.now_ns;
+	dispatch_work(&d, &c, &local);
+	EXPECT_EQ(near->even.in_flight, 0u);
+}
+
 /* A lost gate is found by a probe, well before the request's deadline. */
 TEST_F(DispatchTest, ASilentGateThatOwesAnAnswerIsProbed)
 {
-	struct request_id id;
+	struct request_id id = {};
 	struct dir_node *near = directory_node(&c.dir, "near");
 
 	ASSERT_EQ(send(&id), near->boot);
@@ -294,7 +333,7 @@
 /* Requests that the manifest allows are served however old it may be. */
 TEST_F(DispatchTest, AManifestThatMayBeOldGivesNoFinalRefusal)
 {
-	struct request_id id;
+	struct request_id id = {};
 
 	c.manifest_checked_ns = 0;
 	EXPECT_NE(send(&id), 0u);
@@ -309,7 +348,7 @@
 /* An upstream's 3xx or 4xx is good by its time, yet callers report it. */
 TEST_F(DispatchTest, AnUpstreamsClientErrorIsLogged)
 {
-	struct request_id id;
+	struct request_id id = {};
 	struct msg_answer ans = {};
 	struct mesh_action *a;
 	std::string line;
@@ -334,7 +373,7 @@
 /* The caller's request is right, so it may come back: no 4xx. */
 TEST_F(DispatchTest, ARequestOnAnInvalidRouteIsAskedToComeBack)
 {
-	struct request_id id;
+	struct request_id id = {};
 
 	route()->invalid = true;
 	EXPECT_EQ(send(&id), 0u);
@@ -348,7 +387,7 @@
  */
 TEST_F(DispatchTest, AnOldManifestGivesNoFinalRefusal)
 {
-	struct request_id id;
+	struct request_id id = {};
 
 	mem_copy_str(route()->path, "/a/", sizeof(route()->path));
 	c.dir.manifest_revision = 7;
@@ -458,7 +497,7 @@
 TEST_F(DispatchTest, AProbeFromBeforeARequestDoesNotEndIt)
 {
 	struct dir_node *near = directory_node(&c.dir, "near");
-	struct request_id id;
+	struct request_id id = {};
 
 	near->heard_ns = c.now_ns;
 	near->probed_ns = c.now_ns + 100 * NS_PER_MS;
--- a/tests/gatekeeper_test.cpp
+++ b/tests/gatekeeper_test.cpp
@@ -126,6 +126,37 @@
 	EXPECT_EQ(organisation, "museum");
 }
 
+/* Pace and present slowness travel under heavy load only. */
+TEST_F(GatekeeperTest, AnswersTellThePaceWhereItIsAskedFor)
+{
+	for (bool heavy_load : {false, true}) {
+		struct gate_load load = {};
+		uint64_t pace_ns = 0;
+
+		opts.heavy_load = heavy_load;
+		for (int i = 0; i < 40; i++) {
+			struct ev_upstream_end e = {};
+			struct attempt_result *r;
+
+			offer("r", 1);
+			e.call = start_calls().at(0);
+			c.now_ns += 300 * NS_PER_MS;
+			e.outcome = OUTCOME_DONE;
+			e.report.present = true;
+			e.report.work_percent = 300;
+			e.answer = http_answer_new(200);
+			gatekeeper_on_upstream_end(&g, &c, &e);
+			r = gatekeeper_pop_result(&g);
+			pace_ns = r->answer.route_ns;
+			http_answer_delete(r->answer.answer);
+			free(r);
+		}
+		gatekeeper_fill_load(&g, &c, &h, &load);
+		EXPECT_EQ(pace_ns, heavy_load ? 100 * NS_PER_MS : 0);
+		EXPECT_EQ(load.work_percent, heavy_load ? 300u : 0u);
+	}
+}
+
 TEST_F(GatekeeperTest, AHigherPriorityRunsFirst)
 {
 	uint64_t id;
--- a/tests/mesh_sim.hpp
+++ b/tests/mesh_sim.hpp
@@ -1017,6 +1017,7 @@
 		}
 	};
 
+	uint64_t sent_by_kind[MSG_KIND_COUNT] = {};
 	uint64_t longest_turn_ns = 0; /* of a loop, by the times in opts */
 
 	static int list_size(const struct list *l)
@@ -1108,6 +1109,8 @@
 			sends += a->kind == MA_SEND || a->kind == MA_SEND_ALL;
 			if (a->kind == MA_SEND_ALL)
 				copies_sent += list_size(&a->u.send_all.to);
+			if (a->kind == MA_SEND)
+				sent_by_kind[a->u.send.message->kind]++;
 			perform(i, a);
 			mesh_action_delete(a);
 		}
--- a/wire/codec.c
+++ b/wire/codec.c
@@ -99,6 +99,7 @@
 	PACK_U32_OF(struct msg_answer, load.transit_ms),
 	PACK_U32_OF(struct msg_answer, load.work_percent),
 	PACK_U32_OF(struct msg_answer, load.shed_permille),
+	PACK_U64_OF(struct msg_answer, route_ns),
 };
 
 static const struct pack_field load_fields[] = {
@@ -175,7 +176,7 @@
 	[MSG_RELEASE] = PACK_TABLE(release_fields),
 	[MSG_HOT_KEYS] = PACK_TABLE(hot_keys_fields),
 	[MSG_FORWARD] = PACK_TABLE_WITH_OPTIONAL(forward_fields, 2),
-	[MSG_ANSWER] = PACK_TABLE_WITH_OPTIONAL(answer_fields, 4),
+	[MSG_ANSWER] = PACK_TABLE_WITH_OPTIONAL(answer_fields, 5),
 	[MSG_CANCEL] = PACK_TABLE(cancel_fields),
 	[MSG_LOAD] = PACK_TABLE_WITH_OPTIONAL(load_fields, 7),
 	[MSG_RENEW] = PACK_TABLE_WITH_OPTIONAL(renew_fields, 1),
