Keys by what an upstream serves

Keys were dealt evenly whatever the speed: an upstream of half the mean speed was twice as busy as the others, and refused what they had room for.

Under heavy load the first node by name compares the upstreams' pace and sets their shares, in steps of a quarter; the balance moves keys beyond 1.25 times a share, as before.

--- a/core/keyplan.c
+++ b/core/keyplan.c
@@ -4,6 +4,7 @@
 #include <string.h>
 #include <xxhash.h>
 
+#include "core/load/key_share.h"
 #include "core/mem.h"
 
 /* Nodes that start together register within this time. */
@@ -37,6 +38,10 @@
 #define STORE_TROUBLE_NS       (10 * NS_PER_S)
 /* Keys are balanced after the candidates were unchanged for this time. */
 #define BALANCE_STABLE_NS      (1500 * NS_PER_MS)
+/* Others than the first node balance this long after the last change. */
+#define OTHERS_BALANCE_NS      (4 * NS_PER_S)
+/* Between two changes of the shares of keys, each of which may move some. */
+#define SHARES_INTERVAL_NS     (5 * NS_PER_S)
 /* Nodes whose keys one write adopts: each needs a condition on its card. */
 #define ORPHANED_NODES_MAX     (STORE_EXPECT_MAX - 1)
 
@@ -273,6 +278,22 @@
 	return false;
 }
 
+/*
+ * Each node measures the shares by itself, and two that differ would move keys
+ * to and fro. So one node balances; the others only see to it that no upstream
+ * stays without keys.
+ */
+static bool may_balance(const struct keyplan_service *sv,
+			const struct mesh_ctx *c)
+{
+	if (!c->opts->heavy_load)
+		return true;
+	if (!rank(c))
+		return sv->weighed_ns || sv->spread.without_keys;
+	return sv->spread.without_keys &&
+	       c->now_ns > sv->candidates_since_ns + OTHERS_BALANCE_NS;
+}
+
 static void balance(struct keyplan *p, struct keyplan_service *sv,
 		    struct mesh_ctx *c, const struct dir_keymap *k,
 		    struct list *candidates)
@@ -284,9 +305,9 @@
 		sv->balanced_ns = c->now_ns;
 		return;
 	}
-	if (!sv->uneven || c->now_ns < sv->candidates_since_ns +
-					       BALANCE_STABLE_NS +
-					       turn_delay_ns(c))
+	if (!sv->uneven || !may_balance(sv, c) ||
+	    c->now_ns < sv->candidates_since_ns + BALANCE_STABLE_NS +
+				turn_delay_ns(c))
 		return;
 	map = keymap_copy(k->map);
 	keymap_raise_fence(map, directory_fence_base(&c->dir));
@@ -367,6 +388,28 @@
 	       c->now_ns < p->outdated_until_ns;
 }
 
+/* Under heavy load an upstream gets keys by what it serves. */
+static void weigh_upstreams(struct keyplan_service *sv, struct mesh_ctx *c)
+{
+	struct key_share_change change;
+
+	if (!c->opts->heavy_load ||
+	    c->now_ns < sv->weighed_ns + SHARES_INTERVAL_NS)
+		return;
+	change = key_share_update(&c->dir, sv->service, c->now_ns);
+	if (!change.changed)
+		return;
+	sv->weighed_ns = c->now_ns;
+	if (rank(c))
+		return;
+	mesh_log(c->out, LOG_INFO,
+		 "event=key_shares service=%s upstreams=%u measured=%u "
+		 "changed=%u least=%.2f most=%.2f",
+		 sv->service, change.upstreams, change.measured, change.changed,
+		 (double)change.least / KEY_SHARE_UNIT,
+		 (double)change.most / KEY_SHARE_UNIT);
+}
+
 static void plan_service(struct keyplan *p, struct mesh_ctx *c,
 			 const struct session *s, const char *service)
 {
@@ -375,6 +418,7 @@
 	struct list candidates;
 
 	list_init(&candidates);
+	weigh_upstreams(sv, c);
 	directory_candidates(&c->dir, service, c->now_ns, &candidates);
 	note_candidates(sv, c, &candidates);
 	if (list_empty(&candidates) || is_outdated(p, c, k)) {
--- a/core/keyplan.h
+++ b/core/keyplan.h
@@ -17,6 +17,7 @@
 	uint64_t candidates_hash;     /* changes with the set of candidates */
 	struct keymap_spread spread;  /* at the last check */
 	bool uneven;		      /* beyond the limits of a balanced map */
+	uint64_t weighed_ns;	      /* when the shares of keys last changed */
 	uint64_t balanced_ns; /* when keys last moved for balance; 0: never */
 };
 
--- a/tests/keyplan_test.cpp
+++ b/tests/keyplan_test.cpp
@@ -1,5 +1,6 @@
 #include "jd_test.hpp"
 
+#include <cmath>
 #include <memory>
 
 extern "C" {
@@ -302,6 +303,87 @@
 	EXPECT_EQ(s->spread.busiest_over_mean, 2);
 }
 
+/* Under heavy load, with an upstream that is three times as fast. */
+struct KeySharePlanTest : public KeyplanTest {
+	KeySharePlanTest()
+	{
+		opts.heavy_load = true;
+		add_manifest(revision_make(1, 5));
+		add_card("n1", revision_make(1, 7));
+		add_card("n2", revision_make(1, 8));
+		add_split_map(KEYMAP_KEYS / 2, 9);
+		measure("n1", 0.5);
+		measure("n2", 1.5);
+	}
+	/* The keys below @from are of n1, the others of n2. */
+	void add_split_map(uint32_t from, uint64_t number)
+	{
+		struct keymap *map;
+		struct keyrow *row;
+
+		add_map("n1", BASE1 + number, revision_make(1, number));
+		map = list_entry(records.prev, struct record, link)->u.keymap;
+		row = list_entry(map->rows.next, struct keyrow, link);
+		mem_copy_str(keymap_split(row, from)->owner.node, "n2",
+			     JD_NODE_NAME_MAX);
+		directory_apply(&c.dir, &records, !c.dir.loaded,
+				revision_make(1, number), c.now_ns, &out);
+		records_delete(&records);
+	}
+	void measure(const char *name, double speed)
+	{
+		struct dir_node *n = directory_node(&c.dir, name);
+
+		n->heard_ns = c.now_ns;
+		n->load.limit = 18;
+		n->even.paces = 1;
+		n->even.log_pace = -std::log(speed);
+	}
+};
+
+TEST_F(KeySharePlanTest, KeysGoToTheFasterUpstream)
+{
+	revision_t expected = 0;
+	std::shared_ptr<struct keymap> map = written(3 * NS_PER_S, &expected);
+	struct keyrow *r;
+	uint32_t moved = 0;
+
+	ASSERT_NE(map, nullptr);
+	list_for_each_entry(r, &map->rows, link)
+		if (!strcmp(r->target, "n2"))
+			moved += r->to - r->from + 1;
+	EXPECT_GT(moved, KEYMAP_KEYS / 8);
+	EXPECT_LT(moved, KEYMAP_KEYS / 3);
+}
+
+/* Nodes that each measure for themselves would move keys to and fro. */
+TEST_F(KeySharePlanTest, OnlyTheFirstNodeBalances)
+{
+	revision_t expected = 0;
+
+	mem_copy_str(opts.node, "n2", sizeof(opts.node));
+	EXPECT_EQ(written(10 * NS_PER_S, &expected), nullptr);
+}
+
+TEST_F(KeySharePlanTest, WithoutHeavyLoadSpeedsMoveNothing)
+{
+	revision_t expected = 0;
+
+	opts.heavy_load = false;
+	EXPECT_EQ(written(10 * NS_PER_S, &expected), nullptr);
+}
+
+/* A first node that has measured nothing yet would move the keys back. */
+TEST_F(KeySharePlanTest, AFirstNodeThatKnowsNoSpeedsMovesNothing)
+{
+	revision_t expected = 0;
+
+	for (const char *name : {"n1", "n2"})
+		directory_node(&c.dir, name)->even.paces = 0;
+	add_split_map(KEYMAP_KEYS / 4, 12);
+	EXPECT_EQ(written(10 * NS_PER_S, &expected), nullptr);
+}
+
 /*
  * Guards against a grant that is cut because it has too many rows for one
  * answer: three of 76 upstreams were left with 405 rows each, 139 fit.
