A large quota has several keepers

A quota of 50 requests a second or more is divided into up to four parts, each with the owner of another key as keeper. An entry asks its own part first and another one when that is silent or denies; a silent keeper is tried by one request in half a second. The parts together are the quota; an entry spends while cut off what it could before. A keeper refuses parts that its own configuration lacks.

QuotasTest.ALargeQuotaOutlivesTheLossOfAKeeper and three others are new; with one part only the first is red. quota, quota_share, quota_bank, mesh_quota and codec tests pass.

--- a/bench/quota.c
+++ b/bench/quota.c
@@ -141,14 +141,14 @@
 	struct wire_buf buf;
 
 	if (kind == MSG_QUOTA_ASK) {
-		mem_copy_str(m->u.quota_ask.organisation, "organisation-1234",
+		mem_copy_str(m->u.quota_ask.account, "organisation-1234",
 			     JD_NAME_MAX);
 		mem_copy_str(m->u.quota_ask.reply_to, "10.0.123.45:7400",
 			     JD_ADDR_MAX);
 		m->u.quota_ask.sent_ns = UINT64_C(1) << 50;
 		m->u.quota_ask.requests = 10;
 	} else {
-		mem_copy_str(m->u.quota_grant.organisation, "organisation-1234",
+		mem_copy_str(m->u.quota_grant.account, "organisation-1234",
 			     JD_NAME_MAX);
 		m->u.quota_grant.sent_ns = UINT64_C(1) << 50;
 		m->u.quota_grant.requests = 10;
--- a/core/message.h
+++ b/core/message.h
@@ -161,17 +161,17 @@
 
 /** Asks for a part of an organisation's quota. */
 struct msg_quota_ask {
-	char organisation[JD_NAME_MAX];
+	char account[JD_QUOTA_NAME_MAX]; /* a part of an organisation's quota */
 	char reply_to[JD_ADDR_MAX];
 	uint64_t sent_ns;  /* sender's clock; echoed in MSG_QUOTA_GRANT */
 	uint64_t requests; /* that the sender wants to admit */
 };
 
 struct msg_quota_grant {
-	char organisation[JD_NAME_MAX];
-	uint64_t sent_ns;	 /* echoed from MSG_QUOTA_ASK */
-	uint64_t requests;	 /* that the receiver may admit */
-	uint64_t valid_ns;	 /* so long, counted from @sent_ns */
+	char account[JD_QUOTA_NAME_MAX]; /* a part of an organisation's quota */
+	uint64_t sent_ns;		 /* echoed from MSG_QUOTA_ASK */
+	uint64_t requests;		 /* that the receiver may admit */
+	uint64_t valid_ns;		 /* so long, counted from @sent_ns */
 	uint64_t retry_after_ns; /* if fewer than asked for: until the next */
 	bool unknown;		 /* the sender does not keep the quota */
 };
--- a/core/organisations/quota_bank.h
+++ b/core/organisations/quota_bank.h
@@ -14,7 +14,7 @@
 
 struct quota_account {
 	struct list link;
-	char organisation[JD_NAME_MAX];
+	char organisation[JD_QUOTA_NAME_MAX]; /* and part */
 	struct quota_rule rule;
 	uint64_t fence; /* of the key, when the bucket started */
 	double tokens;
--- a/core/organisations/quota_share.c
+++ b/core/organisations/quota_share.c
@@ -14,6 +14,8 @@
 #define KEEPER_SEARCH_NS  (25 * NS_PER_MS)
 /* A keeper that is silent for this time is taken as unreachable. */
 #define KEEPER_SILENT_NS  (250 * NS_PER_MS)
+/* Of a silent keeper, while other parts of the quota have one. */
+#define PROBE_INTERVAL_NS (500 * NS_PER_MS)
 /* In this time demand decays to 1/e. */
 #define DEMAND_DECAY_NS	  (double)NS_PER_S
 /* Shares are asked for this long before they are expected to be used up. */
@@ -355,6 +357,19 @@
 	return QUOTA_WAITS;
 }
 
+bool quota_share_unlikely(struct quota_pool *p, uint64_t now_ns)
+{
+	if (p->available)
+		return false;
+	if (p->silent_since_ns) {
+		if (now_ns < p->probe_ns)
+			return true;
+		p->probe_ns = now_ns + PROBE_INTERVAL_NS;
+		return false;
+	}
+	return now_ns < p->denied_until_ns || too_many_wait(p, now_ns);
+}
+
 static void serve_waiters(struct quota_share *s, struct quota_pool *p)
 {
 	struct quota_waiter *w, *tmp;
--- a/core/organisations/quota_share.h
+++ b/core/organisations/quota_share.h
@@ -26,6 +26,8 @@
 	uint64_t hold_until_ns;	 /* it is decided by then */
 	uint64_t expires_ns;	 /* of the share that it used; 0: none */
 	uint64_t retry_after_ns; /* if it is refused */
+	uint32_t part;	/* of the quota, where it waits or has its share */
+	uint32_t tries; /* parts that it was offered to */
 };
 
 /** Granted requests that were not used yet. */
@@ -46,7 +48,7 @@
 	struct list link;
 	struct list by_name;
 	struct list active; /* in quota_share.active: it waits or asks */
-	char organisation[JD_NAME_MAX];
+	char organisation[JD_QUOTA_NAME_MAX]; /* and part */
 	struct quota_rule rule;
 	uint32_t key;	     /* whose owner is the keeper */
 	uint64_t generation; /* of the configuration that has it */
@@ -67,6 +69,8 @@
 	uint64_t answered_ns;	  /* last answer of a keeper; 0: never */
 	uint64_t last_granted;	  /* by it */
 	uint64_t silent_since_ns; /* no keeper has answered; 0: one does */
+	uint64_t probe_ns;	  /* if so: the next request tries it then */
+	uint32_t parts;		  /* of the organisation's quota */
 	struct list spent;	  /* of struct quota_spent, in one window */
 	uint32_t spent_count;
 };
@@ -108,6 +112,9 @@
 struct quota_pool *quota_share_find(const struct quota_share *s,
 				    const char *organisation);
 
+/** True if a request had better be offered to another part of the quota. */
+bool quota_share_unlikely(struct quota_pool *p, uint64_t now_ns);
+
 /** Decides on a request or, if the result is QUOTA_WAITS, lists it. */
 enum quota_verdict quota_share_admit(struct quota_share *s,
 				     struct quota_pool *p,
--- a/core/organisations/quotas.c
+++ b/core/organisations/quotas.c
@@ -1,9 +1,22 @@
 #include "core/organisations/quotas.h"
 
 #include <string.h>
+#include <xxhash.h>
 
 #include "core/mem.h"
+#include "core/text.h"
 
+/*
+ * A large quota has several parts, each with a keeper of its own: the loss of
+ * one leaves the rest to the callers of all entries.
+ */
+#define PARTS_MAX	   4u
+/* Requests a second of a part; a smaller quota is not divided further. */
+#define PART_RATE_MIN	   25.0
+/* Separates an organisation's name from the number of a part. */
+#define PART_SEPARATOR	   '\x1f'
+/* A request waits so long for one part while it may try another. */
+#define PART_WAIT_NS	   (60 * NS_PER_MS)
 /* A keeper notes this often which quotas it keeps. */
 #define SYNC_INTERVAL_NS   (250 * NS_PER_MS)
 /* A request waits for a share for this part of its objective, if not longer. */
@@ -26,6 +39,65 @@
 	quota_bank_done(&q->bank);
 }
 
+static uint32_t parts_of(const struct quotas *q, double rate_per_s)
+{
+	double parts = rate_per_s / PART_RATE_MIN;
+
+	if (q->share.fixed || parts < 2)
+		return 1;
+	return parts < PARTS_MAX ? (uint32_t)parts : PARTS_MAX;
+}
+
+/* The first part has the organisation's name. */
+static void part_name(char *dst, const char *organisation, uint32_t part)
+{
+	if (part)
+		text_format(dst, JD_QUOTA_NAME_MAX, "%s%c%u", organisation,
+			    PART_SEPARATOR, part);
+	else
+		mem_copy_str(dst, organisation, JD_QUOTA_NAME_MAX);
+}
+
+static struct quota_pool *find_part(const struct quotas *q,
+				    const char *organisation, uint32_t part)
+{
+	char name[JD_QUOTA_NAME_MAX];
+
+	part_name(name, organisation, part);
+	return quota_share_find(&q->share, name);
+}
+
+/* The part that an entry asks first: entries are spread over them. */
+static uint32_t home_part(const struct mesh_ctx *c, uint32_t parts)
+{
+	return XXH32(c->opts->node, strlen(c->opts->node), 0) % parts;
+}
+
+/* What an entry spends while cut off is counted at its first part. */
+static void set_parts(struct quotas *q, const struct mesh_ctx *c,
+		      const struct organisation *o,
+		      const struct quota_opts *whole)
+{
+	uint32_t parts = parts_of(q, o->rate_per_s);
+	uint32_t home = home_part(c, parts);
+	struct quota_opts opts = *whole;
+	struct quota_rule rule, all;
+	char name[JD_QUOTA_NAME_MAX];
+
+	opts.rate_per_s = o->rate_per_s;
+	opts.burst = o->burst;
+	quota_rule_init(&all, &opts);
+	opts.rate_per_s /= parts;
+	opts.burst /= parts;
+	opts.slack /= parts;
+	quota_rule_init(&rule, &opts);
+	for (uint32_t i = 0; i < parts; i++) {
+		part_name(name, o->name, i);
+		rule.cut_off = i == home ? all.cut_off : 0;
+		quota_share_set(&q->share, name, &rule)->parts = parts;
+	}
+}
+
 static void set_limits(struct quotas *q, const struct mesh_ctx *c)
 {
 	const struct organisation *o;
@@ -34,17 +106,12 @@
 		.overage = c->opts->quota_overage,
 		.slack = c->opts->quota_slack,
 	};
-	struct quota_rule rule;
 	struct quota_pool *p;
 
 	quota_share_begin(&q->share);
 	list_for_each_entry(o, &q->manifest->organisations, link) {
-		if (o->rate_per_s <= 0)
-			continue;
-		opts.rate_per_s = o->rate_per_s;
-		opts.burst = o->burst;
-		quota_rule_init(&rule, &opts);
-		quota_share_set(&q->share, o->name, &rule);
+		if (o->rate_per_s > 0)
+			set_parts(q, c, o, &opts);
 	}
 	while ((p = quota_share_outdated(&q->share))) {
 		quota_bank_drop(&q->bank, p->organisation);
@@ -130,7 +197,7 @@
 	    p->quota.verdict != QUOTA_NO_SHARE)
 		return;
 	p->retry_after_ns = p->quota.retry_after_ns;
-	pool = quota_share_find(&q->share, p->organisation);
+	pool = find_part(q, p->organisation, p->quota.part);
 	if (pool)
 		log_refusal(q, c, p, pool);
 }
@@ -145,6 +212,34 @@
 	return until_ns > p->hold_until_ns ? until_ns : p->hold_until_ns;
 }
 
+/* Offers @p to the parts of the quota that it was not offered to yet. */
+static enum quota_verdict admit_at_parts(struct quotas *q, struct mesh_ctx *c,
+					 struct pending_request *p,
+					 uint32_t parts)
+{
+	enum quota_verdict v = p->quota.verdict;
+	uint64_t part_until_ns = c->now_ns + PART_WAIT_NS;
+
+	while (p->quota.tries < parts) {
+		struct quota_pool *pool;
+		bool last;
+
+		p->quota.part = (home_part(c, parts) + p->quota.tries) % parts;
+		last = ++p->quota.tries == parts;
+		pool = find_part(q, p->organisation, p->quota.part);
+		if (!pool || (!last && quota_share_unlikely(pool, c->now_ns)))
+			continue;
+		p->quota.hold_until_ns = hold_until_ns(c, p);
+		if (!last && part_until_ns < p->quota.hold_until_ns)
+			p->quota.hold_until_ns = part_until_ns;
+		v = quota_share_admit(&q->share, pool, &p->quota, c->now_ns,
+				      &c->rng);
+		if (v == QUOTA_PASSES || v == QUOTA_WAITS)
+			break;
+	}
+	return v;
+}
+
 enum quota_verdict quotas_admit(struct quotas *q, struct mesh_ctx *c,
 				struct pending_request *p)
 {
@@ -155,24 +250,41 @@
 				  : NULL;
 	if (!pool)
 		return QUOTA_PASSES;
-	p->quota.hold_until_ns = hold_until_ns(c, p);
-	p->quota.verdict = quota_share_admit(&q->share, pool, &p->quota,
-					     c->now_ns, &c->rng);
+	p->quota.verdict = admit_at_parts(q, c, p, pool->parts);
 	note_verdict(q, c, p);
 	return p->quota.verdict;
 }
 
+/* True if another part of the quota may still have a share for @p. */
+static bool tries_another_part(struct quotas *q, struct mesh_ctx *c,
+			       struct pending_request *p)
+{
+	const struct quota_pool *pool;
+
+	if (p->quota.verdict == QUOTA_PASSES)
+		return false;
+	pool = quota_share_find(&q->share, p->organisation);
+	if (!pool || p->quota.tries >= pool->parts)
+		return false;
+	p->quota.verdict = admit_at_parts(q, c, p, pool->parts);
+	return p->quota.verdict == QUOTA_WAITS;
+}
+
 struct pending_request *quotas_next_decided(struct quotas *q,
 					    struct mesh_ctx *c)
 {
-	struct quota_waiter *w = quota_share_pop_decided(&q->share);
-	struct pending_request *p;
+	struct quota_waiter *w;
 
-	if (!w)
-		return NULL;
-	p = list_entry(w, struct pending_request, quota);
-	note_verdict(q, c, p);
-	return p;
+	while ((w = quota_share_pop_decided(&q->share))) {
+		struct pending_request *p =
+			list_entry(w, struct pending_request, quota);
+
+		if (tries_another_part(q, c, p))
+			continue;
+		note_verdict(q, c, p);
+		return p;
+	}
+	return NULL;
 }
 
 void quotas_on_not_run(struct quotas *q, struct mesh_ctx *c,
@@ -182,7 +294,7 @@
 
 	if (!p->quota.expires_ns)
 		return;
-	pool = quota_share_find(&q->share, p->organisation);
+	pool = find_part(q, p->organisation, p->quota.part);
 	if (pool)
 		quota_share_give_back(&q->share, pool, &p->quota, c->now_ns);
 }
@@ -193,12 +305,26 @@
 
 	if (list_empty(&p->quota.link))
 		return;
-	pool = quota_share_find(&q->share, p->organisation);
+	pool = find_part(q, p->organisation, p->quota.part);
 	if (pool)
 		quota_share_forget(pool, &p->quota);
 	list_remove(&p->quota.link);
 }
 
+/* True for a part that this node's manifest doesn't divide the quota into. */
+static bool is_unknown_part(const struct quotas *q, const char *account)
+{
+	char name[JD_QUOTA_NAME_MAX];
+	char *separator;
+
+	mem_copy_str(name, account, sizeof(name));
+	separator = strrchr(name, PART_SEPARATOR);
+	if (!separator)
+		return false;
+	*separator = '\0';
+	return quota_share_find(&q->share, name) != NULL;
+}
+
 /*
  * The quota of an organisation that has no limit in this node's manifest, or
  * none yet, passes: manifests differ for a short time only.
@@ -212,11 +338,12 @@
 	uint64_t fence;
 
 	refresh(q, c);
-	mem_copy_str(g->organisation, a->organisation, sizeof(g->organisation));
+	mem_copy_str(g->account, a->account, sizeof(g->account));
 	g->sent_ns = a->sent_ns;
-	p = quota_share_find(&q->share, a->organisation);
-	fence = holder_key_fence(h, quota_key(a->organisation), c->now_ns);
-	g->unknown = !fence || !q->service[0];
+	p = quota_share_find(&q->share, a->account);
+	fence = holder_key_fence(h, quota_key(a->account), c->now_ns);
+	g->unknown = !fence || !q->service[0] ||
+		     (!p && is_unknown_part(q, a->account));
 	if (g->unknown)
 		return;
 	if (!p) {
@@ -245,7 +372,7 @@
 void quotas_on_grant(struct quotas *q, struct mesh_ctx *c,
 		     const struct msg_quota_grant *g)
 {
-	struct quota_pool *p = quota_share_find(&q->share, g->organisation);
+	struct quota_pool *p = quota_share_find(&q->share, g->account);
 	struct quota_grant grant = {
 		.sent_ns = g->sent_ns,
 		.requests = g->requests,
@@ -272,7 +399,7 @@
 	}
 	m = message_new(MSG_QUOTA_ASK);
 	a = &m->u.quota_ask;
-	mem_copy_str(a->organisation, p->organisation, sizeof(a->organisation));
+	mem_copy_str(a->account, p->organisation, sizeof(a->account));
 	mem_copy_str(a->reply_to, c->opts->peer_addr, sizeof(a->reply_to));
 	a->sent_ns = p->ask_sent_ns;
 	a->requests = p->asked;
--- a/tests/quotas_test.cpp
+++ b/tests/quotas_test.cpp
@@ -138,7 +138,7 @@
 	{
 		struct msg_quota_ask a = {};
 
-		mem_copy_str(a.organisation, "o", sizeof(a.organisation));
+		mem_copy_str(a.account, "o", sizeof(a.account));
 		a.requests = requests;
 		a.sent_ns = 5;
 		quotas_on_ask(&q, &c, &holder, 2, &a);
@@ -169,9 +169,9 @@
 	quotas_work(&q, &c, &holder);
 	m = sent(MSG_QUOTA_ASK);
 	ASSERT_EQ(m.to, 2u);
-	EXPECT_STREQ(m.u.quota_ask.organisation, "o");
+	EXPECT_STREQ(m.u.quota_ask.account, "o");
 	EXPECT_EQ(m.u.quota_ask.requests, 1u);
-	mem_copy_str(g.organisation, "o", sizeof(g.organisation));
+	mem_copy_str(g.account, "o", sizeof(g.account));
 	g.sent_ns = m.u.quota_ask.sent_ns;
 	g.requests = 1;
 	g.valid_ns = NS_PER_S;
@@ -281,3 +281,91 @@
 	EXPECT_EQ(p[0].quota.verdict, QUOTA_PASSES);
 	EXPECT_EQ(quotas_next_ns(&q), UINT64_MAX);
 }
+
+/*
+ * Load: an organisation with a third of all requests, below its quota. The
+ * keeper of a part is lost, and its keys stay without an owner for seconds.
+ */
+TEST_F(QuotasTest, ALargeQuotaOutlivesTheLossOfAKeeper)
+{
+	struct msg_quota_ask first, second;
+	struct msg_quota_grant g = {};
+
+	configure(100);
+	keep_at("n1");
+	EXPECT_EQ(quotas_admit(&q, &c, &p[0]), QUOTA_WAITS);
+	quotas_work(&q, &c, &holder);
+	first = sent(MSG_QUOTA_ASK).u.quota_ask;
+	c.now_ns += 70 * NS_PER_MS;
+	quotas_work(&q, &c, &holder);
+	EXPECT_EQ(quotas_next_decided(&q, &c), nullptr) << "tries another part";
+	quotas_work(&q, &c, &holder);
+	second = sent(MSG_QUOTA_ASK).u.quota_ask;
+	EXPECT_STRNE(first.account, second.account);
+	mem_copy_str(g.account, second.account, sizeof(g.account));
+	g.sent_ns = second.sent_ns;
+	g.requests = 1;
+	g.valid_ns = NS_PER_S;
+	quotas_on_grant(&q, &c, &g);
+	EXPECT_EQ(quotas_next_decided(&q, &c), &p[0]);
+	EXPECT_EQ(p[0].quota.verdict, QUOTA_PASSES);
+}
+
+/* The lost keeper is tried again, but callers wait for it seldom. */
+TEST_F(QuotasTest, ASilentPartIsTriedSeldom)
+{
+	struct quota_pool *pool;
+
+	configure(100);
+	keep_at("n1");
+	quotas_admit(&q, &c, &p[0]);
+	pool = list_entry(q.share.active.next, struct quota_pool, active);
+	pool->silent_since_ns = c.now_ns;
+	EXPECT_FALSE(quota_share_unlikely(pool, c.now_ns));
+	EXPECT_TRUE(quota_share_unlikely(pool, c.now_ns + 400 * NS_PER_MS));
+	EXPECT_FALSE(quota_share_unlikely(pool, c.now_ns + 600 * NS_PER_MS));
+	quotas_forget(&q, &p[0]);
+}
+
+/* All parts and all cut-off nodes stay within the bound of the whole quota. */
+TEST_F(QuotasTest, ThePartsTogetherAreTheQuota)
+{
+	const double window_s = 5;
+
+	for (double rate : {10.0, 49.0, 60.0, 80.0, 366.0, 5000.0}) {
+		const struct quota_pool *pool;
+		double run = 0, cut_off = 0;
+
+		configure(rate);
+		keep_at("n1");
+		quotas_work(&q, &c, &holder);
+		list_for_each_entry(pool, &q.share.pools, link) {
+			run += pool->rule.capacity +
+			       pool->rule.refill_per_s *
+				       (window_s + (double)pool->rule.valid_ns /
+							   (double)NS_PER_S);
+			cut_off += pool->rule.cut_off;
+		}
+		EXPECT_LE(run + cut_off, 1.1 * (rate * window_s + rate) + 20.01)
+			<< rate;
+		EXPECT_GT(cut_off, 0) << "of the entry's first part";
+	}
+}
+
+/* While a raised limit spreads, an older configuration lacks a part. */
+TEST_F(QuotasTest, APartOfAnotherConfigurationIsNotUnlimited)
+{
+	struct msg_quota_ask a = {};
+
+	configure(10);
+	keep_at("n0");
+	hold(3);
+	quotas_work(&q, &c, &holder);
+	mem_copy_str(a.account,
+		     "o\x1f"
+		     "2",
+		     sizeof(a.account));
+	a.requests = 5;
+	quotas_on_ask(&q, &c, &holder, 2, &a);
+	EXPECT_TRUE(sent(MSG_QUOTA_GRANT).u.quota_grant.unknown);
+}
--- a/wire/codec.c
+++ b/wire/codec.c
@@ -153,14 +153,14 @@
 };
 
 static const struct pack_field quota_ask_fields[] = {
-	PACK_STR_OF(struct msg_quota_ask, organisation),
+	PACK_STR_OF(struct msg_quota_ask, account),
 	PACK_STR_OF(struct msg_quota_ask, reply_to),
 	PACK_U64_OF(struct msg_quota_ask, sent_ns),
 	PACK_U64_OF(struct msg_quota_ask, requests),
 };
 
 static const struct pack_field quota_grant_fields[] = {
-	PACK_STR_OF(struct msg_quota_grant, organisation),
+	PACK_STR_OF(struct msg_quota_grant, account),
 	PACK_U64_OF(struct msg_quota_grant, sent_ns),
 	PACK_U64_OF(struct msg_quota_grant, requests),
 	PACK_U64_OF(struct msg_quota_grant, valid_ns),
