Among organisations of one priority the route's decides

The priority of an organisation replaced the route's.

The rank of a request is now its organisation's priority, then its route's.

--- a/core/organisations/identify.c
+++ b/core/organisations/identify.c
@@ -4,6 +4,10 @@
 
 #include "core/organisations/api_keys.h"
 
+/* Ranks of routes within one rank of organisations. */
+#define ROUTE_RANKS	      4u
+#define ORGANISATION_RANK_MAX 0xffffu
+
 static void remove_credentials(struct caller_request *r)
 {
 	struct payload *p = &r->request->payload;
@@ -28,6 +32,22 @@
 	return rules->organisation ? REFUSAL_NONE : REFUSAL_UNKNOWN_API_KEY;
 }
 
+/*
+ * The organisation's priority goes first; among equals the route's decides. An
+ * organisation without one has that of the route.
+ */
+static uint32_t rank_of(const struct route *route, const struct organisation *o)
+{
+	uint32_t first = o && o->has_priority ? o->priority : route->priority;
+	uint32_t then = route->priority;
+
+	if (first > ORGANISATION_RANK_MAX)
+		first = ORGANISATION_RANK_MAX;
+	if (then > ROUTE_RANKS - 1)
+		then = ROUTE_RANKS - 1;
+	return first * ROUTE_RANKS + then;
+}
+
 enum refusal identify_caller(const struct manifest *m, struct caller_request *r,
 			     struct request_rules *rules)
 {
@@ -43,10 +63,9 @@
 	why = find_organisation(m, r, rules);
 	remove_credentials(r);
 	o = rules->organisation;
+	rules->priority = rank_of(route, o);
 	if (!o)
 		return why;
-	if (o->has_priority)
-		rules->priority = o->priority;
 	return region_set_intersect(&route->home_regions, &o->home_regions,
 				    &rules->regions)
 		       ? REFUSAL_NONE
