A load figure that nothing fills or reads is gone

Found when reading the change: shed_permille was set down with the interfaces for a decision that was not built, and travelled as 0 with each answer and report. The comment of quotas.h named one keeper for quotas that have parts.

--- a/core/message.h
+++ b/core/message.h
@@ -115,8 +115,6 @@
 	uint32_t transit_ms;
 	/* Present time of work relative to the usual, in percent; 0: unknown */
 	uint32_t work_percent;
-	/* Attempts of the last seconds that the upstream turned down. */
-	uint32_t shed_permille;
 };
 
 struct msg_load {
--- a/core/organisations/quotas.h
+++ b/core/organisations/quotas.h
@@ -1,7 +1,8 @@
 /**
  * Quotas of organisations at one node: its entry's shares, and the buckets of
- * the quotas that it keeps. A quota's keeper is the node whose upstream holds
- * the key of the organisation's name; see docs/design/quotas.md.
+ * the quotas that it keeps. A large quota has several parts. The keeper of one
+ * is the node whose upstream holds the key of its name; see
+ * docs/design/quotas.md.
  */
 #ifndef JD_CORE_QUOTAS_H
 #define JD_CORE_QUOTAS_H
--- a/wire/codec.c
+++ b/wire/codec.c
@@ -98,7 +98,6 @@
 	PACK_ERA_OF(struct msg_answer, revision),
 	PACK_U32_OF(struct msg_answer, load.transit_ms),
 	PACK_U32_OF(struct msg_answer, load.work_percent),
-	PACK_U32_OF(struct msg_answer, load.shed_permille),
 	PACK_U64_OF(struct msg_answer, route_ns),
 };
 
@@ -116,7 +115,6 @@
 	PACK_ERA_OF(struct msg_load, manifest_revision),
 	PACK_U32_OF(struct msg_load, load.transit_ms),
 	PACK_U32_OF(struct msg_load, load.work_percent),
-	PACK_U32_OF(struct msg_load, load.shed_permille),
 };
 
 static const struct pack_field renew_fields[] = {
@@ -176,9 +174,9 @@
 	[MSG_RELEASE] = PACK_TABLE(release_fields),
 	[MSG_HOT_KEYS] = PACK_TABLE(hot_keys_fields),
 	[MSG_FORWARD] = PACK_TABLE_WITH_OPTIONAL(forward_fields, 2),
-	[MSG_ANSWER] = PACK_TABLE_WITH_OPTIONAL(answer_fields, 5),
+	[MSG_ANSWER] = PACK_TABLE_WITH_OPTIONAL(answer_fields, 4),
 	[MSG_CANCEL] = PACK_TABLE(cancel_fields),
-	[MSG_LOAD] = PACK_TABLE_WITH_OPTIONAL(load_fields, 7),
+	[MSG_LOAD] = PACK_TABLE_WITH_OPTIONAL(load_fields, 6),
 	[MSG_RENEW] = PACK_TABLE_WITH_OPTIONAL(renew_fields, 1),
 	[MSG_RENEWED] = PACK_TABLE_WITH_OPTIONAL(renewed_fields, 1),
 	[MSG_CHANGES] = PACK_TABLE_WITH_OPTIONAL(changes_fields, 2),
