A reset during the upload no longer completes an answer

Callers got a part of a body as a whole 200: the upstream answered a long upload at once without a length, sent part of its body and reset the connection while the upload was still being written.

Cause: a socket reports its reset once. The write of the upload came first and got ECONNRESET; the read after it returned 0. The bufferevent's deferred callbacks merged both into one event, "failed write and end of file", of which the client looked at the end of file only: a close in order, which ends a body without a length. The merged event has no reliable errno.

Change: callbacks are no longer deferred, so that the failed write is an event of its own. Its errno is kept and reading goes on: what had arrived before may be a whole answer. An end of file after ECONNRESET (or a timeout) completes nothing. EPIPE means that the FIN had come before the reset, and completes a body without a length as before. The connection is not reused, and a cut answer leaves event=answer_cut with its reason.

--- a/io/http_client.c
+++ b/io/http_client.c
@@ -46,9 +46,10 @@
 	struct bufferevent *bev;
 	char addr[JD_ADDR_MAX];
 	bool connected;
-	bool wrote;    /* the current request was passed to bev */
-	bool sent;     /* bytes have left since; the request may run */
-	bool reusable; /* the answer allows another request */
+	bool wrote;	 /* the current request was passed to bev */
+	bool sent;	 /* bytes have left since; the request may run */
+	bool reusable;	 /* the answer allows another request */
+	int write_error; /* errno of a failed write; 0 for none */
 	uint32_t stale_answers;
 	uint64_t received_bytes; /* since the request was written */
 	uint64_t body_bytes;	 /* the part of them that is body */
@@ -385,7 +386,8 @@
 	 * Surplus bytes and stale answers could be mistaken for the answer to
 	 * the next request, and so could answers that identify no request.
 	 */
-	return cn->reusable && !unread_bytes && !cn->stale_answers &&
+	return cn->reusable && !cn->write_error && !unread_bytes &&
+	       !cn->stale_answers &&
 	       identifying_value(cn->client, cn->call.request) &&
 	       cn->sent_count < CONN_REQUESTS_MAX;
 }
@@ -535,18 +537,41 @@
 	return cn->sent ? CLIENT_INCOMPLETE : CLIENT_NOT_SENT;
 }
 
+/* Ends a call whose connection ended before its answer did. */
+static void on_answer_cut(struct client_conn *cn, const char *why)
+{
+	if (cn->received_bytes)
+		log_event(LOG_WARN, "event=answer_cut why=\"%s\" addr=%s", why,
+			  cn->addr);
+	finish_call(cn, end_without_answer(cn), false);
+}
+
+/*
+ * True if the end of the received bytes is not a FIN. The socket reports a
+ * reset only once, so that after a failed write its end looks like one. EPIPE
+ * means that the FIN came before the reset.
+ */
+static bool was_reset(const struct client_conn *cn)
+{
+	return cn->write_error && cn->write_error != EPIPE;
+}
+
 /*
  * An answer without a length is complete when the upstream closes the
  * connection; a reset does not complete it.
  */
 static void on_eof(struct client_conn *cn)
 {
+	if (was_reset(cn)) {
+		on_answer_cut(cn, strerror(cn->write_error));
+		return;
+	}
 	http_parser_execute(&cn->parser, &parser_settings, NULL, 0);
 	if (cn->complete && cn->answer && cn->answer->code / 100 != 1 &&
 	    answers_request(cn))
 		finish_call(cn, CLIENT_ANSWERED, false);
 	else
-		finish_call(cn, end_without_answer(cn), false);
+		on_answer_cut(cn, "closed");
 }
 
 static void write_request(struct client_conn *cn)
@@ -648,10 +673,13 @@
 			    false);
 		return;
 	}
-	if (what & BEV_EVENT_EOF)
+	/* An answer that came before a failed write is read to its end. */
+	if (what & BEV_EVENT_WRITING)
+		cn->write_error = EVUTIL_SOCKET_ERROR();
+	else if (what & BEV_EVENT_EOF)
 		on_eof(cn);
 	else
-		finish_call(cn, end_without_answer(cn), false);
+		on_answer_cut(cn, strerror(EVUTIL_SOCKET_ERROR()));
 }
 
 /* True if the connection is open, even if its callback has not run yet. */
@@ -692,9 +720,9 @@
 	cn->client = c;
 	cn->idle_timeout_ns = IDLE_TIMEOUT_DEFAULT_NS;
 	mem_copy_str(cn->addr, addr, sizeof(cn->addr));
-	cn->bev = bufferevent_socket_new(c->opts.base, -1,
-					 BEV_OPT_CLOSE_ON_FREE |
-						 BEV_OPT_DEFER_CALLBACKS);
+	/* Deferred callbacks would merge the error of a write with an EOF. */
+	cn->bev =
+		bufferevent_socket_new(c->opts.base, -1, BEV_OPT_CLOSE_ON_FREE);
 	cn->timer = evtimer_new(c->opts.base, on_timer, cn);
 	evbuffer_add_cb(bufferevent_get_output(cn->bev), on_output_change, cn);
 	bufferevent_setcb(cn->bev, on_read, NULL, on_event, cn);
--- a/tests/http_client_test.cpp
+++ b/tests/http_client_test.cpp
@@ -36,6 +36,7 @@
 	{
 		struct http_client_opts o = {};
 
+		signal(SIGPIPE, SIG_IGN);
 		o.base = base;
 		o.echo_header = "Id";
 		o.on_end = on_end;
@@ -97,6 +98,23 @@
 		http_client_call(c, &call);
 		http_request_unref(call.request);
 	}
+	/* Starts a POST with a body of @bytes. */
+	void start_upload(uint64_t number, const char *id, size_t bytes)
+	{
+		const std::string body(bytes, 'x');
+		struct client_call call = {};
+
+		call.call = number;
+		call.addr = addr.c_str();
+		call.deadline_ns = clock_now_ns() + 30 * NS_PER_S;
+		call.write_before_ns = call.deadline_ns;
+		call.request = http_request_new("POST", "/");
+		payload_add_header(&call.request->payload, "Id", id);
+		payload_set_body(&call.request->payload, body.data(),
+				 body.size());
+		http_client_call(c, &call);
+		http_request_unref(call.request);
+	}
 	void call(uint64_t number, const char *id, uint64_t ms = 2000,
 		  uint64_t write_before_ms = 2000)
 	{
@@ -577,20 +595,11 @@
 TEST_F(HttpClientTest, RestOfABodyFollowsAnEarlyAnswer)
 {
 	const std::string body(8u << 20, 'x');
-	struct client_call post = {};
 	std::string got;
 	char buf[65536];
 
 	start_listening();
-	post.call = 1;
-	post.addr = addr.c_str();
-	post.deadline_ns = clock_now_ns() + 5 * NS_PER_S;
-	post.write_before_ns = post.deadline_ns;
-	post.request = http_request_new("POST", "/");
-	payload_add_header(&post.request->payload, "Id", "a");
-	payload_set_body(&post.request->payload, body.data(), body.size());
-	http_client_call(c, &post);
-	http_request_unref(post.request);
+	start_upload(1, "a", body.size());
 	run_loop(30);
 	int fd = accept_connection();
 
@@ -816,6 +825,159 @@
 				 return std::string(i.param.name);
 			 });
 
+/* An answer that the upstream sends while the upload may still be written. */
+struct EarlyCase {
+	const char *name;
+	std::string head;
+	std::string body; /* as it is sent, with its framing */
+	size_t unsent;	  /* bytes of it that are not sent */
+	bool ends_at_close;
+	std::string received; /* the body; empty if no close completes it */
+};
+
+static void PrintTo(const EarlyCase &k, std::ostream *out)
+{
+	*out << k.name;
+}
+
+static const std::string IN_CHUNKS = "9\r\nall of it\r\n0\r\n\r\n";
+
+static const EarlyCase early_cases[] = {
+	{"whole_length", "Content-Length: 9\r\n", "all of it", 0, false,
+	 "all of it"},
+	{"whole_in_many_reads", "Content-Length: 40000\r\n",
+	 std::string(40000, 'b'), 0, false, std::string(40000, 'b')},
+	{"whole_chunks", "Transfer-Encoding: chunked\r\n", IN_CHUNKS, 0, false,
+	 "all of it"},
+	{"whole_no_length", "", "all of it", 0, true, "all of it"},
+	{"part_length", "Content-Length: 9\r\n", "all of it", 4, false, ""},
+	{"part_chunks", "Transfer-Encoding: chunked\r\n", IN_CHUNKS, 5, false,
+	 ""},
+	{"part_no_length", "", "all of it", 4, true, "all o"},
+};
+
+/* How the upstream's side of the connection ends after the answer. */
+enum EarlyEnd {
+	END_BY_FIN,
+	END_BY_RESET,
+	END_BY_FIN_THEN_RESET,
+	EARLY_END_COUNT,
+};
+
+static const size_t UPLOAD_LONG = 16u << 20; /* more than sockets buffer */
+
+class EarlyAnswerTest : public HttpClientTest,
+			public ::testing::WithParamInterface<EarlyCase>
+{
+protected:
+	/* Reads @bytes of the request in all, as they come. */
+	void read_up_to(int fd, size_t *got, size_t bytes)
+	{
+		uint64_t end_ns = clock_now_ns() + 10 * NS_PER_S;
+
+		while (*got < bytes && clock_now_ns() < end_ns) {
+			*got += read_all(fd).size();
+			event_base_loop(base, EVLOOP_ONCE | EVLOOP_NONBLOCK);
+		}
+		EXPECT_GE(*got, bytes);
+	}
+	/*
+	 * @at_once: the answer and the end of the connection arrive together.
+	 * Otherwise the client reads the answer before the connection ends.
+	 */
+	Result early_answer(size_t upload, bool slowly, bool at_once,
+			    EarlyEnd end, bool kept)
+	{
+		const EarlyCase &k = GetParam();
+		std::string text = HEAD_200 + k.head + "\r\n" +
+				   k.body.substr(0, k.body.size() - k.unsent);
+		struct linger no_linger = {1, 0};
+		size_t got = 0;
+		int fd = -1;
+
+		if (kept) {
+			fd = call_on_new_connection("GET", "first");
+			send_text(fd, answer_text("first", "one"));
+		}
+		size_t before = results.size();
+
+		start_upload(before + 1, "a", upload);
+		if (!kept)
+			fd = accept_connection();
+		EXPECT_GE(fd, 0);
+		if (slowly)
+			read_up_to(fd, &got, upload / 4);
+		if (upload < UPLOAD_LONG)
+			read_up_to(fd, &got, upload);
+		run_loop(5);
+		read_all(fd);
+		EXPECT_EQ(write(fd, text.data(), text.size()),
+			  (ssize_t)text.size());
+		if (!at_once)
+			run_loop(5);
+		if (end != END_BY_RESET)
+			shutdown(fd, SHUT_WR);
+		else
+			setsockopt(fd, SOL_SOCKET, SO_LINGER, &no_linger,
+				   sizeof(no_linger));
+		if (end != END_BY_FIN)
+			close(fd);
+		run_until_results(before + 1);
+		if (end == END_BY_FIN)
+			close(fd);
+		EXPECT_EQ(results.size(), before + 1);
+		return results.back();
+	}
+	void expect_end(size_t upload, bool slowly, bool at_once, EarlyEnd end,
+			bool kept)
+	{
+		const EarlyCase &k = GetParam();
+		bool whole = k.ends_at_close ? end != END_BY_RESET : !k.unsent;
+		Result r = early_answer(upload, slowly, at_once, end, kept);
+
+		SCOPED_TRACE(testing::Message()
+			     << "upload " << upload << " slowly " << slowly
+			     << " at_once " << at_once << " end " << end
+			     << " kept " << kept);
+		EXPECT_EQ(r.end, whole ? CLIENT_ANSWERED : CLIENT_INCOMPLETE);
+		EXPECT_EQ(r.code, whole ? 200 : 0);
+		EXPECT_EQ(r.body, whole ? k.received : "");
+		expect_new_connection();
+	}
+	/* The connection of an answer that ends early carries no other one. */
+	void expect_new_connection()
+	{
+		uint64_t connects = http_client_connects(c);
+		int fd = call_on_new_connection("GET", "next");
+
+		EXPECT_EQ(http_client_connects(c), connects + 1);
+		send_text(fd, answer_text("next", "mine"));
+		EXPECT_EQ(results.back().body, "mine");
+		close(fd);
+		run_loop(1);
+	}
+};
+
+/*
+ * The reset of a connection came to light when the upload was written, and the
+ * part of the answer before it counted as a whole one.
+ */
+TEST_P(EarlyAnswerTest, OnlyAnAnswerWithItsEndIsComplete)
+{
+	start_listening();
+	for (size_t upload : {(size_t)9, UPLOAD_LONG})
+		for (int end = 0; end < EARLY_END_COUNT; end++)
+			for (int flags = 0; flags < 8; flags++)
+				expect_end(upload, flags & 1, flags & 2,
+					   (EarlyEnd)end, flags & 4);
+}
+
+INSTANTIATE_TEST_SUITE_P(HttpClient, EarlyAnswerTest,
+			 ::testing::ValuesIn(early_cases),
+			 [](const ::testing::TestParamInfo<EarlyCase> &i) {
+				 return std::string(i.param.name);
+			 });
+
 /* The caller of a 304 with a length got a failure after the deadline. */
 TEST_F(HttpClientTest, AnswerThatHasNoBodyEndsWithItsHead)
 {
--- a/tests/platform_node_test.cpp
+++ b/tests/platform_node_test.cpp
@@ -6,40 +6,52 @@
 #include <event2/event.h>
 
 #include "free_port.hpp"
+#include "raw_server.hpp"
 
 extern "C" {
 #include "core/mem.h"
+#include "fakes/kv_server.h"
 #include "io/addr.h"
+#include "io/clock.h"
 #include "platform/names.h"
 #include "platform/platform_node.h"
 }
 
 static const int ANSWER_WAIT_MAX_S = 20;
 
+// Settings of a node with addresses of its own.
+static struct platform_settings node_settings(const char *name,
+					      const char *service)
+{
+	struct platform_settings s = {};
+
+	mem_copy_str(s.node, name, sizeof(s.node));
+	mem_copy_str(s.service, service, sizeof(s.service));
+	mem_copy_str(s.dc, "dc1", sizeof(s.dc));
+	mem_copy_str(s.region, "r1", sizeof(s.region));
+	for (char *addr : {s.caller_addr, s.readiness_addr, s.control_addr,
+			   s.peer_bind, s.store_addr, s.upstream_addr})
+		mem_copy_str(addr, free_addr().c_str(), JD_ADDR_MAX);
+	mem_copy_str(s.peer_addr, s.peer_bind, sizeof(s.peer_addr));
+	s.announce_interval_s = 1;
+	s.min_lease_ttl_s = 5;
+	s.stop_max_s = 6;
+	s.hold_max_s = 10;
+	s.retry_window_s = 10;
+	return s;
+}
+
 class PlatformNode : public ::testing::Test
 {
 protected:
 	void SetUp() override
 	{
-		struct platform_settings s = {};
 		struct status st;
 
 		signal(SIGPIPE, SIG_IGN);
 		base = event_base_new();
-		mem_copy_str(s.node, "n1", sizeof(s.node));
-		mem_copy_str(s.service, "svc", sizeof(s.service));
-		for (char *addr :
-		     {s.caller_addr, s.readiness_addr, s.control_addr,
-		      s.peer_bind, s.store_addr, s.upstream_addr})
-			mem_copy_str(addr, free_addr().c_str(), JD_ADDR_MAX);
-		mem_copy_str(s.peer_addr, s.peer_bind, sizeof(s.peer_addr));
-		s.announce_interval_s = 1;
-		s.min_lease_ttl_s = 5;
-		s.stop_max_s = 6;
-		s.hold_max_s = 10;
-		s.retry_window_s = 10;
-		settings = s;
-		node = platform_node_new(base, &s, &st);
+		settings = node_settings("n1", "svc");
+		node = platform_node_new(base, &settings, &st);
 		ASSERT_NE(node, nullptr) << st.msg;
 	}
 	void TearDown() override
@@ -179,3 +191,239 @@
 	}
 	EXPECT_EQ(heartbeat(body()), 200);
 }
+
+static const char CONFIG[] =
+	"{\"version\":\"00000001\",\"routes\":[{\"name\":\"up\","
+	"\"host\":\"a.example\",\"pathPrefix\":\"/up/\","
+	"\"type\":\"non_idempotent\",\"timeoutS\":20,"
+	"\"targetLatencyS\":1,\"priority\":1,\"service\":\"svc\","
+	"\"maxAttempts\":2,\"allowedRegions\":[]}],"
+	"\"services\":[{\"name\":\"svc\"},{\"name\":\"other\"}],"
+	"\"limits\":{\"maxHeaderBytes\":16384,\"maxBodyBytes\":67108864,"
+	"\"headerTimeoutS\":10,\"idleTimeoutS\":15}}";
+
+static const size_t UPLOAD_SHORT = 9;
+static const size_t UPLOAD_LONG = 2 << 20; // more than sockets buffer
+static const int RECEIVE_BUFFER = 4096;
+
+// What the upstream does once its answer was received.
+enum AnswerEnd {
+	END_OPEN,
+	END_BY_FIN,
+	END_BY_RESET,
+};
+
+struct UpstreamAnswer {
+	std::string text; // after the status line and the request's id
+	enum AnswerEnd end;
+	const char *status_line = "HTTP/1.1 200 OK";
+};
+
+static const UpstreamAnswer SOUND = {"Content-Length: 5\r\n\r\nsound",
+				     END_OPEN};
+
+// Two nodes on one event loop. The upstream of the first is the test's own; the
+// second forwards to the first.
+class TwoNodes : public PlatformNode
+{
+protected:
+	void SetUp() override
+	{
+		struct kv_server_opts store_opts = {};
+		struct platform_settings other;
+		struct status st;
+
+		base = event_base_new();
+		upstream = new RawServer(base);
+		upstream->limit_receive_buffer(RECEIVE_BUFFER);
+		settings = node_settings("n1", "svc");
+		mem_copy_str(settings.upstream_addr, upstream->addr.c_str(),
+			     JD_ADDR_MAX);
+		store_opts.base = base;
+		store_opts.addr = settings.store_addr;
+		store = kv_server_new(&store_opts);
+		kv_server_put(store, KEY_CONFIG, CONFIG);
+		other = node_settings("n2", "other");
+		mem_copy_str(other.store_addr, settings.store_addr,
+			     JD_ADDR_MAX);
+		node = platform_node_new(base, &settings, &st);
+		second = platform_node_new(base, &other, &st);
+		own_addr = settings.caller_addr;
+		other_addr = other.caller_addr;
+		upstream->on_request = [this](RawServer &,
+					      struct bufferevent *bev,
+					      size_t) { on_upload(bev); };
+		answer = SOUND;
+		for (const std::string &addr : {own_addr, other_addr})
+			for (int i = 0;
+			     upload(addr, UPLOAD_SHORT, false)
+					     .find("HTTP/1.1 200") != 0 &&
+			     i < 200;
+			     i++)
+				run_ms(50);
+	}
+	void TearDown() override
+	{
+		platform_node_delete(second);
+		platform_node_delete(node);
+		node = nullptr;
+		kv_server_delete(store);
+		delete upstream;
+		PlatformNode::TearDown();
+	}
+
+	void run_ms(int ms)
+	{
+		struct timeval tv = {0, ms * 1000};
+
+		event_base_loopexit(base, &tv);
+		event_base_dispatch(base);
+	}
+
+	// The answer to a POST of @bytes, sent at once or @slowly, to the node
+	// at @addr.
+	std::string upload(const std::string &addr, size_t bytes, bool slowly)
+	{
+		const std::string piece(slowly ? 64 << 10 : bytes, 'x');
+		uint64_t end_ns = clock_now_ns() + 20 * NS_PER_S;
+		std::string id = "id-" + std::to_string(++requests);
+		std::string out = "POST /up/x HTTP/1.1\r\nHost: a.example\r\n"
+				  "" HEADER_REQUEST_ID ": " +
+				  id +
+				  "\r\n" HEADER_DEADLINE
+				  ": 15000\r\nContent-Length: " +
+				  std::to_string(bytes) + "\r\n\r\n";
+		std::string in;
+		struct sockaddr_in sin;
+		int fd = socket(AF_INET, SOCK_STREAM, 0);
+
+		EXPECT_EQ(heartbeat(body("", ++sequence)), 200);
+		EXPECT_TRUE(addr_to_sockaddr(addr.c_str(), &sin));
+		EXPECT_EQ(connect(fd, (struct sockaddr *)&sin, sizeof(sin)), 0);
+		while (!is_whole(in) && clock_now_ns() < end_ns) {
+			char buf[4096];
+			ssize_t n;
+
+			if (out.empty() && bytes) {
+				out = piece.substr(0, bytes);
+				bytes -= out.size();
+			}
+			n = send(fd, out.data(), out.size(),
+				 MSG_DONTWAIT | MSG_NOSIGNAL);
+			out.erase(0, n > 0 ? (size_t)n : 0);
+			n = recv(fd, buf, sizeof(buf), MSG_DONTWAIT);
+			if (n == 0 || (n < 0 && errno != EAGAIN))
+				break;
+			in.append(buf, n > 0 ? (size_t)n : 0);
+			run_ms(1);
+		}
+		close(fd);
+		return in;
+	}
+
+	// Expects an answer of @code to an upload by each path and each way, on
+	// a kept connection, and another connection for the next upload.
+	void expect_code(const UpstreamAnswer &a, int code)
+	{
+		for (const std::string &addr : {own_addr, other_addr})
+			for (size_t bytes : {UPLOAD_SHORT, UPLOAD_LONG})
+				for (bool slowly : {false, true}) {
+					SCOPED_TRACE(testing::Message()
+						     << a.status_line << " "
+						     << a.text << " end "
+						     << a.end << " own "
+						     << (addr == own_addr)
+						     << " bytes " << bytes
+						     << " slowly " << slowly);
+					expect_one(addr, a, bytes, slowly,
+						   code);
+				}
+	}
+
+	std::string own_addr;	// of the node beside the upstream
+	std::string other_addr; // of the other one
+
+private:
+	static bool is_whole(const std::string &in)
+	{
+		size_t head = in.find("\r\n\r\n");
+		size_t at = in.find("Content-Length: ");
+
+		return head != in.npos && at < head &&
+		       in.size() >=
+			       head + 4 + (size_t)atoi(in.c_str() + at + 16);
+	}
+	void expect_one(const std::string &addr, const UpstreamAnswer &a,
+			size_t bytes, bool slowly, int code)
+	{
+		answer = SOUND;
+		EXPECT_EQ(status_of(upload(addr, UPLOAD_SHORT, false)), 200);
+		size_t kept = upstream->connections;
+
+		answer = a;
+		EXPECT_EQ(status_of(upload(addr, bytes, slowly)), code);
+		EXPECT_EQ(upstream->connections, kept);
+		answer = SOUND;
+		EXPECT_EQ(status_of(upload(addr, UPLOAD_SHORT, false)), 200);
+		EXPECT_EQ(upstream->connections, kept + 1);
+	}
+	static int status_of(const std::string &in)
+	{
+		return in.size() > 12 ? atoi(in.c_str() + 9) : 0;
+	}
+	// Answers at the first bytes of an upload and reads no more of it.
+	void on_upload(struct bufferevent *bev)
+	{
+		const std::string &got = upstream->last_request;
+		size_t at = got.find(HEADER_REQUEST_ID);
+		struct timeval later = {0, 20000};
+
+		if (at == got.npos)
+			return;
+		RawServer::write(
+			bev,
+			std::string(answer.status_line) + "\r\n" +
+				got.substr(at, got.find("\r\n", at) + 2 - at) +
+				HEADER_SIGNATURE ": s\r\n" + answer.text);
+		if (answer.end == END_OPEN)
+			return;
+		ending = bev;
+		bufferevent_disable(bev, EV_READ);
+		event_base_once(base, -1, EV_TIMEOUT, on_answer_received, this,
+				&later);
+	}
+	static void on_answer_received(evutil_socket_t, short, void *arg)
+	{
+		TwoNodes *t = (TwoNodes *)arg;
+
+		if (t->answer.end == END_BY_RESET) {
+			t->upstream->reset(t->ending);
+			return;
+		}
+		shutdown(bufferevent_getfd(t->ending), SHUT_WR);
+		bufferevent_enable(t->ending, EV_READ);
+	}
+
+	struct kv_server *store = nullptr;
+	struct platform_node *second = nullptr;
+	RawServer *upstream = nullptr;
+	UpstreamAnswer answer;
+	struct bufferevent *ending = nullptr; // the connection that ends next
+	unsigned requests = 0;
+	unsigned sequence = 0;
+};
+
+// Clients got the part of an answer that had arrived before the reset of its
+// connection as a whole one.
+TEST_F(TwoNodes, AnAnswerCutByAResetIsNotPassedOn)
+{
+	for (const char *text :
+	     {"\r\nall o", "Content-Length: 9\r\n\r\nall o",
+	      "Transfer-Encoding: chunked\r\n\r\n9\r\nall o"})
+		expect_code({text, END_BY_RESET}, 502);
+}
+
+TEST_F(TwoNodes, AnAnswerWithoutLengthEndsWithItsConnection)
+{
+	expect_code({"\r\nall of it", END_BY_FIN}, 200);
+}
--- a/tests/raw_server.hpp
+++ b/tests/raw_server.hpp
@@ -71,6 +71,27 @@
 				write(c->bev, text);
 	}
 
+	// Has later connections buffer few bytes that were not read.
+	void limit_receive_buffer(int bytes)
+	{
+		setsockopt(evconnlistener_get_fd(listener), SOL_SOCKET,
+			   SO_RCVBUF, &bytes, sizeof(bytes));
+	}
+
+	// Ends the connection of @bev, unless it has ended, by a reset.
+	void reset(struct bufferevent *bev)
+	{
+		struct linger no_linger = {1, 0};
+
+		for (Conn *c : conns) {
+			if (!c->bev || c->bev != bev)
+				continue;
+			setsockopt(bufferevent_getfd(bev), SOL_SOCKET,
+				   SO_LINGER, &no_linger, sizeof(no_linger));
+			close(c);
+		}
+	}
+
 private:
 	struct event_base *base;
 	struct evconnlistener *listener = nullptr;
