--- a/io/answer_check.c
+++ b/io/answer_check.c
@@ -25,8 +25,7 @@
 }
 
 /* Reads the last @added bytes of @b, which stay in it. */
-static void read_status_line(struct answer_check *k, struct evbuffer *b,
-			     size_t added)
+static void read_head(struct answer_check *k, struct evbuffer *b, size_t added)
 {
 	size_t len = evbuffer_get_length(b);
 	struct evbuffer_iovec part;
@@ -35,11 +34,11 @@
 	if (added > len)
 		added = len;
 	evbuffer_ptr_set(b, &at, len - added, EVBUFFER_PTR_SET);
-	while (added && k->status_line.state != STATUS_LINE_FINAL &&
+	while (added && k->head.state != ANSWER_HEAD_FINAL &&
 	       evbuffer_peek(b, (ev_ssize_t)added, &at, &part, 1) > 0) {
 		size_t n = part.iov_len < added ? part.iov_len : added;
 
-		status_line_read(&k->status_line, part.iov_base, n);
+		answer_head_read(&k->head, part.iov_base, n);
 		added -= n;
 		evbuffer_ptr_set(b, &at, n, EVBUFFER_PTR_ADD);
 	}
@@ -53,8 +52,8 @@
 	k->received += info->n_added;
 	if (k->failed || !info->n_added)
 		return;
-	read_status_line(k, b, info->n_added);
-	if (k->status_line.state == STATUS_LINE_INVALID)
+	read_head(k, b, info->n_added);
+	if (k->head.state == ANSWER_HEAD_INVALID)
 		fail(k, "status");
 	else if (k->received > k->max_bytes)
 		fail(k, "too_long");
@@ -77,7 +76,7 @@
 {
 	k->received = 0;
 	k->failed = false;
-	status_line_reset(&k->status_line);
+	answer_head_reset(&k->head);
 }
 
 bool answer_check_ok(const struct answer_check *k)
--- a/io/answer_check.h
+++ b/io/answer_check.h
@@ -10,14 +10,14 @@
 #include <stdbool.h>
 #include <stddef.h>
 
-#include "io/status_line.h"
+#include "io/answer_head.h"
 
 /** Checks of one connection; must outlive it. */
 struct answer_check {
 	struct evhttp_connection *http;
 	size_t max_bytes;
 	size_t received; /* since the start of the current call */
-	struct status_line status_line;
+	struct answer_head head;
 	bool failed;
 };
 
--- a/io/http_client.c
+++ b/io/http_client.c
@@ -13,10 +13,10 @@
 #include "core/mem.h"
 #include "core/text.h"
 #include "io/addr.h"
+#include "io/answer_head.h"
 #include "io/clock.h"
 #include "io/log.h"
 #include "io/socket_opts.h"
-#include "io/status_line.h"
 
 #define CONNECT_TIMEOUT_NS	(400 * NS_PER_MS)
 /* Idle connections are closed before the upstream closes them. */
@@ -61,7 +61,7 @@
 	struct event *timer;
 	struct client_call call; /* its request is NULL while idle */
 	http_parser parser;
-	struct status_line status_line;
+	struct answer_head head;
 	struct http_answer *answer;
 	struct byte_buf field;
 	struct byte_buf value;
@@ -442,7 +442,7 @@
 		}
 		answer_reset(cn);
 		parser_reset(cn);
-		status_line_reset(&cn->status_line);
+		answer_head_reset(&cn->head);
 		return true;
 	}
 	update_idle_timeout(cn);
@@ -507,10 +507,10 @@
 		parsed = http_parser_execute(&cn->parser, &parser_settings,
 					     data, len);
 		err = HTTP_PARSER_ERRNO(&cn->parser);
-		status_line_read(&cn->status_line, data, parsed);
+		answer_head_read(&cn->head, data, parsed);
 		evbuffer_drain(in, parsed);
 		cn->received_bytes += parsed;
-		if (cn->status_line.state == STATUS_LINE_INVALID) {
+		if (cn->head.state == ANSWER_HEAD_INVALID) {
 			abandon_answer(cn, "status");
 			return;
 		}
@@ -597,7 +597,7 @@
 	cn->received_bytes = 0;
 	cn->body_bytes = 0;
 	parser_reset(cn);
-	status_line_reset(&cn->status_line);
+	answer_head_reset(&cn->head);
 	answer_reset(cn);
 	bufferevent_write_buffer(cn->bev, out);
 	evbuffer_free(out);
--- a/tests/status_line_test.cpp
+++ b/tests/answer_head_test.cpp
@@ -3,33 +3,33 @@
 #include <string>
 
 extern "C" {
-#include "io/status_line.h"
+#include "io/answer_head.h"
 }
 
-static enum status_line_state read_whole(const std::string &text)
+static enum answer_head_state read_whole(const std::string &text)
 {
-	struct status_line s;
+	struct answer_head s;
 
-	status_line_reset(&s);
-	status_line_read(&s, text.data(), text.size());
+	answer_head_reset(&s);
+	answer_head_read(&s, text.data(), text.size());
 	return s.state;
 }
 
 /* The same, one byte at a time. */
-static enum status_line_state read_bytes(const std::string &text)
+static enum answer_head_state read_bytes(const std::string &text)
 {
-	struct status_line s;
+	struct answer_head s;
 
-	status_line_reset(&s);
+	answer_head_reset(&s);
 	for (char c : text)
-		status_line_read(&s, &c, 1);
+		answer_head_read(&s, &c, 1);
 	return s.state;
 }
 
 static const std::string INTERIM =
 	"HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n";
 
-TEST(StatusLine, FinalStatusIsFound)
+TEST(AnswerHead, FinalStatusIsFound)
 {
 	for (std::string text : {"HTTP/1.1 200 OK\r\n", "HTTP/1.1 200\r\n",
 				 "HTTP/1.0 599\n", "\r\n\r\nHTTP/1.1 404 ",
@@ -37,14 +37,14 @@
 		for (std::string before :
 		     {std::string(), INTERIM,
 		      INTERIM + "HTTP/1.1 100\n\n" + INTERIM}) {
-			EXPECT_EQ(read_whole(before + text), STATUS_LINE_FINAL)
+			EXPECT_EQ(read_whole(before + text), ANSWER_HEAD_FINAL)
 				<< before + text;
-			EXPECT_EQ(read_bytes(before + text), STATUS_LINE_FINAL)
+			EXPECT_EQ(read_bytes(before + text), ANSWER_HEAD_FINAL)
 				<< before + text;
 		}
 }
 
-TEST(StatusLine, OtherBytesAreInvalid)
+TEST(AnswerHead, OtherBytesAreInvalid)
 {
 	for (std::string text :
 	     {"HTTP/1.1 000 ",	"HTTP/1.1 099 ",  "HTTP/1.1 101 ",
@@ -57,20 +57,20 @@
 	      "ICY 200 ",	"200 ",		  "\xff"})
 		for (std::string before : {std::string(), INTERIM}) {
 			EXPECT_EQ(read_whole(before + text),
-				  STATUS_LINE_INVALID)
+				  ANSWER_HEAD_INVALID)
 				<< before + text;
 			EXPECT_EQ(read_bytes(before + text),
-				  STATUS_LINE_INVALID)
+				  ANSWER_HEAD_INVALID)
 				<< before + text;
 		}
 }
 
-TEST(StatusLine, InterimAnswersAreBounded)
+TEST(AnswerHead, InterimAnswersAreBounded)
 {
 	std::string text;
 
 	for (int i = 0; i < 16; i++)
 		text += INTERIM;
-	EXPECT_EQ(read_whole(text + "HTTP/1.1 200 "), STATUS_LINE_FINAL);
-	EXPECT_EQ(read_whole(text + INTERIM), STATUS_LINE_INVALID);
+	EXPECT_EQ(read_whole(text + "HTTP/1.1 200 "), ANSWER_HEAD_FINAL);
+	EXPECT_EQ(read_whole(text + INTERIM), ANSWER_HEAD_INVALID);
 }
