A head whose field names hold blanks or control bytes is no answer

Callers got such an answer, with the invalid line passed on, or with a body that was not the upstream's: behind "Content-Length : 9" or "Transfer-Encoding : chunked" the body was read up to the end of the connection, chunk sizes included. Store calls and grants counted as done.

Cause: http_parser, as packaged, takes blanks in a name and skips the byte after a bare CR; evhttp takes any byte up to the colon. Both join a folded line to the field before it.

Change: answer_head, which checked the status lines only, now reads the fields of interim and final heads, too. It serves http_client and all readers behind evhttp. A name is a token up to its colon (RFC 9112, 5.1), a folded line (5.2) or a CR without LF is invalid. Such an answer is logged (event=answer_invalid why=field_name) and ends as one with an invalid status: 502, its connection closed.

Evidence, on the code before: InvalidFieldLine* failed in http_client_test (2 tests, 123 expectations), upstream_client_test (59 expectations until the run was ended after 300 s), kv_client_test (211), store_client_test (53) and http_call_test (106); TwoNodes.AnAnswerWithAnInvalidFieldLine... failed in 208 expectations, through the upstream's own node and through another. All pass now, as do the other tests of these programs.

An answer of status 000 was no answer before, either: AnAnswerOfStatusZero IsNotPassedOn passed on the code before and is kept. The heads in AnswerHead.FinalStatusIsFound now end, as the state is final at their end.

--- a/core/http.c
+++ b/core/http.c
@@ -137,6 +137,13 @@
 	return r;
 }
 
+bool http_is_token_char(char c)
+{
+	return (c >= '0' && c <= '9') || (c >= 'A' && c <= 'Z') ||
+	       (c >= 'a' && c <= 'z') ||
+	       (c && strchr("!#$%&'*+-.^_`|~", c) != NULL);
+}
+
 bool http_status_is_final(int code)
 {
 	return code >= FINAL_STATUS_MIN && code <= FINAL_STATUS_MAX;
--- a/core/http.h
+++ b/core/http.h
@@ -63,6 +63,9 @@
 /** Adds a reference to @r and returns it. */
 struct http_request *http_request_ref(struct http_request *r);
 
+/** True if @c may stand in the name of a header (RFC 9110, 5.6.2). */
+bool http_is_token_char(char c);
+
 /** True for the status of an answer, after which no other one follows. */
 bool http_status_is_final(int code);
 /**
--- a/io/answer_check.c
+++ b/io/answer_check.c
@@ -34,7 +34,7 @@
 	if (added > len)
 		added = len;
 	evbuffer_ptr_set(b, &at, len - added, EVBUFFER_PTR_SET);
-	while (added && k->head.state != ANSWER_HEAD_FINAL &&
+	while (added && k->head.state != ANSWER_HEAD_COMPLETE &&
 	       evbuffer_peek(b, (ev_ssize_t)added, &at, &part, 1) > 0) {
 		size_t n = part.iov_len < added ? part.iov_len : added;
 
@@ -54,7 +54,7 @@
 		return;
 	read_head(k, b, info->n_added);
 	if (k->head.state == ANSWER_HEAD_INVALID)
-		fail(k, "status");
+		fail(k, k->head.why);
 	else if (k->received > k->max_bytes)
 		fail(k, "too_long");
 }
--- a/io/answer_check.h
+++ b/io/answer_check.h
@@ -1,7 +1,8 @@
 /**
- * Bounds what evhttp reads as one answer, and checks its status lines. Its own
- * limits don't count interim answers and the framing of chunks, which may go on
- * without end; and it reads "200x" and 4294967496 as 200.
+ * Bounds what evhttp reads as one answer, and checks its heads. Its own limits
+ * don't count interim answers and the framing of chunks, which may go on
+ * without end; it reads "200x" and 4294967496 as 200, and any bytes as the name
+ * of a field.
  */
 #ifndef JD_IO_ANSWER_CHECK_H
 #define JD_IO_ANSWER_CHECK_H
--- a/io/http_client.c
+++ b/io/http_client.c
@@ -511,7 +511,7 @@
 		evbuffer_drain(in, parsed);
 		cn->received_bytes += parsed;
 		if (cn->head.state == ANSWER_HEAD_INVALID) {
-			abandon_answer(cn, "status");
+			abandon_answer(cn, cn->head.why);
 			return;
 		}
 		if (exceeds_framing(cn)) {
--- a/tests/answer_head_test.cpp
+++ b/tests/answer_head_test.cpp
@@ -2,6 +2,8 @@
 
 #include <string>
 
+#include "invalid_heads.hpp"
+
 extern "C" {
 #include "io/answer_head.h"
 }
@@ -23,6 +25,7 @@
 	answer_head_reset(&s);
 	for (char c : text)
 		answer_head_read(&s, &c, 1);
+	EXPECT_EQ(s.why != nullptr, s.state == ANSWER_HEAD_INVALID);
 	return s.state;
 }
 
@@ -31,15 +34,18 @@
 
 TEST(AnswerHead, FinalStatusIsFound)
 {
-	for (std::string text : {"HTTP/1.1 200 OK\r\n", "HTTP/1.1 200\r\n",
-				 "HTTP/1.0 599\n", "\r\n\r\nHTTP/1.1 404 ",
-				 "HTTP/1.1  204 ", "HTTP/1.1 200 \x80\xff"})
+	for (std::string text :
+	     {"HTTP/1.1 200 OK\r\n\r\n", "HTTP/1.1 200\r\n\r\n",
+	      "HTTP/1.0 599\n\n", "\r\n\r\nHTTP/1.1 404 \r\n\r\n",
+	      "HTTP/1.1  204 \n\r\n", "HTTP/1.1 200 \x80\xff\r\n\n"})
 		for (std::string before :
 		     {std::string(), INTERIM,
 		      INTERIM + "HTTP/1.1 100\n\n" + INTERIM}) {
-			EXPECT_EQ(read_whole(before + text), ANSWER_HEAD_FINAL)
+			EXPECT_EQ(read_whole(before + text),
+				  ANSWER_HEAD_COMPLETE)
 				<< before + text;
-			EXPECT_EQ(read_bytes(before + text), ANSWER_HEAD_FINAL)
+			EXPECT_EQ(read_bytes(before + text),
+				  ANSWER_HEAD_COMPLETE)
 				<< before + text;
 		}
 }
@@ -71,6 +77,42 @@
 
 	for (int i = 0; i < 16; i++)
 		text += INTERIM;
-	EXPECT_EQ(read_whole(text + "HTTP/1.1 200 "), ANSWER_HEAD_FINAL);
+	EXPECT_EQ(read_whole(text + "HTTP/1.1 200 \r\n\r\n"),
+		  ANSWER_HEAD_COMPLETE);
 	EXPECT_EQ(read_whole(text + INTERIM), ANSWER_HEAD_INVALID);
 }
+
+TEST(AnswerHead, FieldNamesAreTokens)
+{
+	for (std::string line : {"X: x", "X:", "x-0_9.~!#$%&'*+^`|: \ta:b\t",
+				 "X: \x80\xff", "X: 1\r\nY : 2", "X: 1\nY: 2"})
+		for (std::string before : {std::string(), INTERIM}) {
+			std::string head = before + "HTTP/1.1 200 OK\r\n" +
+					   line + "\r\n\r\n";
+			bool valid = line.find("Y :") == line.npos;
+
+			EXPECT_EQ(read_whole(head), valid ? ANSWER_HEAD_COMPLETE
+							  : ANSWER_HEAD_INVALID)
+				<< head;
+			EXPECT_EQ(read_bytes(head), read_whole(head)) << head;
+		}
+	for (const std::string &line : invalid_field_lines())
+		for (std::string start :
+		     {"HTTP/1.1 200 OK\r\n", "HTTP/1.1 103 Early Hints\r\n"}) {
+			std::string head = start + line + "\r\n\r\n";
+
+			EXPECT_EQ(read_whole(head), ANSWER_HEAD_INVALID)
+				<< head;
+			EXPECT_EQ(read_bytes(head), ANSWER_HEAD_INVALID)
+				<< head;
+		}
+}
+
+/* What follows the head is not looked at. */
+TEST(AnswerHead, BodyIsNoPartOfIt)
+{
+	EXPECT_EQ(read_whole("HTTP/1.1 200 OK\r\nX: x\r\n"),
+		  ANSWER_HEAD_FIELD_NAME);
+	EXPECT_EQ(read_whole("HTTP/1.1 200 OK\r\nX: x\r\n\r\n\r no field\r"),
+		  ANSWER_HEAD_COMPLETE);
+}
--- a/tests/http_call_test.cpp
+++ b/tests/http_call_test.cpp
@@ -5,6 +5,7 @@
 #include <memory>
 #include <thread>
 
+#include "invalid_heads.hpp"
 #include "raw_server.hpp"
 
 extern "C" {
@@ -31,6 +32,20 @@
 		server.on_request = [text](RawServer &s,
 					   struct bufferevent *bev,
 					   size_t) { s.write(bev, text); };
+		run_server();
+	}
+	/** Answers each request with the next of @lines in the head. */
+	void serve(const std::vector<std::string> &lines)
+	{
+		server.on_request = [lines](RawServer &s,
+					    struct bufferevent *bev, size_t n) {
+			s.write(bev, "HTTP/1.1 200 OK\r\n" + lines.at(n - 1) +
+					     "\r\nContent-Length: 2\r\n\r\nok");
+		};
+		run_server();
+	}
+	void run_server()
+	{
 		thread = std::thread([this] {
 			while (!stopped) {
 				struct timeval tv = {0, 1000};
@@ -112,3 +127,15 @@
 	serve("HTTP/1.1 200x OK\r\nContent-Length: 2\r\n\r\nok", "");
 	expect_unknown_in_time();
 }
+
+TEST_F(HttpCall, InvalidFieldLineIsNoAnswer)
+{
+	std::vector<std::string> lines = invalid_field_lines();
+	enum status_code code;
+
+	serve(lines);
+	for (const std::string &line : lines) {
+		EXPECT_EQ(call(&code), "none") << line;
+		EXPECT_EQ(code, STATUS_UNKNOWN) << line;
+	}
+}
--- a/tests/http_client_test.cpp
+++ b/tests/http_client_test.cpp
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "free_port.hpp"
+#include "invalid_heads.hpp"
 
 extern "C" {
 #include <event2/event.h>
@@ -1067,6 +1068,49 @@
 	}
 }
 
+/*
+ * A head with such a line was an answer, with the line passed on, or with a
+ * body of another length than the one that the line gave.
+ */
+TEST_F(HttpClientTest, InvalidFieldLineIsNoAnswer)
+{
+	start_listening();
+	for (const std::string &line : invalid_field_lines())
+		for (const std::string &text :
+		     {"HTTP/1.1 200 OK\r\nId: a\r\n" + line +
+			      "\r\nContent-Length: 4\r\n\r\nbody",
+		      "HTTP/1.1 200 OK\r\n" + line + "\r\nId: a\r\n\r\nbody",
+		      "HTTP/1.1 200 OK\r\nId: a\r\n" + line +
+			      "\r\nTransfer-Encoding: chunked\r\n\r\n"
+			      "4\r\nbody\r\n0\r\n\r\n",
+		      "HTTP/1.1 103 Early Hints\r\n" + line + "\r\n\r\n" +
+			      answer_text("a", "body")})
+			for (bool reset : {false, true}) {
+				Result r = end_of_answer("GET", text, reset);
+
+				EXPECT_EQ(r.end, CLIENT_INCOMPLETE) << text;
+				EXPECT_EQ(r.code, 0) << text;
+			}
+}
+
+/* The connection of such an answer was reused. */
+TEST_F(HttpClientTest, InvalidFieldLineClosesTheConnection)
+{
+	start_listening();
+	int fd = call_on_new_connection("GET", "a");
+
+	send_text(fd, "HTTP/1.1 200 OK\r\nId: a\r\nBad Name: x\r\n"
+		      "Content-Length: 4\r\n\r\nbody");
+	ASSERT_EQ(results.size(), 1u);
+	EXPECT_EQ(results[0].end, CLIENT_INCOMPLETE);
+	EXPECT_EQ(recv(fd, &results[0].code, 1, MSG_DONTWAIT), 0);
+	int next = call_on_new_connection("GET", "b");
+
+	EXPECT_EQ(http_client_connects(c), 2u);
+	close(fd);
+	close(next);
+}
+
 /*
  * A failure without the request's id, such as one that a server writes when it
  * can't parse what it reads, is not the upstream's answer to the request.
--- a/tests/kv_client_test.cpp
+++ b/tests/kv_client_test.cpp
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "free_port.hpp"
+#include "invalid_heads.hpp"
 #include "raw_server.hpp"
 
 extern "C" {
@@ -552,6 +553,26 @@
 	}
 }
 
+/* A head with an invalid field line says nothing of the call. */
+TEST_F(RawStore, InvalidFieldLineIsNoAnswer)
+{
+	for (const std::string &line : invalid_field_lines()) {
+		server.on_request = [&](RawServer &s, struct bufferevent *bev,
+					size_t) {
+			s.write(bev, "HTTP/1.1 200 OK\r\n" + line +
+					     "\r\nContent-Length: 14\r\n\r\n"
+					     "{\"revision\":7}");
+		};
+		for (enum store_call_kind kind :
+		     {CALL_WRITE, CALL_LEASE_KEEP}) {
+			size_t connections = server.connections;
+
+			EXPECT_EQ(call(kind), STORE_NO_ANSWER) << line;
+			EXPECT_EQ(server.connections, connections + 1);
+		}
+	}
+}
+
 /* Bytes without end neither fill the memory nor last until the deadline. */
 TEST_F(RawStore, AnswerWithoutEndFailsEarlyAndBounded)
 {
--- a/tests/platform_node_test.cpp
+++ b/tests/platform_node_test.cpp
@@ -6,6 +6,7 @@
 #include <event2/event.h>
 
 #include "free_port.hpp"
+#include "invalid_heads.hpp"
 #include "raw_server.hpp"
 
 extern "C" {
@@ -340,6 +341,13 @@
 				}
 	}
 
+	// The same for a short upload to the upstream's own node.
+	void expect_code_short(const UpstreamAnswer &a, int code)
+	{
+		SCOPED_TRACE(a.text);
+		expect_one(own_addr, a, UPLOAD_SHORT, false, code);
+	}
+
 	std::string own_addr;	// of the node beside the upstream
 	std::string other_addr; // of the other one
 
@@ -427,3 +435,35 @@
 {
 	expect_code({"\r\nall of it", END_BY_FIN}, 200);
 }
+
+// Not an answer, however its body would end.
+TEST_F(TwoNodes, AnAnswerOfStatusZeroIsNotPassedOn)
+{
+	for (const char *text :
+	     {"\r\nall of it", "Content-Length: 9\r\n\r\nall of it",
+	      "Transfer-Encoding: chunked\r\n\r\n"
+	      "9\r\nall of it\r\n0\r\n\r\n"})
+		for (enum AnswerEnd end : {END_OPEN, END_BY_FIN, END_BY_RESET})
+			expect_code({text, end, "HTTP/1.1 000 None"}, 502);
+}
+
+// Clients got the answer with that line, or with a body of another length.
+TEST_F(TwoNodes, AnAnswerWithAnInvalidFieldLineIsNotPassedOn)
+{
+	for (const char *line : {"Bad Name: x", "Content-Length : 3"}) {
+		for (const char *text :
+		     {"\r\nall of it", "Content-Length: 9\r\n\r\nall of it",
+		      "Transfer-Encoding: chunked\r\n\r\n"
+		      "9\r\nall of it\r\n0\r\n\r\n"})
+			for (enum AnswerEnd end :
+			     {END_OPEN, END_BY_FIN, END_BY_RESET})
+				expect_code(
+					{line + ("\r\n" + std::string(text)),
+					 end},
+					502);
+	}
+	for (const std::string &line : invalid_field_lines())
+		expect_code_short({line + "\r\nContent-Length: 5\r\n\r\nwrong",
+				   END_OPEN},
+				  502);
+}
--- a/tests/store_client_test.cpp
+++ b/tests/store_client_test.cpp
@@ -4,6 +4,7 @@
 #include <memory>
 #include <vector>
 
+#include "invalid_heads.hpp"
 #include "raw_server.hpp"
 
 extern "C" {
@@ -99,6 +100,17 @@
 			<< status;
 }
 
+/* A head with an invalid field line says nothing of the call. */
+TEST_F(StoreClient, InvalidFieldLineIsUnknown)
+{
+	for (const std::string &line : invalid_field_lines())
+		EXPECT_EQ(call(STORE_CAS, "HTTP/1.1 200 OK\r\n" + line +
+						  "\r\n" +
+						  answer(WRITTEN).substr(17)),
+			  STATUS_UNKNOWN)
+			<< line;
+}
+
 /* Bytes without end neither fill the memory nor last until the deadline. */
 TEST_F(StoreClient, AnswerWithoutEndFailsEarlyAndBounded)
 {
--- a/tests/upstream_client_test.cpp
+++ b/tests/upstream_client_test.cpp
@@ -8,6 +8,8 @@
 #include <functional>
 #include <vector>
 
+#include "invalid_heads.hpp"
+
 extern "C" {
 #include <event2/event.h>
 
@@ -690,6 +692,34 @@
 	}
 }
 
+/* A field's name with a blank or a control byte was passed on. */
+TEST(UpstreamClient, InvalidFieldLineIsUnknown)
+{
+	RawUpstream u;
+	char byte;
+
+	for (const std::string &line : invalid_field_lines())
+		for (std::string start :
+		     {"HTTP/1.1 200 OK\r\n", "HTTP/1.1 100 Continue\r\n"}) {
+			ssize_t n = -1;
+
+			u.call();
+			u.write_text(start + line + "\r\n" +
+				     (start.find("100") == start.npos
+					      ? ""
+					      : "\r\nHTTP/1.1 200 OK\r\n") +
+				     "Content-Length: 4\r\n\r\nbody");
+			EXPECT_EQ(u.outcome(), OUTCOME_UNKNOWN)
+				<< start << line;
+			u.harness.run_until([&] {
+				n = recv(u.fd, &byte, 1, MSG_DONTWAIT);
+				return n >= 0 || errno != EAGAIN;
+			});
+			EXPECT_TRUE(n == 0 || errno == ECONNRESET)
+				<< start << line;
+		}
+}
+
 /* A body where none may be could hold an answer to the next request. */
 TEST(UpstreamClient, BodyAfterNoContentIsNotTheNextAnswer)
 {
@@ -802,3 +832,30 @@
 	EXPECT_EQ(h.answers[0].call, 0u);
 	EXPECT_EQ(h.answers[0].outcome, OUTCOME_NOT_RUN);
 }
+
+/* A grant is delivered only if its answer is one. */
+TEST(UpstreamClient, GrantAnswerWithAnInvalidFieldLineIsNone)
+{
+	for (const std::string &line : invalid_field_lines()) {
+		Listener raw;
+		ClientHarness h;
+		struct act_grant g = {};
+		std::string text = "HTTP/1.1 200 OK\r\n" + line +
+				   "\r\nContent-Length: 0\r\n\r\n";
+		int fd = -1;
+
+		list_init(&g.ranges);
+		mem_copy_str(g.addr, raw.addr.c_str(), sizeof(g.addr));
+		upstream_client_grant(h.client, &g);
+		h.run_until([&] {
+			fd = accept4(raw.fd, nullptr, nullptr, SOCK_NONBLOCK);
+			return fd >= 0;
+		});
+		EXPECT_EQ(send(fd, text.data(), text.size(), MSG_NOSIGNAL),
+			  (ssize_t)text.size());
+		h.run_until([&] { return !h.answers.empty(); });
+		close(fd);
+		ASSERT_EQ(h.answers.size(), 1u) << line;
+		EXPECT_EQ(h.answers[0].outcome, OUTCOME_NOT_RUN) << line;
+	}
+}
