An answer of another node is checked for the names of its fields

Callers of a node could still get an answer with a blank or a control byte in a field's name if the upstream's node ran the build before, as during a rolling update: the entry node checked the status of such an answer only.

Change: message_drop_invalid_answer() asks http_answer_is_valid(), which checks the status as before and that each field's name is a token. The outcome is unknown then, 502 or a retry (event=answer_invalid why=head).

Evidence: Message.AnswerWithAnInvalidFieldNameIsUnknown failed for all 9 names on the code before; message_test, dispatch_test and router_test pass.

--- a/core/dispatch.c
+++ b/core/dispatch.c
@@ -688,7 +688,7 @@
 		pick_note_pace(c, p, n, a->route_ns);
 	if (message_drop_invalid_answer(a))
 		mesh_log(c->out, LOG_WARN,
-			 "event=answer_invalid why=status id=%s node=%s",
+			 "event=answer_invalid why=head id=%s node=%s",
 			 p->caller_id, p->gate_node);
 	if (n && p->keyed)
 		pick_note_answer(c, p, n, a->refusal);
--- a/core/http.c
+++ b/core/http.c
@@ -144,6 +144,15 @@
 	       (c && strchr("!#$%&'*+-.^_`|~", c) != NULL);
 }
 
+bool http_is_token(const char *name)
+{
+	const char *p = name;
+
+	while (http_is_token_char(*p))
+		p++;
+	return p > name && !*p;
+}
+
 bool http_status_is_final(int code)
 {
 	return code >= FINAL_STATUS_MIN && code <= FINAL_STATUS_MAX;
@@ -172,6 +181,16 @@
 	free(a);
 }
 
+bool http_answer_is_valid(const struct http_answer *a)
+{
+	const struct header *h;
+
+	list_for_each_entry(h, &a->payload.headers, link)
+		if (!http_is_token(h->name))
+			return false;
+	return http_status_is_final(a->code);
+}
+
 struct http_answer *http_answer_copy(const struct http_answer *a)
 {
 	struct http_answer *c = http_answer_new(a->code);
--- a/core/http.h
+++ b/core/http.h
@@ -65,6 +65,8 @@
 
 /** True if @c may stand in the name of a header (RFC 9110, 5.6.2). */
 bool http_is_token_char(char c);
+/** True if @name may be the name of a header. */
+bool http_is_token(const char *name);
 
 /** True for the status of an answer, after which no other one follows. */
 bool http_status_is_final(int code);
@@ -76,6 +78,8 @@
 
 struct http_answer *http_answer_new(int code);
 void http_answer_delete(struct http_answer *a);
+/** False if no HTTP answer has such a status, or such a header. */
+bool http_answer_is_valid(const struct http_answer *a);
 struct http_answer *http_answer_copy(const struct http_answer *a);
 
 #endif
--- a/core/message.c
+++ b/core/message.c
@@ -129,7 +129,7 @@
 bool message_drop_invalid_answer(struct msg_answer *a)
 {
 	if (a->outcome != OUTCOME_DONE ||
-	    (a->answer && http_status_is_final(a->answer->code)))
+	    (a->answer && http_answer_is_valid(a->answer)))
 		return false;
 	http_answer_delete(a->answer);
 	a->answer = NULL;
--- a/core/message.h
+++ b/core/message.h
@@ -230,8 +230,7 @@
 
 /**
  * Makes the outcome unknown if @a states an upstream's answer but has none, or
- * one whose status is none of an answer: another build may have sent it. True
- * if it did.
+ * one that is not valid: another build may have sent it. True if it did.
  */
 bool message_drop_invalid_answer(struct msg_answer *a);
 
--- a/core/node.c
+++ b/core/node.c
@@ -286,7 +286,7 @@
 	case MSG_ANSWER:
 		if (message_drop_invalid_answer(&m->u.answer))
 			actions_log(c->out, LOG_WARN,
-				    "event=answer_invalid why=status from=%lx",
+				    "event=answer_invalid why=head from=%lx",
 				    (unsigned long)m->from);
 		router_on_answer(&n->router, c, m->from, &m->u.answer);
 		break;
--- a/tests/message_test.cpp
+++ b/tests/message_test.cpp
@@ -96,3 +96,28 @@
 		http_answer_delete(a.answer);
 	}
 }
+
+/* An entry node passed on what a node of another build had let through. */
+TEST(Message, AnswerWithAnInvalidFieldNameIsUnknown)
+{
+	for (const char *name : {"Bad Name", "Content-Length ", " Name", "",
+				 "N\x01", "N\x7f", "N\t", "N\xc3\xa4", "N:"}) {
+		struct msg_answer a = {};
+
+		a.outcome = OUTCOME_DONE;
+		a.answer = http_answer_new(200);
+		payload_add_header(&a.answer->payload, "Sound", "x");
+		payload_add_header(&a.answer->payload, name, "x");
+		EXPECT_TRUE(message_drop_invalid_answer(&a)) << name;
+		EXPECT_EQ(a.outcome, OUTCOME_UNKNOWN) << name;
+		EXPECT_EQ(a.answer, nullptr) << name;
+		http_answer_delete(a.answer);
+	}
+	struct msg_answer a = {};
+
+	a.outcome = OUTCOME_DONE;
+	a.answer = http_answer_new(200);
+	payload_add_header(&a.answer->payload, "x-0_9.~!#$%&'*+^`|", "");
+	EXPECT_FALSE(message_drop_invalid_answer(&a));
+	http_answer_delete(a.answer);
+}
