Tests of the other readers of answers: cuts by a reset, early answers

No change of the product. Looked for the fault of the reset during an upload wherever answers are read: none of evhttp's readers has it, as evhttp gives a call up when a write fails and only then reads a body.

--- a/tests/http_call_test.cpp
+++ b/tests/http_call_test.cpp
@@ -122,6 +122,23 @@
 	expect_unknown_in_time();
 }
 
+TEST_F(HttpCall, AnswerCutByAResetIsNoAnswer)
+{
+	server.closes = true;
+	server.resets = true;
+	serve("HTTP/1.1 200 OK\r\n\r\nok", "");
+	expect_unknown_in_time();
+}
+
+TEST_F(HttpCall, AnswerWithoutLengthEndsAtClose)
+{
+	enum status_code code;
+
+	server.closes = true;
+	serve("HTTP/1.1 200 OK\r\n\r\nok", "");
+	EXPECT_EQ(call(&code), "ok");
+}
+
 TEST_F(HttpCall, InvalidStatusIsNoAnswer)
 {
 	serve("HTTP/1.1 200x OK\r\nContent-Length: 2\r\n\r\nok", "");
--- a/tests/kv_client_test.cpp
+++ b/tests/kv_client_test.cpp
@@ -553,6 +553,36 @@
 	}
 }
 
+/* Nor is one without a length that a reset cuts, whatever is missing. */
+TEST_F(RawStore, AnswerCutByAResetIsNoAnswer)
+{
+	const std::string text = "HTTP/1.1 200 OK\r\n\r\n{\"revision\":7}";
+	struct bufferevent *answered = nullptr;
+
+	server.on_request = [&](RawServer &s, struct bufferevent *bev, size_t) {
+		s.write(bev, text);
+		answered = bev;
+	};
+	for (enum store_call_kind kind : {CALL_WRITE, CALL_LEASE_KEEP})
+		for (bool at_once : {true, false}) {
+			uint64_t later_ns = 0;
+
+			answered = nullptr;
+			start(kind);
+			while (!answered)
+				event_base_loop(base, EVLOOP_ONCE);
+			later_ns =
+				clock_now_ns() + (at_once ? 0 : 20 * NS_PER_MS);
+			do
+				event_base_loop(base,
+						EVLOOP_ONCE | EVLOOP_NONBLOCK);
+			while (clock_now_ns() < later_ns);
+			server.reset(answered);
+			wait(ends.size() + 1);
+			EXPECT_EQ(ends.back(), STORE_NO_ANSWER);
+		}
+}
+
 /* A head with an invalid field line says nothing of the call. */
 TEST_F(RawStore, InvalidFieldLineIsNoAnswer)
 {
--- a/tests/platform_node_test.cpp
+++ b/tests/platform_node_test.cpp
@@ -62,6 +62,14 @@
 		event_base_free(base);
 	}
 
+	void run_ms(int ms)
+	{
+		struct timeval tv = {0, ms * 1000};
+
+		event_base_loopexit(base, &tv);
+		event_base_dispatch(base);
+	}
+
 	// The status code of the answer to an announcement; 0 for none.
 	int announce(const std::string &query, const std::string &body)
 	{
@@ -193,6 +201,53 @@
 	EXPECT_EQ(heartbeat(body()), 200);
 }
 
+// The probe only connects: what an upstream answers to it says nothing.
+TEST_F(PlatformNode, ABrokenAnswerToAProbeIsNotRead)
+{
+	struct sockaddr_in sin;
+	struct linger no_linger = {1, 0};
+	int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+	uint64_t end_ns = clock_now_ns() + 30 * NS_PER_S;
+	int reuse = 1;
+	int probes = 0;
+	std::string log;
+
+	setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &reuse, sizeof(reuse));
+	ASSERT_TRUE(addr_to_sockaddr(settings.upstream_addr, &sin));
+	ASSERT_EQ(bind(fd, (struct sockaddr *)&sin, sizeof(sin)), 0);
+	ASSERT_EQ(listen(fd, 8), 0);
+	testing::internal::CaptureStderr();
+	EXPECT_EQ(heartbeat(body()), 200);
+	while (probes < 3 && clock_now_ns() < end_ns) {
+		static const char text[] =
+			"HTTP/1.1 000 X\r\nBad Name: x\r\n\r\n";
+		int probe = accept(fd, nullptr, nullptr);
+
+		run_ms(5);
+		if (probe < 0)
+			continue;
+		(void)!send(probe, text, strlen(text), MSG_NOSIGNAL);
+		setsockopt(probe, SOL_SOCKET, SO_LINGER, &no_linger,
+			   sizeof(no_linger));
+		close(probe);
+		probes++;
+	}
+	run_ms(50);
+	log = testing::internal::GetCapturedStderr();
+	EXPECT_EQ(probes, 3);
+	EXPECT_EQ(log.find("event=upstream_gone"), log.npos) << log;
+	testing::internal::CaptureStderr();
+	close(fd);
+	for (log = ""; log.find("event=upstream_gone") == log.npos &&
+		       clock_now_ns() < end_ns;) {
+		run_ms(50);
+		log += testing::internal::GetCapturedStderr();
+		testing::internal::CaptureStderr();
+	}
+	testing::internal::GetCapturedStderr();
+	EXPECT_NE(log.find("event=upstream_gone"), log.npos);
+}
+
 static const char CONFIG[] =
 	"{\"version\":\"00000001\",\"routes\":[{\"name\":\"up\","
 	"\"host\":\"a.example\",\"pathPrefix\":\"/up/\","
@@ -273,14 +328,6 @@
 		PlatformNode::TearDown();
 	}
 
-	void run_ms(int ms)
-	{
-		struct timeval tv = {0, ms * 1000};
-
-		event_base_loopexit(base, &tv);
-		event_base_dispatch(base);
-	}
-
 	// The answer to a POST of @bytes, sent at once or @slowly, to the node
 	// at @addr.
 	std::string upload(const std::string &addr, size_t bytes, bool slowly)
--- a/tests/raw_server.hpp
+++ b/tests/raw_server.hpp
@@ -25,6 +25,7 @@
 		on_request;
 	std::string repeated; // written without end after the first answer
 	bool closes = false;  // after each answer
+	bool resets = false;  // does so by a reset
 	size_t requests = 0;
 	std::string last_request; // as far as read at once
 	size_t connections = 0;
@@ -81,15 +82,11 @@
 	// Ends the connection of @bev, unless it has ended, by a reset.
 	void reset(struct bufferevent *bev)
 	{
-		struct linger no_linger = {1, 0};
-
-		for (Conn *c : conns) {
-			if (!c->bev || c->bev != bev)
-				continue;
-			setsockopt(bufferevent_getfd(bev), SOL_SOCKET,
-				   SO_LINGER, &no_linger, sizeof(no_linger));
-			close(c);
-		}
+		resets = true;
+		for (Conn *c : conns)
+			if (c->bev && c->bev == bev)
+				close(c);
+		resets = false;
 	}
 
 private:
@@ -150,6 +147,11 @@
 	}
 	static void close(Conn *c)
 	{
+		struct linger no_linger = {1, 0};
+
+		if (c->server->resets)
+			setsockopt(bufferevent_getfd(c->bev), SOL_SOCKET,
+				   SO_LINGER, &no_linger, sizeof(no_linger));
 		bufferevent_free(c->bev);
 		c->bev = nullptr;
 	}
--- a/tests/store_client_test.cpp
+++ b/tests/store_client_test.cpp
@@ -100,6 +100,20 @@
 			<< status;
 }
 
+/* Nor does one without a length that a reset cuts, whatever is missing. */
+TEST_F(StoreClient, AnswerCutByAResetIsUnknown)
+{
+	server.closes = true;
+	server.resets = true;
+	EXPECT_EQ(call(STORE_CAS,
+		       "HTTP/1.1 200 OK\r\n\r\n" + std::string(WRITTEN)),
+		  STATUS_UNKNOWN);
+	server.resets = false;
+	EXPECT_EQ(call(STORE_CAS,
+		       "HTTP/1.1 200 OK\r\n\r\n" + std::string(WRITTEN)),
+		  STATUS_OK);
+}
+
 /* A head with an invalid field line says nothing of the call. */
 TEST_F(StoreClient, InvalidFieldLineIsUnknown)
 {
--- a/tests/upstream_client_test.cpp
+++ b/tests/upstream_client_test.cpp
@@ -462,11 +462,14 @@
 		hang_up();
 	}
 
-	/** Sends a call; returns once a connection has received its bytes. */
-	void call()
+	/**
+	 * Sends a call with a body of @bytes; returns once a connection has
+	 * received its first bytes.
+	 */
+	void call(uint64_t bytes = 0)
 	{
 		char buf[4096];
-		struct act_upstream_call c = harness.call(next_call++);
+		struct act_upstream_call c = harness.call(next_call++, bytes);
 
 		c.deadline_ns = clock_now_ns() + 60 * NS_PER_S;
 		harness.send(c);
@@ -490,6 +493,27 @@
 		fd = -1;
 	}
 
+	void reset()
+	{
+		struct linger no_linger = {1, 0};
+
+		setsockopt(fd, SOL_SOCKET, SO_LINGER, &no_linger,
+			   sizeof(no_linger));
+		hang_up();
+	}
+
+	/** Reads what the client writes until the call ends. */
+	void read_upload()
+	{
+		char buf[65536];
+
+		harness.run_until([&] {
+			while (recv(fd, buf, sizeof(buf), MSG_DONTWAIT) > 0)
+				;
+			return harness.answers.size() == next_call - 1;
+		});
+	}
+
 	void write_text(const std::string &text)
 	{
 		ASSERT_EQ(send(fd, text.data(), text.size(), MSG_NOSIGNAL),
@@ -720,6 +744,68 @@
 		}
 }
 
+/* More than the buffers of a connection hold. */
+static const uint64_t UPLOAD_LONG = 16 << 20;
+
+/* The part of an answer before a reset is none, whatever its framing is. */
+TEST(UpstreamClient, AnswerCutByAResetIsUnknown)
+{
+	RawUpstream u;
+
+	for (const char *text :
+	     {"HTTP/1.1 200 OK\r\n\r\npart",
+	      "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\npart",
+	      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+	      "9\r\npart"})
+		for (uint64_t bytes : {(uint64_t)0, (uint64_t)9, UPLOAD_LONG})
+			for (bool at_once : {true, false}) {
+				uint64_t later_ns = clock_now_ns() +
+						    (at_once ? 0 : 20 * MS);
+
+				u.call(bytes);
+				u.write_text(text);
+				u.harness.run_until([&] {
+					return clock_now_ns() >= later_ns;
+				});
+				u.reset();
+				EXPECT_EQ(u.outcome(), OUTCOME_UNKNOWN)
+					<< text << " upload " << bytes;
+			}
+}
+
+/* It is awaited until the upload is written. */
+TEST(UpstreamClient, EarlyAnswerToALongUploadIsReported)
+{
+	RawUpstream u;
+
+	for (const char *text :
+	     {"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody",
+	      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+	      "4\r\nbody\r\n0\r\n\r\n"}) {
+		u.call(UPLOAD_LONG);
+		u.write_text(text);
+		u.read_upload();
+		EXPECT_EQ(u.outcome(), OUTCOME_DONE) << text;
+	}
+}
+
+/* Trailers are dropped, whatever their names. */
+TEST(UpstreamClient, TrailersAreNotTakenForHeaders)
+{
+	RawUpstream u;
+
+	for (const char *line : {"Name: x", "X-Not-Run: full", "Bad Name: x",
+				 "Name : x", "N\x01me: x"}) {
+		u.call();
+		u.write_text("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n"
+			     "\r\n4\r\nbody\r\n0\r\n" +
+			     std::string(line) + "\r\n\r\n");
+		ASSERT_EQ(u.outcome(), OUTCOME_DONE) << line;
+		EXPECT_TRUE(list_empty(&u.answer().answer->payload.headers))
+			<< line;
+	}
+}
+
 /* A body where none may be could hold an answer to the next request. */
 TEST(UpstreamClient, BodyAfterNoContentIsNotTheNextAnswer)
 {
