A route's host and prefix may have any length

Hosts of 128 bytes and more were answered with 404.

Cause: struct route kept both in arrays of 128 bytes. What didn't fit was taken for something that matches nothing, and the route was left out of the manifest, so that the longest prefix was another route's. The index of prefixes and the decoder of requests had the same limit.

Change: both are allocated, in the manifest, in the changes between nodes, in the fields of the TOML manifest and in a request. The index knows lengths up to that of the longest prefix.

--- a/bench/soak.c
+++ b/bench/soak.c
@@ -929,10 +929,12 @@
 	a.doc->u.manifest = m;
 	for (int i = 0; i < ROUTES; i++) {
 		struct route *r = manifest_add_route(m);
+		char path[JD_NAME_MAX];
 
 		mem_copy_str(r->name, route_names[i], sizeof(r->name));
 		mem_copy_str(r->service, "book", sizeof(r->service));
-		text_format(r->path, sizeof(r->path), "/%s/", route_names[i]);
+		text_format(path, sizeof(path), "/%s/", route_names[i]);
+		route_set_path(r, path);
 		r->key.source = KEY_PATH;
 		r->key.segment = 1;
 		r->shards = SHARDS;
--- a/core/dispatch.c
+++ b/core/dispatch.c
@@ -31,8 +31,8 @@
 #define FAILURE_NEWEST_WEIGHT  0.1
 /* For requests refused on arrival, and for keys without an owner. */
 #define RETRY_AFTER_DEFAULT_NS (400 * NS_PER_MS)
-/* Bytes of a refused request's path that are logged. */
-#define LOGGED_PATH_MAX	       128
+/* Bytes of a refused request's host, and of its path, that are logged. */
+#define LOGGED_TEXT_MAX	       128
 
 void dispatch_init(struct dispatch *d)
 {
@@ -133,8 +133,8 @@
 	long store_age_ms = -1;
 	long checked_age_ms = -1;
 
-	if (path_len > LOGGED_PATH_MAX)
-		path_len = LOGGED_PATH_MAX;
+	if (path_len > LOGGED_TEXT_MAX)
+		path_len = LOGGED_TEXT_MAX;
 	if (c->store_answered_ns)
 		store_age_ms =
 			(long)((c->now_ns - c->store_answered_ns) / NS_PER_MS);
@@ -142,13 +142,13 @@
 		checked_age_ms = (long)((c->now_ns - c->manifest_checked_ns) /
 					NS_PER_MS);
 	mesh_log(c->out, LOG_INFO,
-		 "event=request_refused id=%s why=%s code=%d host=\"%s\" "
+		 "event=request_refused id=%s why=%s code=%d host=\"%.*s\" "
 		 "path=\"%.*s\" keyed=%d config=%lu "
 		 "config_revision=" REVISION_FMT " config_wanted=" REVISION_FMT
 		 " revision=" REVISION_FMT " peer_revision=" REVISION_FMT
 		 " store_down=%d store_age_ms=%ld checked_age_ms=%ld",
 		 r->id, refusal_find(why)->name, refusal_find(why)->http_code,
-		 r->host, (int)path_len, target, r->keyed,
+		 LOGGED_TEXT_MAX, r->host, (int)path_len, target, r->keyed,
 		 (unsigned long)(c->dir.manifest ? c->dir.manifest->version
 						 : 0),
 		 REVISION_ARGS(c->dir.manifest_revision),
--- a/core/manifest.c
+++ b/core/manifest.c
@@ -38,8 +38,10 @@
 
 static void drop_index(struct manifest *m)
 {
-	if (m->index)
+	if (m->index) {
 		free(m->index->buckets);
+		free(m->index->has_length);
+	}
 	free(m->index);
 	m->index = NULL;
 }
@@ -97,7 +99,7 @@
 	drop_index(m);
 	api_keys_delete(m->keys);
 	list_for_each_entry_safe(r, rt, &m->routes, link)
-		free(r);
+		route_delete(r);
 	list_for_each_entry_safe(o, ot, &m->organisations, link)
 		organisation_delete(o);
 	list_for_each_entry_safe(d, dt, &m->data_centres, link)
@@ -127,9 +129,11 @@
 {
 	struct manifest *c = manifest_new();
 	const struct organisation *o;
+	const struct route *r;
 
 	mem_copy_str(c->change_id, m->change_id, sizeof(c->change_id));
-	copy_items(&c->routes, &m->routes, struct route);
+	list_for_each_entry(r, &m->routes, link)
+		list_push_back(&c->routes, &route_copy(r)->link);
 	list_for_each_entry(o, &m->organisations, link)
 		list_push_back(&c->organisations, &organisation_copy(o)->link);
 	copy_items(&c->data_centres, &m->data_centres, struct data_centre);
@@ -144,6 +148,8 @@
 {
 	struct route *r = mem_new(struct route);
 
+	r->host = mem_dup("", 0);
+	r->path = mem_dup("", 0);
 	r->shards = MANIFEST_SHARDS_DEFAULT;
 	r->idempotent = IDEMPOTENT_METHODS_DEFAULT;
 	r->timeout_ms = ROUTE_TIMEOUT_DEFAULT_MS;
@@ -155,6 +161,42 @@
 	return r;
 }
 
+void route_delete(struct route *r)
+{
+	free(r->host);
+	free(r->path);
+	free(r);
+}
+
+struct route *route_copy(const struct route *r)
+{
+	struct route *copy = mem_dup(r, sizeof(*r));
+
+	list_init(&copy->link);
+	list_init(&copy->by_prefix);
+	copy->host = mem_dup(r->host, strlen(r->host));
+	copy->path = mem_dup(r->path, strlen(r->path));
+	return copy;
+}
+
+static void replace_text(char **to, const char *text)
+{
+	char *copy = mem_dup(text, strlen(text));
+
+	free(*to);
+	*to = copy;
+}
+
+void route_set_host(struct route *r, const char *text)
+{
+	replace_text(&r->host, text);
+}
+
+void route_set_path(struct route *r, const char *text)
+{
+	replace_text(&r->path, text);
+}
+
 struct route *manifest_add_route(struct manifest *m)
 {
 	struct route *r = route_new();
@@ -245,14 +287,18 @@
 
 static uint64_t hash_host(const char *host)
 {
-	char lower[sizeof(((struct route *)0)->host)];
-	size_t len = 0;
-
-	for (; len < sizeof(lower) && host[len]; len++)
-		lower[len] = (char)(host[len] >= 'A' && host[len] <= 'Z'
-					    ? host[len] + ('a' - 'A')
-					    : host[len]);
-	return XXH64(lower, len, 0);
+	uint64_t hash = 0;
+	char lower[64];
+	size_t len;
+
+	do {
+		for (len = 0; len < sizeof(lower) && *host; host++)
+			lower[len++] = (char)(*host >= 'A' && *host <= 'Z'
+						      ? *host + ('a' - 'A')
+						      : *host);
+		hash = XXH64(lower, len, hash);
+	} while (*host);
+	return hash;
 }
 
 void manifest_build_index(struct manifest *m)
@@ -262,8 +308,14 @@
 	struct route *r;
 
 	drop_index(m);
-	list_for_each_entry(r, &m->routes, link)
+	list_for_each_entry(r, &m->routes, link) {
+		size_t len = strlen(r->path);
+
 		r->position = count++;
+		if (len > x->longest)
+			x->longest = len;
+	}
+	x->has_length = mem_zalloc(x->longest + 1, sizeof(*x->has_length));
 	x->bucket_count = 2 * (size_t)count + 1;
 	x->buckets = mem_zalloc(x->bucket_count, sizeof(*x->buckets));
 	for (size_t i = 0; i < x->bucket_count; i++)
@@ -297,11 +349,10 @@
 static const struct route *match_indexed(const struct route_index *x,
 					 const char *host, const char *path)
 {
-	const size_t max = sizeof(x->has_length) / sizeof(*x->has_length) - 1;
 	uint64_t host_hash = hash_host(host);
 	uint64_t any_hash = hash_host("");
 
-	for (size_t len = strnlen(path, max) + 1; len-- > 0;) {
+	for (size_t len = strnlen(path, x->longest) + 1; len-- > 0;) {
 		const struct route *own, *any;
 
 		if (!x->has_length[len])
--- a/core/manifest.h
+++ b/core/manifest.h
@@ -54,8 +54,8 @@
 	uint32_t position;     /* in the list of routes, when indexed */
 	char name[JD_NAME_MAX];
 	char service[JD_NAME_MAX];
-	char host[128];	      /* Host header to match; empty: any */
-	char path[128];	      /* prefix of the paths to match */
+	char *host;	      /* Host header to match; empty: any */
+	char *path;	      /* prefix of the paths to match */
 	uint32_t split_count; /* 0: all requests go to @service */
 	struct split splits[ROUTE_SPLITS_MAX];
 	uint32_t priority;     /* under overload; 0 is served first */
@@ -128,7 +128,8 @@
 struct route_index {
 	struct list *buckets; /* of struct route, by by_prefix */
 	size_t bucket_count;
-	bool has_length[128]; /* some prefix has this many bytes */
+	size_t longest;	  /* bytes of the longest prefix */
+	bool *has_length; /* some prefix has this many bytes */
 };
 
 struct manifest {
@@ -156,8 +157,14 @@
 struct organisation *organisation_copy(const struct organisation *o);
 void organisation_add_key(struct organisation *o, const char *text);
 
-/** A route with its default values, in no list; free() it. */
+/** A route with its default values, in no list. */
 struct route *route_new(void);
+void route_delete(struct route *r);
+/** A copy in no list. */
+struct route *route_copy(const struct route *r);
+/** Set the host, or the prefix, to a copy of @text. */
+void route_set_host(struct route *r, const char *text);
+void route_set_path(struct route *r, const char *text);
 
 /** Each appends an item with its default values, for the caller to fill in. */
 struct route *manifest_add_route(struct manifest *m);
--- a/core/manifest_delta.c
+++ b/core/manifest_delta.c
@@ -35,7 +35,7 @@
 	list_for_each_entry_safe(x, xt, &d->removed, link)
 		free(x);
 	list_for_each_entry_safe(r, rt, &d->changed, link)
-		free(r);
+		route_delete(r);
 	list_for_each_entry_safe(s, st, &d->services, link)
 		free(s);
 	organisations_delta_done(&d->organisations);
@@ -174,9 +174,7 @@
 
 static void push_route_copy(struct list *to, const struct route *r)
 {
-	struct route *copy = mem_dup(r, sizeof(*r));
-
-	list_push_back(to, &copy->link);
+	list_push_back(to, &route_copy(r)->link);
 }
 
 static void push_service_copy(struct list *to, const struct service *s)
--- a/core/mesh.c
+++ b/core/mesh.c
@@ -401,7 +401,7 @@
 	case ME_REQUEST:
 		limit_deadline(m, &ev->u.request);
 		dispatch_on_request(&m->dispatch, c, &g, &ev->u.request);
-		http_request_unref(ev->u.request.request);
+		caller_request_done(&ev->u.request);
 		break;
 	case ME_CALLER_DISCONNECTED:
 		dispatch_on_caller_disconnected(&m->dispatch, c, &g,
--- a/core/mesh_io.c
+++ b/core/mesh_io.c
@@ -59,6 +59,12 @@
 	message_delete(a->message);
 }
 
+void caller_request_done(struct caller_request *r)
+{
+	free(r->host);
+	http_request_unref(r->request);
+}
+
 void mesh_action_delete(struct mesh_action *a)
 {
 	switch (a->kind) {
--- a/core/mesh_io.h
+++ b/core/mesh_io.h
@@ -78,7 +78,7 @@
 struct caller_request {
 	uint64_t caller; /* handle for the reply */
 	char id[JD_CALLER_ID_MAX];
-	char host[128];
+	char *host; /* owned by the event; empty: none that is valid */
 	uint64_t deadline_ns; /* 0: none was given */
 	bool bad_deadline;
 	bool keyed;
@@ -91,6 +91,8 @@
 	struct http_request *request; /* owned by the event */
 };
 
+void caller_request_done(struct caller_request *r);
+
 /**
  * A range of keys that the upstream holds, has released or is granted, as in an
  * announcement and its answer.
--- a/fakes/fleet.c
+++ b/fakes/fleet.c
@@ -288,7 +288,7 @@
 
 	mem_copy_str(r->name, SERVICE, sizeof(r->name));
 	mem_copy_str(r->service, SERVICE, sizeof(r->service));
-	mem_copy_str(r->path, "/", sizeof(r->path));
+	route_set_path(r, "/");
 	r->kind = ROUTE_KEYED;
 	r->shards = f->opts.shards;
 	r->timeout_ms = 2000;
--- a/fakes/request_sim.c
+++ b/fakes/request_sim.c
@@ -411,10 +411,12 @@
 	mem_copy_str(o->home_regions.names[0], "a", JD_NAME_MAX);
 	for (uint32_t i = 0; i < ROUTES; i++) {
 		struct route *r = manifest_add_route(m);
+		char path[JD_NAME_MAX];
 
 		mem_copy_str(r->name, routes[i], sizeof(r->name));
 		mem_copy_str(r->service, "svc", sizeof(r->service));
-		text_format(r->path, sizeof(r->path), "/%s/", routes[i]);
+		text_format(path, sizeof(path), "/%s/", routes[i]);
+		route_set_path(r, path);
 		r->kind = i == 1 ? ROUTE_ANY : ROUTE_KEYED;
 		r->key.source = KEY_PATH;
 		r->key.segment = 1;
--- a/io/field.c
+++ b/io/field.c
@@ -71,14 +71,21 @@
 		return "a name of letters, digits, '-', '_' and '.'";
 	if (fd->type == FIELD_ADDR && !is_addr(v->text))
 		return "an address such as 127.0.0.1:7000";
-	if (fd->type == FIELD_PATH && !is_path(v->text))
-		return "a path that starts with '/', without spaces or '?'";
 	if (strlen(v->text) >= fd->size)
 		return "a shorter string";
 	mem_copy_str(dst, v->text, fd->size);
 	return NULL;
 }
 
+static const char *read_path(const struct toml_value *v, char **dst)
+{
+	if (v->type != TOML_STRING || !is_path(v->text))
+		return "a path that starts with '/', without spaces or '?'";
+	free(*dst);
+	*dst = mem_dup(v->text, strlen(v->text));
+	return NULL;
+}
+
 static const char *read_number(const struct field *fd,
 			       const struct toml_value *v, void *dst,
 			       struct text_buf *expected)
@@ -201,9 +208,11 @@
 	case FIELD_NAME:
 	case FIELD_ADDR:
 	case FIELD_TEXT:
-	case FIELD_PATH:
 		expected = read_string(fd, v, dst);
 		break;
+	case FIELD_PATH:
+		expected = read_path(v, (char **)dst);
+		break;
 	case FIELD_U32:
 	case FIELD_U64:
 		expected = read_number(fd, v, dst, &text);
@@ -301,8 +310,9 @@
 	case FIELD_NAME:
 	case FIELD_ADDR:
 	case FIELD_TEXT:
-	case FIELD_PATH:
 		return text_new("%s", member);
+	case FIELD_PATH:
+		return text_new("%s", *(char *const *)member);
 	case FIELD_U32:
 		return text_new("%u", *(const uint32_t *)member);
 	case FIELD_U64:
--- a/io/field.h
+++ b/io/field.h
@@ -15,7 +15,7 @@
 	FIELD_NAME, /* letters, digits, '-', '_' and '.'; a char array */
 	FIELD_ADDR, /* ip:port; a char array */
 	FIELD_TEXT, /* a char array */
-	FIELD_PATH, /* starts with '/'; a char array */
+	FIELD_PATH, /* starts with '/'; a char *, which the struct owns */
 	FIELD_U32,
 	FIELD_U64,
 	FIELD_CHOICE, /* one of choices, stored as its index in an int */
--- a/io/manifest_fields.c
+++ b/io/manifest_fields.c
@@ -15,7 +15,7 @@
 	 .help = "the route's name"},
 	{"service", FIELD_NAME, STR_OF(struct route, service), .required = true,
 	 .help = "the service of the upstreams"},
-	{"path", FIELD_PATH, STR_OF(struct route, path), .required = true,
+	{"path", FIELD_PATH, offsetof(struct route, path), .required = true,
 	 .help = "prefix of the request paths that it matches"},
 	{"kind", FIELD_CHOICE, offsetof(struct route, kind),
 	 .choices = kind_choices, .required = true,
--- a/tests/platform_metrics_test.cpp
+++ b/tests/platform_metrics_test.cpp
@@ -43,6 +43,7 @@
 		ev.kind = ME_REQUEST;
 		ev.now_ns = 2 * NS_PER_S;
 		ev.u.request.caller = 1;
+		ev.u.request.host = (char *)mem_dup("h", 1);
 		ev.u.request.request = http_request_new("GET", "/");
 		mesh_handle(m, &ev, &out);
 		while ((a = mesh_actions_pop(&out)))
--- a/wire/doc_codec.c
+++ b/wire/doc_codec.c
@@ -13,7 +13,7 @@
 static const struct pack_field route_fields[] = {
 	PACK_STR_OF(struct route, name),
 	PACK_STR_OF(struct route, service),
-	PACK_STR_OF(struct route, path),
+	PACK_TEXT_OF(struct route, path),
 	PACK_ENUM_OF(struct route, kind, ROUTE_ANY + 1),
 	PACK_ENUM_OF(struct route, key.source, KEY_PATH + 1),
 	PACK_STR_OF(struct route, key.name),
--- a/wire/manifest_codec.c
+++ b/wire/manifest_codec.c
@@ -34,8 +34,8 @@
 static const struct pack_field route_fields[] = {
 	PACK_STR_OF(struct route, name),
 	PACK_STR_OF(struct route, service),
-	PACK_STR_OF(struct route, host),
-	PACK_STR_OF(struct route, path),
+	PACK_TEXT_OF(struct route, host),
+	PACK_TEXT_OF(struct route, path),
 	PACK_U32_OF(struct route, priority),
 	PACK_U32_OF(struct route, max_attempts),
 	PACK_U32_OF(struct route, idempotent),
--- a/wire/pack.c
+++ b/wire/pack.c
@@ -145,6 +145,9 @@
 	case PACK_STR:
 		pack_str(pk, p);
 		break;
+	case PACK_TEXT:
+		pack_str(pk, *(char *const *)p);
+		break;
 	case PACK_NUMBER:
 		msgpack_pack_uint64(pk,
 				    revision_number(*(const revision_t *)p));
@@ -186,6 +189,17 @@
 	return true;
 }
 
+static bool unpack_text(const msgpack_object *o, char **dst)
+{
+	char *text = unpack_str(o);
+
+	if (!text)
+		return false;
+	free(*dst);
+	*dst = text;
+	return true;
+}
+
 static bool unpack_value(const msgpack_object *o, char *p,
 			 const struct pack_field *f)
 {
@@ -193,6 +207,8 @@
 
 	if (f->type == PACK_STR)
 		return unpack_char_array(o, p, f->limit);
+	if (f->type == PACK_TEXT)
+		return unpack_text(o, (char **)p);
 	if (!unpack_u64(o, &v))
 		return false;
 	switch (f->type) {
@@ -217,6 +233,7 @@
 		*(revision_t *)p = revision_make(v, *(revision_t *)p);
 		return v <= REVISION_ERA_MAX;
 	case PACK_STR:
+	case PACK_TEXT:
 		break;
 	}
 	return false;
--- a/wire/pack.h
+++ b/wire/pack.h
@@ -14,6 +14,7 @@
 	PACK_BOOL,
 	PACK_ENUM,   /* an int; limit is the first invalid value */
 	PACK_STR,    /* a char array; limit is its size in bytes */
+	PACK_TEXT,   /* a char *, which the struct owns */
 	PACK_NUMBER, /* a revision_t without its era */
 	PACK_ERA,    /* the era of a revision_t; follows its PACK_NUMBER */
 };
@@ -51,6 +52,10 @@
 	{                                                                      \
 		PACK_STR, offsetof(type, member), sizeof(((type *)0)->member)  \
 	}
+#define PACK_TEXT_OF(type, member)                                             \
+	{                                                                      \
+		PACK_TEXT, offsetof(type, member), 0                           \
+	}
 /* Two fields of one revision: other builds know only its number. */
 #define PACK_NUMBER_OF(type, member)                                           \
 	{                                                                      \
