Connections to callers linger until the caller closes

Cause: the server closed a connection as soon as its last answer was written to the socket. The kernel resets a closed connection when further input arrives, and drops what it has not sent; with input unread at the close it does so at once. Both happen to a caller that sends on while it reads slowly.

Evidence: http_server_test CloseTest, no process and no stop involved.

Change: only the sending side is closed at first (RFC 9112, 9.6). io/linger takes the socket over, drops further input, and closes it once the caller has closed, or has received nothing for 5 s.

--- a/io/http_server.c
+++ b/io/http_server.c
@@ -13,6 +13,7 @@
 #include "core/text.h"
 #include "io/addr.h"
 #include "io/clock.h"
+#include "io/linger.h"
 #include "io/log.h"
 #include "io/socket_opts.h"
 
@@ -75,6 +76,7 @@
 	struct evconnlistener *listener;
 	struct event *timeout_check;
 	struct list conns;
+	struct linger_set *lingers; /* connections being closed */
 	struct list hash[EXCHANGE_BUCKETS];
 	uint64_t next_id;
 	uint32_t pending;
@@ -157,6 +159,16 @@
 					       disconnected_ids[i]);
 }
 
+/* Closes a connection whose output is written; the caller may read on. */
+static void conn_close(struct server_conn *c)
+{
+	int fd = bufferevent_getfd(c->bev);
+
+	bufferevent_setfd(c->bev, -1);
+	linger_close(c->server->lingers, fd);
+	conn_delete(c);
+}
+
 static uint64_t ms_from_now(uint64_t ms)
 {
 	return clock_now_ns() + ms * NS_PER_MS;
@@ -575,7 +587,7 @@
 	struct server_conn *c = arg;
 
 	if (c->closing && !evbuffer_get_length(bufferevent_get_output(bev)))
-		conn_delete(c);
+		conn_close(c);
 }
 
 static void on_accept(struct evconnlistener *l, evutil_socket_t fd,
@@ -642,6 +654,7 @@
 
 	s->opts = *o;
 	s->next_id = 1;
+	s->lingers = linger_set_new(&(struct linger_opts){.base = o->base});
 	list_init(&s->conns);
 	for (int i = 0; i < EXCHANGE_BUCKETS; i++)
 		list_init(&s->hash[i]);
@@ -667,6 +680,7 @@
 
 	list_for_each_entry_safe(c, tmp, &s->conns, link)
 		conn_delete(c);
+	linger_set_delete(s->lingers);
 	if (s->listener)
 		evconnlistener_free(s->listener);
 	event_free(s->timeout_check);
--- a/io/socket_opts.c
+++ b/io/socket_opts.c
@@ -1,9 +1,11 @@
 #include "io/socket_opts.h"
 
 #include <errno.h>
+#include <linux/sockios.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <string.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 #include "io/log.h"
@@ -47,3 +49,11 @@
 	return recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) < 0 &&
 	       (errno == EAGAIN || errno == EWOULDBLOCK);
 }
+
+size_t socket_undelivered(int fd)
+{
+	int bytes = 0;
+
+	return ioctl(fd, SIOCOUTQ, &bytes) == 0 && bytes > 0 ? (size_t)bytes
+							     : 0;
+}
--- a/io/socket_opts.h
+++ b/io/socket_opts.h
@@ -3,6 +3,7 @@
 #define JD_IO_SOCKET_OPTS_H
 
 #include <stdbool.h>
+#include <stddef.h>
 
 /**
  * Turns off Nagle's algorithm and turns on keepalive and a limit on
@@ -17,4 +18,7 @@
 /** True when the peer has closed and all its data has been read. */
 bool socket_is_closed(int fd);
 
+/** Bytes written that the peer has not acknowledged; a close counts as one. */
+size_t socket_undelivered(int fd);
+
 #endif
--- a/tests/http_server_test.cpp
+++ b/tests/http_server_test.cpp
@@ -84,7 +84,8 @@
 		if (t->reply_on_caller_disconnected)
 			t->reply(t->reply_on_caller_disconnected, 200, "late");
 	}
-	void connect_to_server()
+	/* @receive_bytes: of the receive buffer; 0: the system's default. */
+	void connect_to_server(int receive_bytes = 0)
 	{
 		struct sockaddr_in a = {};
 
@@ -92,6 +93,9 @@
 			close(fd);
 		fd = socket(AF_INET, SOCK_STREAM, 0);
 		socket_set_opts(fd); /* no delay between pieces */
+		if (receive_bytes)
+			setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &receive_bytes,
+				   sizeof(receive_bytes));
 		a.sin_family = AF_INET;
 		a.sin_port = htons((uint16_t)atoi(
 			addr.substr(addr.find(':') + 1).c_str()));
@@ -919,3 +923,86 @@
 		EXPECT_EQ(http_server_pending(s), 0u);
 	}
 }
+
+/* What a caller sends on a connection that the server is about to close. */
+enum class Behind { NOTHING, UNREAD, LATER, WITHOUT_END };
+
+struct CloseTest : public HttpServerTest,
+		   public ::testing::WithParamInterface<Behind> {
+	static constexpr size_t ANSWERS = 8;
+	const std::string large = std::string(30000, 'x');
+
+	CloseTest()
+	{
+		connect_to_server(4096);
+	}
+	void send_behind(Behind when)
+	{
+		if (GetParam() == when || GetParam() == Behind::WITHOUT_END)
+			(void)!send(fd, GET_B, sizeof(GET_B) - 1,
+				    MSG_DONTWAIT | MSG_NOSIGNAL);
+	}
+	/* Reads slowly until the connection ends; true if it ends in order. */
+	bool read_slowly(std::string *text)
+	{
+		char part[16000];
+		ssize_t n;
+
+		for (int i = 0; i < 1000; i++) {
+			run_loop(1);
+			send_behind(Behind::WITHOUT_END);
+			n = recv(fd, part, sizeof(part), MSG_DONTWAIT);
+			if (n > 0)
+				text->append(part, (size_t)n);
+			else if (n == 0 || errno != EAGAIN)
+				return n == 0;
+		}
+		return false;
+	}
+};
+
+/*
+ * Answers that a slow caller had not received yet were lost when the server
+ * closed the connection and the caller's next request arrived.
+ */
+TEST_P(CloseTest, AnswersReachACallerThatReadsSlowly)
+{
+	std::string text;
+
+	for (size_t i = 0; i < ANSWERS; i++)
+		send_now(GET_A);
+	ASSERT_EQ(requests.size(), ANSWERS);
+	send_behind(Behind::UNREAD);
+	for (size_t i = 0; i < ANSWERS; i++)
+		reply(requests[i].caller, 200, large.c_str(), i + 1 == ANSWERS);
+	run_loop(50);
+	send_behind(Behind::LATER);
+	run_loop(50);
+	EXPECT_TRUE(read_slowly(&text));
+	EXPECT_EQ(count_text(text, "HTTP/1.1 200"), ANSWERS);
+	EXPECT_EQ(count_text(text, large.c_str()), ANSWERS);
+	EXPECT_EQ(count_text(text, "Connection: close"), 1u);
+	EXPECT_EQ(requests.size(), ANSWERS);
+}
+
+/* The same where the caller is still sending a request that is rejected. */
+TEST_P(CloseTest, ARejectionReachesACallerThatSendsOn)
+{
+	std::string text;
+
+	send_now(std::string(GET_A) +
+		 "GET /b HTTP/1.1\r\nX: " + std::string(1200, 'x'));
+	ASSERT_EQ(requests.size(), 1u);
+	send_behind(Behind::UNREAD);
+	reply(requests[0].caller, 200, large.c_str());
+	run_loop(50);
+	send_behind(Behind::LATER);
+	run_loop(50);
+	EXPECT_TRUE(read_slowly(&text));
+	EXPECT_EQ(count_text(text, large.c_str()), 1u);
+	EXPECT_EQ(count_text(text, "HTTP/1.1 431"), 1u);
+}
+
+INSTANTIATE_TEST_SUITE_P(Behind, CloseTest,
+			 ::testing::Values(Behind::NOTHING, Behind::UNREAD,
+					   Behind::LATER, Behind::WITHOUT_END));
