A planned stop waits until callers have received their answers

What callers saw: when the process of a stopping node ended, callers that read slowly lost what was still in the sockets' send buffers, as the kernel resets an ended process's connection at the caller's next request.

Cause: once the last request had ended, 2.3 s after the SIGTERM at the earliest, the process waited 0.3 s for answers to be written to the sockets, and not at all for callers to receive them.

Change: the core asks the loop to flush (MA_FLUSH, ME_FLUSHED) before it ends its lease and exits; the deadline is in the core, within the time for the stop. Work that other nodes have sent meanwhile is finished first. Callers' requests are refused in that time, as before. What the kernel still holds for a caller counts as pending. Answers that are left at the deadline are logged (event=flush_cut_short).

http_server_pending() now counts bytes that the caller's kernel has not acknowledged, so its tests wait for 0 instead of expecting it at once.

--- a/core/mesh.c
+++ b/core/mesh.c
@@ -19,8 +19,10 @@
 #define STOP_UNREADY_NS		 (2300 * NS_PER_MS)
 /* Requests of callers that have not noticed by then are refused. */
 #define STOP_REFUSE_NS		 (2900 * NS_PER_MS)
-/* Part of a planned stop's time kept for the end of the process. */
+/* Part of a planned stop's time kept for what follows the last request. */
 #define STOP_MARGIN_NS		 (400 * NS_PER_MS)
+/* Part of that margin in which callers may still receive their answers. */
+#define STOP_FLUSH_SHARE	 0.75
 /* The same as shares of the time for a stop, which apply if it is short. */
 #define STOP_UNREADY_SHARE	 0.39
 #define STOP_REFUSE_SHARE	 0.49
@@ -362,6 +364,7 @@
 
 static void start_stop(struct mesh *m)
 {
+	uint64_t margin_ns = stop_part_ns(m, STOP_MARGIN_NS, STOP_MARGIN_SHARE);
 	uint64_t now = m->ctx.now_ns;
 
 	if (m->stop != MESH_RUNS)
@@ -371,8 +374,9 @@
 	m->close_ns =
 		now + stop_part_ns(m, STOP_UNREADY_NS, STOP_UNREADY_SHARE);
 	m->refuse_ns = now + stop_part_ns(m, STOP_REFUSE_NS, STOP_REFUSE_SHARE);
-	m->end_ns = now + m->opts.stop_ns -
-		    stop_part_ns(m, STOP_MARGIN_NS, STOP_MARGIN_SHARE);
+	m->end_ns = now + m->opts.stop_ns - margin_ns;
+	m->flush_ns =
+		m->end_ns + (uint64_t)((double)margin_ns * STOP_FLUSH_SHARE);
 	mesh_log(m->ctx.out, LOG_INFO, "event=stopping requests=%u",
 		 m->dispatch.count);
 }
@@ -390,6 +394,39 @@
 		r->deadline_ns = latest_ns;
 }
 
+static bool all_finished(const struct mesh *m)
+{
+	return !m->dispatch.count && !gatekeeper_attempt_count(&m->gate);
+}
+
+/*
+ * Without the lease others may give the node's keys away at once, and its card
+ * is gone, by which the next process learns that the upstream leaves. So the
+ * lease of an upstream that may still run is left to end by itself.
+ */
+static bool may_end_lease(const struct mesh *m)
+{
+	/* Once it has ended, its id may be another node's in a later era. */
+	return m->session.lease &&
+	       m->ctx.now_ns < m->session.lease_deadline_ns && m->holder.gone;
+}
+
+static void on_flushed(struct mesh *m)
+{
+	if (m->stop != MESH_FLUSHING)
+		return;
+	/* Work that other nodes have sent meanwhile ends before the process. */
+	if (!all_finished(m) && m->ctx.now_ns < m->end_ns) {
+		m->stop = MESH_CLOSED;
+		return;
+	}
+	m->stop = MESH_ENDED;
+	if (may_end_lease(m))
+		mesh_store_call(&m->ctx, CALL_LEASE_END)->lease =
+			m->session.lease;
+	mesh_actions_add(m->ctx.out, MA_EXIT);
+}
+
 static void dispatch_event(struct mesh *m, struct mesh_event *ev)
 {
 	struct mesh_ctx *c = &m->ctx;
@@ -426,6 +463,9 @@
 	case ME_STOP:
 		start_stop(m);
 		break;
+	case ME_FLUSHED:
+		on_flushed(m);
+		break;
 	}
 }
 
@@ -463,23 +503,6 @@
 	reports_work(&m->reports, &m->ctx, &state);
 }
 
-static bool all_finished(const struct mesh *m)
-{
-	return !m->dispatch.count && !gatekeeper_attempt_count(&m->gate);
-}
-
-/*
- * Without the lease others may give the node's keys away at once, and its card
- * is gone, by which the next process learns that the upstream leaves. So the
- * lease of an upstream that may still run is left to end by itself.
- */
-static bool may_end_lease(const struct mesh *m)
-{
-	/* Once it has ended, its id may be another node's in a later era. */
-	return m->session.lease &&
-	       m->ctx.now_ns < m->session.lease_deadline_ns && m->holder.gone;
-}
-
 static void advance_stop(struct mesh *m)
 {
 	uint64_t now = m->ctx.now_ns;
@@ -497,12 +520,10 @@
 	}
 	if (m->stop != MESH_CLOSED || (!all_finished(m) && now < m->end_ns))
 		return;
-	m->stop = MESH_ENDED;
+	m->stop = MESH_FLUSHING;
 	m->dispatch.closed = true;
-	if (may_end_lease(m))
-		mesh_store_call(&m->ctx, CALL_LEASE_END)->lease =
-			m->session.lease;
-	mesh_actions_add(m->ctx.out, MA_EXIT);
+	mesh_actions_add(m->ctx.out, MA_FLUSH)->u.flush_deadline_ns =
+		m->flush_ns;
 }
 
 /*
--- a/core/mesh.h
+++ b/core/mesh.h
@@ -13,9 +13,10 @@
 /** Stages of a planned stop. */
 enum mesh_stop {
 	MESH_RUNS,
-	MESH_UNREADY, /* replies close the connection; all are still served */
-	MESH_CLOSED,  /* reported as leaving; finishes requests in progress */
-	MESH_ENDED,   /* MA_EXIT was returned */
+	MESH_UNREADY,  /* replies close the connection; all are still served */
+	MESH_CLOSED,   /* reported as leaving; finishes requests in progress */
+	MESH_FLUSHING, /* MA_FLUSH was returned; callers are refused */
+	MESH_ENDED,    /* MA_EXIT was returned */
 };
 
 struct mesh {
@@ -31,7 +32,8 @@
 	enum mesh_stop stop;
 	uint64_t close_ns;  /* MESH_CLOSED begins */
 	uint64_t refuse_ns; /* callers' requests are refused from then on */
-	uint64_t end_ns;    /* the process ends by then */
+	uint64_t end_ns;    /* requests end by then */
+	uint64_t flush_ns;  /* callers receive their answers until then */
 	struct reports reports;
 	/* Lease renewals in progress for other nodes; op 0: free. */
 	uint64_t peer_renewal_op[16];
--- a/core/mesh_io.c
+++ b/core/mesh_io.c
@@ -92,6 +92,7 @@
 	case MA_CANCEL_UPSTREAM_CALL:
 	case MA_PROBE_UPSTREAM:
 	case MA_LIMITS:
+	case MA_FLUSH:
 	case MA_EXIT:
 		break;
 	}
--- a/core/mesh_io.h
+++ b/core/mesh_io.h
@@ -157,7 +157,8 @@
 	ME_ANNOUNCEMENT,
 	ME_MESSAGE,
 	ME_STORE_END,
-	ME_STOP, /* start of a planned stop */
+	ME_STOP,    /* start of a planned stop */
+	ME_FLUSHED, /* MA_FLUSH is done, or its deadline has passed */
 };
 
 struct mesh_event {
@@ -196,6 +197,7 @@
 	MA_PROBE_UPSTREAM, /* ME_UPSTREAM_GONE follows if nothing listens */
 	MA_LIMITS,	   /* limits of callers' requests have changed */
 	MA_LOG,
+	MA_FLUSH, /* ME_FLUSHED follows once callers have all answers */
 	MA_EXIT,
 };
 
@@ -235,6 +237,7 @@
 		struct act_announcement_reply announcement_reply;
 		struct caller_limits limits;
 		struct act_log log;
+		uint64_t flush_deadline_ns;
 	} u;
 };
 
--- a/io/http_server.c
+++ b/io/http_server.c
@@ -773,15 +773,21 @@
 		bufferevent_trigger(c->bev, EV_READ, BEV_TRIG_DEFER_CALLBACKS);
 }
 
+/* Bytes of answers that the caller has not received yet. */
+static size_t undelivered(const struct server_conn *c)
+{
+	return evbuffer_get_length(bufferevent_get_output(c->bev)) +
+	       socket_undelivered(bufferevent_getfd(c->bev));
+}
+
 uint32_t http_server_pending(const struct http_server *s)
 {
 	const struct server_conn *c;
-	uint32_t writing = 0;
+	uint32_t receiving = linger_undelivered(s->lingers);
 
 	list_for_each_entry(c, &s->conns, link)
-		writing +=
-			evbuffer_get_length(bufferevent_get_output(c->bev)) > 0;
-	return s->pending + writing;
+		receiving += undelivered(c) > 0;
+	return s->pending + receiving;
 }
 
 const struct http_server_stats *
--- a/io/http_server.h
+++ b/io/http_server.h
@@ -77,7 +77,10 @@
 void http_server_reply(struct http_server *s, uint64_t caller,
 		       const struct http_answer *a, bool close);
 
-/** Unanswered requests and connections with unwritten answers. */
+/**
+ * Unanswered requests, and connections whose caller has not received all of its
+ * answers.
+ */
 uint32_t http_server_pending(const struct http_server *s);
 
 const struct http_server_stats *
--- a/tests/http_server_test.cpp
+++ b/tests/http_server_test.cpp
@@ -142,6 +142,14 @@
 		http_server_reply(s, caller, a, close_it);
 		http_answer_delete(a);
 	}
+	/* A peer's kernel may acknowledge what it has received a little later.
+	 */
+	bool nothing_pending()
+	{
+		for (int i = 0; i < 20 && http_server_pending(s); i++)
+			run_loop(10);
+		return http_server_pending(s) == 0;
+	}
 	std::string read_answers(bool *closed = nullptr)
 	{
 		std::string text;
@@ -234,7 +242,7 @@
 	run_loop(50);
 	EXPECT_TRUE(requests.empty());
 	EXPECT_TRUE(gone_callers.empty());
-	EXPECT_EQ(http_server_pending(s), 0u);
+	EXPECT_TRUE(nothing_pending());
 }
 
 TEST_F(HttpServerTest, ReplyDuringConnectionTeardownIsIgnored)
@@ -245,7 +253,7 @@
 	fd = -1;
 	run_loop(50);
 	EXPECT_EQ(gone_callers.size(), 2u);
-	EXPECT_EQ(http_server_pending(s), 0u);
+	EXPECT_TRUE(nothing_pending());
 }
 
 TEST_F(HttpServerTest, ReplyWithCloseClosesConnection)
@@ -394,7 +402,8 @@
 				EXPECT_EQ(requests.size(), depth) << shape.text;
 			}
 	EXPECT_EQ(http_server_get_stats(s)->rejected[HTTP_REJECT_SYNTAX], 0u);
-	EXPECT_EQ(http_server_pending(s), 0u);
+	read_answers();
+	EXPECT_TRUE(nothing_pending());
 }
 
 /* Requests whose framing is ambiguous or broken stay rejected. */
@@ -890,7 +899,7 @@
 			ASSERT_NE(at, std::string::npos) << run << " " << i;
 		}
 	}
-	EXPECT_EQ(http_server_pending(s), 0u);
+	EXPECT_TRUE(nothing_pending());
 }
 
 /*
@@ -920,7 +929,7 @@
 		fd = -1;
 		run_loop(50);
 		EXPECT_EQ(gone_callers.size(), requests.size());
-		EXPECT_EQ(http_server_pending(s), 0u);
+		EXPECT_TRUE(nothing_pending());
 	}
 }
 
--- a/tests/mesh_sim.hpp
+++ b/tests/mesh_sim.hpp
@@ -68,7 +68,8 @@
 	int heavy_load_every = 0;
 	uint64_t lease_ns = 6 * NS_PER_S;
 	uint64_t stop_ns = 6 * NS_PER_S; /* longest planned stop */
-	uint64_t work_ns = 0; /* of a request at its upstream; 0: random */
+	uint64_t receive_ns = 0; /* callers receive answers for so long */
+	uint64_t work_ns = 0;	 /* of a request at its upstream; 0: random */
 	double clock_drift_max = 0.02; /* of upstreams; 0.02: 2 % slow */
 	double lost_call_share = 0;    /* of store calls: no answer */
 	double late_write_share = 0;   /* of writes: run seconds later */
@@ -1190,6 +1191,9 @@
 		case MA_PROBE_UPSTREAM:
 			probe(i);
 			break;
+		case MA_FLUSH:
+			flush(i, a->u.flush_deadline_ns);
+			break;
 		case MA_EXIT: {
 			uint64_t boot = procs[i].boot;
 
@@ -1486,6 +1490,20 @@
 		return false;
 	}
 
+	void flush(int i, uint64_t deadline_ns)
+	{
+		uint64_t boot = procs[i].boot;
+
+		schedule(std::min(now + opts.receive_ns, deadline_ns),
+			 [this, i, boot] {
+				 struct mesh_event ev = {};
+
+				 ev.kind = ME_FLUSHED;
+				 if (procs[i].boot == boot && procs[i].mesh)
+					 handle(i, ev);
+			 });
+	}
+
 	void probe(int i)
 	{
 		struct mesh_event ev = {};
--- a/tests/planned_stop_test.cpp
+++ b/tests/planned_stop_test.cpp
@@ -73,3 +73,32 @@
 		expect_each_answered_once(sim, callers);
 	}
 }
+
+/*
+ * A process once ended 0.3 s after its last answer, while a caller that reads
+ * slowly had not received it. The time for the stop is the limit.
+ */
+TEST(PlannedStop, CallersReceiveTheirAnswersBeforeTheEnd)
+{
+	for (uint64_t receive_ms : {0, 1000, 2000, 60000}) {
+		const uint64_t last_ms = 6000;
+		MeshSimOpts opts;
+		uint64_t stop_at_ns, took_ms;
+
+		SCOPED_TRACE(receive_ms);
+		opts.stop_ns = last_ms * SIM_MS;
+		opts.work_ns = 60 * SIM_MS;
+		opts.receive_ns = receive_ms * SIM_MS;
+		MeshSim sim(opts);
+
+		sim.run_for(SETTLE_NS);
+		sim.stop_process(0);
+		stop_at_ns = sim.now;
+		while (sim.procs[0].mesh && sim.now < stop_at_ns + opts.stop_ns)
+			sim.run_for(REQUEST_INTERVAL_NS);
+		took_ms = (sim.now - stop_at_ns) / SIM_MS;
+		EXPECT_EQ(sim.procs[0].mesh, nullptr);
+		EXPECT_GE(took_ms, std::min(2300 + receive_ms, last_ms - 200));
+		EXPECT_LE(took_ms, std::min(2400 + receive_ms, last_ms));
+	}
+}
--- a/tests/platform_node_test.cpp
+++ b/tests/platform_node_test.cpp
@@ -325,8 +325,7 @@
 	void TearDown() override
 	{
 		platform_node_delete(second);
-		platform_node_delete(node);
-		node = nullptr;
+		end_node();
 		kv_server_delete(store);
 		delete upstream;
 		PlatformNode::TearDown();
@@ -393,6 +392,34 @@
 				}
 	}
 
+	// As the end of its process does, closes the connections that are left.
+	void end_node()
+	{
+		if (node)
+			platform_node_delete(node);
+		node = nullptr;
+	}
+
+	// Runs the loop for @ms; true if the node has ended it.
+	bool run_until_exit(int ms)
+	{
+		bool timed_out = false;
+		struct timeval tv = {0, ms * 1000};
+		struct event *timer = event_new(
+			base, -1, 0,
+			[](evutil_socket_t, short, void *arg) {
+				*(bool *)arg = true;
+			},
+			&timed_out);
+
+		event_add(timer, &tv);
+		do
+			event_base_loop(base, EVLOOP_ONCE);
+		while (!timed_out && !event_base_got_exit(base));
+		event_free(timer);
+		return !timed_out;
+	}
+
 	void expect_lost(const UpstreamAnswer &a)
 	{
 		expect_answer(a, 502, CONNECTION_LOST);
@@ -406,8 +433,19 @@
 			   CONNECTION_LOST);
 	}
 
+	static bool is_whole(const std::string &in)
+	{
+		size_t head = in.find("\r\n\r\n");
+		size_t at = in.find("Content-Length: ");
+
+		return head != in.npos && at < head &&
+		       in.size() >=
+			       head + 4 + (size_t)atoi(in.c_str() + at + 16);
+	}
+
 	std::string own_addr;	// of the node beside the upstream
 	std::string other_addr; // of the other one
+	UpstreamAnswer answer;
 
 private:
 	// Nodes report their load only to those that are in the store.
@@ -434,15 +472,6 @@
 		}
 		ASSERT_EQ(code, 200);
 	}
-	static bool is_whole(const std::string &in)
-	{
-		size_t head = in.find("\r\n\r\n");
-		size_t at = in.find("Content-Length: ");
-
-		return head != in.npos && at < head &&
-		       in.size() >=
-			       head + 4 + (size_t)atoi(in.c_str() + at + 16);
-	}
 	void expect_one(const std::string &addr, const UpstreamAnswer &a,
 			size_t bytes, bool slowly, int code,
 			const std::string &answer_body)
@@ -503,7 +532,6 @@
 	struct kv_server *store = nullptr;
 	struct platform_node *second = nullptr;
 	RawServer *upstream = nullptr;
-	UpstreamAnswer answer;
 	struct bufferevent *ending = nullptr; // the connection that ends next
 	unsigned requests = 0;
 	unsigned sequence = 0;
@@ -563,3 +591,51 @@
 		expect_short_lost({line + "\r\nContent-Length: 5\r\n\r\nwrong",
 				   END_OPEN});
 }
+
+// Answers that a slow caller had not received when the process ended were lost
+// with its next request.
+TEST_F(TwoNodes, AStopWaitsForCallersThatReadSlowly)
+{
+	const size_t bytes = 1800000, read_per_ms = 400;
+	const int receive_buffer = 256 << 10;
+	const std::string request =
+		"POST /up/x HTTP/1.1\r\nHost: a.example\r\n" HEADER_REQUEST_ID
+		": id\r\nContent-Length: 0\r\n\r\n";
+	std::string part, in;
+	uint64_t start_ns, end_ns = clock_now_ns() + 20 * NS_PER_S;
+	char first;
+	struct sockaddr_in sin;
+	int fd = socket(AF_INET, SOCK_STREAM, 0);
+	ssize_t n;
+
+	answer = {"Content-Length: " + std::to_string(bytes) + "\r\n\r\n" +
+			  std::string(bytes, 'x'),
+		  END_OPEN};
+	setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &receive_buffer,
+		   sizeof(receive_buffer));
+	ASSERT_TRUE(addr_to_sockaddr(own_addr.c_str(), &sin));
+	ASSERT_EQ(connect(fd, (struct sockaddr *)&sin, sizeof(sin)), 0);
+	EXPECT_EQ(send(fd, request.data(), request.size(), 0),
+		  (ssize_t)request.size());
+	while (recv(fd, &first, 1, MSG_PEEK | MSG_DONTWAIT) < 0 &&
+	       clock_now_ns() < end_ns)
+		run_ms(1);
+	start_ns = clock_now_ns();
+	platform_node_stop(node);
+	while (!is_whole(in) && clock_now_ns() < end_ns) {
+		if (run_until_exit(20))
+			end_node();
+		if (!node)
+			(void)!send(fd, request.data(), request.size(),
+				    MSG_DONTWAIT | MSG_NOSIGNAL);
+		part.resize((clock_now_ns() - start_ns) / NS_PER_MS *
+				    read_per_ms -
+			    in.size() + 1);
+		n = recv(fd, &part[0], part.size(), MSG_DONTWAIT);
+		if (n == 0 || (n < 0 && errno != EAGAIN))
+			break;
+		in.append(part, 0, n > 0 ? (size_t)n : 0);
+	}
+	EXPECT_TRUE(is_whole(in)) << in.size();
+	close(fd);
+}
