--- a/io/frontend.c
+++ b/io/frontend.c
@@ -3,6 +3,7 @@
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/http.h>
+#include <fcntl.h>
 #include <jansson.h>
 #include <stdlib.h>
 #include <string.h>
@@ -15,6 +16,7 @@
 #include "io/clock.h"
 #include "io/http_convert.h"
 #include "io/http_disconnect.h"
+#include "io/linger.h"
 
 #define CALLER_BUCKETS	     1024
 #define HEADERS_MAX_BYTES    (32 << 10)
@@ -25,6 +27,7 @@
 struct frontend {
 	struct frontend_opts opts;
 	struct evhttp *http;
+	struct linger_set *lingers;	     /* connections being closed */
 	struct list callers[CALLER_BUCKETS]; /* of struct caller */
 	uint64_t next_caller;
 	uint32_t pending;
@@ -66,6 +69,17 @@
 		f->opts.on_event(f->opts.arg, &ev);
 }
 
+/* evhttp is about to close @conn, whose answers are written. */
+static void on_connection_unused(struct evhttp_connection *conn, void *arg)
+{
+	struct frontend *f = arg;
+	struct bufferevent *bev = evhttp_connection_get_bufferevent(conn);
+	int fd = fcntl(bufferevent_getfd(bev), F_DUPFD_CLOEXEC, 0);
+
+	if (fd >= 0)
+		linger_close(f->lingers, fd);
+}
+
 static void on_answer_written(struct evhttp_request *req, void *arg)
 {
 	struct caller *c = arg;
@@ -73,7 +87,8 @@
 	(void)req;
 	bufferevent_setwatermark(evhttp_connection_get_bufferevent(c->conn),
 				 EV_READ, 0, 0);
-	evhttp_connection_set_closecb(c->conn, NULL, NULL);
+	evhttp_connection_set_closecb(c->conn, on_connection_unused,
+				      c->frontend);
 	caller_delete(c);
 }
 
@@ -214,6 +229,7 @@
 	f->next_caller = 1;
 	for (int i = 0; i < CALLER_BUCKETS; i++)
 		list_init(&f->callers[i]);
+	f->lingers = linger_set_new(&(struct linger_opts){.base = o->base});
 	f->http = evhttp_new(o->base);
 	evhttp_set_max_body_size(
 		f->http,
@@ -244,12 +260,13 @@
 		}
 	}
 	evhttp_free(f->http);
+	linger_set_delete(f->lingers);
 	free(f);
 }
 
 uint32_t frontend_pending(const struct frontend *f)
 {
-	return f->pending;
+	return f->pending + linger_undelivered(f->lingers);
 }
 
 /*
--- a/io/frontend.h
+++ b/io/frontend.h
@@ -48,7 +48,10 @@
 /** From now on, each answer closes its connection. */
 void frontend_drain(struct frontend *f);
 
-/** Number of requests whose answer has not been written completely. */
+/**
+ * Requests whose answer has not been written completely, and closed connections
+ * whose caller has not received all of it.
+ */
 uint32_t frontend_pending(const struct frontend *f);
 
 #endif
--- a/tests/frontend_test.cpp
+++ b/tests/frontend_test.cpp
@@ -430,3 +430,50 @@
 	EXPECT_TRUE(conn.has("Connection: close"));
 	EXPECT_TRUE(conn.has("\r\n\r\nlast"));
 }
+
+// Of an answer that closes its connection, a caller that read slowly lost what
+// it had not received when its next request arrived.
+TEST_F(Frontend, AClosingAnswerReachesACallerThatSendsOn)
+{
+	const std::string request = "GET /x HTTP/1.1\r\nHost: h\r\n\r\n";
+	const std::string body(200000, 'x');
+
+	for (bool before_the_answer : {false, true}) {
+		struct act_reply a = {};
+		struct sockaddr_in sin;
+		std::string in, part(2000, '\0');
+		int small = 4096;
+		int fd = socket(AF_INET, SOCK_STREAM, 0);
+		ssize_t n = -1;
+
+		SCOPED_TRACE(before_the_answer);
+		setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &small, sizeof(small));
+		ASSERT_TRUE(addr_to_sockaddr(addr.c_str(), &sin));
+		ASSERT_EQ(connect(fd, (struct sockaddr *)&sin, sizeof(sin)), 0);
+		ASSERT_GT(::send(fd, request.data(), request.size(), 0), 0);
+		run_until([&] { return !events.empty(); });
+		frontend_drain(f);
+		if (before_the_answer) {
+			ASSERT_GT(::send(fd, request.data(), request.size(), 0),
+				  0);
+		}
+		a.caller = events[0].u.request.caller;
+		a.answer = http_answer_new(200);
+		payload_set_body(&a.answer->payload, body.data(), body.size());
+		reply(a);
+		http_answer_delete(a.answer);
+		run_until([&] {
+			(void)!::send(fd, request.data(), request.size(),
+				      MSG_DONTWAIT | MSG_NOSIGNAL);
+			n = recv(fd, &part[0], part.size(), MSG_DONTWAIT);
+			in.append(part, 0, n > 0 ? (size_t)n : 0);
+			return n == 0 || (n < 0 && errno != EAGAIN);
+		});
+		EXPECT_EQ(n, 0) << strerror(errno);
+		EXPECT_NE(in.find("\r\n\r\n" + body), in.npos) << in.size();
+		close(fd);
+		run_until([&] { return frontend_pending(f) == 0; });
+		http_request_unref(events[0].u.request.request);
+		events.clear();
+	}
+}
