--- a/tests/http_server_test.cpp
+++ b/tests/http_server_test.cpp
@@ -142,8 +142,7 @@
 		http_server_reply(s, caller, a, close_it);
 		http_answer_delete(a);
 	}
-	/* A peer's kernel may acknowledge what it has received a little later.
-	 */
+	/* The caller's kernel may acknowledge a little later. */
 	bool nothing_pending()
 	{
 		for (int i = 0; i < 20 && http_server_pending(s); i++)
