A name of any length is served: services, nodes, data centres, regions

Cause: names are arrays of 32 bytes, a node's of 64. The settings, the configuration and the announcements each took a name that did not fit for an error; the platform does not limit names. Names of routes were cut.

Change: name_copy() abbreviates a name that does not fit to its start and a digest of 128 bits of the whole. Fields, records and keys of the store keep their sizes, and two names that differ late stay two. A node keeps its service's name in full for the header that its upstreams get; msg_forward carries it as a string without a limit.

The addresses in the settings keep their check.

--- a/cli/platform_view.c
+++ b/cli/platform_view.c
@@ -10,6 +10,7 @@
 #include "core/config_lint.h"
 #include "core/directory.h"
 #include "core/mem.h"
+#include "core/name.h"
 #include "io/clock.h"
 #include "io/file.h"
 #include "platform/kv_client.h"
@@ -144,6 +145,7 @@
 	const struct dir_keymap *k;
 	const struct keyrow *r = NULL;
 	struct store_snapshot s;
+	char service[JD_NAME_MAX];
 	char *end;
 	unsigned long key = strtoul(o->args[1], &end, 10);
 
@@ -155,7 +157,8 @@
 	}
 	if (!read_snapshot(&s, o->store))
 		return CLI_FAILED;
-	k = directory_keymap(&s.dir, o->args[0]);
+	name_copy(service, o->args[0], sizeof(service));
+	k = directory_keymap(&s.dir, service);
 	if (k)
 		r = keymap_find(k->map, (uint32_t)key);
 	if (r)
--- a/core/dispatch.c
+++ b/core/dispatch.c
@@ -302,8 +302,7 @@
 	mem_copy_str(f->route, p->route, sizeof(f->route));
 	mem_copy_str(f->organisation, p->organisation, sizeof(f->organisation));
 	mem_copy_str(f->caller_id, p->caller_id, sizeof(f->caller_id));
-	mem_copy_str(f->caller_service, c->opts->service,
-		     sizeof(f->caller_service));
+	f->caller_service = mem_dup_str(mesh_service_name(c->opts));
 	mem_copy_str(f->reply_to, c->opts->peer_addr, sizeof(f->reply_to));
 	f->request = http_request_ref(p->request);
 	return f;
--- a/core/gatekeeper.c
+++ b/core/gatekeeper.c
@@ -45,6 +45,7 @@
 static void attempt_delete(struct gate_attempt *a)
 {
 	list_remove(&a->link);
+	free(a->caller_service);
 	http_request_unref(a->request);
 	free(a);
 }
@@ -104,11 +105,12 @@
 }
 
 static void count_origin(struct gatekeeper *g, const struct mesh_ctx *c,
-			 const struct msg_forward *f)
+			 const struct gate_attempt *a)
 {
-	struct route_stats *s = stats_for(g, f->route);
+	struct route_stats *s = stats_for(g, a->route);
 
-	if (!strcmp(f->caller_service, c->opts->service))
+	if (a->caller_service &&
+	    !strcmp(a->caller_service, mesh_service_name(c->opts)))
 		s->from_own_service++;
 	else
 		s->from_other_services++;
@@ -268,8 +270,8 @@
 	a->shard = f->shard;
 	mem_copy_str(a->route, f->route, sizeof(a->route));
 	mem_copy_str(a->caller_id, f->caller_id, sizeof(a->caller_id));
-	mem_copy_str(a->caller_service, f->caller_service,
-		     sizeof(a->caller_service));
+	a->caller_service = f->caller_service;
+	f->caller_service = NULL;
 	mem_copy_str(a->organisation, f->organisation, sizeof(a->organisation));
 	a->request = f->request;
 	f->request = NULL;
@@ -392,7 +394,7 @@
 	if (from != c->opts->boot)
 		g->transit_ns += TRANSIT_NEWEST_WEIGHT *
 				 ((double)delay_ns - g->transit_ns);
-	count_origin(g, c, f);
+	count_origin(g, c, a);
 	if (why == REFUSAL_NONE &&
 	    (c->opts->heavy_load ? has_no_room(g, c, h, a)
 				 : would_be_late(g, c, h, a)))
@@ -525,8 +527,8 @@
 	mem_copy_str(act->addr, h->addr, sizeof(act->addr));
 	mem_copy_str(act->instance, h->id.instance, sizeof(act->instance));
 	mem_copy_str(act->caller_id, a->caller_id, sizeof(act->caller_id));
-	mem_copy_str(act->caller_service, a->caller_service,
-		     sizeof(act->caller_service));
+	act->caller_service = a->caller_service;
+	a->caller_service = NULL;
 	mem_copy_str(act->organisation, a->organisation,
 		     sizeof(act->organisation));
 	act->deadline_ns = a->deadline_ns - ANSWER_TRANSIT_NS;
--- a/core/gatekeeper.h
+++ b/core/gatekeeper.h
@@ -39,9 +39,9 @@
 	uint32_t shard; /* the key's number, when keyed */
 	char route[JD_NAME_MAX];
 	char caller_id[JD_CALLER_ID_MAX]; /* the caller's own request id */
-	char caller_service[JD_NAME_MAX]; /* of the VM where it began */
-	char organisation[JD_NAME_MAX];	  /* empty: none */
-	struct http_request *request;	  /* NULL once it has started */
+	char *caller_service; /* of the VM where it began, in full; or NULL */
+	char organisation[JD_NAME_MAX]; /* empty: none */
+	struct http_request *request;	/* NULL once it has started */
 };
 
 /** Result of one attempt, for its entry. */
@@ -93,7 +93,7 @@
 
 /**
  * Queues or refuses one attempt of the entry @from; @delay_ns is how long @f
- * was under way. Takes ownership of @f->request. The result is in @g->results,
+ * was under way. Takes what @f owns. The result is in @g->results,
  * possibly already on return.
  */
 void gatekeeper_offer(struct gatekeeper *g, struct mesh_ctx *c,
--- a/core/mem.c
+++ b/core/mem.c
@@ -30,6 +30,11 @@
 	return q;
 }
 
+char *mem_dup_str(const char *s)
+{
+	return mem_dup(s, strlen(s));
+}
+
 void mem_copy_str(char *dst, const char *src, size_t cap)
 {
 	size_t len = strnlen(src, cap - 1);
--- a/core/mesh_ctx.h
+++ b/core/mesh_ctx.h
@@ -12,7 +12,9 @@
 	char region[JD_NAME_MAX];
 	char peer_addr[JD_ADDR_MAX];
 	char service[JD_NAME_MAX]; /* of the upstream on the same VM */
-	uint64_t boot;		   /* identifies this process; random, not 0 */
+	/* In full, if it is abbreviated; else NULL. Outlives the node. */
+	const char *long_service;
+	uint64_t boot; /* identifies this process; random, not 0 */
 	uint64_t seed;
 	bool bootstrap;	      /* no node of the fleet has ever run before */
 	uint64_t lease_ns;    /* of the lease on the node's card */
@@ -31,6 +33,12 @@
 	bool heavy_load;
 };
 
+/** The name in full of the service of the upstream on the same VM. */
+static inline const char *mesh_service_name(const struct mesh_opts *o)
+{
+	return o->long_service ? o->long_service : o->service;
+}
+
 #define MESH_CALLS_NOTED 64
 
 /** Of one of the latest store calls, to log how it ended. */
--- a/core/mesh_io.c
+++ b/core/mesh_io.c
@@ -81,6 +81,7 @@
 		http_answer_delete(a->u.reply.answer);
 		break;
 	case MA_UPSTREAM_CALL:
+		free(a->u.call.caller_service);
 		http_request_unref(a->u.call.request);
 		break;
 	case MA_ANNOUNCEMENT_REPLY:
--- a/core/message.h
+++ b/core/message.h
@@ -97,9 +97,9 @@
 	uint32_t shard;	       /* of the key, if @keyed */
 	bool keyed;
 	char caller_id[JD_CALLER_ID_MAX]; /* request id set by the caller */
-	char caller_service[JD_NAME_MAX]; /* service of the VM it came from */
-	bool call;  /* a run that has started waits for it */
-	bool again; /* its caller comes back after a failure */
+	char *caller_service; /* of the VM it came from, in full; or NULL */
+	bool call;	      /* a run that has started waits for it */
+	bool again;	      /* its caller comes back after a failure */
 	struct http_request *request;
 };
 
--- a/tests/announcements_test.cpp
+++ b/tests/announcements_test.cpp
@@ -4,6 +4,7 @@
 
 extern "C" {
 #include "core/mem.h"
+#include "core/name.h"
 #include "platform/announcements.h"
 }
 
@@ -69,6 +70,26 @@
 	EXPECT_FALSE(decode("[]", &b));
 }
 
+// One of a service whose name had 32 bytes or more was refused.
+TEST(AnnouncementCodec, AServicesNameMayHaveAnyLength)
+{
+	for (size_t len : {31, 32, 300}) {
+		const std::string name(len, 's');
+		struct upstream_announcement a, b;
+		char service[JD_NAME_MAX];
+
+		ASSERT_TRUE(decode(with("\"s\"", "\"" + name + "\""), &a));
+		ASSERT_TRUE(decode(with("\"s\"", "\"" + name + "2\""), &b));
+		name_copy(service, name.c_str(), sizeof(service));
+		EXPECT_STREQ(a.service, service);
+		EXPECT_STRNE(a.service, b.service);
+		for (struct upstream_announcement *x : {&a, &b}) {
+			held_rows_delete(&x->held);
+			held_rows_delete(&x->released);
+		}
+	}
+}
+
 // An odd announcement of another writer once passed as the upstream's own: a
 // number out of range was cast, a row was cut, and an address without a usable
 // port was called.
--- a/tests/codec_test.cpp
+++ b/tests/codec_test.cpp
@@ -21,6 +21,7 @@
 
 TEST(Codec, ForwardSurvivesRoundTrip)
 {
+	const std::string service(300, 's');
 	struct message *m = message_new(MSG_FORWARD);
 	struct msg_forward *f = &m->u.forward;
 
@@ -31,12 +32,14 @@
 	f->time_left_ns = 77;
 	f->idempotent = true;
 	mem_copy_str(f->key, "order-1", sizeof(f->key));
+	f->caller_service = mem_dup_str(service.c_str());
 	f->request = http_request_new("POST", "/a?b=c");
 	payload_add_header(&f->request->payload, "X-A", "1");
 	payload_set_body(&f->request->payload, "a\0b", 3);
 	struct message *decoded = round_trip(m);
 	ASSERT_NE(decoded, nullptr);
 	EXPECT_EQ(decoded->to, UINT64_MAX);
+	EXPECT_EQ(decoded->u.forward.caller_service, service);
 	EXPECT_TRUE(request_id_equal(decoded->u.forward.id, f->id));
 	EXPECT_STREQ(decoded->u.forward.request->target, "/a?b=c");
 	EXPECT_EQ(decoded->u.forward.request->payload.body_len, 3u);
--- a/tests/platform_settings_test.cpp
+++ b/tests/platform_settings_test.cpp
@@ -86,6 +86,39 @@
 	EXPECT_NE(findings.find("service"), std::string::npos);
 }
 
+/* A process did not start with a name of 32 bytes, or a node's of 64. */
+TEST(PlatformSettings, NamesMayHaveAnyLength)
+{
+	const std::string service(300, 's'), zone(40, 'z'), region(32, 'r');
+	const std::string node(64, 'n');
+	std::string text = valid_file, findings;
+	struct platform_settings a, b;
+	struct mesh_opts o;
+
+	for (const auto &[from, to] :
+	     {std::pair<std::string, std::string>("service=s1", service),
+	      {"zone=z1", zone},
+	      {"region=r1", region},
+	      {"node=n1", node}})
+		text.replace(text.find(from), from.size(),
+			     from.substr(0, from.find('=') + 1) + to);
+	EXPECT_EQ(read_settings(text, &a, &findings), 0) << findings;
+	platform_settings_mesh_opts(&a, 9, 8, &o);
+	EXPECT_EQ(mesh_service_name(&o), service);
+	text.replace(text.find(service), service.size(), service + "2");
+	text.replace(text.find(node), node.size(), node + "2");
+	EXPECT_EQ(read_settings(text, &b, &findings), 0) << findings;
+	EXPECT_STRNE(a.service, b.service);
+	EXPECT_STRNE(a.node, b.node);
+	EXPECT_STREQ(a.dc, b.dc);
+	EXPECT_STREQ(a.region, b.region);
+	platform_settings_done(&a);
+	platform_settings_done(&b);
+	EXPECT_EQ(read_settings(text + "\nservice=", &a, &findings), 1);
+	EXPECT_EQ(findings, "service ");
+	platform_settings_done(&a);
+}
+
 TEST(PlatformSettings, MissingFileIsAFinding)
 {
 	struct platform_settings s;
--- a/wire/pack.c
+++ b/wire/pack.c
@@ -127,6 +127,11 @@
 	msgpack_pack_bin_body(pk, len ? data : "", len);
 }
 
+static void pack_text(msgpack_packer *pk, const char *s)
+{
+	pack_str(pk, s ? s : "");
+}
+
 static void pack_value(msgpack_packer *pk, const char *p, enum pack_type type)
 {
 	switch (type) {
@@ -146,7 +151,7 @@
 		pack_str(pk, p);
 		break;
 	case PACK_TEXT:
-		pack_str(pk, *(char *const *)p);
+		pack_text(pk, *(char *const *)p);
 		break;
 	case PACK_NUMBER:
 		msgpack_pack_uint64(pk,
--- a/wire/pack.h
+++ b/wire/pack.h
@@ -14,7 +14,7 @@
 	PACK_BOOL,
 	PACK_ENUM,   /* an int; limit is the first invalid value */
 	PACK_STR,    /* a char array; limit is its size in bytes */
-	PACK_TEXT,   /* a char *, which the struct owns */
+	PACK_TEXT,   /* a char *, which the struct owns; NULL is packed as "" */
 	PACK_NUMBER, /* a revision_t without its era */
 	PACK_ERA,    /* the era of a revision_t; follows its PACK_NUMBER */
 };
