--- a/tests/records_test.cpp
+++ b/tests/records_test.cpp
@@ -198,6 +198,30 @@
 	json_decref(o);
 }
 
+/* That of a data centre whose name had 64 bytes or more was ignored. */
+TEST(Records, AnEvacuationNamesItsDataCentreAsTheCardsDo)
+{
+	for (size_t len : {31, 32, 63, 64, 188}) {
+		const std::string dc(len, 'z');
+		char on_card[JD_NAME_MAX];
+
+		name_copy(on_card, dc.c_str(), sizeof(on_card));
+		for (const std::string &key : {dc, dc.substr(1) + "y"}) {
+			json_t *o = json_pack("{s:s,s:i,s:s}", "key",
+					      ("op/evacuate/" + key).c_str(),
+					      "revision", 9, "value", "e30=");
+			struct record *r = record_from_item(o, 0);
+
+			ASSERT_NE(r, nullptr) << len;
+			EXPECT_EQ(r->kind, RECORD_EVACUATION);
+			EXPECT_EQ(std::string(r->name) == on_card, key == dc)
+				<< len;
+			record_delete(r);
+			json_decref(o);
+		}
+	}
+}
+
 TEST(Records, CardSurvivesEncodingAndDecoding)
 {
 	struct record *r = record_new(RECORD_CARD, "n1");
