An organisation's name may have any length

What callers saw: by a test, callers with an API key of an organisation whose name had 32 bytes or more got 401.

Cause: decode_organisation() left out what did not fit struct organisation, and so did the changes between nodes.

Change: the abbreviated name identifies quotas; the organisation, the request, its forward and the call of the upstream have the name in full, which the upstream's header states.

--- a/core/dispatch.c
+++ b/core/dispatch.c
@@ -7,6 +7,7 @@
 #include "core/load/gate_pick.h"
 #include "core/load/not_run.h"
 #include "core/mem.h"
+#include "core/name.h"
 #include "core/organisations/identify.h"
 #include "core/relay.h"
 
@@ -61,6 +62,7 @@
 	d->count--;
 	d->bytes -= p->bytes;
 	http_request_unref(p->request);
+	free(p->organisation_name);
 	http_answer_delete(p->failed_answer);
 	free(p);
 }
@@ -300,7 +302,7 @@
 	f->shard = p->shard;
 	f->idempotent = p->idempotent;
 	mem_copy_str(f->route, p->route, sizeof(f->route));
-	mem_copy_str(f->organisation, p->organisation, sizeof(f->organisation));
+	f->organisation = mem_dup_str(p->organisation_name);
 	mem_copy_str(f->caller_id, p->caller_id, sizeof(f->caller_id));
 	f->caller_service = mem_dup_str(mesh_service_name(c->opts));
 	mem_copy_str(f->reply_to, c->opts->peer_addr, sizeof(f->reply_to));
@@ -390,8 +392,9 @@
 	sv = manifest_service(c->dir.manifest, p->service);
 	p->keyed = sv && sv->keyed;
 	p->shard = r->shard;
-	mem_copy_str(p->organisation, rules_organisation(rules),
-		     sizeof(p->organisation));
+	p->organisation_name = mem_dup_str(rules_organisation(rules));
+	name_copy(p->organisation, p->organisation_name,
+		  sizeof(p->organisation));
 	p->regions = rules->regions;
 	p->priority = rules->priority;
 	p->max_attempts = route->max_attempts ? route->max_attempts : 1;
--- a/core/gate.c
+++ b/core/gate.c
@@ -222,7 +222,7 @@
 
 	if (!m)
 		return REFUSAL_NO_MANIFEST;
-	refusal = home_find(&home, m, f->route, f->organisation);
+	refusal = home_find(&home, m, f->route, forward_organisation(f));
 	if (refusal != REFUSAL_NONE)
 		return refusal;
 	if (!home_allows(&home, c->opts->region))
@@ -334,7 +334,7 @@
 	gc = call_new(g, c, f, from);
 	refusal = check_attempt(g, c, lease, gc, f);
 	if (refusal == REFUSAL_NONE)
-		refusal = enqueue(g, c, gc, f->organisation);
+		refusal = enqueue(g, c, gc, forward_organisation(f));
 	if (refusal != REFUSAL_NONE) {
 		gc->epoch = 0;
 		end_attempt(g, c, gc, OUTCOME_NOT_RUN, refusal, NULL);
--- a/core/gatekeeper.c
+++ b/core/gatekeeper.c
@@ -46,6 +46,7 @@
 {
 	list_remove(&a->link);
 	free(a->caller_service);
+	free(a->organisation);
 	http_request_unref(a->request);
 	free(a);
 }
@@ -272,7 +273,8 @@
 	mem_copy_str(a->caller_id, f->caller_id, sizeof(a->caller_id));
 	a->caller_service = f->caller_service;
 	f->caller_service = NULL;
-	mem_copy_str(a->organisation, f->organisation, sizeof(a->organisation));
+	a->organisation = f->organisation;
+	f->organisation = NULL;
 	a->request = f->request;
 	f->request = NULL;
 	return a;
@@ -529,8 +531,8 @@
 	mem_copy_str(act->caller_id, a->caller_id, sizeof(act->caller_id));
 	act->caller_service = a->caller_service;
 	a->caller_service = NULL;
-	mem_copy_str(act->organisation, a->organisation,
-		     sizeof(act->organisation));
+	act->organisation = a->organisation;
+	a->organisation = NULL;
 	act->deadline_ns = a->deadline_ns - ANSWER_TRANSIT_NS;
 	a->upstream_deadline_ns = act->deadline_ns;
 	act->write_before_ns = write_before_ns;
--- a/core/gatekeeper.h
+++ b/core/gatekeeper.h
@@ -40,8 +40,8 @@
 	char route[JD_NAME_MAX];
 	char caller_id[JD_CALLER_ID_MAX]; /* the caller's own request id */
 	char *caller_service; /* of the VM where it began, in full; or NULL */
-	char organisation[JD_NAME_MAX]; /* empty: none */
-	struct http_request *request;	/* NULL once it has started */
+	char *organisation;   /* in full; NULL or empty: none */
+	struct http_request *request; /* NULL once it has started */
 };
 
 /** Result of one attempt, for its entry. */
--- a/core/manifest.c
+++ b/core/manifest.c
@@ -6,6 +6,7 @@
 #include <xxhash.h>
 
 #include "core/mem.h"
+#include "core/name.h"
 #include "core/organisations/api_keys.h"
 
 #define ROUTE_TIMEOUT_DEFAULT_MS    2000
@@ -62,6 +63,7 @@
 
 	list_for_each_entry_safe(k, tmp, &o->api_keys, link)
 		free(k);
+	free(o->long_name);
 	free(o);
 }
 
@@ -70,6 +72,8 @@
 	struct organisation *copy = mem_dup(o, sizeof(*o));
 	const struct api_key *k;
 
+	if (o->long_name)
+		copy->long_name = mem_dup_str(o->long_name);
 	list_init(&copy->link);
 	list_init(&copy->api_keys);
 	list_for_each_entry(k, &o->api_keys, link)
@@ -77,6 +81,18 @@
 	return copy;
 }
 
+void organisation_set_name(struct organisation *o, const char *name)
+{
+	name_copy(o->name, name, sizeof(o->name));
+	free(o->long_name);
+	o->long_name = strcmp(o->name, name) != 0 ? mem_dup_str(name) : NULL;
+}
+
+const char *organisation_full_name(const struct organisation *o)
+{
+	return o->long_name ? o->long_name : o->name;
+}
+
 void organisation_add_key(struct organisation *o, const char *text)
 {
 	struct api_key *k = mem_new(struct api_key);
--- a/core/manifest.h
+++ b/core/manifest.h
@@ -84,6 +84,7 @@
 struct organisation {
 	struct list link;
 	char name[JD_NAME_MAX];
+	char *long_name; /* in full, if @name is abbreviated; else NULL */
 	struct region_set home_regions;
 	uint32_t weight; /* share of a contended upstream */
 	/* The rest is used in leased fleets only. */
@@ -155,6 +156,10 @@
 void organisation_delete(struct organisation *o);
 /** A copy in no list. */
 struct organisation *organisation_copy(const struct organisation *o);
+/** Sets the name, which may have any length. */
+void organisation_set_name(struct organisation *o, const char *name);
+/** The name in full. */
+const char *organisation_full_name(const struct organisation *o);
 void organisation_add_key(struct organisation *o, const char *text);
 
 /** A route with its default values, in no list. */
--- a/core/mesh_io.c
+++ b/core/mesh_io.c
@@ -82,6 +82,7 @@
 		break;
 	case MA_UPSTREAM_CALL:
 		free(a->u.call.caller_service);
+		free(a->u.call.organisation);
 		http_request_unref(a->u.call.request);
 		break;
 	case MA_ANNOUNCEMENT_REPLY:
--- a/core/mesh_io.h
+++ b/core/mesh_io.h
@@ -217,8 +217,8 @@
 	char addr[JD_ADDR_MAX];
 	char instance[JD_INSTANCE_MAX]; /* the only one that may run it */
 	char caller_id[JD_CALLER_ID_MAX];
-	char *caller_service;		/* in full; NULL: none */
-	char organisation[JD_NAME_MAX]; /* empty: none */
+	char *caller_service; /* in full; NULL: none */
+	char *organisation;   /* in full; NULL or empty: none */
 	uint64_t deadline_ns;
 	uint64_t write_before_ns; /* end of the lease: no byte is sent later */
 	struct http_request *request;
--- a/core/message.c
+++ b/core/message.c
@@ -50,6 +50,7 @@
 		free(m->u.release.epochs);
 		break;
 	case MSG_FORWARD:
+		free(m->u.forward.organisation);
 		free(m->u.forward.caller_service);
 		http_request_unref(m->u.forward.request);
 		break;
--- a/core/message.h
+++ b/core/message.h
@@ -88,7 +88,7 @@
 	char reply_to[JD_ADDR_MAX];
 	char route[JD_NAME_MAX];
 	char key[JD_KEY_MAX];
-	char organisation[JD_NAME_MAX];
+	char *organisation; /* in full; or NULL */
 	bool idempotent;
 	/* From here to caller_service: used by gates of leased fleets only. */
 	uint64_t sent_ns;      /* sender's clock; see struct peer_clock */
@@ -103,6 +103,12 @@
 	struct http_request *request;
 };
 
+/** The name in full of the request's organisation; empty: none. */
+static inline const char *forward_organisation(const struct msg_forward *f)
+{
+	return f->organisation ? f->organisation : "";
+}
+
 /** Load of one gate, sent in MSG_ANSWER and MSG_LOAD. */
 struct gate_load {
 	uint32_t running;    /* requests at the upstream */
--- a/core/organisations/identify.c
+++ b/core/organisations/identify.c
@@ -74,5 +74,6 @@
 
 const char *rules_organisation(const struct request_rules *rules)
 {
-	return rules->organisation ? rules->organisation->name : "";
+	return rules->organisation ? organisation_full_name(rules->organisation)
+				   : "";
 }
--- a/core/pending.h
+++ b/core/pending.h
@@ -31,6 +31,7 @@
 	char route[JD_NAME_MAX];
 	char service[JD_NAME_MAX];
 	char organisation[JD_NAME_MAX]; /* empty: none */
+	char *organisation_name;	/* in full */
 	struct region_set regions;	/* that may serve it */
 	uint32_t priority;		/* of a call: its run's */
 	bool call;	       /* made by a run of this node's upstream */
--- a/core/router.c
+++ b/core/router.c
@@ -262,8 +262,7 @@
 	mem_copy_str(f->reply_to, c->opts->peer_addr, sizeof(f->reply_to));
 	mem_copy_str(f->route, pr->route, sizeof(f->route));
 	mem_copy_str(f->key, pr->key, sizeof(f->key));
-	mem_copy_str(f->organisation, pr->organisation,
-		     sizeof(f->organisation));
+	f->organisation = mem_dup_str(pr->organisation);
 	f->request = http_request_ref(pr->request);
 }
 
--- a/tests/codec_test.cpp
+++ b/tests/codec_test.cpp
@@ -33,6 +33,7 @@
 	f->idempotent = true;
 	mem_copy_str(f->key, "order-1", sizeof(f->key));
 	f->caller_service = mem_dup_str(service.c_str());
+	f->organisation = mem_dup_str((service + "o").c_str());
 	f->request = http_request_new("POST", "/a?b=c");
 	payload_add_header(&f->request->payload, "X-A", "1");
 	payload_set_body(&f->request->payload, "a\0b", 3);
@@ -40,6 +41,7 @@
 	ASSERT_NE(decoded, nullptr);
 	EXPECT_EQ(decoded->to, UINT64_MAX);
 	EXPECT_EQ(decoded->u.forward.caller_service, service);
+	EXPECT_EQ(decoded->u.forward.organisation, service + "o");
 	EXPECT_TRUE(request_id_equal(decoded->u.forward.id, f->id));
 	EXPECT_STREQ(decoded->u.forward.request->target, "/a?b=c");
 	EXPECT_EQ(decoded->u.forward.request->payload.body_len, 3u);
--- a/tests/gatekeeper_test.cpp
+++ b/tests/gatekeeper_test.cpp
@@ -62,7 +62,7 @@
 		f.shard = shard;
 		mem_copy_str(f.route, route, sizeof(f.route));
 		f.caller_service = mem_dup_str(from_service);
-		mem_copy_str(f.organisation, "museum", sizeof(f.organisation));
+		f.organisation = mem_dup_str("museum");
 		f.request = http_request_new("GET", "/");
 		gatekeeper_offer(&g, &c, &h, &f, 7, 0);
 		return counter;
--- a/tests/manifest_codec_test.cpp
+++ b/tests/manifest_codec_test.cpp
@@ -29,6 +29,8 @@
 	struct message *m = message_new(MSG_CHANGES);
 	struct wire_buf buf = {};
 
+	const std::string long_name = std::string(300, 'o');
+
 	ManifestCodecTest()
 	{
 		struct route *r = manifest_add_route(b);
@@ -62,6 +64,8 @@
 		mem_copy_str(o->home_regions.names[0], "south", JD_NAME_MAX);
 		organisation_add_key(o, "first");
 		organisation_add_key(o, "second");
+		organisation_set_name(manifest_add_organisation(b),
+				      long_name.c_str());
 		b->limits.header_bytes = 16384;
 		b->limits.body_bytes = 1000;
 		b->limits.header_timeout_ms = 3000;
@@ -108,6 +112,8 @@
 	EXPECT_DOUBLE_EQ(o->rate_per_s, 2.5);
 	EXPECT_DOUBLE_EQ(o->burst, 8);
 	EXPECT_STREQ(o->home_regions.names[0], "south");
+	o = list_entry(out->organisations.prev, struct organisation, link);
+	EXPECT_EQ(organisation_full_name(o), long_name);
 	manifest_delete(out);
 	message_delete(got);
 }
--- a/tests/records_test.cpp
+++ b/tests/records_test.cpp
@@ -100,6 +100,28 @@
 	manifest_delete(m);
 }
 
+/* One whose name had 32 bytes or more was left out; its keys were unknown. */
+TEST(Records, AnOrganisationsNameMayHaveAnyLength)
+{
+	for (size_t len : {31, 32, 300}) {
+		const std::string name(len, 'o');
+		struct manifest *m =
+			decode_with("[{\"name\":\"" + name +
+				    "\",\"apiKeys\":[\"k1\"]},{\"name\":\"" +
+				    name + "2\",\"apiKeys\":[\"k2\"]}]");
+		const struct organisation *a, *b;
+
+		ASSERT_NE(m, nullptr);
+		a = api_keys_find(m, "k1");
+		b = api_keys_find(m, "k2");
+		ASSERT_TRUE(a && b) << len;
+		EXPECT_EQ(organisation_full_name(a), name);
+		EXPECT_EQ(organisation_full_name(b), name + "2");
+		EXPECT_STRNE(a->name, b->name);
+		manifest_delete(m);
+	}
+}
+
 TEST(Records, AConfigurationWithoutOrganisationsRequiresNoKeys)
 {
 	for (const char *none : {"null", "[]"}) {
--- a/tests/requests_test.cpp
+++ b/tests/requests_test.cpp
@@ -112,10 +112,14 @@
 	r = request_for_upstream(&a, 0);
 	EXPECT_EQ(payload_header(&r->payload, TENANT), nullptr);
 	http_request_unref(r);
-	mem_copy_str(a.organisation, "museum", sizeof(a.organisation));
-	r = request_for_upstream(&a, 0);
-	EXPECT_STREQ(payload_header(&r->payload, TENANT), "museum");
-	http_request_unref(r);
+	for (const std::string &name :
+	     {std::string("museum"), std::string(300, 'm')}) {
+		a.organisation = mem_dup_str(name.c_str());
+		r = request_for_upstream(&a, 0);
+		EXPECT_EQ(payload_header(&r->payload, TENANT), name);
+		http_request_unref(r);
+		free(a.organisation);
+	}
 	http_request_unref(a.request);
 }
 
--- a/tests/router_test.cpp
+++ b/tests/router_test.cpp
@@ -273,8 +273,7 @@
 		mem_copy_str(f->reply_to, "other", sizeof(f->reply_to));
 		mem_copy_str(f->route, route, sizeof(f->route));
 		mem_copy_str(f->key, "k", sizeof(f->key));
-		mem_copy_str(f->organisation, organisation,
-			     sizeof(f->organisation));
+		f->organisation = mem_dup_str(organisation);
 		f->request = http_request_new("POST", "/keyed/k");
 		ev.kind = EV_MESSAGE;
 		ev.u.message = m;
--- a/wire/codec.c
+++ b/wire/codec.c
@@ -65,7 +65,7 @@
 	PACK_STR_OF(struct msg_forward, reply_to),
 	PACK_STR_OF(struct msg_forward, route),
 	PACK_STR_OF(struct msg_forward, key),
-	PACK_STR_OF(struct msg_forward, organisation),
+	PACK_TEXT_OF(struct msg_forward, organisation),
 	PACK_BOOL_OF(struct msg_forward, idempotent),
 	PACK_U64_OF(struct msg_forward, sent_ns),
 	PACK_U64_OF(struct msg_forward, objective_ns),
--- a/wire/manifest_codec.c
+++ b/wire/manifest_codec.c
@@ -78,10 +78,17 @@
 	ORGANISATION_ITEM_COUNT,
 };
 
+/* The fields of an encoded organisation; its name is in full. */
+struct packed_organisation {
+	char *name;
+	bool has_priority;
+	uint32_t priority;
+};
+
 static const struct pack_field organisation_fields[] = {
-	PACK_STR_OF(struct organisation, name),
-	PACK_BOOL_OF(struct organisation, has_priority),
-	PACK_U32_OF(struct organisation, priority),
+	PACK_TEXT_OF(struct packed_organisation, name),
+	PACK_BOOL_OF(struct packed_organisation, has_priority),
+	PACK_U32_OF(struct packed_organisation, priority),
 };
 static const struct pack_table organisation_table =
 	PACK_TABLE(organisation_fields);
@@ -123,10 +130,15 @@
 
 static void pack_organisation(msgpack_packer *pk, const struct organisation *o)
 {
+	const struct packed_organisation p = {
+		.name = (char *)organisation_full_name(o),
+		.has_priority = o->has_priority,
+		.priority = o->priority,
+	};
 	const struct api_key *k;
 
 	msgpack_pack_array(pk, ORGANISATION_ITEM_COUNT);
-	pack_struct(pk, o, &organisation_table);
+	pack_struct(pk, &p, &organisation_table);
 	msgpack_pack_double(pk, o->rate_per_s);
 	msgpack_pack_double(pk, o->burst);
 	pack_regions(pk, &o->home_regions);
@@ -250,6 +262,21 @@
 	return fits;
 }
 
+static bool unpack_organisation_fields(const msgpack_object *o,
+				       struct organisation *to)
+{
+	struct packed_organisation p = {0};
+	bool ok = unpack_struct(o, &p, &organisation_table);
+
+	if (ok) {
+		organisation_set_name(to, p.name);
+		to->has_priority = p.has_priority;
+		to->priority = p.priority;
+	}
+	free(p.name);
+	return ok;
+}
+
 static bool unpack_organisation(const msgpack_object *o,
 				struct organisation *to)
 {
@@ -257,8 +284,8 @@
 	const msgpack_object *it;
 
 	if (!is_array(keys) ||
-	    !unpack_struct(unpack_at(o, ORGANISATION_FIELDS), to,
-			   &organisation_table) ||
+	    !unpack_organisation_fields(unpack_at(o, ORGANISATION_FIELDS),
+					to) ||
 	    !unpack_double(unpack_at(o, ORGANISATION_RATE), &to->rate_per_s) ||
 	    !unpack_double(unpack_at(o, ORGANISATION_BURST), &to->burst) ||
 	    !unpack_regions(unpack_at(o, ORGANISATION_REGIONS),
