An organisation's name and keys may be in any alphabet

What callers saw: by a test, callers with a key of an organisation whose name, or whose key, had a byte above '~' got 401.

Cause: fits_header() refused such bytes, though field content may have them (RFC 9110, 5.5).

--- a/tests/records_test.cpp
+++ b/tests/records_test.cpp
@@ -122,6 +122,20 @@
 	}
 }
 
+/* One whose name had a letter beyond ASCII was left out. */
+TEST(Records, AnOrganisationsNameMayBeInAnyAlphabet)
+{
+	struct manifest *m = decode_with("[{\"name\":\"Til\xc3\xa8ne\","
+					 "\"apiKeys\":[\"cl\xc3\xa9\"]}]");
+	const struct organisation *o;
+
+	ASSERT_NE(m, nullptr);
+	o = api_keys_find(m, "cl\xc3\xa9");
+	ASSERT_NE(o, nullptr);
+	EXPECT_STREQ(o->name, "Til\xc3\xa8ne");
+	manifest_delete(m);
+}
+
 TEST(Records, AConfigurationWithoutOrganisationsRequiresNoKeys)
 {
 	for (const char *none : {"null", "[]"}) {
