An upstream's instance may have any length

What callers saw: by a test, an upstream whose instance had 64 bytes or more got no requests, no keys and no answer to its leave.

Cause: copy_instance() refused what did not fit struct holder_id.

Change: cards and keymaps have the abbreviated instance; the holder keeps it in full, and the call of the upstream states it. upstream_announcement_done() frees what an announcement owns, in one place.

--- a/core/gatekeeper.c
+++ b/core/gatekeeper.c
@@ -527,7 +527,7 @@
 	a->started_ns = c->now_ns;
 	act->call = a->call;
 	mem_copy_str(act->addr, h->addr, sizeof(act->addr));
-	mem_copy_str(act->instance, h->id.instance, sizeof(act->instance));
+	act->instance = mem_dup_str(holder_instance(h));
 	mem_copy_str(act->caller_id, a->caller_id, sizeof(act->caller_id));
 	act->caller_service = a->caller_service;
 	a->caller_service = NULL;
--- a/core/holder.c
+++ b/core/holder.c
@@ -68,6 +68,7 @@
 	held_rows_delete(&h->granted_previous);
 	held_rows_delete(&h->moving);
 	held_rows_delete(&h->carried);
+	free(h->long_instance);
 }
 
 /* As the store's present era shows it; NULL if it has not yet. */
@@ -116,8 +117,13 @@
 	return r ? r->fence : 0;
 }
 
+const char *holder_instance(const struct holder *h)
+{
+	return h->long_instance ? h->long_instance : h->id.instance;
+}
+
 static void start_lifetime(struct holder *h, struct mesh_ctx *c,
-			   const struct upstream_announcement *ann)
+			   struct upstream_announcement *ann)
 {
 	mesh_log(c->out, LOG_INFO,
 		 "event=upstream_started instance=%s born=%lu before=%s "
@@ -128,6 +134,9 @@
 	mem_copy_str(h->id.node, c->opts->node, sizeof(h->id.node));
 	mem_copy_str(h->id.instance, ann->instance, sizeof(h->id.instance));
 	h->id.born = ann->born;
+	free(h->long_instance);
+	h->long_instance = ann->long_instance;
+	ann->long_instance = NULL;
 	h->draining = false;
 	held_rows_delete(&h->granted);
 	held_rows_delete(&h->granted_previous);
--- a/core/holder.h
+++ b/core/holder.h
@@ -32,6 +32,7 @@
 struct holder {
 	bool known; /* an upstream has sent an announcement */
 	struct holder_id id;
+	char *long_instance; /* in full, if that of @id is abbreviated */
 	char addr[JD_ADDR_MAX];
 	uint32_t slots;		/* requests that it runs at once */
 	uint64_t sequence;	/* of its last announcement */
@@ -86,7 +87,10 @@
 void holder_init(struct holder *h, const struct mesh_opts *o, uint64_t now_ns);
 void holder_done(struct holder *h);
 
-/** Handles one announcement and answers it; takes ownership of @ann->held. */
+/** Name in full of the upstream's lifetime. */
+const char *holder_instance(const struct holder *h);
+
+/** Handles one announcement and answers it; takes what it keeps of @ann. */
 void holder_on_announcement(struct holder *h, struct mesh_ctx *c,
 			    const struct session *s,
 			    struct upstream_announcement *ann);
--- a/core/mesh.c
+++ b/core/mesh.c
@@ -340,8 +340,7 @@
 static void on_announcement(struct mesh *m, struct upstream_announcement *ann)
 {
 	holder_on_announcement(&m->holder, &m->ctx, &m->session, ann);
-	held_rows_delete(&ann->held);
-	held_rows_delete(&ann->released);
+	upstream_announcement_done(ann);
 	update_card(m);
 }
 
--- a/core/mesh_io.c
+++ b/core/mesh_io.c
@@ -18,6 +18,13 @@
 	}
 }
 
+void upstream_announcement_done(struct upstream_announcement *ann)
+{
+	held_rows_delete(&ann->held);
+	held_rows_delete(&ann->released);
+	free(ann->long_instance);
+}
+
 void mesh_actions_init(struct mesh_actions *a)
 {
 	list_init(&a->items);
@@ -81,6 +88,7 @@
 		http_answer_delete(a->u.reply.answer);
 		break;
 	case MA_UPSTREAM_CALL:
+		free(a->u.call.instance);
 		free(a->u.call.caller_service);
 		free(a->u.call.organisation);
 		http_request_unref(a->u.call.request);
--- a/core/mesh_io.h
+++ b/core/mesh_io.h
@@ -108,8 +108,9 @@
 /** The upstream's announcement, which reports its state and its keys. */
 struct upstream_announcement {
 	uint64_t handle; /* for the answer */
-	bool leaves;	 /* it shuts down; only @instance and @born are set */
+	bool leaves; /* it shuts down; only the instance and @born are set */
 	char instance[JD_INSTANCE_MAX];
+	char *long_instance; /* in full, if @instance is abbreviated; or NULL */
 	/* Unix ms; of one that leaves: the latest that it may have begun. */
 	uint64_t born;
 	uint64_t sequence;
@@ -122,6 +123,9 @@
 	struct list released; /* of struct held_row */
 };
 
+/** Frees what @ann owns. */
+void upstream_announcement_done(struct upstream_announcement *ann);
+
 struct act_announcement_reply {
 	uint64_t handle;
 	bool refuse; /* answers with an error instead of an acknowledgement */
@@ -215,7 +219,7 @@
 struct act_mesh_upstream_call {
 	uint64_t call;
 	char addr[JD_ADDR_MAX];
-	char instance[JD_INSTANCE_MAX]; /* the only one that may run it */
+	char *instance; /* in full: the only one that may run it */
 	char caller_id[JD_CALLER_ID_MAX];
 	char *caller_service; /* in full; NULL: none */
 	char *organisation;   /* in full; NULL or empty: none */
