A request's id may have any length

What callers saw: by a test, a request whose id had 256 bytes or more was sent on without it, which upstreams answer with 400; so were the node's answers.

Cause: request_decode() dropped an id that did not fit an array.

Change: the id is an allocated string from the request to the upstream's call and the reply; a request's head bounds it. The log abbreviates one of 256 bytes or more. A node of the version before can't decode a forward with such an id.

--- a/core/dispatch.c
+++ b/core/dispatch.c
@@ -62,6 +62,7 @@
 	d->count--;
 	d->bytes -= p->bytes;
 	http_request_unref(p->request);
+	free(p->caller_id);
 	free(p->organisation_name);
 	http_answer_delete(p->failed_answer);
 	free(p);
@@ -149,8 +150,9 @@
 		 "config_revision=" REVISION_FMT " config_wanted=" REVISION_FMT
 		 " revision=" REVISION_FMT " peer_revision=" REVISION_FMT
 		 " store_down=%d store_age_ms=%ld checked_age_ms=%ld",
-		 r->id, refusal_find(why)->name, refusal_find(why)->http_code,
-		 LOGGED_TEXT_MAX, r->host, (int)path_len, target, r->keyed,
+		 name_for_log(r->id).text, refusal_find(why)->name,
+		 refusal_find(why)->http_code, LOGGED_TEXT_MAX, r->host,
+		 (int)path_len, target, r->keyed,
 		 (unsigned long)(c->dir.manifest ? c->dir.manifest->version
 						 : 0),
 		 REVISION_ARGS(c->dir.manifest_revision),
@@ -172,7 +174,7 @@
 	a->code = refusal_find(why)->http_code;
 	a->retry_after_ns = a->code == 503 ? RETRY_AFTER_DEFAULT_NS : 0;
 	a->close = d->stopping;
-	mem_copy_str(a->id, r->id, sizeof(a->id));
+	a->id = r->id ? mem_dup_str(r->id) : NULL;
 	d->outcomes[OUTCOME_NOT_RUN]++;
 	d->reasons[why]++;
 	log_refusal(c, r, why);
@@ -202,7 +204,7 @@
 		 "event=%s id=%s route=%s service=%s outcome=%s "
 		 "code=%d why=%s node=%s attempts=%u ms=%lu left_ms=%ld "
 		 "config=%lu revision=" REVISION_FMT,
-		 event, p->caller_id, p->route, p->service,
+		 event, name_for_log(p->caller_id).text, p->route, p->service,
 		 outcome_name(outcome), code, refusal_find(p->refusal)->name,
 		 p->gate_node, p->attempt, (unsigned long)(took_ns / NS_PER_MS),
 		 (long)((int64_t)(p->deadline_ns - c->now_ns) /
@@ -221,7 +223,7 @@
 
 	a->caller = p->caller;
 	a->close = d->stopping;
-	mem_copy_str(a->id, p->caller_id, sizeof(a->id));
+	a->id = p->caller_id ? mem_dup_str(p->caller_id) : NULL;
 	return a;
 }
 
@@ -303,7 +305,7 @@
 	f->idempotent = p->idempotent;
 	mem_copy_str(f->route, p->route, sizeof(f->route));
 	f->organisation = mem_dup_str(p->organisation_name);
-	mem_copy_str(f->caller_id, p->caller_id, sizeof(f->caller_id));
+	f->caller_id = p->caller_id ? mem_dup_str(p->caller_id) : NULL;
 	f->caller_service = mem_dup_str(mesh_service_name(c->opts));
 	mem_copy_str(f->reply_to, c->opts->peer_addr, sizeof(f->reply_to));
 	f->request = http_request_ref(p->request);
@@ -385,7 +387,8 @@
 	p->id.node = c->opts->boot;
 	p->id.counter = d->next_id++;
 	p->caller = r->caller;
-	mem_copy_str(p->caller_id, r->id, sizeof(p->caller_id));
+	p->caller_id = r->id;
+	r->id = NULL;
 	mem_copy_str(p->route, route->name, sizeof(p->route));
 	mem_copy_str(p->service, route_draw_service(route, &c->rng),
 		     sizeof(p->service));
@@ -691,7 +694,7 @@
 	if (message_drop_invalid_answer(a))
 		mesh_log(c->out, LOG_WARN,
 			 "event=answer_invalid why=head id=%s node=%s",
-			 p->caller_id, p->gate_node);
+			 name_for_log(p->caller_id).text, p->gate_node);
 	if (n && p->keyed)
 		pick_note_answer(c, p, n, a->refusal);
 	if (a->internal_route)
--- a/core/gatekeeper.c
+++ b/core/gatekeeper.c
@@ -5,6 +5,7 @@
 #include <string.h>
 
 #include "core/mem.h"
+#include "core/name.h"
 
 /* Weight of the newest value in the moving averages of service time. */
 #define MEAN_NEWEST_WEIGHT	    0.05
@@ -45,6 +46,7 @@
 static void attempt_delete(struct gate_attempt *a)
 {
 	list_remove(&a->link);
+	free(a->caller_id);
 	free(a->caller_service);
 	free(a->organisation);
 	http_request_unref(a->request);
@@ -270,7 +272,8 @@
 	a->keyed = f->keyed;
 	a->shard = f->shard;
 	mem_copy_str(a->route, f->route, sizeof(a->route));
-	mem_copy_str(a->caller_id, f->caller_id, sizeof(a->caller_id));
+	a->caller_id = f->caller_id;
+	f->caller_id = NULL;
 	a->caller_service = f->caller_service;
 	f->caller_service = NULL;
 	a->organisation = f->organisation;
@@ -528,7 +531,8 @@
 	act->call = a->call;
 	mem_copy_str(act->addr, h->addr, sizeof(act->addr));
 	act->instance = mem_dup_str(holder_instance(h));
-	mem_copy_str(act->caller_id, a->caller_id, sizeof(act->caller_id));
+	act->caller_id = a->caller_id;
+	a->caller_id = NULL;
 	act->caller_service = a->caller_service;
 	a->caller_service = NULL;
 	act->organisation = a->organisation;
@@ -576,8 +580,8 @@
 	mesh_log(c->out, LOG_INFO,
 		 "event=attempt_hopeless id=%s route=%s rank=%u call=%d "
 		 "late=%d waiting=%u running=%u left_ms=%ld",
-		 a->caller_id, a->route, a->priority, a->internal, a->late,
-		 g->waiting_count, g->running_count,
+		 name_for_log(a->caller_id).text, a->route, a->priority,
+		 a->internal, a->late, g->waiting_count, g->running_count,
 		 (long)((int64_t)(a->deadline_ns - c->now_ns) /
 			(int64_t)NS_PER_MS));
 	end_attempt(g, a, OUTCOME_NOT_RUN, REFUSAL_NO_ROOM, NULL);
--- a/core/gatekeeper.h
+++ b/core/gatekeeper.h
@@ -38,7 +38,7 @@
 	bool keyed;
 	uint32_t shard; /* the key's number, when keyed */
 	char route[JD_NAME_MAX];
-	char caller_id[JD_CALLER_ID_MAX]; /* the caller's own request id */
+	char *caller_id;      /* the caller's own request id; or NULL */
 	char *caller_service; /* of the VM where it began, in full; or NULL */
 	char *organisation;   /* in full; NULL or empty: none */
 	struct http_request *request; /* NULL once it has started */
--- a/core/load/not_run.c
+++ b/core/load/not_run.c
@@ -2,6 +2,7 @@
 
 #include "core/load/gate_pick.h"
 #include "core/message.h"
+#include "core/name.h"
 
 void not_run_tell_sender(struct mesh_ctx *c, const struct message *m)
 {
@@ -18,7 +19,7 @@
 	mesh_log(c->out, LOG_INFO,
 		 "event=forward_not_run why=former_process id=%s attempt=%u "
 		 "reply_to=%s",
-		 f->caller_id, f->attempt, f->reply_to);
+		 name_for_log(f->caller_id).text, f->attempt, f->reply_to);
 }
 
 bool not_run_cancel(struct mesh_ctx *c, struct gatekeeper *own,
--- a/core/mesh_io.c
+++ b/core/mesh_io.c
@@ -68,6 +68,7 @@
 
 void caller_request_done(struct caller_request *r)
 {
+	free(r->id);
 	free(r->host);
 	http_request_unref(r->request);
 }
@@ -86,9 +87,11 @@
 		break;
 	case MA_REPLY:
 		http_answer_delete(a->u.reply.answer);
+		free(a->u.reply.id);
 		break;
 	case MA_UPSTREAM_CALL:
 		free(a->u.call.instance);
+		free(a->u.call.caller_id);
 		free(a->u.call.caller_service);
 		free(a->u.call.organisation);
 		http_request_unref(a->u.call.request);
--- a/core/mesh_io.h
+++ b/core/mesh_io.h
@@ -77,8 +77,8 @@
 /** A caller's request; its headers are passed on unchanged. */
 struct caller_request {
 	uint64_t caller; /* handle for the reply */
-	char id[JD_CALLER_ID_MAX];
-	char *host; /* owned by the event; empty: none that is valid */
+	char *id;	 /* owned by the event; NULL or empty: none */
+	char *host;	 /* owned by the event; empty: none that is valid */
 	uint64_t deadline_ns; /* 0: none was given */
 	bool bad_deadline;
 	bool keyed;
@@ -213,14 +213,14 @@
 	enum refusal refusal;
 	uint64_t retry_after_ns; /* 0: none */
 	bool close;
-	char id[JD_CALLER_ID_MAX];
+	char *id; /* of the request, as its caller sent it; NULL: none */
 };
 
 struct act_mesh_upstream_call {
 	uint64_t call;
 	char addr[JD_ADDR_MAX];
-	char *instance; /* in full: the only one that may run it */
-	char caller_id[JD_CALLER_ID_MAX];
+	char *instance;	      /* in full: the only one that may run it */
+	char *caller_id;      /* NULL or empty: none */
 	char *caller_service; /* in full; NULL: none */
 	char *organisation;   /* in full; NULL or empty: none */
 	uint64_t deadline_ns;
--- a/core/message.c
+++ b/core/message.c
@@ -51,6 +51,7 @@
 		break;
 	case MSG_FORWARD:
 		free(m->u.forward.organisation);
+		free(m->u.forward.caller_id);
 		free(m->u.forward.caller_service);
 		http_request_unref(m->u.forward.request);
 		break;
--- a/core/message.h
+++ b/core/message.h
@@ -96,7 +96,7 @@
 	uint32_t priority;     /* of the route; 0 is served first */
 	uint32_t shard;	       /* of the key, if @keyed */
 	bool keyed;
-	char caller_id[JD_CALLER_ID_MAX]; /* request id set by the caller */
+	char *caller_id;      /* request id set by the caller; or NULL */
 	char *caller_service; /* of the VM it came from, in full; or NULL */
 	bool call;	      /* a run that has started waits for it */
 	bool again;	      /* its caller comes back after a failure */
--- a/core/name.c
+++ b/core/name.c
@@ -57,3 +57,11 @@
 	put_digest(dst + start + 1, src, len);
 	dst[start + 1 + DIGEST_CHARS] = '\0';
 }
+
+struct name_text name_for_log(const char *name)
+{
+	struct name_text t;
+
+	name_copy(t.text, name ? name : "", sizeof(t.text));
+	return t;
+}
--- a/core/name.h
+++ b/core/name.h
@@ -15,4 +15,12 @@
  */
 void name_copy(char *dst, const char *src, size_t cap);
 
+/** A name in a line of the log. */
+struct name_text {
+	char text[256];
+};
+
+/** @name as the log shows it, abbreviated if it does not fit; NULL: none. */
+struct name_text name_for_log(const char *name);
+
 #endif
--- a/core/organisations/quotas.c
+++ b/core/organisations/quotas.c
@@ -4,6 +4,7 @@
 #include <xxhash.h>
 
 #include "core/mem.h"
+#include "core/name.h"
 #include "core/text.h"
 
 /*
@@ -174,7 +175,7 @@
 		 "rate_per_s=%.3f burst=%.3f keeper=%s answered=%d "
 		 "share=%lu share_age_ms=%lu silent_ms=%lu waiting=%u "
 		 "retry_after_ms=%lu config=%lu",
-		 p->caller_id, p->organisation,
+		 name_for_log(p->caller_id).text, p->organisation,
 		 p->quota.verdict == QUOTA_OVER ? "over_quota"
 						: "no_quota_share",
 		 pool->rule.rate_per_s, pool->rule.burst,
--- a/core/pending.h
+++ b/core/pending.h
@@ -27,7 +27,7 @@
 	uint64_t caller; /* handle for the reply */
 	enum pending_state state;
 	struct quota_waiter quota;
-	char caller_id[JD_CALLER_ID_MAX]; /* the caller's own request id */
+	char *caller_id; /* the caller's own request id; or NULL */
 	char route[JD_NAME_MAX];
 	char service[JD_NAME_MAX];
 	char organisation[JD_NAME_MAX]; /* empty: none */
--- a/core/types.h
+++ b/core/types.h
@@ -12,9 +12,8 @@
 #define JD_KEY_MAX	  256		    /* a request's key */
 #define JD_API_KEY_MAX	  128		    /* of an organisation */
 #define JD_QUOTA_NAME_MAX (JD_NAME_MAX + 4) /* organisation and part */
-#define JD_NODE_NAME_MAX  64  /* a node's name in a leased fleet */
-#define JD_CALLER_ID_MAX  256 /* a request id that its caller has set */
-#define JD_INSTANCE_MAX	  64  /* names one run of an upstream process */
+#define JD_NODE_NAME_MAX  64 /* a node's name in a leased fleet */
+#define JD_INSTANCE_MAX	  64 /* names one run of an upstream process */
 
 #define NS_PER_US UINT64_C(1000)
 #define NS_PER_MS UINT64_C(1000000)
--- a/tests/codec_test.cpp
+++ b/tests/codec_test.cpp
@@ -32,6 +32,7 @@
 	f->time_left_ns = 77;
 	f->idempotent = true;
 	mem_copy_str(f->key, "order-1", sizeof(f->key));
+	f->caller_id = mem_dup_str((service + "i").c_str());
 	f->caller_service = mem_dup_str(service.c_str());
 	f->organisation = mem_dup_str((service + "o").c_str());
 	f->request = http_request_new("POST", "/a?b=c");
@@ -40,6 +41,7 @@
 	struct message *decoded = round_trip(m);
 	ASSERT_NE(decoded, nullptr);
 	EXPECT_EQ(decoded->to, UINT64_MAX);
+	EXPECT_EQ(decoded->u.forward.caller_id, service + "i");
 	EXPECT_EQ(decoded->u.forward.caller_service, service);
 	EXPECT_EQ(decoded->u.forward.organisation, service + "o");
 	EXPECT_TRUE(request_id_equal(decoded->u.forward.id, f->id));
--- a/tests/name_test.cpp
+++ b/tests/name_test.cpp
@@ -64,6 +64,16 @@
 	EXPECT_EQ(copy("n" + a).substr(0, 8), "n\xc3\xa9\xc3\xa9\xc3\xa9~");
 }
 
+/* What follows a long id in a line of the log was cut off. */
+TEST(Name, TheLogShowsALongNameAbbreviated)
+{
+	const std::string longest(255, 'i');
+
+	EXPECT_EQ(name_for_log(longest.c_str()).text, longest);
+	EXPECT_EQ(strlen(name_for_log((longest + "i").c_str()).text), 255u);
+	EXPECT_STREQ(name_for_log(nullptr).text, "");
+}
+
 /* rapidcheck: equal copies if and only if the names are equal. */
 RC_GTEST_PROP(Name, CopiesAreEqualAsNamesAre, ())
 {
--- a/wire/codec.c
+++ b/wire/codec.c
@@ -72,7 +72,7 @@
 	PACK_U32_OF(struct msg_forward, priority),
 	PACK_U32_OF(struct msg_forward, shard),
 	PACK_BOOL_OF(struct msg_forward, keyed),
-	PACK_STR_OF(struct msg_forward, caller_id),
+	PACK_TEXT_OF(struct msg_forward, caller_id),
 	PACK_TEXT_OF(struct msg_forward, caller_service),
 	PACK_BOOL_OF(struct msg_forward, call),
 	PACK_BOOL_OF(struct msg_forward, again),
