A number of the configuration that does not fit is the largest

What callers saw: by a test, a priority of 2^32 went before all others, maxAttempts of 2^32 meant one attempt, maxConnections of 2^32 no limit, and a timeout of 10^9 s the default of 2 s.

Cause: casts to 32 bits; reals from 10^15 and times from 10^9 s counted as missing.

The gate's class of demand no longer wraps for priorities above 2^31.

--- a/core/gatekeeper.c
+++ b/core/gatekeeper.c
@@ -364,7 +364,10 @@
 /* Those that come back go before the others of their rank. */
 static uint32_t demand_class(const struct gate_attempt *a)
 {
-	return 2 * a->priority + !a->again;
+	uint32_t rank =
+		a->priority < UINT32_MAX / 2 ? a->priority : UINT32_MAX / 2;
+
+	return 2 * rank + !a->again;
 }
 
 /* True when @a can't be answered in time behind those that go before it. */
--- a/tests/records_test.cpp
+++ b/tests/records_test.cpp
@@ -572,6 +572,44 @@
 	manifest_delete(m);
 }
 
+/*
+ * A number of 2^32 wrapped to 0: the highest priority, a single attempt, no
+ * limit of connections. A time of 10^9 s became the default.
+ */
+TEST(Records, ANumberThatDoesNotFitIsTheLargest)
+{
+	for (const std::string &n :
+	     {std::string("4294967295"), std::string("4294967296"),
+	      std::string("9223372036854775807"), std::string("4294967296.0"),
+	      std::string("1e18"), std::string("1e300")}) {
+		std::string text =
+			"{\"version\":\"1\",\"routes\":[{\"name\":\"r\","
+			"\"host\":\"h\",\"pathPrefix\":\"/\","
+			"\"service\":\"s\",\"priority\":" +
+			n + ",\"maxAttempts\":" + n + ",\"timeoutS\":" + n +
+			"}],\"services\":[{\"name\":\"s\",\"maxConnections\":" +
+			n +
+			"}],\"tenants\":[{\"name\":\"o\",\"priority\":" + n +
+			"}],\"limits\":{\"maxBodyBytes\":" + n + "}}";
+		struct manifest *m = config_decode(text.data(), text.size());
+		const struct route *r;
+
+		ASSERT_NE(m, nullptr) << n;
+		r = manifest_match_host(m, "h", "/");
+		ASSERT_FALSE(r->invalid);
+		EXPECT_EQ(r->priority, UINT32_MAX) << n;
+		EXPECT_EQ(r->max_attempts, UINT32_MAX) << n;
+		EXPECT_EQ(r->timeout_ms, 1000000000000u) << n;
+		EXPECT_LT(r->timeout_ms, UINT64_MAX / NS_PER_MS);
+		EXPECT_EQ(manifest_service(m, "s")->max_connections, UINT32_MAX)
+			<< n;
+		EXPECT_EQ(manifest_organisation(m, "o")->priority, UINT32_MAX)
+			<< n;
+		EXPECT_GE(m->limits.body_bytes, UINT32_MAX) << n;
+		manifest_delete(m);
+	}
+}
+
 TEST(Records, LimitsMayBeFractionsOrMissing)
 {
 	std::string text = "{\"version\":\"1\",\"routes\":[],"
