A figure of an upstream's load that does not fit is the largest

What callers saw: by a test, an upstream that reported 2^32 requests running counted as idle.

Cause: sscanf("%u") wraps, and takes a sign.

--- a/tests/requests_test.cpp
+++ b/tests/requests_test.cpp
@@ -343,6 +343,36 @@
 	http_answer_delete(out);
 }
 
+/* A figure of 2^32 was 0: a full upstream seemed idle. */
+TEST(Requests, AFigureOfTheLoadThatDoesNotFitIsTheLargest)
+{
+	const std::pair<const char *, bool> cases[] = {
+		{"4294967296,18446744073709551616,8,4294967295", true},
+		{"4294967295, 4294967295, 8", true},
+		{"3,0", false},
+		{"-1,0,8", false},
+		{"x", false},
+	};
+
+	for (const auto &[text, present] : cases) {
+		struct client_result r = {};
+		struct ev_upstream_end e;
+
+		r.end = CLIENT_ANSWERED;
+		r.answer = http_answer_new(404);
+		payload_add_header(&r.answer->payload,
+				   "Jackdawpaddle-Server-Load", text);
+		result_decode(&r, &e);
+		EXPECT_EQ(e.report.present, present) << text;
+		if (present) {
+			EXPECT_EQ(e.report.running, UINT32_MAX) << text;
+			EXPECT_EQ(e.report.waiting, UINT32_MAX) << text;
+			EXPECT_EQ(e.report.slots, 8u) << text;
+		}
+		http_answer_delete(e.answer);
+	}
+}
+
 /*
  * Traffic between regions is paid for by the byte, so the gate must not send
  * the entry headers that the entry adds itself or does not need.
