A number of the settings that does not fit is the largest

Cause: a bound of 10^10 and more overflowed when it was cast to 32 bits or multiplied to nanoseconds, and nan was taken for a number; operators saw none of it.

--- a/tests/platform_settings_test.cpp
+++ b/tests/platform_settings_test.cpp
@@ -119,6 +119,30 @@
 	platform_settings_done(&a);
 }
 
+/* A number that its type could not hold had any value. */
+TEST(PlatformSettings, ANumberThatDoesNotFitIsTheLargest)
+{
+	for (const char *n : {"1e9", "4294967296e9", "1e300", "inf"}) {
+		std::string text = valid_file, findings;
+		struct platform_settings s;
+		struct mesh_opts o;
+
+		text.replace(text.find("=64"), 3, std::string("=") + n);
+		text.replace(text.find("drainS=2"), 8,
+			     std::string("drainS=") + n);
+		EXPECT_EQ(read_settings(text, &s, &findings), 0) << findings;
+		platform_settings_mesh_opts(&s, 9, 8, &o);
+		EXPECT_EQ(o.retry_slack, 1000000000u) << n;
+		EXPECT_EQ(o.drain_ns, 1000000000 * NS_PER_S) << n;
+	}
+	std::string text = valid_file, findings;
+	struct platform_settings s;
+
+	text.replace(text.find("=64"), 3, "=nan");
+	EXPECT_EQ(read_settings(text, &s, &findings), 1);
+	EXPECT_EQ(findings, "retryBudgetSlack ");
+}
+
 TEST(PlatformSettings, MissingFileIsAFinding)
 {
 	struct platform_settings s;
