A page of the store may end with the longest key in any alphabet

What callers saw: nothing yet. By a test, the next page had a key again that a page ended with, if it was long and in another alphabet; a page of such keys would have come again and again, by reading.

Cause: the URI with that key, encoded, was cut at 511 bytes; a key of 200 bytes takes up to 600.

--- a/tests/kv_client_test.cpp
+++ b/tests/kv_client_test.cpp
@@ -127,6 +127,24 @@
 	EXPECT_EQ(kv_client_request_count(client), 3u);
 }
 
+/* The next page was asked for after a part of the key, and had it again. */
+TEST_F(KvClientTest, APageMayEndWithTheLongestKeyInAnyAlphabet)
+{
+	std::string longest = "op/evacuate/";
+
+	while (longest.size() < 199)
+		longest += "\xc3\xa9";
+	for (const std::string &key :
+	     {std::string("op/evacuate/a"), std::string("op/evacuate/b"),
+	      longest, longest.substr(0, 196) + "\xc3\xaa\xc3\xaa"})
+		kv_server_put(server, key.c_str(), "{}");
+	const End &e = call(CALL_READ_ALL);
+
+	EXPECT_EQ(e.end, STORE_DONE);
+	EXPECT_EQ(e.names.size(), 4u);
+	EXPECT_EQ(kv_client_request_count(client), 2u);
+}
+
 TEST_F(KvClientTest, WatchReportsARemovedRecord)
 {
 	kv_server_put(server, "op/evacuate/z1", "{}");
