A line of the log names its node whole

What operators saw: by a test, lines of nodes whose names are equal in their first 31 bytes had the same node=.

Cause: the log kept 31 bytes, though a node's name has up to 63.

Change: it keeps the name, abbreviated if it is longer still.

Evidence: with the code before, Log.ALineNamesItsNodeWholeOrAbbreviated fails; log_test passes after.

--- a/io/log.c
+++ b/io/log.c
@@ -7,6 +7,7 @@
 
 #include "core/log_limit.h"
 #include "core/mem.h"
+#include "core/name.h"
 #include "core/text.h"
 #include "io/clock.h"
 
@@ -20,7 +21,7 @@
 };
 
 static enum log_level min_level = LOG_INFO;
-static char node_name[JD_NAME_MAX] = "-";
+static char node_name[JD_NODE_NAME_MAX] = "-";
 static struct log_limit log_limit;
 
 static FILE *log_out; /* NULL: standard error */
@@ -33,7 +34,7 @@
 void log_init(enum log_level level, const char *name)
 {
 	min_level = level;
-	mem_copy_str(node_name, name, sizeof(node_name));
+	name_copy(node_name, name, sizeof(node_name));
 }
 
 /* Replaces control characters by '?': logged input must not forge lines. */
--- a/tests/log_test.cpp
+++ b/tests/log_test.cpp
@@ -23,6 +23,25 @@
 		  std::string::npos);
 }
 
+/* Lines of nodes whose names differ after 31 bytes could not be told apart. */
+TEST(Log, ALineNamesItsNodeWholeOrAbbreviated)
+{
+	for (size_t len : {31, 32, 63, 64, 300}) {
+		const std::string name(len, 'n');
+		std::string a, b;
+
+		log_init(LOG_INFO, (name + "1").c_str());
+		a = log_output("event=x");
+		log_init(LOG_INFO, (name + "2").c_str());
+		b = log_output("event=x");
+		EXPECT_NE(a.substr(a.find("node=")), b.substr(b.find("node=")))
+			<< len;
+		if (len < 63) {
+			EXPECT_NE(a.find("node=" + name + "1 "), a.npos) << a;
+		}
+	}
+}
+
 TEST(Log, LinesBelowTheMinimumLevelAreDropped)
 {
 	log_init(LOG_WARN, "n1");
