A forward to the local gate frees its organisation's name

Cause: since a forward owns the organisation's name; run_local(), in the fleet with keepers, builds one that is no message, and nothing freed it.

Change: run_local() frees it.

--- a/core/router.c
+++ b/core/router.c
@@ -273,6 +273,7 @@
 
 	fill_forward(&f, pr, c);
 	gate_submit(g, c, lease, &f, c->boot);
+	free(f.organisation);
 }
 
 static void run_remote(struct router *r, struct ctx *c,
