A route may be split into any number of parts

What callers saw: by a test, all requests of a route with more than eight parts of its traffic were refused with 503.

Cause: struct route had room for eight; with more the route was invalid.

Change: the parts are allocated, route_add_split() appends one.

Evidence: with the former limit Records.ARouteMayBeSplitIntoAnyNumberOfParts fails at nine parts. records_test, manifest_delta_test, manifest_codec_test, config_lint_test, manifest_test, manifest_check_test, router_test, dispatch_test, codec_test and doc_delta_test pass without a leak.

--- a/core/manifest.c
+++ b/core/manifest.c
@@ -182,6 +182,7 @@
 {
 	free(r->host);
 	free(r->path);
+	free(r->splits);
 	free(r);
 }
 
@@ -193,9 +194,21 @@
 	list_init(&copy->by_prefix);
 	copy->host = mem_dup(r->host, strlen(r->host));
 	copy->path = mem_dup(r->path, strlen(r->path));
+	copy->splits = mem_dup(r->splits, r->split_count * sizeof(*r->splits));
 	return copy;
 }
 
+struct split *route_add_split(struct route *r)
+{
+	struct split *s;
+
+	r->splits =
+		mem_realloc(r->splits, r->split_count + 1, sizeof(*r->splits));
+	s = &r->splits[r->split_count++];
+	memset(s, 0, sizeof(*s));
+	return s;
+}
+
 static void replace_text(char **to, const char *text)
 {
 	char *copy = mem_dup(text, strlen(text));
--- a/core/manifest.h
+++ b/core/manifest.h
@@ -40,8 +40,6 @@
 	char names[8][JD_NAME_MAX];
 };
 
-#define ROUTE_SPLITS_MAX 8
-
 /** A service's share of a route's requests. */
 struct split {
 	char service[JD_NAME_MAX];
@@ -54,10 +52,10 @@
 	uint32_t position;     /* in the list of routes, when indexed */
 	char name[JD_NAME_MAX];
 	char service[JD_NAME_MAX];
-	char *host;	      /* Host header to match; empty: any */
-	char *path;	      /* prefix of the paths to match */
-	uint32_t split_count; /* 0: all requests go to @service */
-	struct split splits[ROUTE_SPLITS_MAX];
+	char *host;	       /* Host header to match; empty: any */
+	char *path;	       /* prefix of the paths to match */
+	uint32_t split_count;  /* 0: all requests go to @service */
+	struct split *splits;  /* @split_count, which the route owns */
 	uint32_t priority;     /* under overload; 0 is served first */
 	uint32_t max_attempts; /* of a request at upstreams; 0 means 1 */
 	enum route_kind kind;
@@ -167,6 +165,8 @@
 void route_delete(struct route *r);
 /** A copy in no list. */
 struct route *route_copy(const struct route *r);
+/** Appends a split; the pointer is valid until the next one. */
+struct split *route_add_split(struct route *r);
 /** Set the host, or the prefix, to a copy of @text. */
 void route_set_host(struct route *r, const char *text);
 void route_set_path(struct route *r, const char *text);
--- a/wire/manifest_codec.c
+++ b/wire/manifest_codec.c
@@ -205,11 +205,12 @@
 
 static bool unpack_splits(const msgpack_object *o, struct route *r)
 {
-	if (!is_array(o) || o->via.array.size > ROUTE_SPLITS_MAX)
+	const msgpack_object *it;
+
+	if (!is_array(o))
 		return false;
-	for (; r->split_count < o->via.array.size; r->split_count++)
-		if (!unpack_struct(unpack_at(o, r->split_count),
-				   &r->splits[r->split_count], &split_table))
+	for (size_t i = 0; (it = unpack_at(o, i)); i++)
+		if (!unpack_struct(it, route_add_split(r), &split_table))
 			return false;
 	return true;
 }
