--- a/core/dispatch.c
+++ b/core/dispatch.c
@@ -174,7 +174,7 @@
 	a->code = refusal_find(why)->http_code;
 	a->retry_after_ns = a->code == 503 ? RETRY_AFTER_DEFAULT_NS : 0;
 	a->close = d->stopping;
-	a->id = r->id ? mem_dup_str(r->id) : NULL;
+	a->id = mem_dup_str(r->id);
 	d->outcomes[OUTCOME_NOT_RUN]++;
 	d->reasons[why]++;
 	log_refusal(c, r, why);
@@ -223,7 +223,7 @@
 
 	a->caller = p->caller;
 	a->close = d->stopping;
-	a->id = p->caller_id ? mem_dup_str(p->caller_id) : NULL;
+	a->id = mem_dup_str(p->caller_id);
 	return a;
 }
 
@@ -305,7 +305,7 @@
 	f->idempotent = p->idempotent;
 	mem_copy_str(f->route, p->route, sizeof(f->route));
 	f->organisation = mem_dup_str(p->organisation_name);
-	f->caller_id = p->caller_id ? mem_dup_str(p->caller_id) : NULL;
+	f->caller_id = mem_dup_str(p->caller_id);
 	f->caller_service = mem_dup_str(mesh_service_name(c->opts));
 	mem_copy_str(f->reply_to, c->opts->peer_addr, sizeof(f->reply_to));
 	f->request = http_request_ref(p->request);
--- a/core/manifest.c
+++ b/core/manifest.c
@@ -72,8 +72,7 @@
 	struct organisation *copy = mem_dup(o, sizeof(*o));
 	const struct api_key *k;
 
-	if (o->long_name)
-		copy->long_name = mem_dup_str(o->long_name);
+	copy->long_name = mem_dup_str(o->long_name);
 	list_init(&copy->link);
 	list_init(&copy->api_keys);
 	list_for_each_entry(k, &o->api_keys, link)
--- a/core/mem.c
+++ b/core/mem.c
@@ -32,7 +32,7 @@
 
 char *mem_dup_str(const char *s)
 {
-	return mem_dup(s, strlen(s));
+	return s ? mem_dup(s, strlen(s)) : NULL;
 }
 
 void mem_copy_str(char *dst, const char *src, size_t cap)
--- a/core/mem.h
+++ b/core/mem.h
@@ -13,7 +13,7 @@
 /** Copies @len bytes and adds a closing NUL; free() it. */
 void *mem_dup(const void *p, size_t len);
 
-/** Copies the string @s; free() it. */
+/** Copies the string @s; free() it. NULL for NULL. */
 char *mem_dup_str(const char *s);
 
 /** Copies @src into @dst of @cap bytes, truncated to fit with its NUL. */
