--- a/core/name.c
+++ b/core/name.c
@@ -60,7 +60,7 @@
 
 struct name_text name_for_log(const char *name)
 {
-	struct name_text t;
+	struct name_text t = {{0}};
 
 	name_copy(t.text, name ? name : "", sizeof(t.text));
 	return t;
